--- /dev/null
+++ b/src/balsamcleat/decisions/replica_directory.py
@@ -0,0 +1,88 @@
+"""Decide which targets exist and take new work, from a list that can lapse with its store.
+
+Load pattern: the store is away for some seconds and entries expire meanwhile although their
+targets serve. Taking them out at once would leave no target when every caller needs one; keeping
+a missing one for long sends work to a target that is gone.
+"""
+
+from dataclasses import dataclass
+
+from balsamcleat.model import ServiceName, TargetId
+from balsamcleat.model.replicas import Replica, ReplicaState
+
+__all__ = ["RETURN_GRACE_S", "ReplicaDirectory", "ReplicaNews"]
+
+# The platform has entries of living targets back within about this time of its return.
+RETURN_GRACE_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaNews:
+    """A change of what is believed of a target; ``replica`` is None where it is gone."""
+
+    target_id: TargetId
+    replica: Replica | None
+    reason: str
+
+
+class ReplicaDirectory:
+    """Holds the entries as they are believed; feed it readings and changes in order."""
+
+    def __init__(self) -> None:
+        self.entries: dict[TargetId, Replica] = {}
+        # Entries that went missing around an outage, and until when they are still believed.
+        self.missing: dict[TargetId, float] = {}
+        self.returned_at_s = float("-inf")
+
+    def store_returned(self, now_s: float) -> None:
+        """Take note that the store answers again after a time without."""
+        self.returned_at_s = now_s
+
+    def listed(self, replicas: dict[TargetId, Replica], now_s: float) -> list[ReplicaNews]:
+        """Take a full reading; returns what changed."""
+        news = []
+        for target_id in [known for known in self.entries if known not in replicas]:
+            news += self.removed(target_id, now_s)
+        for replica in replicas.values():
+            news += self.changed(replica)
+        return news
+
+    def changed(self, replica: Replica) -> list[ReplicaNews]:
+        """Take an entry as written; returns what changed."""
+        self.missing.pop(replica.target_id, None)
+        known = self.entries.get(replica.target_id)
+        if known is not None and replica.entry_version <= known.entry_version:
+            return []
+        self.entries[replica.target_id] = replica
+        if known is None:
+            return [ReplicaNews(replica.target_id, replica, "listed")]
+        if known.started_ms != replica.started_ms:
+            return [ReplicaNews(replica.target_id, replica, "restarted")]
+        if known.state is not replica.state:
+            return [ReplicaNews(replica.target_id, replica, replica.state.value)]
+        return []
+
+    def removed(self, target_id: TargetId, now_s: float) -> list[ReplicaNews]:
+        """Take note that an entry is no longer there; returns what changed."""
+        if target_id not in self.entries:
+            return []
+        keep_until_s = self.returned_at_s + RETURN_GRACE_S
+        if now_s < keep_until_s:
+            self.missing.setdefault(target_id, keep_until_s)
+            return []
+        self.missing.pop(target_id, None)
+        del self.entries[target_id]
+        return [ReplicaNews(target_id, None, "gone")]
+
+    def lapse(self, now_s: float) -> list[ReplicaNews]:
+        """Take out the entries that are still missing after the store's return."""
+        due = [target_id for target_id, until_s in self.missing.items() if now_s >= until_s]
+        return [item for target_id in due for item in self.removed(target_id, now_s)]
+
+    def serving(self, service: ServiceName) -> list[Replica]:
+        """Return the targets of a service that take new work."""
+        return [
+            replica
+            for replica in self.entries.values()
+            if replica.service == service and replica.state is ReplicaState.READY
+        ]
--- /dev/null
+++ b/src/balsamcleat/decisions/sample_progress.py
@@ -0,0 +1,94 @@
+"""Decide what of a sample's stream counts, from whatever targets it came."""
+
+from dataclasses import dataclass, field
+
+from balsamcleat.model import WeightVersion
+
+__all__ = ["FIRST_EVENT", "SampleProgress", "SavedProgress"]
+
+# Events count up by one from here.
+FIRST_EVENT = 1
+
+
+@dataclass(frozen=True, slots=True)
+class SavedProgress:
+    """What is at hand of a sample, as it is kept for another VM or a later step."""
+
+    events: tuple[str, ...]
+    versions: tuple[WeightVersion, ...]
+    first_event: int
+    complete: bool
+
+
+@dataclass(slots=True)
+class SampleProgress:
+    """The events at hand, whole and in order, and the weight versions that made them.
+
+    Attributes:
+        events: Data of the events.
+        versions: Versions that made at least one of them.
+        first_event: Number of the first one.
+        current: Version of the stream that is being read; None where it isn't known.
+    """
+
+    events: list[str] = field(default_factory=list)
+    versions: set[WeightVersion] = field(default_factory=set)
+    first_event: int = FIRST_EVENT
+    current: WeightVersion | None = None
+
+    @property
+    def last_event(self) -> int | None:
+        """Number of the last event at hand, to go on after; None where there is none."""
+        return self.first_event + len(self.events) - 1 if self.events else None
+
+    def begin_stream(self, version: WeightVersion | None) -> None:
+        """Take note that a target's stream begins, made by this version so far."""
+        self.current = version
+
+    def take(self, number: int | None, data: str, changed: WeightVersion | None) -> bool:
+        """Take an event; returns False where it doesn't follow or its version isn't known.
+
+        Args:
+            number: Its number.
+            data: Its data.
+            changed: The version from it on, where it differs from the event before.
+        """
+        if changed is not None:
+            self.current = changed
+        if number is None or self.current is None:
+            return False
+        if not self.events:
+            self.first_event = number
+        elif number != self.first_event + len(self.events):
+            return False
+        self.events.append(data)
+        self.versions.add(self.current)
+        return True
+
+    def fits(self, oldest: WeightVersion, *, single: bool) -> bool:
+        """Return whether the events at hand may be part of a sample."""
+        if any(version < oldest for version in self.versions):
+            return False
+        return not single or len(self.versions) <= 1
+
+    def restart(self) -> None:
+        """Drop everything."""
+        self.events.clear()
+        self.versions.clear()
+        self.first_event = FIRST_EVENT
+        self.current = None
+
+    def text(self) -> str:
+        """Return the data of all events, joined by line feeds."""
+        return "\n".join(self.events)
+
+    def save(self, *, complete: bool) -> SavedProgress:
+        """Return what is at hand, to be kept."""
+        return SavedProgress(
+            tuple(self.events), tuple(sorted(self.versions)), self.first_event, complete
+        )
+
+    @classmethod
+    def restore(cls, saved: SavedProgress) -> "SampleProgress":
+        """Return the progress that was kept."""
+        return cls(list(saved.events), set(saved.versions), saved.first_event)
--- /dev/null
+++ b/src/balsamcleat/decisions/vm_watch.py
@@ -0,0 +1,88 @@
+"""Decide which VMs are dead from rows that they renew.
+
+No clock is compared between VMs: a VM is dead once its row stayed unchanged on the observer's own
+clock for a whole term during which the store answered the observer. A row with another start of
+the process under the same name means that the earlier one is dead.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["VM_TERM_S", "VmRow", "VmWatch"]
+
+# Owners renew several times within it. A step has some seconds until it is due; noticing a dead
+# owner must leave most of them.
+VM_TERM_S = 2.0
+# What passes between two readings counts up to this much, so that an observer that stood still
+# doesn't take everyone else for dead.
+MAX_COUNTED_S = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class VmRow:
+    """A VM's row as read.
+
+    Attributes:
+        vm: Its name.
+        boot: Differs with each start of its process.
+        address: Where peers reach it.
+        version: The row's version.
+    """
+
+    vm: str
+    boot: str
+    address: str
+    version: int
+
+
+@dataclass(slots=True)
+class Sighting:
+    """The row as last seen changed, and how long it has stayed so."""
+
+    row: VmRow
+    unchanged_s: float
+
+
+class VmWatch:
+    """Take readings at any pace; ask whether an owner lives."""
+
+    def __init__(self) -> None:
+        self.seen: dict[str, Sighting] = {}
+        self.read_at_s: float | None = None
+
+    def read(self, rows: list[VmRow], now_s: float) -> None:
+        """Take a full reading."""
+        passed_s = 0.0 if self.read_at_s is None else min(MAX_COUNTED_S, now_s - self.read_at_s)
+        self.read_at_s = now_s
+        seen = {}
+        for row in rows:
+            known = self.seen.get(row.vm)
+            if known is None or known.row.version != row.version:
+                seen[row.vm] = Sighting(row, 0.0)
+            else:
+                known.unchanged_s += passed_s
+                seen[row.vm] = known
+        self.seen = seen
+
+    def interrupted(self) -> None:
+        """Take note that the store was away: its silence says nothing of the VMs."""
+        self.read_at_s = None
+        for sighting in self.seen.values():
+            sighting.unchanged_s = 0.0
+
+    def is_dead(self, vm: str, boot: str) -> bool:
+        """Return whether a start of a VM's process is over, as far as can be told."""
+        if self.read_at_s is None:
+            return False
+        sighting = self.seen.get(vm)
+        if sighting is None or sighting.row.boot != boot:
+            return True
+        return sighting.unchanged_s >= VM_TERM_S
+
+    def silence_s(self, vm: str) -> float:
+        """Return how long a VM's row has stayed unchanged, in seconds."""
+        sighting = self.seen.get(vm)
+        return 0.0 if sighting is None else sighting.unchanged_s
+
+    def living(self) -> list[VmRow]:
+        """Return the rows of the VMs that live."""
+        return [s.row for s in self.seen.values() if s.unchanged_s < VM_TERM_S]
--- /dev/null
+++ b/src/balsamcleat/entry/node.py
@@ -0,0 +1,312 @@
+"""Builds and runs an entry VM's process on the operators' platform."""
+
+import random
+import signal
+import time
+import uuid
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import structlog
+
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.replica_evidence import EvidenceBook
+from balsamcleat.errors import PlatformError
+from balsamcleat.http1 import (
+    ClientPool,
+    HttpServer,
+    PoolLimits,
+    Request,
+    Responder,
+    Response,
+    ServerLimits,
+    listen,
+)
+from balsamcleat.log_output import BoundedOutput
+from balsamcleat.logs import bounded_logs
+from balsamcleat.model import StepId
+from balsamcleat.platform import (
+    CORRELATION_HEADER,
+    OPERATOR_TABLE,
+    REPLICA_TABLE,
+    PlatformRowStore,
+    PlatformSettings,
+    ReplicaControl,
+    decode_step,
+    load_platform_settings,
+)
+from balsamcleat.ports.rows import RowConflict
+from balsamcleat.tasks.front_door import FrontDoor
+from balsamcleat.tasks.live_forwarder import LiveForwarder
+from balsamcleat.tasks.owned_step import OwnedStep
+from balsamcleat.tasks.replica_keeper import ReplicaKeeper
+from balsamcleat.tasks.rollout_desk import RolloutDesk, carry_part
+from balsamcleat.tasks.rollout_records import STEPS_TABLE, OwnerRecord, RolloutRecords
+from balsamcleat.tasks.rollout_runner import RolloutRunner
+from balsamcleat.tasks.routing_keeper import RoutingKeeper
+from balsamcleat.tasks.sample_run import SampleRunner
+from balsamcleat.tasks.step_watch_feed import KnownStep, StepFeed
+from balsamcleat.tasks.table_follower import TableFollower
+from balsamcleat.tasks.version_orders import VersionOrders
+from balsamcleat.tasks.vm_presence import VmPresence
+
+__all__ = ["EntryNode", "run_entry"]
+
+# The balancer takes a VM out after two misses a second apart; until then it sends callers.
+BALANCER_LAG_S = 2.5
+# Idle connections are kept this long after the request to stop, for callers that reuse them.
+IDLE_GRACE_S = 4.0
+# Kept back of the time between the request to stop and the kill.
+STOP_MARGIN_S = 0.8
+LEAVING_CHECK_S = 0.05
+LOG_DRAIN_S = 0.2
+ENDED_KEPT_S = 10.0
+
+log = structlog.get_logger()
+
+
+class EntryNode:
+    """All parts of one process, wired.
+
+    Args:
+        settings: What the platform says of this VM.
+        output: Where log lines go.
+    """
+
+    def __init__(self, settings: PlatformSettings, output: BoundedOutput) -> None:
+        self.settings = settings
+        self.output = output
+        self.boot = uuid.uuid4().hex[:12]
+        generator = random.Random()
+        store_pool = ClientPool(PoolLimits(connect_s=0.8, idle_connections=16))
+        self.pool = ClientPool(PoolLimits(connect_s=0.5), CORRELATION_HEADER)
+        self.store = PlatformRowStore(settings.store, store_pool)
+        self.directory = ReplicaDirectory()
+        self.book = EvidenceBook()
+        self.routing = RoutingKeeper(self.wake)
+        self.replicas = ReplicaKeeper(self.directory, self.book, self.pool, self.wake)
+        self.presence = VmPresence(
+            self.store,
+            settings.vm,
+            self.boot,
+            settings.peer_address,
+            settings.order_gap_s,
+            generator,
+        )
+        self.orders = VersionOrders(
+            self.presence,
+            ReplicaControl(self.pool, settings.vm),
+            self.directory,
+            self.book,
+            lambda: self.routing.table,
+            lambda: self.routing.named,
+        )
+        self.records = RolloutRecords(self.store)
+        self.runner = RolloutRunner(
+            self.records,
+            self.directory,
+            self.book,
+            SampleRunner(self.pool, self.book),
+            settings.zone,
+            lambda: self.routing.table,
+            self.orders.loading,
+            generator,
+        )
+        self.feed = StepFeed(
+            settings.vm,
+            self.boot,
+            self.presence.watch,
+            settings.results_kept_s,
+            self.presence.store_now_ms,
+            self.take_over,
+            lambda step_id: step_id in self.runner.steps,
+            self.step_ended,
+            self.owner_changed,
+        )
+        self.desk = RolloutDesk(
+            settings.vm,
+            self.boot,
+            self.records,
+            self.runner,
+            lambda: self.feed.steps,
+            lambda: self.routing.table,
+            self.presence.store_now_ms,
+        )
+        forwarder = LiveForwarder(self.directory, self.book, self.pool, settings.zone, generator)
+        self.door = FrontDoor(lambda: self.routing.table, forwarder, self.desk)
+        self.followers = [
+            TableFollower(self.store, OPERATOR_TABLE, self.routing, generator, single_part=True),
+            TableFollower(self.store, REPLICA_TABLE, self.replicas, generator, single_part=True),
+            TableFollower(self.store, STEPS_TABLE, self.feed, generator, single_part=False),
+        ]
+        self.front = HttpServer(listen(settings.front_address), self.door.answer, self.door.limits)
+        self.ready = HttpServer(
+            listen(settings.ready_address), self.answer_ready, lambda: ServerLimits()
+        )
+        self.leaving = False
+        self.tasks: anyio.abc.TaskGroup | None = None
+
+    def wake(self) -> None:
+        """Let those who decide by the configuration or the targets look again."""
+        self.runner.wake()
+        self.orders.wake()
+
+    def step_ended(self, step_id: StepId) -> None:
+        """Stop a step that was ended, where this VM owns it."""
+        step = self.runner.steps.get(step_id)
+        if step is not None and self.tasks is not None:
+            self.tasks.start_soon(self.runner.end, step, carry_part(step.record))
+
+    def owner_changed(self, step_id: StepId, known: KnownStep) -> None:
+        """Stop running a step that another VM owns now."""
+        step = self.runner.steps.get(step_id)
+        mine = (known.owner.vm, known.owner.boot) == (self.settings.vm, self.boot)
+        if step is not None and not mine and known.row_version > step.row_version:
+            log.warning("step taken by another VM", step=step_id, owner=known.owner.vm)
+            self.runner.drop(step)
+
+    async def take_over(self, step_id: StepId, known: KnownStep) -> None:
+        """Claim a step and run what is left of it."""
+        record = OwnerRecord(
+            vm=self.settings.vm,
+            boot=self.boot,
+            host=known.owner.host,
+            path=known.owner.path,
+            accepted_ms=known.owner.accepted_ms,
+            samples=known.owner.samples,
+        )
+        outcome = await self.records.claim(step_id, record, known.row_version)
+        if isinstance(outcome, RowConflict):
+            log.info("step claimed by another VM", step=step_id)
+            return
+        submission = await self.records.submission(step_id)
+        if submission is None:
+            log.error("step without submission", step=step_id)
+            return
+        age_s = max(0.0, (self.presence.store_now_ms() - record.accepted_ms) / 1000)
+        owned = OwnedStep(
+            step=decode_step(submission.headers, submission.body),
+            record=record,
+            row_version=outcome.version,
+            accepted_s=time.monotonic() - age_s,
+            listed=list(await self.records.results(step_id, all_pages=True)),
+        )
+        table = self.routing.table
+        route = table.match(record.host, record.path) if table else None
+        single = route is not None and route.single_version
+        for part, carried in ((carry_part(record), True), (step_id, False)):
+            owned.restore(await self.records.load_progress(part), carried=carried, single=single)
+        log.info(
+            "step taken over",
+            step=step_id,
+            before=known.owner.vm,
+            listed=len(owned.listed),
+            at_hand=len(owned.progress),
+            age_s=round(age_s, 2),
+        )
+        self.runner.add(owned)
+
+    async def answer_ready(self, request: Request, responder: Responder) -> None:
+        """Say whether the balancer should send callers here."""
+        ready = self.routing.table is not None and not self.leaving
+        await responder.send(Response(200 if ready else 503))
+
+    async def run(self) -> None:
+        """Run until told to stop."""
+        log.info("start", boot=self.boot, zone=self.settings.zone, store=self.store.access.address)
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            for follower in self.followers:
+                tasks.start_soon(follower.run)
+            for part in (
+                self.replicas.run,
+                self.presence.run,
+                self.runner.run,
+                self.orders.run,
+                self.feed.run,
+                self.front.run,
+                self.ready.run,
+                self.keep_house,
+            ):
+                tasks.start_soon(part)
+            await self.wait_for_stop()
+            await self.leave()
+            tasks.cancel_scope.cancel()
+        log.info("stop", boot=self.boot)
+        self.output.drain()
+
+    async def wait_for_stop(self) -> None:
+        """Wait for SIGTERM; SIGHUP only says that the settings file changed."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    log.info("stop asked for", signal=number)
+                    return
+                log.info("reload asked for")
+
+    async def leave(self) -> None:
+        """Hand over steps, serve callers until the balancer knows, then end."""
+        began_s = time.monotonic()
+        self.leaving = True
+        self.desk.accepting = False
+        self.feed.accepting = False
+        self.runner.leaving = True
+        self.front.leave()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.hand_over)
+            await self.finish_serving(began_s)
+            tasks.cancel_scope.cancel()
+        self.front.stop_accepting()
+
+    async def finish_serving(self, began_s: float) -> None:
+        """Serve until the balancer knows and nobody waits, or the time is over."""
+        last_s = began_s + self.settings.grace_s - STOP_MARGIN_S
+        while time.monotonic() < last_s:
+            await anyio.sleep(LEAVING_CHECK_S)
+            passed_s = time.monotonic() - began_s
+            if passed_s >= IDLE_GRACE_S:
+                self.front.close_idle()
+            unused = passed_s >= IDLE_GRACE_S or not self.front.connections
+            if passed_s >= BALANCER_LAG_S and unused and not self.front.active:
+                return
+
+    async def hand_over(self) -> None:
+        """Give up the lease and all steps; a store that is away ends the attempt."""
+        for step in list(self.runner.steps.values()):
+            try:
+                await self.runner.hand_over(step)
+                released = OwnerRecord(
+                    "",
+                    "",
+                    step.record.host,
+                    step.record.path,
+                    step.record.accepted_ms,
+                    step.record.samples,
+                )
+                if not step.ended and not step.lost:
+                    await self.records.claim(step.step_id, released, step.row_version)
+                    self.runner.drop(step)
+            except PlatformError as error:
+                log.warning("step not handed over", step=step.step_id, reason=str(error))
+        try:
+            await self.presence.release()
+        except PlatformError as error:
+            log.warning("lease not released", reason=str(error))
+
+    async def keep_house(self) -> None:
+        """Write out waiting log lines and forget steps that ended a while ago."""
+        while True:
+            await anyio.sleep(LOG_DRAIN_S)
+            self.output.drain()
+            now_s = time.monotonic()
+            for step in list(self.runner.steps.values()):
+                if step.ended and now_s - step.ended_at_s > ENDED_KEPT_S:
+                    del self.runner.steps[step.step_id]
+
+
+async def run_entry(settings_path: Path) -> None:
+    """Run an entry VM's process by the platform's settings file."""
+    settings = load_platform_settings(settings_path)
+    output = bounded_logs(settings.vm)
+    await EntryNode(settings, output).run()
--- /dev/null
+++ b/src/balsamcleat/http1/server.py
@@ -0,0 +1,388 @@
+"""The server's side: one request at a time on a connection, exactly one answer to each."""
+
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import h11
+
+from balsamcleat.http1.messages import Headers, Request, Response
+from balsamcleat.http1.streams import ByteStream
+
+__all__ = ["Handler", "HttpServer", "Responder", "ServerLimits"]
+
+# How long a connection that was answered before its request was read is drained, so that the
+# answer isn't lost to a reset.
+LINGER_S = 1.0
+MAX_PIPELINED_BYTES = 1024 * 1024
+ACCEPT_RETRY_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """What a caller may send and how long it may take.
+
+    Attributes:
+        max_header_bytes: Most bytes of a request's head.
+        max_body_bytes: Most bytes of a request's body.
+        header_timeout_s: Longest time from a head's first byte to its last.
+        body_timeout_s: Longest silence while a body is read.
+        idle_timeout_s: Longest time between requests on a kept connection.
+    """
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 32 * 1024 * 1024
+    header_timeout_s: float = 5.0
+    body_timeout_s: float = 10.0
+    idle_timeout_s: float = 15.0
+
+
+class RequestRejectedError(Exception):
+    """The request can't be read; ``status`` is the answer."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class Responder:
+    """Writes the one answer to a request.
+
+    Args:
+        connection: Whose request it is.
+    """
+
+    def __init__(self, connection: "ServerConnection") -> None:
+        self.connection = connection
+        self.started = False
+        self.finished = False
+
+    async def send(self, response: Response) -> None:
+        """Write a whole answer."""
+        headers = (*response.headers, ("Content-Length", str(len(response.body))))
+        await self.write_events(
+            h11.Response(status_code=response.status, headers=self.final(headers)),
+            h11.Data(response.body),
+            h11.EndOfMessage(),
+        )
+        self.finished = True
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Begin an answer whose length isn't known; it is sent in chunks."""
+        chunked = (*headers, ("Transfer-Encoding", "chunked"))
+        await self.write_events(h11.Response(status_code=status, headers=self.final(chunked)))
+
+    async def write(self, data: bytes) -> None:
+        """Write part of a body that was started."""
+        await self.write_events(h11.Data(data))
+
+    async def finish(self) -> None:
+        """End a body that was started as complete."""
+        await self.write_events(h11.EndOfMessage())
+        self.finished = True
+
+    def final(self, headers: Headers) -> list[tuple[str, str]]:
+        """Return the headers with those of this connection added."""
+        if self.connection.closes_after_answer():
+            return [*headers, ("Connection", "close")]
+        return list(headers)
+
+    async def write_events(self, *events: h11.Event) -> None:
+        """Write parser events in one piece."""
+        self.started = True
+        parts = [self.connection.parser.send(event) for event in events]
+        await self.connection.stream.send(b"".join(part for part in parts if part))
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+
+
+class HttpServer:
+    """Accepts connections on one socket and serves them until told to stop.
+
+    Args:
+        listener: A listening socket.
+        handler: Answers one request. It is cancelled when the caller goes away. If it returns
+            without an answer, the connection is closed without one.
+        limits: Asked for each request, so that a change holds at once.
+    """
+
+    def __init__(
+        self,
+        listener: socket.socket,
+        handler: Handler,
+        limits: Callable[[], ServerLimits],
+    ) -> None:
+        self.listener = listener
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[ServerConnection] = set()
+        self.leaving = False
+        self.closed = False
+
+    @property
+    def active(self) -> int:
+        """Number of requests being answered."""
+        return sum(connection.busy for connection in self.connections)
+
+    async def run(self) -> None:
+        """Serve until cancelled or closed."""
+        async with anyio.create_task_group() as tasks:
+            while not self.closed:
+                accepted = await self.accept()
+                if accepted is not None:
+                    tasks.start_soon(self.serve, *accepted)
+
+    async def accept(self) -> tuple[socket.socket, str] | None:
+        """Return the next connection, or None when there is none after all."""
+        try:
+            sock, peer = self.listener.accept()
+        except BlockingIOError:
+            try:
+                await anyio.wait_readable(self.listener)
+            except (anyio.ClosedResourceError, ValueError):
+                self.closed = True
+            return None
+        except OSError:
+            # Out of descriptors, or the caller left before it was accepted.
+            await anyio.sleep(ACCEPT_RETRY_S)
+            return None
+        return sock, peer[0]
+
+    async def serve(self, sock: socket.socket, peer: str) -> None:
+        """Serve one connection to its end."""
+        try:
+            stream = ByteStream(sock, peer)
+        except OSError:
+            # It broke before it was served: nothing was read.
+            sock.close()
+            return
+        connection = ServerConnection(self, stream)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        except OSError:
+            # The caller's end of the connection is gone; there is nobody to answer.
+            pass
+        finally:
+            self.connections.discard(connection)
+            stream.close()
+
+    def leave(self) -> None:
+        """Close each connection after its next answer from now on."""
+        self.leaving = True
+
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request and have sent none of it."""
+        for connection in list(self.connections):
+            if connection.idle:
+                connection.stream.close()
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket; open connections go on."""
+        if not self.closed:
+            self.closed = True
+            anyio.notify_closing(self.listener)
+            self.listener.close()
+
+
+class ServerConnection:
+    """One caller's connection.
+
+    Args:
+        server: Whose it is.
+        stream: Its socket.
+    """
+
+    def __init__(self, server: HttpServer, stream: ByteStream) -> None:
+        self.server = server
+        self.stream = stream
+        self.limits = server.limits()
+        self.parser = self.new_parser()
+        self.busy = False
+        self.idle = True
+        self.rejected = False
+        self.early = b""
+
+    def new_parser(self) -> h11.Connection:
+        """Return a parser with the limit on heads in force."""
+        return h11.Connection(h11.SERVER, self.limits.max_header_bytes)
+
+    def closes_after_answer(self) -> bool:
+        """Return whether the answer being written is the last one here."""
+        return (
+            self.server.leaving
+            or self.rejected
+            or self.parser.their_state in (h11.MUST_CLOSE, h11.ERROR)
+        )
+
+    async def run(self) -> None:
+        """Answer requests until either side closes."""
+        while True:
+            try:
+                request = await self.read_request()
+            except RequestRejectedError as rejection:
+                await self.reject(rejection)
+                return
+            if request is None or not await self.answer(request):
+                return
+            self.limits = self.server.limits()
+            self.parser.start_next_cycle()
+
+    async def reject(self, rejection: RequestRejectedError) -> None:
+        """Answer a request that can't be read, and close."""
+        self.rejected = True
+        if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = f"{rejection.reason}\n".encode()
+            headers = (("Content-Type", "text/plain"),)
+            await Responder(self).send(Response(rejection.status, headers, body))
+        self.stream.end_output()
+        with anyio.move_on_after(LINGER_S):
+            while await self.stream.receive():
+                pass
+
+    async def read_request(self) -> Request | None:
+        """Return the next whole request, or None at the end of the connection."""
+        head = await self.read_head()
+        if head is None:
+            return None
+        check_framing(head)
+        body = await self.read_body(head)
+        return Request(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("latin-1"),
+            headers=tuple(
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in head.headers.raw_items()
+            ),
+            body=body,
+            received_at_s=time.monotonic(),
+            peer=self.stream.peer,
+        )
+
+    async def read_head(self) -> h11.Request | None:
+        """Return the next request's head, or None at the end of the connection."""
+        self.idle = not self.early and not self.parser.trailing_data[0]
+        if self.idle and not await self.wait_first_bytes():
+            return None
+        self.idle = False
+        with anyio.move_on_after(self.limits.header_timeout_s):
+            while True:
+                event = self.next_event()
+                if isinstance(event, h11.Request):
+                    return event
+                if event is not h11.NEED_DATA or not await self.feed():
+                    return None
+        raise RequestRejectedError(408, "the request's head took too long")
+
+    async def wait_first_bytes(self) -> bool:
+        """Wait for a request to begin; returns False when the connection is over."""
+        with anyio.move_on_after(self.limits.idle_timeout_s):
+            return await self.feed()
+        return False
+
+    async def feed(self) -> bool:
+        """Read once into the parser; returns False at the end of the input."""
+        if self.early:
+            data, self.early = self.early, b""
+        else:
+            data = await self.stream.receive()
+        self.parser.receive_data(data)
+        return bool(data)
+
+    def next_event(self) -> object:
+        """Return the parser's next event.
+
+        Raises:
+            RequestRejectedError: What came is no request.
+        """
+        try:
+            return self.parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise RequestRejectedError(error.error_status_hint, str(error)) from error
+
+    async def read_body(self, head: h11.Request) -> bytes:
+        """Return the whole body of a request."""
+        parts: list[bytes] = []
+        size = 0
+        limit = self.limits.max_body_bytes
+        declared = dict(head.headers).get(b"content-length", b"0")
+        if int(declared) > limit:
+            raise RequestRejectedError(413, f"a body may have {limit} bytes")
+        if self.parser.they_are_waiting_for_100_continue:
+            await self.stream.send(
+                self.parser.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+            )
+        while True:
+            event = self.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                parts.append(bytes(event.data))
+                if size > limit:
+                    raise RequestRejectedError(413, f"a body may have {limit} bytes")
+                continue
+            if not await self.feed_body():
+                raise ConnectionAbortedError("the caller left in the middle of a body")
+
+    async def feed_body(self) -> bool:
+        """Read once while a body is expected."""
+        with anyio.move_on_after(self.limits.body_timeout_s):
+            return await self.feed()
+        raise RequestRejectedError(408, "the request's body took too long")
+
+    async def answer(self, request: Request) -> bool:
+        """Let the handler answer; returns whether the connection goes on."""
+        responder = Responder(self)
+        self.busy = True
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.watch_caller, tasks.cancel_scope)
+                await self.handle(request, responder)
+                tasks.cancel_scope.cancel()
+        finally:
+            self.busy = False
+        if not responder.finished:
+            if responder.started:
+                self.stream.reset()
+            return False
+        return self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Run the handler; a connection that breaks under its answer ends it."""
+        try:
+            await self.server.handler(request, responder)
+        except OSError:
+            # The handler's own peers raise typed errors; this is the caller's connection.
+            responder.finished = False
+
+    async def watch_caller(self, scope: anyio.CancelScope) -> None:
+        """Cancel the handler when the caller closes; keep what it sends ahead."""
+        try:
+            while len(self.early) < MAX_PIPELINED_BYTES:
+                data = await self.stream.receive()
+                if not data:
+                    break
+                self.early += data
+            else:
+                await anyio.sleep_forever()
+        except OSError:
+            # A reset says the same as an end: nobody waits for the answer.
+            pass
+        scope.cancel()
+
+
+def check_framing(head: h11.Request) -> None:
+    """Refuse a head whose body could be read in two ways.
+
+    Raises:
+        RequestRejectedError: It declares a length and chunks at once.
+    """
+    names = [name for name, _ in head.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise RequestRejectedError(400, "a body has either a length or chunks")
--- /dev/null
+++ b/src/balsamcleat/platform/steps.py
@@ -0,0 +1,273 @@
+"""A trainer's calls: submit a step, read its results, ask for a body, end it."""
+
+from dataclasses import dataclass
+from enum import Enum
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from balsamcleat.errors import InvalidInputError
+from balsamcleat.http1 import Headers, Request, StreamEvent, header, without
+from balsamcleat.model import StepId, TargetId, WeightVersion
+from balsamcleat.model.rollout import (
+    PromptPart,
+    RolloutStep,
+    SampleResult,
+    SampleState,
+    SampleTask,
+)
+from balsamcleat.platform.headers import (
+    CORRELATION_HEADER,
+    DEADLINE,
+    EXPECTED_TARGET,
+    LAST_EVENT,
+    MS,
+    PRIORITY,
+    VERSION,
+    number,
+    request_id,
+)
+
+__all__ = [
+    "ResultsQuery",
+    "StepCall",
+    "StepCallKind",
+    "classify_step_call",
+    "decode_step",
+    "encode_results",
+    "item_headers",
+    "sample_body",
+    "stream_versions",
+]
+
+RESULTS_PREFIX = "/lots/"
+BODIES_PREFIX = "/items/"
+WAIT = "Wait-Ms"
+MODEL = "Model"
+TOKENS = "Token-Usage"
+PROMPT = "Prompt-Prefix"
+LENGTH = "Length-Hint"
+MAX_WAIT_S = 1.0
+
+STATES = {SampleState.COMPLETE: "complete", SampleState.GIVEN_UP: "lost"}
+
+
+class ItemFields(msgspec.Struct, frozen=True):
+    """A sample as submitted; ``body`` is base64 on the wire."""
+
+    id: str
+    path: str
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    # Prompt and output together.
+    tokens: int = 0
+    group: str = ""
+
+
+class SubmissionFields(msgspec.Struct, frozen=True, rename="camel"):
+    """A step as submitted; a plain batch has no group, model or version."""
+
+    requests: list[ItemFields]
+    model: str = ""
+    min_version: int = 0
+    target_groups: int = 0
+    train_step: int = 0
+
+
+class ResultFields(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A result as listed."""
+
+    id: str
+    state: str
+    text: str | None = None
+    versions: list[int] | None = None
+
+
+class ResultsFields(msgspec.Struct, frozen=True, rename="camel"):
+    """A page of results."""
+
+    total_count: int
+    results: list[ResultFields]
+    next: int
+
+
+class StepCallKind(Enum):
+    """What a call about an accepted step asks."""
+
+    RESULTS = "results"
+    BODY = "body"
+    END = "end"
+
+
+@dataclass(frozen=True, slots=True)
+class ResultsQuery:
+    """Read results from a position, waiting for a first one up to ``wait_s``."""
+
+    position: int
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StepCall:
+    """A call about an accepted step.
+
+    Attributes:
+        kind: What it asks.
+        step_id: The step.
+        query: Set for results.
+        sample_id: Set for a body.
+    """
+
+    kind: StepCallKind
+    step_id: StepId
+    query: ResultsQuery | None = None
+    sample_id: str = ""
+
+
+def classify_step_call(request: Request) -> StepCall | None:
+    """Return what a request asks of an accepted step, or None where it is no such call."""
+    path = unquote(request.path)
+    fields = parse_qs(request.query)
+    if path.startswith(RESULTS_PREFIX):
+        step_id = StepId(path.removeprefix(RESULTS_PREFIX))
+        if request.method == "DELETE":
+            return StepCall(StepCallKind.END, step_id)
+        if request.method == "GET":
+            return StepCall(StepCallKind.RESULTS, step_id, query=results_query(request, fields))
+    if path.startswith(BODIES_PREFIX) and request.method == "GET":
+        step_id = StepId(path.removeprefix(BODIES_PREFIX))
+        return StepCall(StepCallKind.BODY, step_id, sample_id=fields.get("id", [""])[0])
+    return None
+
+
+def results_query(request: Request, fields: dict[str, list[str]]) -> ResultsQuery:
+    """Return where to read from and how long to wait; nonsense reads from the start."""
+    position = fields.get("after", ["0"])[0]
+    wait_s = (number(header(request.headers, WAIT)) or 0.0) / MS
+    return ResultsQuery(
+        position=int(position) if position.isdecimal() else 0,
+        wait_s=min(max(0.0, wait_s), MAX_WAIT_S),
+    )
+
+
+def decode_step(headers: Headers, body: bytes) -> RolloutStep:
+    """Return the step of a submission.
+
+    Raises:
+        InvalidInputError: It can't be read or two samples have the same id.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=SubmissionFields)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidInputError(f"no step: {error}", step="step.decode") from error
+    samples = tuple(decode_sample(item) for item in fields.requests)
+    if len({sample.sample_id for sample in samples}) != len(samples):
+        raise InvalidInputError("two samples have the same id", step="step.decode")
+    return RolloutStep(
+        step_id=StepId(request_id(headers)),
+        model=fields.model,
+        oldest_version=WeightVersion(fields.min_version),
+        wanted_groups=fields.target_groups,
+        number=fields.train_step,
+        samples=samples,
+    )
+
+
+def decode_sample(fields: ItemFields) -> SampleTask:
+    """Return one sample; headers that give no number leave it unknown."""
+    headers = tuple(fields.headers.items())
+    prompt = prompt_parts(header(headers, PROMPT) or "")
+    prompt_tokens, max_tokens = token_usage(header(headers, TOKENS) or "")
+    return SampleTask(
+        sample_id=fields.id,
+        # A sample of a plain batch counts by itself.
+        group=fields.group or fields.id,
+        path=fields.path,
+        headers=headers,
+        body=fields.body,
+        prompt=prompt,
+        prompt_tokens=prompt_tokens or sum(part.tokens for part in prompt),
+        max_tokens=max_tokens or fields.tokens,
+        expected_tokens=number(header(headers, LENGTH)),
+    )
+
+
+def prompt_parts(value: str) -> tuple[PromptPart, ...]:
+    """Return a prompt's parts from comma-separated ID:TOKENS entries."""
+    parts = []
+    for entry in value.split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        if part_id and tokens.isdecimal():
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def token_usage(value: str) -> tuple[int, int]:
+    """Return prompt tokens and most output tokens; zeros where they aren't said."""
+    prompt, _, output = value.partition(",")
+    if prompt.strip().isdecimal() and output.strip().isdecimal():
+        return int(prompt), int(output)
+    return 0, 0
+
+
+def sample_body(step: RolloutStep, sample_id: str) -> bytes | None:
+    """Return a sample's body, or None where the step has no such sample."""
+    for sample in step.samples:
+        if sample.sample_id == sample_id:
+            return sample.body
+    return None
+
+
+def item_headers(
+    sample: SampleTask,
+    host: str,
+    *,
+    target_id: TargetId,
+    remaining_s: float,
+    priority: int,
+    last_event: int | None,
+) -> Headers:
+    """Return the headers that ask a target to generate a sample or go on with it.
+
+    Args:
+        sample: The sample.
+        host: The route's host.
+        target_id: Only this target may run it.
+        remaining_s: Time left for the target.
+        priority: 0 to 9, 0 first.
+        last_event: Number of the last event at hand; None to start anew.
+    """
+    own = {"host", "content-length", "transfer-encoding", "connection", DEADLINE.lower()}
+    headers = (
+        ("Host", host),
+        (CORRELATION_HEADER, sample.sample_id),
+        *without(sample.headers, own | {CORRELATION_HEADER.lower(), LAST_EVENT.lower()}),
+        (DEADLINE, str(max(1, int(remaining_s * MS)))),
+        (EXPECTED_TARGET, target_id),
+        (PRIORITY, str(priority)),
+    )
+    if last_event is None:
+        return headers
+    return (*headers, (LAST_EVENT, str(last_event)))
+
+
+def stream_versions(event: StreamEvent) -> WeightVersion | None:
+    """Return the weight version from which on a stream goes on, or None where it is unchanged."""
+    for name, value in event.fields:
+        if name == VERSION.lower() and value.strip().isdecimal():
+            return WeightVersion(int(value))
+    return None
+
+
+def encode_results(total: int, position: int, results: tuple[SampleResult, ...]) -> bytes:
+    """Return a page of results from a position on."""
+    fields = [
+        ResultFields(
+            id=result.sample_id,
+            state=STATES[result.state],
+            text=result.text,
+            versions=list(result.versions),
+        )
+        for result in results
+    ]
+    return msgspec.json.encode(ResultsFields(total, fields, position + len(results)))
--- /dev/null
+++ b/src/balsamcleat/platform/store.py
@@ -0,0 +1,241 @@
+"""The platform's store behind the row store port; one client for all its calls."""
+
+import base64
+from typing import TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from balsamcleat.errors import (
+    AttemptFailedError,
+    InvalidInputError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+)
+from balsamcleat.http1 import ClientPool, Request, Response
+from balsamcleat.platform.settings import StoreAccess
+from balsamcleat.ports.rows import (
+    FeedPage,
+    HistoryLostError,
+    RowChange,
+    RowCommit,
+    RowConflict,
+    RowKey,
+    RowPage,
+    RowsCommitted,
+    RowStore,
+)
+
+__all__ = ["PlatformRowStore"]
+
+# An answer takes some 4 ms, and 60 times that when the store is slow; a store that is away is
+# silent. Feeds wait longer by what they ask.
+CALL_TIMEOUT_S = 1.5
+FEED_SLACK_S = 1.5
+MAX_PARTS = 1000
+
+
+class RowFields(msgspec.Struct, frozen=True):
+    """A row on the wire; ``value`` is base64 and missing where ``deleted`` stands."""
+
+    table: str
+    key: str
+    part: str = ""
+    value: str | None = None
+    ver: int = 0
+    deleted: bool = False
+
+
+class RowsFields(msgspec.Struct, frozen=True, rename="camel"):
+    """An answer about rows."""
+
+    ver: int = 0
+    now_ms: float = 0.0
+    rows: list[RowFields] = []
+    has_more: bool = False
+
+
+class PartsFields(msgspec.Struct, frozen=True, rename="camel"):
+    """An answer about parts."""
+
+    parts: list[str] = []
+    has_more: bool = False
+
+
+class ExpectedFields(msgspec.Struct, frozen=True):
+    """A condition: the version that a row must have."""
+
+    table: str
+    part: str
+    key: str
+    ver: int
+
+
+class PutFields(msgspec.Struct, frozen=True):
+    """A row to write."""
+
+    table: str
+    part: str
+    key: str
+    value: str
+
+
+class RemoveFields(msgspec.Struct, frozen=True):
+    """A row to delete."""
+
+    table: str
+    part: str
+    key: str
+
+
+class CommitFields(msgspec.Struct, frozen=True):
+    """A transaction."""
+
+    expected: list[ExpectedFields]
+    puts: list[PutFields]
+    remove: list[RemoveFields]
+    across: bool = False
+
+
+Fields = TypeVar("Fields")
+
+
+class PlatformRowStore(RowStore):
+    """Calls the platform's store over HTTP.
+
+    Args:
+        access: Where it is and what it takes.
+        pool: Connections of this process.
+    """
+
+    def __init__(self, access: StoreAccess, pool: ClientPool) -> None:
+        self.access = access
+        self.pool = pool
+        self.limits = access.limits
+
+    async def commit(self, commit: RowCommit) -> RowsCommitted | RowConflict:
+        """Apply all writes or none."""
+        body = msgspec.json.encode(encode_commit(commit))
+        request = Request("POST", "/rows-tx", self.headers(), body)
+        try:
+            response = await self.pool.fetch(self.access.address, request, CALL_TIMEOUT_S)
+        except AttemptFailedError as error:
+            raise lost_write(error) from error
+        if response.status == 200:
+            fields = decode(response, RowsFields)
+            return RowsCommitted(fields.ver, int(fields.now_ms))
+        if response.status == 412:
+            return RowConflict(tuple(map(decode_row, decode(response, RowsFields).rows)))
+        if response.status in (400, 403, 413):
+            raise InvalidInputError(
+                f"the store takes no such commit: {response.status} {response.body[:200]!r}",
+                step="rows.commit",
+                peer=self.access.address,
+            )
+        raise self.refusal(response, "rows.commit")
+
+    async def read(
+        self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
+    ) -> RowPage:
+        """Return rows with ``start <= key < end``; an empty bound is open."""
+        query = {"table": table, "part": part, "limit": str(limit)}
+        if start:
+            query["from"] = start
+        if end:
+            query["to"] = end
+        fields = await self.get("/rows-get", query, RowsFields, CALL_TIMEOUT_S)
+        rows = tuple(map(decode_row, fields.rows))
+        return RowPage(rows, fields.has_more, fields.ver, int(fields.now_ms))
+
+    async def parts(self, table: str, after: str = "") -> tuple[tuple[str, ...], bool]:
+        """Return names of parts above ``after`` and whether there are more."""
+        query = {"table": table}
+        if after:
+            query["after"] = after
+        fields = await self.get("/rows-parts", query, PartsFields, CALL_TIMEOUT_S)
+        return tuple(fields.parts), fields.has_more or len(fields.parts) >= MAX_PARTS
+
+    async def changes(self, table: str, after: int, wait_s: float) -> FeedPage:
+        """Return what changed after a version."""
+        query = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
+        fields = await self.get("/rows-feed", query, RowsFields, wait_s + FEED_SLACK_S)
+        rows = tuple(map(decode_row, fields.rows))
+        return FeedPage(rows, max(fields.ver, after), int(fields.now_ms))
+
+    async def get(
+        self, path: str, query: dict[str, str], kind: type[Fields], timeout_s: float
+    ) -> Fields:
+        """Make a reading call; one that failed on a kept connection is made once more."""
+        target = f"{path}?{urlencode(query, quote_via=quote)}"
+        request = Request("GET", target, self.headers())
+        try:
+            response = await self.pool.fetch(self.access.address, request, timeout_s)
+        except AttemptFailedError as error:
+            raise PlatformUnavailableError(
+                error.message, step=f"store{path}", peer=self.access.address
+            ) from error
+        if response.status == 410:
+            raise HistoryLostError
+        if response.status != 200:
+            raise self.refusal(response, f"store{path}")
+        return decode(response, kind)
+
+    def refusal(self, response: Response, step: str) -> PlatformUnavailableError:
+        """Return the error for a call that was turned away: nothing was done."""
+        return PlatformUnavailableError(
+            f"turned away with {response.status}", step=step, peer=self.access.address
+        )
+
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers of a call."""
+        return (("Host", self.access.address), ("Content-Type", "application/json"))
+
+
+def lost_write(error: AttemptFailedError) -> PlatformUnavailableError | OutcomeUnknownError:
+    """Return what a failed write means: not done if it never left, else unknown."""
+    kind = OutcomeUnknownError if error.perhaps_sent else PlatformUnavailableError
+    return kind(error.message, step="rows.commit", peer=error.peer)
+
+
+def encode_commit(commit: RowCommit) -> CommitFields:
+    """Return a commit as it is sent."""
+    puts: list[PutFields] = []
+    removed: list[RemoveFields] = []
+    for write in commit.writes:
+        key = write.key
+        if write.value is None:
+            removed.append(RemoveFields(key.table, key.part, key.key))
+        else:
+            value = base64.b64encode(write.value).decode()
+            puts.append(PutFields(key.table, key.part, key.key, value))
+    expected = [
+        ExpectedFields(key.table, key.part, key.key, version) for key, version in commit.expected
+    ]
+    parts = {write.key.part for write in commit.writes}
+    parts |= {key.part for key, _ in commit.expected}
+    return CommitFields(expected, puts, removed, across=len(parts) > 1)
+
+
+def decode(response: Response, kind: type[Fields]) -> Fields:
+    """Return an answer's fields.
+
+    Raises:
+        PlatformUnavailableError: It can't be read.
+    """
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PlatformUnavailableError(
+            f"unreadable answer: {error}", step="store.decode"
+        ) from error
+
+
+def decode_row(fields: RowFields) -> RowChange:
+    """Return a row; a value that isn't base64 reads as no bytes."""
+    key = RowKey(fields.table, fields.part, fields.key)
+    if fields.deleted or fields.value is None:
+        return RowChange(key, None, fields.ver)
+    try:
+        return RowChange(key, base64.b64decode(fields.value), fields.ver)
+    except ValueError:
+        return RowChange(key, b"", fields.ver)
--- /dev/null
+++ b/src/balsamcleat/tasks/front_door.py
@@ -0,0 +1,89 @@
+"""Finds out what a request asks and hands it to whoever answers it."""
+
+from collections.abc import Callable
+
+import structlog
+
+from balsamcleat.http1 import Request, Responder, Response, ServerLimits, header
+from balsamcleat.model.routing import RouteKind, RoutingTable
+from balsamcleat.platform import classify_step_call, failure_headers, request_id
+from balsamcleat.tasks.live_forwarder import LiveForwarder
+from balsamcleat.tasks.rollout_desk import RolloutDesk
+
+__all__ = ["FrontDoor"]
+
+# When to come back where no configuration is known yet.
+NO_CONFIGURATION_RETRY_S = 0.5
+SUBMIT = "POST"
+
+log = structlog.get_logger()
+
+
+class FrontDoor:
+    """Answers callers and trainers.
+
+    Args:
+        table: Returns the configuration in force.
+        forwarder: Answers live requests.
+        desk: Answers trainers.
+    """
+
+    def __init__(
+        self,
+        table: Callable[[], RoutingTable | None],
+        forwarder: LiveForwarder,
+        desk: RolloutDesk,
+    ) -> None:
+        self.table = table
+        self.forwarder = forwarder
+        self.desk = desk
+
+    def limits(self) -> ServerLimits:
+        """Return what callers may send under the configuration in force."""
+        table = self.table()
+        if table is None:
+            return ServerLimits()
+        said = table.limits
+        return ServerLimits(
+            max_header_bytes=said.max_header_bytes,
+            max_body_bytes=said.max_body_bytes,
+            header_timeout_s=said.header_timeout_s,
+            idle_timeout_s=said.idle_timeout_s,
+        )
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Answer one request."""
+        attempt_id = request_id(request.headers)
+        table = self.table()
+        if table is None:
+            log.warning(
+                "request refused", request=attempt_id, status=503, reason="no configuration"
+            )
+            headers = failure_headers(attempt_id, NO_CONFIGURATION_RETRY_S)
+            await responder.send(Response(503, headers))
+            return
+        host = (header(request.headers, "host") or "").partition(":")[0].lower()
+        route = table.match(host, request.path)
+        if route is None:
+            await self.answer_unrouted(request, responder, table, host)
+        elif route.kind is RouteKind.ROLLOUT and request.method == SUBMIT:
+            await self.desk.submit(request, route, responder)
+        else:
+            await self.forwarder.answer(request, route, responder)
+
+    async def answer_unrouted(
+        self, request: Request, responder: Responder, table: RoutingTable, host: str
+    ) -> None:
+        """Answer a request that no route takes: a call about a step, or not found."""
+        call = classify_step_call(request)
+        serves_steps = any(
+            route.kind is RouteKind.ROLLOUT and route.host == host for route in table.routes
+        )
+        if call is not None and serves_steps:
+            await self.desk.call(call, responder)
+            return
+        attempt_id = request_id(request.headers)
+        log.info(
+            "no route", request=attempt_id, host=host, path=request.path, version=table.version
+        )
+        await responder.send(Response(404, failure_headers(attempt_id)))
--- /dev/null
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -0,0 +1,317 @@
+"""Carries live requests to targets of plain services and engines and their answers back."""
+
+import random
+import time
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import structlog
+from result import Err, Ok, Result
+
+from balsamcleat.decisions.live_attempts import AttemptLedger, FinalAnswer, hedge_delay_s
+from balsamcleat.decisions.replica_choice import choose_replica, choose_service
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.replica_evidence import EvidenceBook
+from balsamcleat.errors import AttemptFailedError
+from balsamcleat.http1 import ClientPool, Exchange, Request, Responder, Response
+from balsamcleat.model import FailureKind, ServiceName, ZoneName
+from balsamcleat.model.replicas import Replica
+from balsamcleat.model.routing import Route
+from balsamcleat.platform import (
+    caller_wait_s,
+    failure_headers,
+    forwarded_headers,
+    read_marks,
+    relayed_headers,
+    request_id,
+)
+
+__all__ = ["LiveForwarder"]
+
+# Kept back of the caller's time for our own answer on its way.
+ANSWER_MARGIN_S = 0.03
+# When to come back after a refusal: long enough for a place, short against any objective here.
+RETRY_AFTER_MIN_S = 0.1
+RETRY_AFTER_SPREAD_S = 0.3
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class LiveCall:
+    """One live request on its way."""
+
+    request: Request
+    route: Route
+    service: ServiceName
+    deadline_s: float
+    ledger: AttemptLedger
+
+    @property
+    def attempt_id(self) -> str:
+        """The caller's id of it."""
+        return request_id(self.request.headers)
+
+    def remaining_s(self) -> float:
+        """Return the time left, in seconds."""
+        return self.deadline_s - time.monotonic()
+
+
+class LiveForwarder:
+    """Forwards one request at a time for each of its callers.
+
+    Args:
+        directory: The targets.
+        book: Evidence on them.
+        pool: Connections to them.
+        zone: This VM's availability zone.
+        generator: Draws services, ties and times to come back.
+    """
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        book: EvidenceBook,
+        pool: ClientPool,
+        zone: ZoneName,
+        generator: random.Random,
+    ) -> None:
+        self.directory = directory
+        self.book = book
+        self.pool = pool
+        self.zone = zone
+        self.generator = generator
+
+    async def answer(self, request: Request, route: Route, responder: Responder) -> None:
+        """Answer a live request from a target, or say why not."""
+        share = choose_service(route.shares, self.generator.random())
+        if share is None:
+            await self.refuse(request, responder, FinalAnswer.NOT_RUN, "the route has no service")
+            return
+        waits_s = caller_wait_s(request.headers)
+        time_s = route.timeout_s if waits_s is None else min(route.timeout_s, waits_s)
+        call = LiveCall(
+            request=request,
+            route=route,
+            service=share.service,
+            deadline_s=request.received_at_s + time_s - ANSWER_MARGIN_S,
+            ledger=AttemptLedger(route.repeatable, route.attempts),
+        )
+        outcome = await self.run(call)
+        if isinstance(outcome, Ok):
+            response = outcome.ok_value
+            headers = relayed_headers(response.headers)
+            await responder.send(Response(response.status, headers, response.body))
+            return
+        final = call.ledger.final()
+        await self.refuse(request, responder, final, str(outcome.err_value))
+
+    async def run(self, call: LiveCall) -> Result[Response, AttemptFailedError]:
+        """Ask targets until one answers whole or no more may be asked."""
+        last: Result[Response, AttemptFailedError] = Err(no_target(call.service))
+        send, receive = anyio.create_memory_object_stream[Result[Response, AttemptFailedError]](8)
+        running = 0
+        async with anyio.create_task_group() as tasks:
+            while True:
+                replica = self.next_replica(call)
+                if replica is not None:
+                    call.ledger.begin(replica.target_id)
+                    running += 1
+                    tasks.start_soon(self.attempt_into, call, replica, send.clone())
+                elif not running:
+                    break
+                outcome = await self.next_outcome(call, receive, may_hedge=replica is not None)
+                if outcome is None and call.remaining_s() > 0.0:
+                    continue
+                if outcome is None:
+                    call.ledger.silent = True
+                    last = Err(timed_out())
+                    break
+                running -= 1
+                last = outcome
+                if is_final(outcome):
+                    break
+            tasks.cancel_scope.cancel()
+        return last
+
+    def next_replica(self, call: LiveCall) -> Replica | None:
+        """Return the target to ask next, or None where none may be asked."""
+        if not call.ledger.may_begin() or call.remaining_s() <= 0.0:
+            return None
+        return choose_replica(
+            self.directory.serving(call.service),
+            self.book,
+            zone=self.zone,
+            tried=call.ledger.tried,
+            now_s=time.monotonic(),
+            generator=self.generator,
+        )
+
+    async def next_outcome(
+        self,
+        call: LiveCall,
+        receive: anyio.abc.ObjectReceiveStream[Result[Response, AttemptFailedError]],
+        *,
+        may_hedge: bool,
+    ) -> Result[Response, AttemptFailedError] | None:
+        """Return the next attempt's end, or None when it is time to ask a second target."""
+        wait_s = call.remaining_s()
+        if may_hedge and call.ledger.repeatable:
+            wait_s = min(wait_s, hedge_delay_s(call.route.objective_s))
+        with anyio.move_on_after(max(0.0, wait_s)):
+            return await receive.receive()
+        return None
+
+    async def attempt_into(
+        self,
+        call: LiveCall,
+        replica: Replica,
+        send: anyio.abc.ObjectSendStream[Result[Response, AttemptFailedError]],
+    ) -> None:
+        """Make one attempt and hand on its end."""
+        async with send:
+            outcome = await self.attempt(call, replica)
+            if isinstance(outcome, Err):
+                call.ledger.failed(outcome.err_value)
+            await send.send(outcome)
+
+    async def attempt(
+        self, call: LiveCall, replica: Replica
+    ) -> Result[Response, AttemptFailedError]:
+        """Send the request to one target and return its whole answer or the failure."""
+        evidence = self.book.of(replica.target_id)
+        evidence.in_flight += 1
+        began_s = time.monotonic()
+        headers = forwarded_headers(
+            call.request.headers, target_id=replica.target_id, remaining_s=call.remaining_s()
+        )
+        request = Request(call.request.method, call.request.target, headers, call.request.body)
+        exchange = Exchange(self.pool, replica.address, request)
+        try:
+            await exchange.begin(fresh=not call.route.repeatable)
+            response = await exchange.whole_response()
+            outcome = self.judge(replica, response)
+        except AttemptFailedError as error:
+            evidence.failed(time.monotonic())
+            outcome = Err(error)
+        finally:
+            exchange.end()
+            evidence.in_flight -= 1
+        self.log_attempt(call, replica, outcome, began_s)
+        return outcome
+
+    def judge(self, replica: Replica, response: Response) -> Result[Response, AttemptFailedError]:
+        """Return what a whole answer means, and take note of the target's load."""
+        marks = read_marks(response.status, response.headers)
+        evidence = self.book.of(replica.target_id)
+        now_s = time.monotonic()
+        if marks.running is not None:
+            evidence.said_load(marks.running, marks.waiting, now_s)
+        if marks.not_run:
+            evidence.refused(now_s, marks.retry_after_s)
+            return Err(turned_away(replica, response.status, marks.retry_after_s))
+        if not marks.stamped:
+            evidence.failed(now_s)
+            return Err(foreign(replica))
+        evidence.succeeded()
+        return Ok(response)
+
+    async def refuse(
+        self, request: Request, responder: Responder, final: FinalAnswer, reason: str
+    ) -> None:
+        """Tell the caller at once that no target answered."""
+        attempt_id = request_id(request.headers)
+        retry_after_s = None
+        if final is FinalAnswer.NOT_RUN:
+            spread_s = self.generator.random() * RETRY_AFTER_SPREAD_S
+            retry_after_s = RETRY_AFTER_MIN_S + spread_s
+        log.warning(
+            "request refused",
+            request=attempt_id,
+            status=final.value,
+            reason=reason,
+            retry_after_s=retry_after_s,
+        )
+        headers = failure_headers(attempt_id, retry_after_s)
+        await responder.send(Response(final.value, headers, problem(final, reason)))
+
+    def log_attempt(
+        self,
+        call: LiveCall,
+        replica: Replica,
+        outcome: Result[Response, AttemptFailedError],
+        began_s: float,
+    ) -> None:
+        """Log an attempt's end with what was believed of the target."""
+        now_s = time.monotonic()
+        evidence = self.book.of(replica.target_id)
+        fields = {
+            "request": call.attempt_id,
+            "route": call.route.name,
+            "target": replica.target_id,
+            "load": round(evidence.load(now_s), 2),
+            "load_age_s": round(min(999.0, now_s - evidence.said_at_s), 3),
+            "took_s": round(now_s - began_s, 4),
+        }
+        if isinstance(outcome, Ok):
+            log.info("attempt answered", status=outcome.ok_value.status, **fields)
+        else:
+            error = outcome.err_value
+            log.warning("attempt failed", kind=error.kind.value, reason=error.message, **fields)
+
+
+def is_final(outcome: Result[Response, AttemptFailedError]) -> bool:
+    """Return whether an attempt's end answers the caller."""
+    return isinstance(outcome, Ok)
+
+
+def problem(final: FinalAnswer, reason: str) -> bytes:
+    """Return the body of an answer of our own."""
+    certainty = "not run" if final is FinalAnswer.NOT_RUN else "outcome unknown"
+    return f'{{"title":"{certainty}","status":{final.value}}}\n'.encode()
+
+
+def no_target(service: ServiceName) -> AttemptFailedError:
+    """Return the failure where no target takes work."""
+    return AttemptFailedError(
+        f"no target of {service} takes work",
+        step="live.choose",
+        peer=None,
+        perhaps_sent=False,
+        kind=FailureKind.NO_TARGET,
+    )
+
+
+def timed_out() -> AttemptFailedError:
+    """Return the failure of a request whose time is up."""
+    return AttemptFailedError(
+        "the time is up",
+        step="live.wait",
+        peer=None,
+        perhaps_sent=True,
+        kind=FailureKind.DEADLINE,
+    )
+
+
+def turned_away(replica: Replica, status: int, retry_after_s: float | None) -> AttemptFailedError:
+    """Return the failure where a target says that it did not run the request."""
+    return AttemptFailedError(
+        f"turned away with {status}",
+        step="live.attempt",
+        peer=replica.target_id,
+        perhaps_sent=False,
+        kind=FailureKind.REFUSED,
+        retry_after_s=retry_after_s,
+    )
+
+
+def foreign(replica: Replica) -> AttemptFailedError:
+    """Return the failure where an answer wasn't made by a target."""
+    return AttemptFailedError(
+        "an answer without the target's stamp",
+        step="live.attempt",
+        peer=replica.target_id,
+        perhaps_sent=True,
+        kind=FailureKind.MALFORMED,
+    )
--- /dev/null
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -0,0 +1,174 @@
+"""One step in the hands of its owner: what is listed, finished, running and still to do."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import anyio
+
+from balsamcleat.decisions.sample_progress import SampleProgress, SavedProgress
+from balsamcleat.decisions.step_order import SampleRank, rank_samples
+from balsamcleat.model import StepId, TargetId
+from balsamcleat.model.rollout import RolloutStep, SampleResult, SampleState, SampleTask
+from balsamcleat.tasks.rollout_records import OwnerRecord
+
+__all__ = ["OwnedStep", "SampleOnTarget"]
+
+
+@dataclass(slots=True)
+class SampleOnTarget:
+    """A sample that runs; cancelling ``scope`` takes it off its target."""
+
+    target_id: TargetId
+    scope: anyio.CancelScope
+    moving: bool = False
+
+
+@dataclass(slots=True)
+class OwnedStep:
+    """The state of one step; only its owner's tasks touch it.
+
+    Attributes:
+        step: The step.
+        record: The owner's record as this VM wrote it.
+        row_version: Version of that row; every listing is conditional on it.
+        accepted_s: When the step was submitted, on the process's clock.
+        listed: Results that are kept, in the order of their positions.
+        finished: Results that wait to be kept.
+        progress: Text at hand of samples that aren't finished.
+        running: Samples that run now.
+        failures: Answers of failure, by sample.
+        hold_until_s: Samples that wait before they are tried again.
+        carried: Groups with text from an earlier step.
+        ended: The trainer ended the step.
+        lost: Another VM owns it now.
+    """
+
+    step: RolloutStep
+    record: OwnerRecord
+    row_version: int
+    accepted_s: float
+    listed: list[SampleResult] = field(default_factory=list)
+    finished: deque[SampleResult] = field(default_factory=deque)
+    progress: dict[str, SampleProgress] = field(default_factory=dict)
+    running: dict[str, SampleOnTarget] = field(default_factory=dict)
+    failures: dict[str, int] = field(default_factory=dict)
+    hold_until_s: dict[str, float] = field(default_factory=dict)
+    carried: set[str] = field(default_factory=set)
+    done: set[str] = field(default_factory=set)
+    ended: bool = False
+    lost: bool = False
+    ended_at_s: float = 0.0
+    changed: anyio.Event = field(default_factory=anyio.Event)
+    ranks: dict[str, SampleRank] = field(default_factory=dict)
+    samples: dict[str, SampleTask] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.samples = {sample.sample_id: sample for sample in self.step.samples}
+        self.done = {result.sample_id for result in self.listed}
+
+    @property
+    def step_id(self) -> StepId:
+        """The step's id."""
+        return self.step.step_id
+
+    @property
+    def active(self) -> bool:
+        """Whether samples may run."""
+        return not self.ended and not self.lost and len(self.done) < len(self.samples)
+
+    def restore(self, saved: dict[str, SavedProgress], *, carried: bool, single: bool) -> None:
+        """Take text that was kept, as far as its versions fit this step."""
+        for sample_id, kept in saved.items():
+            sample = self.samples.get(sample_id)
+            if sample is None or sample_id in self.done:
+                continue
+            if carried:
+                self.carried.add(sample.group)
+            progress = SampleProgress.restore(kept)
+            if not kept.events or not progress.fits(self.step.oldest_version, single=single):
+                continue
+            self.progress[sample_id] = progress
+            if kept.complete:
+                self.finish(
+                    SampleResult(sample_id, SampleState.COMPLETE, progress.text(), kept.versions)
+                )
+
+    def rank(self, tokens_an_event: float) -> None:
+        """Work out the order of the samples anew."""
+        at_hand = {
+            sample_id: len(progress.events) * tokens_an_event
+            for sample_id, progress in self.progress.items()
+        }
+        self.ranks = rank_samples(self.step, at_hand, self.carried_in_order())
+
+    def carried_in_order(self) -> list[str]:
+        """Return the carried groups in the trainer's order."""
+        groups = dict.fromkeys(sample.group for sample in self.step.samples)
+        return [group for group in groups if group in self.carried]
+
+    def waiting(self, now_s: float) -> list[SampleTask]:
+        """Return the samples that may be started now."""
+        return [
+            sample
+            for sample_id, sample in self.samples.items()
+            if sample_id not in self.done
+            and sample_id not in self.running
+            and self.hold_until_s.get(sample_id, 0.0) <= now_s
+        ]
+
+    def finish(self, result: SampleResult) -> None:
+        """Take a sample's result, once."""
+        if result.sample_id in self.done:
+            return
+        self.done.add(result.sample_id)
+        self.finished.append(result)
+        self.tell()
+
+    def kept(self, results: tuple[SampleResult, ...]) -> None:
+        """Take note that results are listed."""
+        self.listed.extend(results)
+        for _ in results:
+            self.finished.popleft()
+        for result in results:
+            self.progress.pop(result.sample_id, None)
+        self.tell()
+
+    def tell(self) -> None:
+        """Wake whoever waits for a change."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def stop_running(self) -> None:
+        """Take all samples off their targets."""
+        for running in list(self.running.values()):
+            running.scope.cancel()
+
+    def to_carry(self) -> dict[str, SavedProgress]:
+        """Return the text of groups that aren't whole, for a later step that asks for them."""
+        incomplete = {
+            sample.group
+            for sample_id, sample in self.samples.items()
+            if sample_id not in {result.sample_id for result in self.listed}
+        }
+        saved = {
+            sample_id: progress.save(complete=False)
+            for sample_id, progress in self.progress.items()
+            if progress.events and sample_id not in self.done
+        }
+        for result in (*self.listed, *self.finished):
+            if (
+                result.state is SampleState.COMPLETE
+                and self.samples[result.sample_id].group in incomplete
+            ):
+                saved[result.sample_id] = SavedProgress(
+                    tuple(result.text.split("\n")), result.versions, 1, True
+                )
+        return saved
+
+    def to_hand_over(self) -> dict[str, SavedProgress]:
+        """Return the text of unfinished samples, for the next owner."""
+        return {
+            sample_id: progress.save(complete=False)
+            for sample_id, progress in self.progress.items()
+            if progress.events and sample_id not in self.done
+        }
--- /dev/null
+++ b/src/balsamcleat/tasks/replica_keeper.py
@@ -0,0 +1,105 @@
+"""Keeps the list of targets as the platform tells it."""
+
+import time
+from collections.abc import Callable
+
+import anyio
+import structlog
+
+from balsamcleat.decisions.replica_directory import ReplicaDirectory, ReplicaNews
+from balsamcleat.decisions.replica_evidence import EvidenceBook
+from balsamcleat.http1 import ClientPool
+from balsamcleat.model import TargetId
+from balsamcleat.model.replicas import Replica
+from balsamcleat.platform import decode_replica
+from balsamcleat.ports.rows import RowChange
+from balsamcleat.tasks.table_follower import TableObserver
+
+__all__ = ["ReplicaKeeper"]
+
+LAPSE_CHECK_S = 0.25
+
+log = structlog.get_logger()
+
+
+class ReplicaKeeper(TableObserver):
+    """Feeds the directory and drops what belonged to targets that are gone.
+
+    Args:
+        directory: What is believed.
+        book: Evidence on the targets.
+        pool: Connections to them.
+        on_change: Called after each change.
+    """
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        book: EvidenceBook,
+        pool: ClientPool,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.directory = directory
+        self.book = book
+        self.pool = pool
+        self.on_change = on_change
+
+    def listed(self, rows: tuple[RowChange, ...], version: int) -> None:
+        """Take the whole list."""
+        replicas = {}
+        for row in rows:
+            replica = self.decode(row)
+            if replica is not None:
+                replicas[replica.target_id] = replica
+        self.tell(self.directory.listed(replicas, time.monotonic()), version)
+        self.on_change()
+
+    def changed(self, rows: tuple[RowChange, ...], version: int) -> None:
+        """Take entries as they were written."""
+        for row in rows:
+            replica = self.decode(row)
+            if replica is not None:
+                self.tell(self.directory.changed(replica), row.version)
+            else:
+                gone = TargetId(row.key.key)
+                self.tell(self.directory.removed(gone, time.monotonic()), row.version)
+        self.on_change()
+
+    def decode(self, row: RowChange) -> Replica | None:
+        """Return the entry in a row, or None for a deletion or another writer's row."""
+        if row.value is None:
+            return None
+        replica = decode_replica(row.key.key, row.value, row.version)
+        if replica is None:
+            log.info("target entry ignored", target=row.key.key, row_version=row.version)
+        return replica
+
+    def regained(self) -> None:
+        """Give entries that lapsed with the store time to come back."""
+        self.directory.store_returned(time.monotonic())
+
+    def tell(self, news: list[ReplicaNews], version: int) -> None:
+        """Log what changed and drop what it makes stale."""
+        for item in news:
+            log.info(
+                "target " + item.reason,
+                target=item.target_id,
+                service=item.replica.service if item.replica else None,
+                address=item.replica.address if item.replica else None,
+                row_version=version,
+            )
+            if item.replica is None or item.reason == "restarted":
+                self.book.forget(item.target_id)
+            if item.replica is not None and item.reason in ("listed", "restarted"):
+                # The address may have belonged to another target.
+                self.pool.forget(item.replica.address)
+
+    async def run(self) -> None:
+        """Take out entries that stay missing after the store's return."""
+        while True:
+            await anyio.sleep(LAPSE_CHECK_S)
+            if self.directory.missing:
+                news = self.directory.lapse(time.monotonic())
+                if news:
+                    self.tell(news, 0)
+                    self.on_change()
--- /dev/null
+++ b/src/balsamcleat/tasks/rollout_desk.py
@@ -0,0 +1,251 @@
+"""Answers trainers: takes steps in, hands out results and bodies, ends steps."""
+
+import time
+from collections.abc import Callable
+
+import anyio
+import structlog
+
+from balsamcleat.errors import (
+    InvalidInputError,
+    OutcomeUnknownError,
+    PlatformError,
+    ProtocolError,
+)
+from balsamcleat.http1 import Request, Responder, Response, header
+from balsamcleat.model import StepId
+from balsamcleat.model.rollout import SampleResult
+from balsamcleat.model.routing import Route, RoutingTable
+from balsamcleat.platform import (
+    ResultsQuery,
+    StepCall,
+    StepCallKind,
+    decode_step,
+    encode_results,
+    failure_headers,
+    request_id,
+    sample_body,
+)
+from balsamcleat.ports.rows import RowConflict
+from balsamcleat.tasks.owned_step import OwnedStep
+from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords, StepSubmission
+from balsamcleat.tasks.rollout_runner import RolloutRunner
+from balsamcleat.tasks.step_watch_feed import KnownStep
+
+__all__ = ["RolloutDesk"]
+
+# A page of results, in bytes of text.
+PAGE_BYTES = 700_000
+POLL_S = 0.12
+RETRY_AFTER_S = 0.4
+JSON = (("Content-Type", "application/json"),)
+BYTES = (("Content-Type", "application/octet-stream"),)
+
+log = structlog.get_logger()
+
+
+class RolloutDesk:
+    """Serves trainers' calls at any VM.
+
+    Args:
+        vm: This VM.
+        boot: This start of its process.
+        records: What is kept of steps.
+        runner: Runs the steps that this VM owns.
+        known: Returns the steps known from the feed.
+        table: Returns the configuration in force.
+        store_now_ms: Returns the store's clock.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        boot: str,
+        records: RolloutRecords,
+        runner: RolloutRunner,
+        known: Callable[[], dict[StepId, KnownStep]],
+        table: Callable[[], RoutingTable | None],
+        store_now_ms: Callable[[], int],
+    ) -> None:
+        self.vm = vm
+        self.boot = boot
+        self.records = records
+        self.runner = runner
+        self.known = known
+        self.table = table
+        self.store_now_ms = store_now_ms
+        self.accepting = True
+
+    async def submit(self, request: Request, route: Route, responder: Responder) -> None:
+        """Accept a step once and keep it before saying so."""
+        try:
+            step = decode_step(request.headers, request.body)
+        except InvalidInputError as error:
+            log.warning("step refused", request=request_id(request.headers), reason=error.message)
+            await responder.send(Response(400, failure_headers("")))
+            return
+        if step.step_id in self.known():
+            await self.accepted(responder, step.step_id, "known already")
+            return
+        if not self.accepting:
+            await self.unavailable(responder, step.step_id, "leaving")
+            return
+        record = OwnerRecord(
+            vm=self.vm,
+            boot=self.boot,
+            host=route.host,
+            path=request.path,
+            accepted_ms=self.store_now_ms(),
+            samples=len(step.samples),
+        )
+        submission = StepSubmission(request.headers, request.body)
+        try:
+            outcome = await self.records.accept(step.step_id, record, submission)
+        except OutcomeUnknownError as error:
+            await self.unknown(responder, step.step_id, str(error))
+            return
+        except PlatformError as error:
+            await self.unavailable(responder, step.step_id, str(error))
+            return
+        if isinstance(outcome, RowConflict):
+            await self.accepted(responder, step.step_id, "kept already")
+            return
+        owned = OwnedStep(
+            step=step,
+            record=record,
+            row_version=outcome.version,
+            accepted_s=request.received_at_s,
+        )
+        self.runner.add(owned)
+        await self.accepted(responder, step.step_id, "new")
+        await self.use_carried(owned, route)
+
+    async def use_carried(self, owned: OwnedStep, route: Route) -> None:
+        """Take text that the step before left of the same samples."""
+        try:
+            saved = await self.records.load_progress(carry_part(owned.record))
+        except (PlatformError, ProtocolError) as error:
+            log.warning("no text of earlier steps", step=owned.step_id, reason=str(error))
+            return
+        wanted = {key: kept for key, kept in saved.items() if key not in owned.running}
+        owned.restore(wanted, carried=True, single=route.single_version)
+        if owned.carried:
+            log.info("text carried over", step=owned.step_id, groups=len(owned.carried))
+            self.runner.rerank(owned)
+
+    async def accepted(self, responder: Responder, step_id: StepId, how: str) -> None:
+        """Say that a step is kept."""
+        log.info("step accepted", step=step_id, how=how)
+        await responder.send(Response(202))
+
+    async def unavailable(self, responder: Responder, step_id: StepId, reason: str) -> None:
+        """Say that nothing of a step was kept, and when to come back."""
+        log.warning("call refused", step=step_id, reason=reason, status=503)
+        await responder.send(Response(503, failure_headers("", RETRY_AFTER_S)))
+
+    async def unknown(self, responder: Responder, step_id: StepId, reason: str) -> None:
+        """Say that a step may or may not be kept."""
+        log.warning("step's outcome unknown", step=step_id, reason=reason, status=504)
+        await responder.send(Response(504, failure_headers("")))
+
+    async def call(self, call: StepCall, responder: Responder) -> None:
+        """Answer a call about an accepted step."""
+        try:
+            if call.kind is StepCallKind.RESULTS and call.query is not None:
+                await self.results(call.step_id, call.query, responder)
+            elif call.kind is StepCallKind.BODY:
+                await self.body(call.step_id, call.sample_id, responder)
+            else:
+                await self.end(call.step_id, responder)
+        except (PlatformError, ProtocolError) as error:
+            await self.unavailable(responder, call.step_id, str(error))
+
+    async def results(self, step_id: StepId, query: ResultsQuery, responder: Responder) -> None:
+        """Answer with results from a position on, waiting for a first one."""
+        deadline_s = time.monotonic() + query.wait_s
+        total = await self.total(step_id)
+        if total is None:
+            await self.not_found(responder, step_id)
+            return
+        results = await self.read(step_id, query.position)
+        while not results and time.monotonic() < deadline_s and query.position < total:
+            await self.wait_change(step_id, deadline_s - time.monotonic())
+            results = await self.read(step_id, query.position)
+        page = first_page(results)
+        await responder.send(Response(200, JSON, encode_results(total, query.position, page)))
+
+    async def total(self, step_id: StepId) -> int | None:
+        """Return the number of a step's samples, or None for an unknown step."""
+        known = self.known().get(step_id)
+        if known is not None:
+            return known.owner.samples
+        found = await self.records.owner(step_id)
+        return None if found is None else found[0].samples
+
+    async def read(self, step_id: StepId, position: int) -> tuple[SampleResult, ...]:
+        """Return listed results from a position on."""
+        owned = self.runner.steps.get(step_id)
+        if owned is not None and not owned.lost:
+            return tuple(owned.listed[position:])
+        return await self.records.results(step_id, position)
+
+    async def wait_change(self, step_id: StepId, longest_s: float) -> None:
+        """Wait until more may be listed."""
+        owned = self.runner.steps.get(step_id)
+        if owned is None or owned.lost:
+            await anyio.sleep(min(POLL_S, longest_s))
+            return
+        with anyio.move_on_after(longest_s):
+            await owned.changed.wait()
+
+    async def body(self, step_id: StepId, sample_id: str, responder: Responder) -> None:
+        """Answer with a sample's body."""
+        owned = self.runner.steps.get(step_id)
+        if owned is not None:
+            step = owned.step
+        else:
+            submission = await self.records.submission(step_id)
+            if submission is None:
+                await self.not_found(responder, step_id)
+                return
+            step = decode_step(submission.headers, submission.body)
+        body = sample_body(step, sample_id)
+        if body is None:
+            await self.not_found(responder, step_id)
+            return
+        await responder.send(Response(200, BYTES, body))
+
+    async def end(self, step_id: StepId, responder: Responder) -> None:
+        """End a step; once this is kept, every VM stops it."""
+        if await self.total(step_id) is None:
+            await self.not_found(responder, step_id)
+            return
+        await self.records.end(step_id)
+        log.info("end kept", step=step_id)
+        await responder.send(Response(200))
+
+    async def not_found(self, responder: Responder, step_id: StepId) -> None:
+        """Say that there is no such step."""
+        log.info("step not found", step=step_id)
+        await responder.send(Response(404, failure_headers("")))
+
+
+def carry_part(record: OwnerRecord) -> str:
+    """Return where text for a later step of the same trainer is kept."""
+    prefix = record.path.strip("/").partition("/")[0]
+    return f"carry/{record.host}/{prefix}"[:200]
+
+
+def first_page(results: tuple[SampleResult, ...]) -> tuple[SampleResult, ...]:
+    """Return as many results as fit into a page, one at least."""
+    size = 0
+    for count, result in enumerate(results):
+        size += len(result.text) + 100
+        if count and size > PAGE_BYTES:
+            return results[:count]
+    return results
+
+
+def host_of(request: Request) -> str:
+    """Return the host that a request names, without its port."""
+    return (header(request.headers, "host") or "").partition(":")[0].lower()
--- /dev/null
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -0,0 +1,311 @@
+"""What is kept of steps in the row store: submissions, owners, results, and text to go on with."""
+
+import zlib
+from typing import TypeVar
+
+import msgspec
+
+from balsamcleat.decisions.sample_progress import SavedProgress
+from balsamcleat.errors import ProtocolError
+from balsamcleat.model import StepId, WeightVersion
+from balsamcleat.model.rollout import SampleResult, SampleState
+from balsamcleat.ports.rows import (
+    ABSENT_VERSION,
+    RowChange,
+    RowCommit,
+    RowConflict,
+    RowKey,
+    RowsCommitted,
+    RowStore,
+    RowWrite,
+)
+
+__all__ = [
+    "STEPS_TABLE",
+    "OwnerRecord",
+    "RolloutRecords",
+    "StepSubmission",
+    "decode_owner",
+    "is_end_key",
+    "is_owner_key",
+]
+
+STEPS_TABLE = "steps"
+BODIES_TABLE = "step-bodies"
+RESULTS_TABLE = "step-results"
+PROGRESS_TABLE = "step-progress"
+OWNER_KEY = "owner"
+END_KEY = "end"
+# Room for base64 and the names around a value in one commit.
+COMMIT_SHARE = 0.6
+COMMIT_ROWS = 90
+COMPRESSION = 1
+
+Kept = TypeVar("Kept")
+
+
+class OwnerRecord(msgspec.Struct, frozen=True):
+    """Who runs a step.
+
+    Attributes:
+        vm: The owner; empty after it handed the step over.
+        boot: The start of its process.
+        host: The route's host.
+        path: The path that the step was submitted to.
+        accepted_ms: The store's clock at the submission.
+        samples: Number of samples.
+    """
+
+    vm: str
+    boot: str
+    host: str
+    path: str
+    accepted_ms: int
+    samples: int
+
+
+class StepSubmission(msgspec.Struct, frozen=True):
+    """A submission as it arrived."""
+
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class KeptResult(msgspec.Struct, frozen=True, array_like=True):
+    """A result as it is stored."""
+
+    sample_id: str
+    state: SampleState
+    text: str
+    versions: tuple[WeightVersion, ...]
+
+
+class KeptProgress(msgspec.Struct, frozen=True, array_like=True):
+    """Text of a sample that isn't listed, as it is stored."""
+
+    events: tuple[str, ...]
+    versions: tuple[WeightVersion, ...]
+    first_event: int
+    complete: bool
+
+
+def is_owner_key(key: RowKey) -> bool:
+    """Return whether a row of the steps' table says who owns a step."""
+    return key.key == OWNER_KEY
+
+
+def is_end_key(key: RowKey) -> bool:
+    """Return whether a row of the steps' table says that a step was ended."""
+    return key.key == END_KEY
+
+
+def decode_owner(row: RowChange) -> OwnerRecord | None:
+    """Return an owner's record, or None where the row holds none."""
+    try:
+        return None if row.value is None else msgspec.json.decode(row.value, type=OwnerRecord)
+    except msgspec.DecodeError:
+        return None
+
+
+def pack(value: object) -> bytes:
+    """Return a value as it is stored."""
+    return zlib.compress(msgspec.msgpack.encode(value), COMPRESSION)
+
+
+def owner_key(step_id: StepId) -> RowKey:
+    """Return the row that says who owns a step."""
+    return RowKey(STEPS_TABLE, step_id, OWNER_KEY)
+
+
+def end_key(step_id: StepId) -> RowKey:
+    """Return the row that says that a step was ended."""
+    return RowKey(STEPS_TABLE, step_id, END_KEY)
+
+
+def result_start(position: int) -> str:
+    """Return the key at which the result of a position begins."""
+    return f"{position:08d}"
+
+
+class RolloutRecords:
+    """Reads and writes what is kept of steps.
+
+    Args:
+        store: The row store.
+    """
+
+    def __init__(self, store: RowStore) -> None:
+        self.store = store
+
+    def chunks(self, table: str, part: str, name: str, value: bytes) -> list[RowWrite]:
+        """Return a value cut into rows; each key says which of how many it is."""
+        size = self.store.limits.row_bytes
+        pieces = [value[at : at + size] for at in range(0, len(value), size)] or [b""]
+        return [
+            RowWrite(RowKey(table, part, f"{name}.{number:04d}.{len(pieces):04d}"), piece)
+            for number, piece in enumerate(pieces)
+        ]
+
+    async def accept(
+        self, step_id: StepId, owner: OwnerRecord, submission: StepSubmission
+    ) -> RowsCommitted | RowConflict:
+        """Keep a new step and its owner; a conflict means that it is known already."""
+        bodies = self.chunks(BODIES_TABLE, step_id, "body", pack(submission))
+        first, *rest = self.split_writes(bodies)
+        for writes in rest:
+            # Rows of a step without an owner mean nothing; the owner's comes last.
+            await self.store.commit(RowCommit(writes))
+        write = RowWrite(owner_key(step_id), msgspec.json.encode(owner))
+        expected = ((owner_key(step_id), ABSENT_VERSION),)
+        return await self.store.commit(RowCommit((write, *first), expected))
+
+    def split_writes(self, writes: list[RowWrite]) -> list[tuple[RowWrite, ...]]:
+        """Return writes in groups that fit into one commit each."""
+        limit = self.store.limits.commit_bytes * COMMIT_SHARE
+        groups: list[list[RowWrite]] = [[]]
+        size = 0
+        for write in writes:
+            length = len(write.value or b"")
+            if groups[-1] and (size + length > limit or len(groups[-1]) >= COMMIT_ROWS):
+                groups.append([])
+                size = 0
+            groups[-1].append(write)
+            size += length
+        return [tuple(group) for group in groups]
+
+    async def owner(self, step_id: StepId) -> tuple[OwnerRecord, int] | None:
+        """Return a step's owner and the version of its row, or None for an unknown step."""
+        page = await self.store.read(STEPS_TABLE, step_id, OWNER_KEY, OWNER_KEY + "\0")
+        for row in page.rows:
+            record = decode_owner(row)
+            if record is not None:
+                return record, row.version
+        return None
+
+    async def claim(
+        self, step_id: StepId, owner: OwnerRecord, row_version: int
+    ) -> RowsCommitted | RowConflict:
+        """Make a VM the owner, if the row is still as it was read."""
+        key = owner_key(step_id)
+        write = RowWrite(key, msgspec.json.encode(owner))
+        return await self.store.commit(RowCommit((write,), ((key, row_version),)))
+
+    async def submission(self, step_id: StepId) -> StepSubmission | None:
+        """Return a step as it was submitted, or None where nothing is kept."""
+        values = await self.values(BODIES_TABLE, step_id)
+        packed = values.get("body")
+        return None if packed is None else unpack(packed, StepSubmission)
+
+    async def append(
+        self,
+        step_id: StepId,
+        owner_version: int,
+        position: int,
+        results: tuple[SampleResult, ...],
+    ) -> RowsCommitted | RowConflict:
+        """List results from a position on, if the owner's row is unchanged and they are new."""
+        writes: list[RowWrite] = []
+        for offset, result in enumerate(results):
+            kept = KeptResult(result.sample_id, result.state, result.text, result.versions)
+            name = result_start(position + offset)
+            writes += self.chunks(RESULTS_TABLE, step_id, name, pack(kept))
+        expected = ((owner_key(step_id), owner_version), (writes[0].key, ABSENT_VERSION))
+        return await self.store.commit(RowCommit(tuple(writes), expected))
+
+    def fits_one_commit(self, results: list[SampleResult]) -> int:
+        """Return how many of the results, from the first on, fit into one commit."""
+        size, rows = 0, 0
+        limit = self.store.limits.commit_bytes * COMMIT_SHARE
+        for count, result in enumerate(results):
+            length = len(result.text) + 100
+            size += length
+            rows += 1 + length // self.store.limits.row_bytes
+            if count and (size > limit or rows > COMMIT_ROWS):
+                return count
+        return len(results)
+
+    async def results(
+        self, step_id: StepId, position: int = 0, *, all_pages: bool = False
+    ) -> tuple[SampleResult, ...]:
+        """Return the results from a position on; only the first page unless all are asked for."""
+        values = await self.values(
+            RESULTS_TABLE, step_id, result_start(position), all_pages=all_pages
+        )
+        results = []
+        for offset, name in enumerate(sorted(values)):
+            if name != result_start(position + offset):
+                raise ProtocolError("a position is missing", step="results.read", peer=step_id)
+            kept = unpack(values[name], KeptResult)
+            results.append(SampleResult(kept.sample_id, kept.state, kept.text, kept.versions))
+        return tuple(results)
+
+    async def values(
+        self, table: str, part: str, start: str = "", *, all_pages: bool = True
+    ) -> dict[str, bytes]:
+        """Return the whole values of a part by their names."""
+        pieces: dict[str, list[bytes]] = {}
+        counts: dict[str, int] = {}
+        more = True
+        while more:
+            page = await self.store.read(table, part, start)
+            for row in page.rows:
+                name, _, count = row.key.key.rsplit(".", 2)
+                pieces.setdefault(name, []).append(row.value or b"")
+                counts[name] = int(count)
+            more = page.more and bool(page.rows) and (all_pages or not whole(pieces, counts))
+            start = page.rows[-1].key.key + "\0" if page.rows else start
+        return {name: b"".join(pieces[name]) for name in whole(pieces, counts)}
+
+    async def end(self, step_id: StepId) -> RowsCommitted | RowConflict:
+        """Keep that a step was ended; ending it twice is fine."""
+        return await self.store.commit(RowCommit((RowWrite(end_key(step_id), b"1"),)))
+
+    async def is_ended(self, step_id: StepId) -> bool:
+        """Return whether a step was ended."""
+        page = await self.store.read(STEPS_TABLE, step_id, END_KEY, END_KEY + "\0")
+        return bool(page.rows)
+
+    async def save_progress(self, part: str, progress: dict[str, SavedProgress]) -> None:
+        """Keep text of samples that aren't listed; best effort, nothing hangs on it."""
+        writes: list[RowWrite] = []
+        for sample_id, saved in progress.items():
+            kept = KeptProgress(saved.events, saved.versions, saved.first_event, saved.complete)
+            writes += self.chunks(PROGRESS_TABLE, part, sample_id, pack(kept))
+        for group in self.split_writes(writes):
+            if group:
+                await self.store.commit(RowCommit(group))
+
+    async def load_progress(self, part: str) -> dict[str, SavedProgress]:
+        """Return the text that was kept, by sample."""
+        found = {}
+        for sample_id, packed in (await self.values(PROGRESS_TABLE, part)).items():
+            kept = unpack(packed, KeptProgress)
+            found[sample_id] = SavedProgress(
+                kept.events, kept.versions, kept.first_event, kept.complete
+            )
+        return found
+
+    async def drop_progress(self, part: str) -> None:
+        """Delete the text kept in a part."""
+        page = await self.store.read(PROGRESS_TABLE, part)
+        writes = [RowWrite(row.key, None) for row in page.rows]
+        for group in self.split_writes(writes):
+            if group:
+                await self.store.commit(RowCommit(group))
+
+
+def whole(pieces: dict[str, list[bytes]], counts: dict[str, int]) -> list[str]:
+    """Return the names of which every piece was read."""
+    return [name for name, found in pieces.items() if len(found) == counts[name]]
+
+
+def unpack(packed: bytes, kind: type[Kept]) -> Kept:
+    """Return a stored value.
+
+    Raises:
+        ProtocolError: It can't be read.
+    """
+    try:
+        return msgspec.msgpack.decode(zlib.decompress(packed), type=kind)
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise ProtocolError(f"unreadable record: {error}", step="records.decode") from error
--- /dev/null
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -0,0 +1,404 @@
+"""Runs the steps that this VM owns: places samples, moves them, lists what is finished."""
+
+import random
+import time
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import structlog
+
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.replica_evidence import EvidenceBook
+from balsamcleat.decisions.sample_placement import (
+    Placement,
+    RunningSample,
+    Seat,
+    WaitingSample,
+    find_moves,
+    place_samples,
+)
+from balsamcleat.decisions.sample_progress import SampleProgress
+from balsamcleat.decisions.step_order import expected_left
+from balsamcleat.errors import InvalidInputError, PlatformError, ProtocolError
+from balsamcleat.model import ServiceName, StepId, TargetId, WeightVersion, ZoneName
+from balsamcleat.model.replicas import Replica
+from balsamcleat.model.rollout import SampleResult, SampleState
+from balsamcleat.model.routing import Route, RouteKind, RoutingTable
+from balsamcleat.ports.rows import RowConflict
+from balsamcleat.tasks.owned_step import OwnedStep, SampleOnTarget
+from balsamcleat.tasks.rollout_records import RolloutRecords
+from balsamcleat.tasks.sample_run import (
+    SampleEnd,
+    SampleOrder,
+    SampleRunner,
+    SampleRunOutcome,
+    version_of,
+)
+
+__all__ = ["RolloutRunner"]
+
+# Samples are placed when something changes, and at least this often for what only time changes.
+TICK_S = 0.1
+# Results that finish close together are listed together.
+LISTING_LINGER_S = 0.03
+LISTING_RETRY_S = 0.15
+# After a run that broke, the sample waits this long times the breaks in a row.
+BROKEN_HOLD_S = 0.05
+FAILED_HOLD_S = 0.2
+# Output tokens an event holds, until one is seen; only ratios matter.
+TOKENS_AN_EVENT = 60.0
+WANTED_PRIORITY = 4
+SPARE_PRIORITY = 6
+# Time that a target is given beyond the time left, where none is set.
+DEFAULT_RUN_S = 60.0
+
+log = structlog.get_logger()
+
+
+class RolloutRunner:
+    """Owns the steps of this VM.
+
+    Args:
+        records: What is kept of steps.
+        directory: The targets.
+        book: Evidence on them.
+        samples: Runs one sample.
+        zone: This VM's availability zone.
+        table: Returns the configuration in force.
+        loading: Returns the models whose weights a target is believed to change.
+        generator: Draws the jitter of retries.
+    """
+
+    def __init__(
+        self,
+        records: RolloutRecords,
+        directory: ReplicaDirectory,
+        book: EvidenceBook,
+        samples: SampleRunner,
+        zone: ZoneName,
+        table: Callable[[], RoutingTable | None],
+        loading: Callable[[TargetId], frozenset[str]],
+        generator: random.Random,
+    ) -> None:
+        self.records = records
+        self.directory = directory
+        self.book = book
+        self.samples = samples
+        self.zone = zone
+        self.table = table
+        self.loading = loading
+        self.generator = generator
+        self.steps: dict[StepId, OwnedStep] = {}
+        # Versions that targets were found to run, newer than their entries say.
+        self.seen_versions: dict[tuple[TargetId, str], WeightVersion] = {}
+        self.changed = anyio.Event()
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self.leaving = False
+
+    def wake(self) -> None:
+        """Place samples soon: something changed."""
+        self.changed.set()
+
+    def add(self, step: OwnedStep) -> None:
+        """Take over a step and run it."""
+        assert self.tasks is not None
+        self.steps[step.step_id] = step
+        step.rank(TOKENS_AN_EVENT)
+        self.tasks.start_soon(self.list_results, step)
+        self.wake()
+
+    def drop(self, step: OwnedStep) -> None:
+        """Stop running a step that another VM owns now."""
+        step.lost = True
+        step.stop_running()
+        step.tell()
+        if self.steps.get(step.step_id) is step:
+            del self.steps[step.step_id]
+
+    async def run(self) -> None:
+        """Place samples until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            while True:
+                with anyio.move_on_after(TICK_S if self.steps else None):
+                    await self.changed.wait()
+                self.changed = anyio.Event()
+                if not self.leaving:
+                    self.place()
+
+    def place(self) -> None:
+        """Start waiting samples and move those that are better off elsewhere."""
+        now_s = time.monotonic()
+        table = self.table()
+        active = [step for step in self.steps.values() if step.active]
+        if table is None or not active:
+            return
+        for service, steps in self.by_service(table, active, now_s).items():
+            seats = [self.seat(replica, now_s) for replica in self.directory.serving(service)]
+            waiting = [item for step, _ in steps for item in self.waiting(step, now_s)]
+            for placement in place_samples(waiting, seats):
+                self.start(placement, table)
+            running = [item for step, _ in steps for item in self.running(step)]
+            for move in find_moves(running, seats):
+                self.move(move)
+
+    def by_service(
+        self, table: RoutingTable, steps: list[OwnedStep], now_s: float
+    ) -> dict[ServiceName, list[tuple[OwnedStep, Route]]]:
+        """Return the steps by the service that they go to now."""
+        found: dict[ServiceName, list[tuple[OwnedStep, Route]]] = {}
+        for step in steps:
+            route = table.match(step.record.host, step.record.path)
+            if route is None or route.kind is not RouteKind.ROLLOUT or not route.shares:
+                self.give_up(step, "its route is gone")
+                continue
+            if route.expiry_s and now_s - step.accepted_s > route.expiry_s:
+                self.give_up(step, "its time is over")
+                continue
+            found.setdefault(route.shares[0].service, []).append((step, route))
+        return found
+
+    def give_up(self, step: OwnedStep, reason: str) -> None:
+        """List every sample that isn't finished as given up."""
+        log.warning("step given up", step=step.step_id, reason=reason)
+        step.stop_running()
+        for sample_id in step.samples:
+            step.finish(SampleResult(sample_id, SampleState.GIVEN_UP))
+
+    def seat(self, replica: Replica, now_s: float) -> Seat:
+        """Return a target as a place for samples."""
+        evidence = self.book.of(replica.target_id)
+        versions = dict(replica.versions)
+        for model, version in versions.items():
+            seen = self.seen_versions.get((replica.target_id, model), version)
+            versions[model] = max(version, seen)
+        return Seat(
+            target_id=replica.target_id,
+            slots=replica.slots,
+            load=evidence.load(now_s),
+            pace_s=evidence.pace_s(now_s),
+            versions=versions,
+            loading=self.loading(replica.target_id),
+            usable=not evidence.avoided(now_s),
+            own_zone=replica.zone == self.zone,
+            prompts=set(evidence.prompts),
+        )
+
+    def waiting(self, step: OwnedStep, now_s: float) -> list[WaitingSample]:
+        """Return a step's samples that may start now."""
+        return [
+            WaitingSample(
+                step_id=step.step_id,
+                sample_id=sample.sample_id,
+                model=step.step.model,
+                oldest_version=step.step.oldest_version,
+                prompt_id=sample.prompt[0].part_id if sample.prompt else sample.group,
+                rank=(step.accepted_s, step.ranks[sample.sample_id]),
+            )
+            for sample in step.waiting(now_s)
+        ]
+
+    def running(self, step: OwnedStep) -> list[RunningSample]:
+        """Return a step's samples that run and may be moved."""
+        found = []
+        for sample_id, run in step.running.items():
+            progress = step.progress.get(sample_id)
+            if run.moving or progress is None or not progress.events:
+                continue
+            tokens = len(progress.events) * TOKENS_AN_EVENT
+            left = expected_left(step.samples[sample_id], tokens) / TOKENS_AN_EVENT
+            found.append(
+                RunningSample(
+                    step_id=step.step_id,
+                    sample_id=sample_id,
+                    target_id=run.target_id,
+                    model=step.step.model,
+                    oldest_version=step.step.oldest_version,
+                    events_left=left,
+                )
+            )
+        return found
+
+    def start(self, placement: Placement, table: RoutingTable) -> None:
+        """Start a sample at a target."""
+        step = self.steps[placement.step_id]
+        replica = self.directory.entries.get(placement.target_id)
+        route = table.match(step.record.host, step.record.path)
+        if replica is None or route is None or self.tasks is None:
+            return
+        sample = step.samples[placement.sample_id]
+        rank = step.ranks[sample.sample_id]
+        order = SampleOrder(
+            step=step.step,
+            sample=sample,
+            host=step.record.host,
+            replica=replica,
+            remaining_s=self.remaining_s(step, route),
+            priority=SPARE_PRIORITY if rank.spare else WANTED_PRIORITY,
+            single_version=route.single_version,
+        )
+        running = SampleOnTarget(replica.target_id, anyio.CancelScope())
+        step.running[sample.sample_id] = running
+        self.tasks.start_soon(self.run_sample, step, order, running, route.attempts)
+
+    def remaining_s(self, step: OwnedStep, route: Route) -> float:
+        """Return the time that a target is given, in seconds."""
+        if not route.expiry_s:
+            return DEFAULT_RUN_S
+        return max(1.0, step.accepted_s + route.expiry_s - time.monotonic())
+
+    def move(self, move: Placement) -> None:
+        """Take a sample off its target; it goes on at a better one."""
+        step = self.steps[move.step_id]
+        running = step.running[move.sample_id]
+        running.moving = True
+        log.info(
+            "sample moved",
+            step=move.step_id,
+            sample=move.sample_id,
+            source=running.target_id,
+            goal=move.target_id,
+        )
+        running.scope.cancel()
+
+    async def run_sample(
+        self, step: OwnedStep, order: SampleOrder, running: SampleOnTarget, attempts: int
+    ) -> None:
+        """Run a sample at a target and take what came of it."""
+        sample_id = order.sample.sample_id
+        progress = step.progress.setdefault(sample_id, SampleProgress())
+        began_s, before = time.monotonic(), len(progress.events)
+        self.book.of(order.replica.target_id).read_prompt(
+            order.sample.prompt[0].part_id if order.sample.prompt else order.sample.group
+        )
+        outcome = SampleRunOutcome(SampleEnd.BROKEN, "taken off")
+        try:
+            with running.scope:
+                outcome = await self.samples.run(order, progress)
+        finally:
+            if step.running.get(sample_id) is running:
+                del step.running[sample_id]
+        log.info(
+            "sample run ended",
+            step=step.step_id,
+            sample=sample_id,
+            target=order.replica.target_id,
+            end=outcome.end.value,
+            reason=outcome.reason,
+            events=len(progress.events),
+            resumed_at=before,
+            took_s=round(time.monotonic() - began_s, 3),
+        )
+        if progress.current is not None:
+            key = (order.replica.target_id, step.step.model)
+            self.seen_versions[key] = max(
+                progress.current, self.seen_versions.get(key, progress.current)
+            )
+        if not step.ended and not step.lost:
+            self.settle(step, order, outcome, attempts)
+        self.wake()
+
+    def settle(
+        self, step: OwnedStep, order: SampleOrder, outcome: SampleRunOutcome, attempts: int
+    ) -> None:
+        """Decide what follows the end of a run."""
+        sample_id = order.sample.sample_id
+        progress = step.progress[sample_id]
+        now_s = time.monotonic()
+        if outcome.end is SampleEnd.COMPLETE:
+            versions = tuple(sorted(progress.versions))
+            step.finish(SampleResult(sample_id, SampleState.COMPLETE, progress.text(), versions))
+        elif outcome.end is SampleEnd.IMPOSSIBLE:
+            step.finish(SampleResult(sample_id, SampleState.GIVEN_UP))
+        elif outcome.end is SampleEnd.FAILED:
+            step.failures[sample_id] = step.failures.get(sample_id, 0) + 1
+            step.hold_until_s[sample_id] = now_s + FAILED_HOLD_S
+            if step.failures[sample_id] >= attempts:
+                step.finish(SampleResult(sample_id, SampleState.GIVEN_UP))
+        elif outcome.end is SampleEnd.TOO_OLD:
+            self.book.of(order.replica.target_id).refused(now_s, FAILED_HOLD_S)
+        elif outcome.reason != "taken off":
+            step.hold_until_s[sample_id] = now_s + self.generator.random() * BROKEN_HOLD_S
+        seen = version_of(outcome)
+        if seen is not None:
+            log.info("target is behind", target=order.replica.target_id, version=seen)
+
+    async def list_results(self, step: OwnedStep) -> None:
+        """List finished results in groups until all are listed or the step is over."""
+        while not step.ended and not step.lost and len(step.listed) < len(step.samples):
+            if not step.finished:
+                changed = step.changed
+                await changed.wait()
+                await anyio.sleep(LISTING_LINGER_S)
+                continue
+            count = self.records.fits_one_commit(list(step.finished))
+            batch = tuple(step.finished[place] for place in range(count))
+            if not await self.list_batch(step, batch):
+                return
+            self.wake()
+
+    async def list_batch(self, step: OwnedStep, batch: tuple[SampleResult, ...]) -> bool:
+        """List a group of results; returns False when the step is another VM's now.
+
+        The same commit is sent until its outcome is known: one that was thought lost may take
+        effect later, and only an identical one may then count as done.
+        """
+        position = len(step.listed)
+        while not step.lost:
+            try:
+                outcome = await self.records.append(step.step_id, step.row_version, position, batch)
+            except (PlatformError, InvalidInputError) as error:
+                log.warning(
+                    "results not listed yet",
+                    step=step.step_id,
+                    position=position,
+                    results=len(batch),
+                    reason=str(error),
+                )
+                await anyio.sleep(LISTING_RETRY_S * (0.5 + self.generator.random()))
+                continue
+            if isinstance(outcome, RowConflict) and not self.still_owner(step, outcome):
+                log.warning("step lost to another VM", step=step.step_id, position=position)
+                self.drop(step)
+                return False
+            step.kept(batch)
+            log.info("results listed", step=step.step_id, position=position, results=len(batch))
+            return True
+        return False
+
+    def still_owner(self, step: OwnedStep, conflict: RowConflict) -> bool:
+        """Return whether a conflict only says that our own earlier commit took effect."""
+        return any(
+            row.version == step.row_version and row.key.part == step.step_id
+            for row in conflict.rows
+        )
+
+    async def end(self, step: OwnedStep, carry_part: str) -> None:
+        """Stop a step that its trainer ended, and keep text that a later step may use."""
+        if step.ended or step.lost:
+            return
+        step.ended = True
+        step.ended_at_s = time.monotonic()
+        step.stop_running()
+        carry = step.to_carry()
+        step.tell()
+        log.info("step ended", step=step.step_id, listed=len(step.listed), carried=len(carry))
+        try:
+            await self.records.drop_progress(carry_part)
+            if carry:
+                await self.records.save_progress(carry_part, carry)
+        except (PlatformError, ProtocolError) as error:
+            log.warning("text not kept", step=step.step_id, reason=str(error))
+
+    async def hand_over(self, step: OwnedStep) -> None:
+        """Give a step to whichever VM takes it, with the text at hand."""
+        step.stop_running()
+        if step.active:
+            saved = step.to_hand_over()
+            await self.records.save_progress(step.step_id, saved)
+
+    def rerank(self, step: OwnedStep) -> None:
+        """Work out the order of a step's samples anew and place by it."""
+        step.rank(TOKENS_AN_EVENT)
+        self.wake()
--- /dev/null
+++ b/src/balsamcleat/tasks/routing_keeper.py
@@ -0,0 +1,80 @@
+"""Keeps the configuration in force and the weight versions named, as the operators' table tells."""
+
+from collections.abc import Callable
+
+import structlog
+
+from balsamcleat.errors import ProtocolError
+from balsamcleat.model import WeightVersion
+from balsamcleat.model.routing import RoutingTable
+from balsamcleat.platform import (
+    NAMED_VERSION_PREFIX,
+    ROUTING_KEY,
+    decode_named_version,
+    decode_routing,
+)
+from balsamcleat.ports.rows import RowChange
+from balsamcleat.tasks.table_follower import TableObserver
+
+__all__ = ["RoutingKeeper"]
+
+log = structlog.get_logger()
+
+
+class RoutingKeeper(TableObserver):
+    """Moves up only: an older version than the one in force is never taken.
+
+    Args:
+        on_change: Called after each change of the configuration or of a named version.
+    """
+
+    def __init__(self, on_change: Callable[[], None]) -> None:
+        self.on_change = on_change
+        self.table: RoutingTable | None = None
+        self.named: dict[str, WeightVersion] = {}
+
+    def listed(self, rows: tuple[RowChange, ...], version: int) -> None:
+        """Take all documents."""
+        self.changed(rows, version)
+
+    def changed(self, rows: tuple[RowChange, ...], version: int) -> None:
+        """Take documents as they were written."""
+        for row in rows:
+            if row.value is None:
+                continue
+            try:
+                self.take(row.key.key, row.value, row.version)
+            except ProtocolError as error:
+                log.warning("document refused", key=row.key.key, reason=str(error))
+        self.on_change()
+
+    def regained(self) -> None:
+        """Nothing hangs on the time that the store was away."""
+
+    def take(self, key: str, value: bytes, row_version: int) -> None:
+        """Take one document.
+
+        Raises:
+            ProtocolError: It can't be read.
+        """
+        if key == ROUTING_KEY:
+            self.take_routing(decode_routing(value), row_version)
+        elif key.startswith(NAMED_VERSION_PREFIX):
+            named = decode_named_version(value)
+            if named.version > self.named.get(named.model, 0):
+                self.named[named.model] = named.version
+                log.info("version named", model=named.model, version=named.version)
+
+    def take_routing(self, table: RoutingTable, row_version: int) -> None:
+        """Take a configuration if it is newer than the one in force."""
+        before = self.table.version if self.table else 0
+        if table.version <= before:
+            return
+        self.table = table
+        log.info(
+            "configuration in force",
+            version=table.version,
+            before=before,
+            row_version=row_version,
+            routes=len(table.routes),
+        )
--- /dev/null
+++ b/src/balsamcleat/tasks/step_watch_feed.py
@@ -0,0 +1,171 @@
+"""Knows all steps and their owners from the feed, and takes over those whose owner is dead."""
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+import structlog
+import xxhash
+
+from balsamcleat.decisions.vm_watch import VmWatch
+from balsamcleat.errors import PlatformError, ProtocolError
+from balsamcleat.model import StepId
+from balsamcleat.ports.rows import RowChange
+from balsamcleat.tasks.rollout_records import (
+    OwnerRecord,
+    decode_owner,
+    is_end_key,
+    is_owner_key,
+)
+from balsamcleat.tasks.table_follower import TableObserver
+
+__all__ = ["KnownStep", "StepFeed"]
+
+CHECK_S = 0.2
+# The VM that comes next in the order of a step tries first, the others after it.
+TURN_S = 0.25
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class KnownStep:
+    """A step as the feed tells it; ``orphan_since_s`` is set once its owner was found dead."""
+
+    owner: OwnerRecord
+    row_version: int
+    ended: bool = False
+    orphan_since_s: float | None = None
+
+
+class StepFeed(TableObserver):
+    """Follows the steps' table.
+
+    Args:
+        vm: This VM.
+        boot: This start of its process.
+        watch: Which VMs live.
+        kept_s: How long after its submission a step matters.
+        store_now_ms: Returns the store's clock.
+        take: Takes over a step.
+        runs: Returns whether this VM runs a step.
+        ended: Called with each step that was ended.
+        owner_changed: Called with each step whose owner's row changed.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        boot: str,
+        watch: VmWatch,
+        kept_s: float,
+        store_now_ms: Callable[[], int],
+        take: Callable[[StepId, KnownStep], Awaitable[None]],
+        runs: Callable[[StepId], bool],
+        ended: Callable[[StepId], None],
+        owner_changed: Callable[[StepId, KnownStep], None],
+    ) -> None:
+        self.vm = vm
+        self.boot = boot
+        self.watch = watch
+        self.kept_s = kept_s
+        self.store_now_ms = store_now_ms
+        self.take = take
+        self.runs = runs
+        self.ended = ended
+        self.owner_changed = owner_changed
+        self.steps: dict[StepId, KnownStep] = {}
+        self.ended_early: set[StepId] = set()
+        self.changed_event = anyio.Event()
+        self.accepting = True
+
+    def listed(self, rows: tuple[RowChange, ...], version: int) -> None:
+        """Take all steps."""
+        self.changed(rows, version)
+
+    def changed(self, rows: tuple[RowChange, ...], version: int) -> None:
+        """Take owners and ends as they were written."""
+        for row in rows:
+            step_id = StepId(row.key.part)
+            if row.value is None:
+                self.steps.pop(step_id, None)
+            elif is_owner_key(row.key):
+                self.take_owner(step_id, row)
+            elif is_end_key(row.key):
+                self.take_end(step_id)
+        self.changed_event.set()
+        self.changed_event = anyio.Event()
+
+    def regained(self) -> None:
+        """Nothing hangs on the time that the store was away."""
+
+    def take_owner(self, step_id: StepId, row: RowChange) -> None:
+        """Take who owns a step."""
+        owner = decode_owner(row)
+        known = self.steps.get(step_id)
+        if owner is None or (known is not None and known.row_version >= row.version):
+            return
+        ended = step_id in self.ended_early or (known is not None and known.ended)
+        self.steps[step_id] = known = KnownStep(owner, row.version, ended)
+        log.info("step owner", step=step_id, owner=owner.vm, row_version=row.version)
+        self.owner_changed(step_id, known)
+
+    def take_end(self, step_id: StepId) -> None:
+        """Take note that a step was ended."""
+        known = self.steps.get(step_id)
+        if known is None:
+            self.ended_early.add(step_id)
+        else:
+            known.ended = True
+        self.ended(step_id)
+
+    async def run(self) -> None:
+        """Take over steps of dead owners until cancelled."""
+        while True:
+            with anyio.move_on_after(CHECK_S):
+                await self.changed_event.wait()
+            for step_id, known in list(self.steps.items()):
+                if self.accepting and self.may_take(step_id, known):
+                    await self.try_take(step_id, known)
+
+    def may_take(self, step_id: StepId, known: KnownStep) -> bool:
+        """Return whether it is this VM's turn to take a step over."""
+        if known.ended or not self.matters(known):
+            return False
+        owner = known.owner
+        if (owner.vm, owner.boot) == (self.vm, self.boot):
+            # Ours by a commit whose answer was lost, or ours and running.
+            return not self.runs(step_id)
+        if owner.vm and not self.watch.is_dead(owner.vm, owner.boot):
+            known.orphan_since_s = None
+            return False
+        now_s = time.monotonic()
+        if known.orphan_since_s is None:
+            known.orphan_since_s = now_s
+            log.warning(
+                "step without owner",
+                step=step_id,
+                owner=owner.vm,
+                silence_s=round(self.watch.silence_s(owner.vm), 2),
+                row_version=known.row_version,
+            )
+        return now_s - known.orphan_since_s >= self.turn(step_id) * TURN_S
+
+    def matters(self, known: KnownStep) -> bool:
+        """Return whether a step's results are still wanted."""
+        return self.store_now_ms() - known.owner.accepted_ms < self.kept_s * 1000
+
+    def turn(self, step_id: StepId) -> int:
+        """Return this VM's place in the order of those that may take a step."""
+        names = {row.vm for row in self.watch.living()} | {self.vm}
+        order = sorted(names, key=lambda vm: xxhash.xxh3_64_intdigest(f"{step_id}/{vm}".encode()))
+        return order.index(self.vm)
+
+    async def try_take(self, step_id: StepId, known: KnownStep) -> None:
+        """Take a step over; another VM may have been faster."""
+        try:
+            await self.take(step_id, known)
+        except (PlatformError, ProtocolError) as error:
+            log.warning("step not taken over", step=step_id, reason=str(error))
+            known.orphan_since_s = time.monotonic()
--- /dev/null
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -0,0 +1,254 @@
+"""Orders engines to load named weight versions, as the one holder of the lease."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import structlog
+
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.replica_evidence import EvidenceBook
+from balsamcleat.decisions.weight_rollout import EngineWeights, LoadOrder, next_loads
+from balsamcleat.errors import AttemptFailedError, PlatformError
+from balsamcleat.model import ServiceName, TargetId, WeightVersion
+from balsamcleat.model.replicas import Replica, ReplicaReport
+from balsamcleat.model.routing import RouteKind, RoutingTable
+from balsamcleat.platform import OrderOutcome, ReplicaControl
+from balsamcleat.platform.orders import OrderVerdict
+from balsamcleat.tasks.vm_presence import VmPresence
+
+__all__ = ["VersionOrders"]
+
+TICK_S = 0.1
+# A load takes about this long; the target is asked for its state from then on.
+FIRST_LOOK_S = 0.95
+LOOK_EVERY_S = 0.35
+# An order without an answer may be carried out this much later.
+UNKNOWN_SETTLE_S = 1.0
+RETRY_S = 0.5
+# A load that isn't seen after this long is ordered anew, if the target's state says so.
+LOAD_LIMIT_S = 6.0
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class OrderInFlight:
+    """An order that was sent and whose end wasn't seen yet."""
+
+    order: LoadOrder
+    sent_s: float
+
+
+class VersionOrders:
+    """Compares named versions with what engines run, and orders the difference.
+
+    Args:
+        presence: Holds the lease.
+        control: Gives the orders.
+        directory: The targets.
+        book: Evidence on them.
+        table: Returns the configuration in force.
+        named: Returns the versions named, by model.
+    """
+
+    def __init__(
+        self,
+        presence: VmPresence,
+        control: ReplicaControl,
+        directory: ReplicaDirectory,
+        book: EvidenceBook,
+        table: Callable[[], RoutingTable | None],
+        named: Callable[[], dict[str, WeightVersion]],
+    ) -> None:
+        self.presence = presence
+        self.control = control
+        self.directory = directory
+        self.book = book
+        self.table = table
+        self.named = named
+        self.in_flight: dict[TargetId, OrderInFlight] = {}
+        # What targets told this VM itself, newer than their entries.
+        self.versions: dict[tuple[TargetId, str], WeightVersion] = {}
+        self.counts: dict[TargetId, tuple[int, int]] = {}
+        self.not_before_s: dict[TargetId, float] = {}
+        self.changed = anyio.Event()
+        self.tasks: anyio.abc.TaskGroup | None = None
+
+    def wake(self) -> None:
+        """Look again soon: a version was named or the list of targets changed."""
+        self.changed.set()
+
+    async def run(self) -> None:
+        """Give orders until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            while True:
+                with anyio.move_on_after(TICK_S if self.busy() else 1.0):
+                    await self.changed.wait()
+                self.changed = anyio.Event()
+                try:
+                    await self.step()
+                except PlatformError as error:
+                    log.warning("orders wait for the store", reason=str(error))
+
+    def busy(self) -> bool:
+        """Return whether orders are under way or owed."""
+        return self.presence.lease is not None and (bool(self.in_flight) or bool(self.owed()))
+
+    def engines(self) -> dict[ServiceName, list[Replica]]:
+        """Return the engines that serve, by service."""
+        table = self.table()
+        if table is None:
+            return {}
+        return {
+            name: self.directory.serving(name)
+            for name, traits in table.services.items()
+            if traits.engine is not None
+        }
+
+    def owed(self) -> list[LoadOrder]:
+        """Return the orders to give now."""
+        return [
+            order
+            for replicas in self.engines().values()
+            for order in next_loads([self.weights(item) for item in replicas], self.named())
+        ]
+
+    def weights(self, replica: Replica) -> EngineWeights:
+        """Return what is believed of an engine's weights."""
+        now_s = time.monotonic()
+        flight = self.in_flight.get(replica.target_id)
+        return EngineWeights(
+            target_id=replica.target_id,
+            versions={
+                model: max(version, self.versions.get((replica.target_id, model), version))
+                for model, version in replica.versions.items()
+            },
+            ordered={} if flight is None else {flight.order.model: flight.order.version},
+            running=self.book.of(replica.target_id).load(now_s),
+            usable=now_s >= self.not_before_s.get(replica.target_id, 0.0),
+        )
+
+    async def step(self) -> None:
+        """Give the orders owed now."""
+        if self.presence.lease is None or self.tasks is None:
+            return
+        orders = self.owed()
+        if not orders:
+            if not self.in_flight:
+                await self.presence.end_orders()
+            return
+        if not await self.presence.begin_orders() or not self.presence.may_order():
+            return
+        for order in orders:
+            replica = self.directory.entries.get(order.target_id)
+            if replica is not None:
+                self.in_flight[order.target_id] = OrderInFlight(order, time.monotonic())
+                self.tasks.start_soon(self.carry_out, order, replica)
+
+    async def carry_out(self, order: LoadOrder, replica: Replica) -> None:
+        """Give one order and wait until it is seen to hold."""
+        try:
+            outcome = await self.give(order, replica)
+            if outcome.verdict is OrderVerdict.STARTED:
+                self.counted(replica, self.count(replica) + 1)
+                await self.await_version(order, replica, FIRST_LOOK_S)
+            elif outcome.verdict is OrderVerdict.HOLDS_ALREADY:
+                self.saw(replica, order.model, order.version)
+            elif outcome.verdict is OrderVerdict.UNKNOWN:
+                await self.await_version(order, replica, UNKNOWN_SETTLE_S)
+            else:
+                await self.look(replica)
+                self.not_before_s[replica.target_id] = time.monotonic() + RETRY_S
+        finally:
+            self.in_flight.pop(replica.target_id, None)
+            self.wake()
+
+    async def give(self, order: LoadOrder, replica: Replica) -> OrderOutcome:
+        """Send one order, if the lease still allows it."""
+        if not self.presence.may_order() or self.presence.lease is None:
+            return OrderOutcome(OrderVerdict.NOT_SENT)
+        fence = self.presence.lease.fence
+        count = self.count(replica)
+        outcome = await self.control.order_version(
+            replica,
+            order.model,
+            order.version,
+            fence=fence,
+            order_count=count,
+            keep_runs=not self.single_version(replica.service),
+        )
+        log.info(
+            "weight order",
+            target=replica.target_id,
+            model=order.model,
+            version=order.version,
+            fence=fence,
+            order_count=count,
+            outcome=outcome.verdict.value,
+        )
+        return outcome
+
+    def single_version(self, service: ServiceName) -> bool:
+        """Return whether a rollout of a service needs one version for a whole sample."""
+        table = self.table()
+        return table is not None and any(
+            route.single_version
+            for route in table.routes
+            if route.kind is RouteKind.ROLLOUT
+            and service in {share.service for share in route.shares}
+        )
+
+    async def await_version(self, order: LoadOrder, replica: Replica, first_s: float) -> None:
+        """Wait until the target is seen to run the version or not to load any more."""
+        deadline_s = time.monotonic() + LOAD_LIMIT_S
+        await anyio.sleep(first_s)
+        while time.monotonic() < deadline_s:
+            report = await self.look(replica)
+            if report is not None:
+                if report.versions.get(order.model, 0) >= order.version:
+                    log.info("weights loaded", target=replica.target_id, version=order.version)
+                    self.book.of(replica.target_id).lost_memory()
+                    return
+                if not report.loading:
+                    log.warning("weights not loaded", target=replica.target_id)
+                    return
+            if replica.target_id not in self.directory.entries:
+                return
+            await anyio.sleep(LOOK_EVERY_S)
+
+    async def look(self, replica: Replica) -> ReplicaReport | None:
+        """Ask a target for its state and take it; None where it doesn't answer."""
+        try:
+            report = await self.control.report(replica)
+        except AttemptFailedError as error:
+            log.warning("no report", target=replica.target_id, reason=error.message)
+            return None
+        self.counts[replica.target_id] = (report.started_ms, report.order_count)
+        for model, version in report.versions.items():
+            self.versions[(replica.target_id, model)] = version
+        return report
+
+    def saw(self, replica: Replica, model: str, version: WeightVersion) -> None:
+        """Take note of a version that a target runs."""
+        self.versions[(replica.target_id, model)] = version
+
+    def count(self, replica: Replica) -> int:
+        """Return the number of orders that a target has accepted since its start."""
+        started_ms, count = self.counts.get(replica.target_id, (0, 0))
+        if started_ms not in (0, replica.started_ms):
+            # It started anew.
+            return replica.order_count
+        return max(count, replica.order_count)
+
+    def counted(self, replica: Replica, count: int) -> None:
+        """Take note of the number of orders that a target has accepted."""
+        self.counts[replica.target_id] = (replica.started_ms, count)
+
+    def loading(self, target_id: TargetId) -> frozenset[str]:
+        """Return the models whose weights a target is believed to change."""
+        flight = self.in_flight.get(target_id)
+        return frozenset() if flight is None else frozenset({flight.order.model})
