Weight orders bear the count of orders from the report; refused samples keep their connection

In a target's entry the field of that name counts the entry's writes; the order wants the count of orders accepted.

--- a/src/balsamcleat/decisions/replica_evidence.py
+++ b/src/balsamcleat/decisions/replica_evidence.py
@@ -13,6 +13,7 @@
 AVOID_CAP_S = 3.0
 # Full refusals say little: the place is free a moment later.
 FULL_AVOID_S = 0.05
+FULL_AVOID_CAP_S = 0.4
 PACE_WEIGHT = 0.2
 # A pace seen longer ago than this is forgotten, so that a target that was slow is tried again.
 PACE_TRUSTED_S = 3.0
@@ -31,6 +32,7 @@
         waiting: Requests that waited there then.
         said_at_s: When that was, on the process's clock.
         failures: Failures in a row.
+        refusals: Refusals in a row.
         avoid_until_s: No new work before, where another target can take it.
         event_s: Seconds for one event of a stream, as seen lately.
         event_seen_s: When one was seen last.
@@ -42,6 +44,7 @@
     waiting: int = 0
     said_at_s: float = float("-inf")
     failures: int = 0
+    refusals: int = 0
     avoid_until_s: float = float("-inf")
     event_s: float = 0.0
     event_seen_s: float = float("-inf")
@@ -66,6 +69,7 @@
     def succeeded(self) -> None:
         """Take note of a whole answer."""
         self.failures = 0
+        self.refusals = 0
         self.avoid_until_s = float("-inf")
 
     def failed(self, now_s: float) -> None:
@@ -75,8 +79,11 @@
         self.avoid_until_s = max(self.avoid_until_s, now_s + away_s)
 
     def refused(self, now_s: float, retry_after_s: float | None) -> None:
-        """Take note that it was full or not ready."""
-        away_s = FULL_AVOID_S if retry_after_s is None else min(retry_after_s, AVOID_CAP_S)
+        """Take note that it was full or not ready; each in a row doubles the time away."""
+        self.refusals += 1
+        away_s = min(FULL_AVOID_CAP_S, FULL_AVOID_S * 2 ** min(self.refusals - 1, 8))
+        if retry_after_s is not None:
+            away_s = min(retry_after_s, AVOID_CAP_S)
         self.avoid_until_s = max(self.avoid_until_s, now_s + away_s)
 
     def event_took(self, seconds: float, now_s: float) -> None:
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -18,6 +18,8 @@
 # Kept below what a keep-alive time-out says, for the way there.
 KEEP_ALIVE_MARGIN_S = 0.5
 MAX_FOREIGN_ANSWERS = 4
+# Longest wait for the rest of a short body that nobody wants.
+DISCARD_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -287,6 +289,12 @@
             parts.append(data)
         return Response(self.status, self.headers, b"".join(parts))
 
+    async def discard_body(self) -> None:
+        """Read a short body that nobody wants, so that the connection can be kept."""
+        with anyio.move_on_after(DISCARD_S):
+            while await self.next_data():
+                pass
+
     def end(self) -> None:
         """Give the connection back if the exchange ended cleanly, else close it.
 
--- a/src/balsamcleat/model/replicas.py
+++ b/src/balsamcleat/model/replicas.py
@@ -28,7 +28,6 @@
         slots: Requests that it runs at once.
         slow_start_s: How much longer it is slow after its start.
         started_ms: Unix milliseconds of its start; a new start under the same id differs.
-        order_count: Orders that it has accepted since its start, as of the entry.
         versions: Weight versions by model.
         entry_version: Version of the entry, growing with each write of the list.
     """
@@ -41,7 +40,6 @@
     slots: int
     slow_start_s: float = 0.0
     started_ms: int = 0
-    order_count: int = 0
     versions: dict[str, WeightVersion] = field(default_factory=dict)
     entry_version: int = 0
 
--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -121,7 +121,11 @@
 
 
 class ReplicaFields(msgspec.Struct, frozen=True, rename="camel"):
-    """A target's entry."""
+    """A target's entry.
+
+    Its ``callSeq`` is left out: here it counts the entry's own writes, while in a report and in
+    an order the same name stands for the orders that the target has accepted.
+    """
 
     svc: str
     address: str
@@ -129,8 +133,6 @@
     zone: str = ""
     batch_slots: int = 1
     cold_left_ms: float = 0.0
-    # Despite its name no sequence of calls: the number of orders accepted.
-    call_seq: int = 0
     # Unix millisecond of the start.
     born: int = 0
     models: list[ModelFields] = []
@@ -240,7 +242,6 @@
         slots=max(1, fields.batch_slots),
         slow_start_s=fields.cold_left_ms / MS,
         started_ms=fields.born,
-        order_count=fields.call_seq,
         versions={model.name: WeightVersion(model.version) for model in fields.models},
         entry_version=version,
     )
--- a/src/balsamcleat/platform/orders.py
+++ b/src/balsamcleat/platform/orders.py
@@ -75,7 +75,7 @@
     models: list[ModelFields] = []
     # Whether an order is in progress; says nothing of the load.
     busy: bool = False
-    # The number of orders accepted.
+    # The number of orders accepted; in the list of targets the name stands for something else.
     call_seq: int = 0
     queued: int = 0
     running: int = 0
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -132,6 +132,8 @@
         now_s = time.monotonic()
         if marks.running is not None:
             evidence.said_load(marks.running, marks.waiting, now_s)
+        if exchange.status != OK:
+            await exchange.discard_body()
         if marks.not_run:
             evidence.refused(now_s, marks.retry_after_s)
             reason = f"status {exchange.status}"
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -154,14 +154,14 @@
         try:
             outcome = await self.give(order, replica)
             if outcome.verdict is OrderVerdict.STARTED:
-                self.counted(replica, self.count(replica) + 1)
+                self.accepted(replica)
                 await self.await_version(order, replica, FIRST_LOOK_S)
             elif outcome.verdict is OrderVerdict.HOLDS_ALREADY:
                 self.saw(replica, order.model, order.version)
             elif outcome.verdict is OrderVerdict.UNKNOWN:
                 await self.await_version(order, replica, UNKNOWN_SETTLE_S)
             else:
-                await self.look(replica)
+                self.counts.pop(replica.target_id, None)
                 self.not_before_s[replica.target_id] = time.monotonic() + RETRY_S
         finally:
             self.in_flight.pop(replica.target_id, None)
@@ -169,10 +169,10 @@
 
     async def give(self, order: LoadOrder, replica: Replica) -> OrderOutcome:
         """Send one order, if the lease still allows it."""
-        if not self.presence.may_order() or self.presence.lease is None:
+        count = await self.order_count(replica)
+        if count is None or not self.presence.may_order() or self.presence.lease is None:
             return OrderOutcome(OrderVerdict.NOT_SENT)
         fence = self.presence.lease.fence
-        count = self.count(replica)
         outcome = await self.control.order_version(
             replica,
             order.model,
@@ -236,17 +236,18 @@
         """Take note of a version that a target runs."""
         self.versions[(replica.target_id, model)] = version
 
-    def count(self, replica: Replica) -> int:
-        """Return the number of orders that a target has accepted since its start."""
-        started_ms, count = self.counts.get(replica.target_id, (0, 0))
-        if started_ms not in (0, replica.started_ms):
-            # It started anew.
-            return replica.order_count
-        return max(count, replica.order_count)
-
-    def counted(self, replica: Replica, count: int) -> None:
-        """Take note of the number of orders that a target has accepted."""
-        self.counts[replica.target_id] = (replica.started_ms, count)
+    async def order_count(self, replica: Replica) -> int | None:
+        """Return the orders that a target has accepted since its start; None if it won't say."""
+        started_ms, count = self.counts.get(replica.target_id, (None, 0))
+        if started_ms == replica.started_ms:
+            return count
+        report = await self.look(replica)
+        return None if report is None else report.order_count
+
+    def accepted(self, replica: Replica) -> None:
+        """Take note that a target accepted one more order."""
+        started_ms, count = self.counts[replica.target_id]
+        self.counts[replica.target_id] = (started_ms, count + 1)
 
     def loading(self, target_id: TargetId) -> frozenset[str]:
         """Return the models whose weights a target is believed to change."""
