--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -66,13 +66,13 @@
 
     def take_idle(self, address: str) -> Connection | None:
         """Return a kept connection that is still silent and open, the newest first."""
-        kept = self.idle.get(address, [])
-        while kept:
+        while kept := self.idle.get(address):
             connection = kept.pop()
+            if not kept:
+                del self.idle[address]
             if time.monotonic() < connection.usable_until_s and not connection.stream.has_input():
                 return connection
             connection.stream.close()
-        self.idle.pop(address, None)
         return None
 
     async def acquire(self, address: str, *, fresh: bool) -> Connection:
--- a/src/balsamcleat/tasks/front_door.py
+++ b/src/balsamcleat/tasks/front_door.py
@@ -52,7 +52,19 @@
         )
 
     async def answer(self, request: Request, responder: Responder) -> None:
-        """Answer one request."""
+        """Answer one request; a fault of ours ends this request and no other."""
+        try:
+            await self.dispatch(request, responder)
+        except OSError:
+            raise
+        except Exception:
+            attempt_id = request_id(request.headers)
+            log.exception("request failed by a fault", request=attempt_id, path=request.path)
+            if not responder.started:
+                await responder.send(Response(500, failure_headers(attempt_id)))
+
+    async def dispatch(self, request: Request, responder: Responder) -> None:
+        """Hand one request to whoever answers it."""
         attempt_id = request_id(request.headers)
         table = self.table()
         if table is None:
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -49,6 +49,7 @@
 # Output tokens an event holds, until one is seen; only ratios matter.
 TOKENS_AN_EVENT = 60.0
 WANTED_PRIORITY = 4
+TAKEN_OFF = "taken off"
 SPARE_PRIORITY = 6
 # Time that a target is given beyond the time left, where none is set.
 DEFAULT_RUN_S = 60.0
@@ -272,10 +273,13 @@
         self.book.of(order.replica.target_id).read_prompt(
             order.sample.prompt[0].part_id if order.sample.prompt else order.sample.group
         )
-        outcome = SampleRunOutcome(SampleEnd.BROKEN, "taken off")
+        outcome = SampleRunOutcome(SampleEnd.BROKEN, TAKEN_OFF)
         try:
             with running.scope:
                 outcome = await self.samples.run(order, progress)
+        except Exception:
+            outcome = SampleRunOutcome(SampleEnd.BROKEN, "a fault of ours")
+            log.exception("sample run failed by a fault", step=step.step_id, sample=sample_id)
         finally:
             if step.running.get(sample_id) is running:
                 del step.running[sample_id]
@@ -318,7 +322,7 @@
                 step.finish(SampleResult(sample_id, SampleState.GIVEN_UP))
         elif outcome.end is SampleEnd.TOO_OLD:
             self.book.of(order.replica.target_id).refused(now_s, FAILED_HOLD_S)
-        elif outcome.reason != "taken off":
+        elif outcome.reason != TAKEN_OFF:
             step.hold_until_s[sample_id] = now_s + self.generator.random() * BROKEN_HOLD_S
         seen = version_of(outcome)
         if seen is not None:
