A VM no longer takes its own new step over; a step begins apart from its request

Also found by test: samples started before the text of the step before was read, and a trainer that closed right after its 202 cancelled the step's start. Ruled out: another VM (the claim bore the owner's own name), the conditional write (it held). A stand-in of the row store with its flaws as switches, and tests of ownership in virtual time; two of them failed before.

--- a/src/balsamcleat/decisions/live_attempts.py
+++ b/src/balsamcleat/decisions/live_attempts.py
@@ -1,4 +1,4 @@
-"""Decide what follows an attempt of a live request: another target, a second one beside it, or an end.
+"""Decide what follows an attempt of a live request: another target, a second one, or an end.
 
 Load pattern: a target goes silent or slow in the middle of a request. A request that may run
 twice is sent to a second target once its first has taken longer than nearly all do, so that one
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -2,7 +2,6 @@
 
 import random
 import signal
-import time
 import uuid
 from pathlib import Path
 
@@ -25,7 +24,6 @@
 )
 from balsamcleat.log_output import BoundedOutput
 from balsamcleat.logs import bounded_logs
-from balsamcleat.model import StepId
 from balsamcleat.platform import (
     CORRELATION_HEADER,
     OPERATOR_TABLE,
@@ -33,20 +31,18 @@
     PlatformRowStore,
     PlatformSettings,
     ReplicaControl,
-    decode_step,
     load_platform_settings,
 )
-from balsamcleat.ports.rows import RowConflict
 from balsamcleat.tasks.front_door import FrontDoor
 from balsamcleat.tasks.live_forwarder import LiveForwarder
-from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
-from balsamcleat.tasks.rollout_desk import RolloutDesk, carry_part
-from balsamcleat.tasks.rollout_records import STEPS_TABLE, OwnerRecord, RolloutRecords
+from balsamcleat.tasks.rollout_desk import RolloutDesk
+from balsamcleat.tasks.rollout_records import STEPS_TABLE, RolloutRecords
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.routing_keeper import RoutingKeeper
 from balsamcleat.tasks.sample_run import SampleRunner
-from balsamcleat.tasks.step_watch_feed import KnownStep, StepFeed
+from balsamcleat.tasks.step_claims import StepClaims
+from balsamcleat.tasks.step_watch_feed import StepFeed
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.version_orders import VersionOrders
 from balsamcleat.tasks.vm_presence import VmPresence
@@ -113,16 +109,24 @@
             self.orders.loading,
             generator,
         )
+        self.claims = StepClaims(
+            settings.vm,
+            self.boot,
+            self.records,
+            self.runner,
+            lambda: self.routing.table,
+            self.presence.store_now_ms,
+        )
         self.feed = StepFeed(
             settings.vm,
             self.boot,
             self.presence.watch,
             settings.results_kept_s,
             self.presence.store_now_ms,
-            self.take_over,
-            lambda step_id: step_id in self.runner.steps,
-            self.step_ended,
-            self.owner_changed,
+            self.claims.take_over,
+            lambda step_id: self.desk.runs(step_id),
+            lambda step_id: self.claims.ended(step_id, self.tasks),
+            self.claims.owner_changed,
         )
         self.desk = RolloutDesk(
             settings.vm,
@@ -152,61 +156,6 @@
         self.runner.wake()
         self.orders.wake()
 
-    def step_ended(self, step_id: StepId) -> None:
-        """Stop a step that was ended, where this VM owns it."""
-        step = self.runner.steps.get(step_id)
-        if step is not None and self.tasks is not None:
-            self.tasks.start_soon(self.runner.end, step, carry_part(step.record))
-
-    def owner_changed(self, step_id: StepId, known: KnownStep) -> None:
-        """Stop running a step that another VM owns now."""
-        step = self.runner.steps.get(step_id)
-        mine = (known.owner.vm, known.owner.boot) == (self.settings.vm, self.boot)
-        if step is not None and not mine and known.row_version > step.row_version:
-            log.warning("step taken by another VM", step=step_id, owner=known.owner.vm)
-            self.runner.drop(step)
-
-    async def take_over(self, step_id: StepId, known: KnownStep) -> None:
-        """Claim a step and run what is left of it."""
-        record = OwnerRecord(
-            vm=self.settings.vm,
-            boot=self.boot,
-            host=known.owner.host,
-            path=known.owner.path,
-            accepted_ms=known.owner.accepted_ms,
-            samples=known.owner.samples,
-        )
-        outcome = await self.records.claim(step_id, record, known.row_version)
-        if isinstance(outcome, RowConflict):
-            log.info("step claimed by another VM", step=step_id)
-            return
-        submission = await self.records.submission(step_id)
-        if submission is None:
-            log.error("step without submission", step=step_id)
-            return
-        age_s = max(0.0, (self.presence.store_now_ms() - record.accepted_ms) / 1000)
-        owned = OwnedStep(
-            step=decode_step(submission.headers, submission.body),
-            record=record,
-            row_version=outcome.version,
-            accepted_s=time.monotonic() - age_s,
-            listed=list(await self.records.results(step_id, all_pages=True)),
-        )
-        table = self.routing.table
-        route = table.match(record.host, record.path) if table else None
-        single = route is not None and route.single_version
-        for part, carried in ((carry_part(record), True), (step_id, False)):
-            owned.restore(await self.records.load_progress(part), carried=carried, single=single)
-        log.info(
-            "step taken over",
-            step=step_id,
-            before=known.owner.vm,
-            listed=len(owned.listed),
-            at_hand=len(owned.progress),
-            age_s=round(age_s, 2),
-        )
-        self.runner.add(owned)
-
     async def answer_ready(self, request: Request, responder: Responder) -> None:
         """Say whether the balancer should send callers here."""
         ready = self.routing.table is not None and not self.leaving
@@ -247,7 +196,7 @@
 
     async def leave(self) -> None:
         """Hand over steps, serve callers until the balancer knows, then end."""
-        began_s = time.monotonic()
+        began_s = anyio.current_time()
         self.leaving = True
         self.desk.accepting = False
         self.feed.accepting = False
@@ -262,9 +211,9 @@
     async def finish_serving(self, began_s: float) -> None:
         """Serve until the balancer knows and nobody waits, or the time is over."""
         last_s = began_s + self.settings.grace_s - STOP_MARGIN_S
-        while time.monotonic() < last_s:
+        while anyio.current_time() < last_s:
             await anyio.sleep(LEAVING_CHECK_S)
-            passed_s = time.monotonic() - began_s
+            passed_s = anyio.current_time() - began_s
             if passed_s >= IDLE_GRACE_S:
                 self.front.close_idle()
             unused = passed_s >= IDLE_GRACE_S or not self.front.connections
@@ -273,22 +222,7 @@
 
     async def hand_over(self) -> None:
         """Give up the lease and all steps; a store that is away ends the attempt."""
-        for step in list(self.runner.steps.values()):
-            try:
-                await self.runner.hand_over(step)
-                released = OwnerRecord(
-                    "",
-                    "",
-                    step.record.host,
-                    step.record.path,
-                    step.record.accepted_ms,
-                    step.record.samples,
-                )
-                if not step.ended and not step.lost:
-                    await self.records.claim(step.step_id, released, step.row_version)
-                    self.runner.drop(step)
-            except PlatformError as error:
-                log.warning("step not handed over", step=step.step_id, reason=str(error))
+        await self.claims.hand_over()
         try:
             await self.presence.release()
         except PlatformError as error:
@@ -299,7 +233,7 @@
         while True:
             await anyio.sleep(LOG_DRAIN_S)
             self.output.drain()
-            now_s = time.monotonic()
+            now_s = anyio.current_time()
             for step in list(self.runner.steps.values()):
                 if step.ended and now_s - step.ended_at_s > ENDED_KEPT_S:
                     del self.runner.steps[step.step_id]
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -1,6 +1,5 @@
 """The client's side: pooled connections, one exchange at a time, typed failures."""
 
-import time
 from collections import OrderedDict
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass
@@ -70,7 +69,10 @@
             connection = kept.pop()
             if not kept:
                 del self.idle[address]
-            if time.monotonic() < connection.usable_until_s and not connection.stream.has_input():
+            if (
+                anyio.current_time() < connection.usable_until_s
+                and not connection.stream.has_input()
+            ):
                 return connection
             connection.stream.close()
         return None
@@ -99,7 +101,7 @@
     def release(self, address: str, connection: Connection, idle_s: float) -> None:
         """Keep a connection whose exchange ended cleanly."""
         connection.used = True
-        connection.usable_until_s = time.monotonic() + idle_s
+        connection.usable_until_s = anyio.current_time() + idle_s
         self.idle.setdefault(address, []).append(connection)
         self.idle.move_to_end(address)
         if sum(map(len, self.idle.values())) > self.limits.idle_connections:
--- a/src/balsamcleat/http1/server.py
+++ b/src/balsamcleat/http1/server.py
@@ -1,7 +1,6 @@
 """The server's side: one request at a time on a connection, exactly one answer to each."""
 
 import socket
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -260,7 +259,7 @@
                 for name, value in head.headers.raw_items()
             ),
             body=body,
-            received_at_s=time.monotonic(),
+            received_at_s=anyio.current_time(),
             peer=self.stream.peer,
         )
 
--- /dev/null
+++ b/src/balsamcleat/standins/row_store.py
@@ -0,0 +1,179 @@
+"""A stand-in of the row store, with its flaws as switches."""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from balsamcleat.errors import OutcomeUnknownError, PlatformUnavailableError
+from balsamcleat.ports.rows import (
+    FeedPage,
+    HistoryLostError,
+    RowChange,
+    RowCommit,
+    RowConflict,
+    RowKey,
+    RowPage,
+    RowsCommitted,
+    RowStore,
+    RowWrite,
+    StoreLimits,
+)
+
+__all__ = ["MemoryRowStore", "RowStoreFlaws", "RowStoreView"]
+
+
+@dataclass(slots=True)
+class RowStoreFlaws:
+    """What goes wrong; each number counts down with the calls that it hits.
+
+    Attributes:
+        down: Nothing is answered, nothing is done.
+        refuse_commits: Commits turned away.
+        lose_answers: Commits done and not answered.
+        hold_commits: Commits not answered and kept back until ``MemoryRowStore.release``.
+        delay_s: Time that each call takes.
+        answer_delay_s: Time between a commit and its answer; feeds tell of it before.
+    """
+
+    down: bool = False
+    refuse_commits: int = 0
+    lose_answers: int = 0
+    hold_commits: int = 0
+    delay_s: float = 0.0
+    answer_delay_s: float = 0.0
+
+
+@dataclass(slots=True)
+class MemoryRowStore:
+    """The rows, one counter of versions and the history of changes."""
+
+    rows: dict[RowKey, tuple[bytes, int]] = field(default_factory=dict)
+    history: list[RowChange] = field(default_factory=list)
+    version: int = 0
+    history_from: int = 0
+    held: list[RowCommit] = field(default_factory=list)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+    limits: StoreLimits = field(default_factory=StoreLimits)
+
+    def apply(self, commit: RowCommit) -> RowsCommitted | RowConflict:
+        """Apply a commit if its conditions hold."""
+        if any(self.version_of(key) != version for key, version in commit.expected):
+            return RowConflict(tuple(self.change_of(key) for key, _ in commit.expected))
+        self.version += 1
+        for write in commit.writes:
+            self.write(write)
+        self.changed.set()
+        self.changed = anyio.Event()
+        return RowsCommitted(self.version, self.now_ms())
+
+    def write(self, write: RowWrite) -> None:
+        """Write one row at the current version."""
+        if write.value is None:
+            self.rows.pop(write.key, None)
+        else:
+            self.rows[write.key] = (write.value, self.version)
+        self.history.append(RowChange(write.key, write.value, self.version))
+
+    def version_of(self, key: RowKey) -> int:
+        """Return a row's version; 0 where there is none."""
+        return self.rows.get(key, (b"", 0))[1]
+
+    def change_of(self, key: RowKey) -> RowChange:
+        """Return a row as it is."""
+        value, version = self.rows.get(key, (None, 0))
+        return RowChange(key, value, version)
+
+    def now_ms(self) -> int:
+        """Return the store's clock."""
+        return int(anyio.current_time() * 1000)
+
+    def forget_history(self) -> None:
+        """Drop all history: feeds behind the newest version must read in full."""
+        self.history.clear()
+        self.history_from = self.version
+
+    def release(self) -> list[RowsCommitted | RowConflict]:
+        """Carry out the commits that were held back, late."""
+        held, self.held = self.held, []
+        return [self.apply(commit) for commit in held]
+
+
+class RowStoreView(RowStore):
+    """The store as one VM reaches it.
+
+    Args:
+        store: The store.
+        flaws: What goes wrong for this VM.
+    """
+
+    def __init__(self, store: MemoryRowStore, flaws: RowStoreFlaws | None = None) -> None:
+        self.store = store
+        self.flaws = flaws or RowStoreFlaws()
+        self.limits = store.limits
+
+    async def reach(self) -> None:
+        """Take the time of a call.
+
+        Raises:
+            PlatformUnavailableError: The store is down for this VM.
+        """
+        await anyio.sleep(self.flaws.delay_s)
+        if self.flaws.down:
+            raise PlatformUnavailableError("down", step="stand-in")
+
+    async def commit(self, commit: RowCommit) -> RowsCommitted | RowConflict:
+        """Apply all writes or none."""
+        await self.reach()
+        flaws = self.flaws
+        if flaws.refuse_commits:
+            flaws.refuse_commits -= 1
+            raise PlatformUnavailableError("turned away", step="stand-in")
+        if flaws.hold_commits:
+            flaws.hold_commits -= 1
+            self.store.held.append(commit)
+            raise OutcomeUnknownError("no answer", step="stand-in")
+        outcome = self.store.apply(commit)
+        if flaws.lose_answers:
+            flaws.lose_answers -= 1
+            raise OutcomeUnknownError("no answer", step="stand-in")
+        await anyio.sleep(flaws.answer_delay_s)
+        return outcome
+
+    async def read(
+        self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
+    ) -> RowPage:
+        """Return rows with ``start <= key < end``."""
+        await self.reach()
+        found = sorted(
+            key
+            for key in self.store.rows
+            if (key.table, key.part) == (table, part)
+            and key.key >= start
+            and (not end or key.key < end)
+        )
+        rows = tuple(self.store.change_of(key) for key in found[:limit])
+        return RowPage(rows, len(found) > limit, self.store.version, self.store.now_ms())
+
+    async def parts(self, table: str, after: str = "") -> tuple[tuple[str, ...], bool]:
+        """Return names of parts above ``after``."""
+        await self.reach()
+        names = {key.part for key in self.store.rows if key.table == table and key.part > after}
+        return tuple(sorted(names)), False
+
+    async def changes(self, table: str, after: int, wait_s: float) -> FeedPage:
+        """Return what changed after a version."""
+        await self.reach()
+        deadline_s = anyio.current_time() + wait_s
+        while True:
+            if after < self.store.history_from:
+                raise HistoryLostError
+            rows = tuple(
+                row for row in self.store.history if row.key.table == table and row.version > after
+            )
+            left_s = deadline_s - anyio.current_time()
+            if rows or left_s <= 0.0:
+                return FeedPage(rows, self.store.version, self.store.now_ms())
+            changed = self.store.changed
+            with anyio.move_on_after(left_s):
+                await changed.wait()
+            await self.reach()
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -1,7 +1,6 @@
 """Carries live requests to targets of plain services and engines and their answers back."""
 
 import random
-import time
 from dataclasses import dataclass
 
 import anyio
@@ -55,7 +54,7 @@
 
     def remaining_s(self) -> float:
         """Return the time left, in seconds."""
-        return self.deadline_s - time.monotonic()
+        return self.deadline_s - anyio.current_time()
 
 
 class LiveForwarder:
@@ -144,7 +143,7 @@
             self.book,
             zone=self.zone,
             tried=call.ledger.tried,
-            now_s=time.monotonic(),
+            now_s=anyio.current_time(),
             generator=self.generator,
         )
 
@@ -182,7 +181,7 @@
         """Send the request to one target and return its whole answer or the failure."""
         evidence = self.book.of(replica.target_id)
         evidence.in_flight += 1
-        began_s = time.monotonic()
+        began_s = anyio.current_time()
         headers = forwarded_headers(
             call.request.headers, target_id=replica.target_id, remaining_s=call.remaining_s()
         )
@@ -193,7 +192,7 @@
             response = await exchange.whole_response()
             outcome = self.judge(replica, response)
         except AttemptFailedError as error:
-            evidence.failed(time.monotonic())
+            evidence.failed(anyio.current_time())
             outcome = Err(error)
         finally:
             exchange.end()
@@ -205,7 +204,7 @@
         """Return what a whole answer means, and take note of the target's load."""
         marks = read_marks(response.status, response.headers)
         evidence = self.book.of(replica.target_id)
-        now_s = time.monotonic()
+        now_s = anyio.current_time()
         if marks.running is not None:
             evidence.said_load(marks.running, marks.waiting, now_s)
         if marks.not_run:
@@ -244,7 +243,7 @@
         began_s: float,
     ) -> None:
         """Log an attempt's end with what was believed of the target."""
-        now_s = time.monotonic()
+        now_s = anyio.current_time()
         evidence = self.book.of(replica.target_id)
         fields = {
             "request": call.attempt_id,
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -41,6 +41,7 @@
         carried: Groups with text from an earlier step.
         ended: The trainer ended the step.
         lost: Another VM owns it now.
+        handing_over: No sample is started any more.
     """
 
     step: RolloutStep
@@ -57,6 +58,7 @@
     done: set[str] = field(default_factory=set)
     ended: bool = False
     lost: bool = False
+    handing_over: bool = False
     ended_at_s: float = 0.0
     changed: anyio.Event = field(default_factory=anyio.Event)
     ranks: dict[str, SampleRank] = field(default_factory=dict)
--- a/src/balsamcleat/tasks/replica_keeper.py
+++ b/src/balsamcleat/tasks/replica_keeper.py
@@ -1,6 +1,5 @@
 """Keeps the list of targets as the platform tells it."""
 
-import time
 from collections.abc import Callable
 
 import anyio
@@ -51,7 +50,7 @@
             replica = self.decode(row)
             if replica is not None:
                 replicas[replica.target_id] = replica
-        self.tell(self.directory.listed(replicas, time.monotonic()), version)
+        self.tell(self.directory.listed(replicas, anyio.current_time()), version)
         self.on_change()
 
     def changed(self, rows: tuple[RowChange, ...], version: int) -> None:
@@ -62,7 +61,7 @@
                 self.tell(self.directory.changed(replica), row.version)
             else:
                 gone = TargetId(row.key.key)
-                self.tell(self.directory.removed(gone, time.monotonic()), row.version)
+                self.tell(self.directory.removed(gone, anyio.current_time()), row.version)
         self.on_change()
 
     def decode(self, row: RowChange) -> Replica | None:
@@ -76,7 +75,7 @@
 
     def regained(self) -> None:
         """Give entries that lapsed with the store time to come back."""
-        self.directory.store_returned(time.monotonic())
+        self.directory.store_returned(anyio.current_time())
 
     def tell(self, news: list[ReplicaNews], version: int) -> None:
         """Log what changed and drop what it makes stale."""
@@ -99,7 +98,7 @@
         while True:
             await anyio.sleep(LAPSE_CHECK_S)
             if self.directory.missing:
-                news = self.directory.lapse(time.monotonic())
+                news = self.directory.lapse(anyio.current_time())
                 if news:
                     self.tell(news, 0)
                     self.on_change()
--- a/src/balsamcleat/tasks/rollout_desk.py
+++ b/src/balsamcleat/tasks/rollout_desk.py
@@ -1,6 +1,5 @@
 """Answers trainers: takes steps in, hands out results and bodies, ends steps."""
 
-import time
 from collections.abc import Callable
 
 import anyio
@@ -38,6 +37,8 @@
 PAGE_BYTES = 700_000
 POLL_S = 0.12
 RETRY_AFTER_S = 0.4
+# A step waits this long for text of the step before it; then it starts without.
+CARRY_WAIT_S = 0.3
 JSON = (("Content-Type", "application/json"),)
 BYTES = (("Content-Type", "application/octet-stream"),)
 
@@ -75,6 +76,8 @@
         self.table = table
         self.store_now_ms = store_now_ms
         self.accepting = True
+        # Steps that are being kept: the feed may tell of one before its commit is answered here.
+        self.being_kept: set[StepId] = set()
 
     async def submit(self, request: Request, route: Route, responder: Responder) -> None:
         """Accept a step once and keep it before saying so."""
@@ -99,15 +102,21 @@
             samples=len(step.samples),
         )
         submission = StepSubmission(request.headers, request.body)
+        self.being_kept.add(step.step_id)
         try:
             outcome = await self.records.accept(step.step_id, record, submission)
-        except OutcomeUnknownError as error:
-            await self.unknown(responder, step.step_id, str(error))
-            return
-        except PlatformError as error:
-            await self.unavailable(responder, step.step_id, str(error))
+        except BaseException as error:
+            # If the step is kept after all, the feed tells of it and it is taken over.
+            self.being_kept.discard(step.step_id)
+            if isinstance(error, OutcomeUnknownError):
+                await self.unknown(responder, step.step_id, str(error))
+            elif isinstance(error, PlatformError):
+                await self.unavailable(responder, step.step_id, str(error))
+            else:
+                raise
             return
         if isinstance(outcome, RowConflict):
+            self.being_kept.discard(step.step_id)
             await self.accepted(responder, step.step_id, "kept already")
             return
         owned = OwnedStep(
@@ -116,22 +125,28 @@
             row_version=outcome.version,
             accepted_s=request.received_at_s,
         )
-        self.runner.add(owned)
+        # Not as a part of this request: it ends when the trainer closes its connection.
+        self.runner.start_task(self.begin, owned, route)
         await self.accepted(responder, step.step_id, "new")
-        await self.use_carried(owned, route)
 
-    async def use_carried(self, owned: OwnedStep, route: Route) -> None:
-        """Take text that the step before left of the same samples."""
+    async def begin(self, owned: OwnedStep, route: Route) -> None:
+        """Run a new step, with the text that the step before left of the same samples."""
         try:
-            saved = await self.records.load_progress(carry_part(owned.record))
+            with anyio.move_on_after(CARRY_WAIT_S):
+                saved = await self.records.load_progress(carry_part(owned.record))
+                owned.restore(saved, carried=True, single=route.single_version)
         except (PlatformError, ProtocolError) as error:
             log.warning("no text of earlier steps", step=owned.step_id, reason=str(error))
-            return
-        wanted = {key: kept for key, kept in saved.items() if key not in owned.running}
-        owned.restore(wanted, carried=True, single=route.single_version)
         if owned.carried:
             log.info("text carried over", step=owned.step_id, groups=len(owned.carried))
-            self.runner.rerank(owned)
+        self.being_kept.discard(owned.step_id)
+        known = self.known().get(owned.step_id)
+        if known is None or not known.ended:
+            self.runner.add(owned)
+
+    def runs(self, step_id: StepId) -> bool:
+        """Return whether this VM runs a step or is about to."""
+        return step_id in self.runner.steps or step_id in self.being_kept
 
     async def accepted(self, responder: Responder, step_id: StepId, how: str) -> None:
         """Say that a step is kept."""
@@ -162,14 +177,14 @@
 
     async def results(self, step_id: StepId, query: ResultsQuery, responder: Responder) -> None:
         """Answer with results from a position on, waiting for a first one."""
-        deadline_s = time.monotonic() + query.wait_s
+        deadline_s = anyio.current_time() + query.wait_s
         total = await self.total(step_id)
         if total is None:
             await self.not_found(responder, step_id)
             return
         results = await self.read(step_id, query.position)
-        while not results and time.monotonic() < deadline_s and query.position < total:
-            await self.wait_change(step_id, deadline_s - time.monotonic())
+        while not results and anyio.current_time() < deadline_s and query.position < total:
+            await self.wait_change(step_id, deadline_s - anyio.current_time())
             results = await self.read(step_id, query.position)
         page = first_page(results)
         await responder.send(Response(200, JSON, encode_results(total, query.position, page)))
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -1,8 +1,8 @@
 """Runs the steps that this VM owns: places samples, moves them, lists what is finished."""
 
 import random
-import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVarTuple, Unpack
 
 import anyio
 import anyio.abc
@@ -56,6 +56,8 @@
 
 log = structlog.get_logger()
 
+Arguments = TypeVarTuple("Arguments")
+
 
 class RolloutRunner:
     """Owns the steps of this VM.
@@ -103,10 +105,9 @@
 
     def add(self, step: OwnedStep) -> None:
         """Take over a step and run it."""
-        assert self.tasks is not None
         self.steps[step.step_id] = step
         step.rank(TOKENS_AN_EVENT)
-        self.tasks.start_soon(self.list_results, step)
+        self.start_task(self.list_results, step)
         self.wake()
 
     def drop(self, step: OwnedStep) -> None:
@@ -117,6 +118,15 @@
         if self.steps.get(step.step_id) is step:
             del self.steps[step.step_id]
 
+    def start_task(
+        self,
+        task: Callable[[Unpack[Arguments]], Coroutine[Any, Any, None]],
+        *arguments: *Arguments,
+    ) -> None:
+        """Run something that belongs to a step and not to a request."""
+        assert self.tasks is not None
+        self.tasks.start_soon(task, *arguments)
+
     async def run(self) -> None:
         """Place samples until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -130,9 +140,9 @@
 
     def place(self) -> None:
         """Start waiting samples and move those that are better off elsewhere."""
-        now_s = time.monotonic()
+        now_s = anyio.current_time()
         table = self.table()
-        active = [step for step in self.steps.values() if step.active]
+        active = [step for step in self.steps.values() if step.active and not step.handing_over]
         if table is None or not active:
             return
         for service, steps in self.by_service(table, active, now_s).items():
@@ -247,7 +257,7 @@
         """Return the time that a target is given, in seconds."""
         if not route.expiry_s:
             return DEFAULT_RUN_S
-        return max(1.0, step.accepted_s + route.expiry_s - time.monotonic())
+        return max(1.0, step.accepted_s + route.expiry_s - anyio.current_time())
 
     def move(self, move: Placement) -> None:
         """Take a sample off its target; it goes on at a better one."""
@@ -269,7 +279,7 @@
         """Run a sample at a target and take what came of it."""
         sample_id = order.sample.sample_id
         progress = step.progress.setdefault(sample_id, SampleProgress())
-        began_s, before = time.monotonic(), len(progress.events)
+        began_s, before = anyio.current_time(), len(progress.events)
         self.book.of(order.replica.target_id).read_prompt(
             order.sample.prompt[0].part_id if order.sample.prompt else order.sample.group
         )
@@ -283,6 +293,7 @@
         finally:
             if step.running.get(sample_id) is running:
                 del step.running[sample_id]
+                step.tell()
         log.info(
             "sample run ended",
             step=step.step_id,
@@ -292,7 +303,7 @@
             reason=outcome.reason,
             events=len(progress.events),
             resumed_at=before,
-            took_s=round(time.monotonic() - began_s, 3),
+            took_s=round(anyio.current_time() - began_s, 3),
         )
         if progress.current is not None:
             key = (order.replica.target_id, step.step.model)
@@ -309,7 +320,7 @@
         """Decide what follows the end of a run."""
         sample_id = order.sample.sample_id
         progress = step.progress[sample_id]
-        now_s = time.monotonic()
+        now_s = anyio.current_time()
         if outcome.end is SampleEnd.COMPLETE:
             versions = tuple(sorted(progress.versions))
             step.finish(SampleResult(sample_id, SampleState.COMPLETE, progress.text(), versions))
@@ -383,7 +394,7 @@
         if step.ended or step.lost:
             return
         step.ended = True
-        step.ended_at_s = time.monotonic()
+        step.ended_at_s = anyio.current_time()
         step.stop_running()
         carry = step.to_carry()
         step.tell()
@@ -395,14 +406,10 @@
         except (PlatformError, ProtocolError) as error:
             log.warning("text not kept", step=step.step_id, reason=str(error))
 
-    async def hand_over(self, step: OwnedStep) -> None:
-        """Give a step to whichever VM takes it, with the text at hand."""
+    async def stop(self, step: OwnedStep) -> None:
+        """Take a step's samples off their targets and wait until they are."""
+        step.handing_over = True
         step.stop_running()
-        if step.active:
-            saved = step.to_hand_over()
-            await self.records.save_progress(step.step_id, saved)
-
-    def rerank(self, step: OwnedStep) -> None:
-        """Work out the order of a step's samples anew and place by it."""
-        step.rank(TOKENS_AN_EVENT)
-        self.wake()
+        while step.running:
+            changed = step.changed
+            await changed.wait()
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -1,6 +1,5 @@
 """Runs one sample at one target: sends it, reads its events, says how it ended."""
 
-import time
 from dataclasses import dataclass
 from enum import Enum
 
@@ -98,7 +97,7 @@
         try:
             return await self.read(order, progress, exchange, evidence)
         except AttemptFailedError as error:
-            evidence.failed(time.monotonic())
+            evidence.failed(anyio.current_time())
             return SampleRunOutcome(SampleEnd.BROKEN, f"{error.kind.value}: {error.message}")
         finally:
             exchange.end()
@@ -129,7 +128,7 @@
         if scope.cancelled_caught:
             raise exchange.failure("no answer began", FailureKind.SILENT)
         marks = read_marks(exchange.status, exchange.headers)
-        now_s = time.monotonic()
+        now_s = anyio.current_time()
         if marks.running is not None:
             evidence.said_load(marks.running, marks.waiting, now_s)
         if exchange.status != OK:
@@ -172,7 +171,7 @@
                     raise exchange.failure("an event is out of order", FailureKind.MALFORMED)
             if not events:
                 continue
-            now_s = time.monotonic()
+            now_s = anyio.current_time()
             if came_s is not None:
                 evidence.event_took((now_s - came_s) / len(events), now_s)
             came_s = now_s
--- /dev/null
+++ b/src/balsamcleat/tasks/step_claims.py
@@ -0,0 +1,132 @@
+"""Moves steps between VMs: takes over those without owner, hands over on leaving."""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import structlog
+
+from balsamcleat.errors import PlatformError
+from balsamcleat.model import StepId
+from balsamcleat.model.routing import RoutingTable
+from balsamcleat.platform import decode_step
+from balsamcleat.ports.rows import RowConflict
+from balsamcleat.tasks.owned_step import OwnedStep
+from balsamcleat.tasks.rollout_desk import carry_part
+from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords
+from balsamcleat.tasks.rollout_runner import RolloutRunner
+from balsamcleat.tasks.step_watch_feed import KnownStep
+
+__all__ = ["StepClaims"]
+
+log = structlog.get_logger()
+
+
+class StepClaims:
+    """Moves steps between VMs; the conditional write of the owner's row decides.
+
+    Args:
+        vm: This VM.
+        boot: This start of its process.
+        records: What is kept of steps.
+        runner: Runs the steps that this VM owns.
+        table: Returns the configuration in force.
+        store_now_ms: Returns the store's clock.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        boot: str,
+        records: RolloutRecords,
+        runner: RolloutRunner,
+        table: Callable[[], RoutingTable | None],
+        store_now_ms: Callable[[], int],
+    ) -> None:
+        self.vm = vm
+        self.boot = boot
+        self.records = records
+        self.runner = runner
+        self.table = table
+        self.store_now_ms = store_now_ms
+
+    def ended(self, step_id: StepId, tasks: anyio.abc.TaskGroup | None) -> None:
+        """Stop a step that was ended, where this VM owns it."""
+        step = self.runner.steps.get(step_id)
+        if step is not None and tasks is not None:
+            tasks.start_soon(self.runner.end, step, carry_part(step.record))
+
+    def owner_changed(self, step_id: StepId, known: KnownStep) -> None:
+        """Stop running a step that another VM owns now."""
+        step = self.runner.steps.get(step_id)
+        mine = (known.owner.vm, known.owner.boot) == (self.vm, self.boot)
+        if step is not None and not mine and known.row_version > step.row_version:
+            log.warning("step taken by another VM", step=step_id, owner=known.owner.vm)
+            self.runner.drop(step)
+
+    async def take_over(self, step_id: StepId, known: KnownStep) -> None:
+        """Claim a step and run what is left of it."""
+        before = known.owner
+        record = OwnerRecord(
+            self.vm, self.boot, before.host, before.path, before.accepted_ms, before.samples
+        )
+        outcome = await self.records.claim(step_id, record, known.row_version)
+        if isinstance(outcome, RowConflict):
+            log.info("step claimed by another VM", step=step_id)
+            return
+        owned = await self.load(step_id, record, outcome.version)
+        if owned is None:
+            log.error("step without submission", step=step_id)
+            return
+        log.info(
+            "step taken over",
+            step=step_id,
+            before=before.vm,
+            listed=len(owned.listed),
+            at_hand=len(owned.progress),
+            age_s=round(anyio.current_time() - owned.accepted_s, 2),
+        )
+        self.runner.add(owned)
+
+    async def load(
+        self, step_id: StepId, record: OwnerRecord, row_version: int
+    ) -> OwnedStep | None:
+        """Return a step as it is kept, or None where its submission isn't."""
+        submission = await self.records.submission(step_id)
+        if submission is None:
+            return None
+        age_s = max(0.0, (self.store_now_ms() - record.accepted_ms) / 1000)
+        owned = OwnedStep(
+            step=decode_step(submission.headers, submission.body),
+            record=record,
+            row_version=row_version,
+            accepted_s=anyio.current_time() - age_s,
+            listed=list(await self.records.results(step_id, all_pages=True)),
+        )
+        table = self.table()
+        route = table.match(record.host, record.path) if table else None
+        single = route is not None and route.single_version
+        for part, carried in ((carry_part(record), True), (step_id, False)):
+            owned.restore(await self.records.load_progress(part), carried=carried, single=single)
+        return owned
+
+    async def hand_over(self) -> None:
+        """Give all steps to whichever VMs take them, with the text at hand."""
+        for step in list(self.runner.steps.values()):
+            if step.ended or step.lost:
+                continue
+            try:
+                await self.release(step)
+            except PlatformError as error:
+                log.warning("step not handed over", step=step.step_id, reason=str(error))
+
+    async def release(self, step: OwnedStep) -> None:
+        """Give one step away."""
+        await self.runner.stop(step)
+        saved = step.to_hand_over()
+        await self.records.save_progress(step.step_id, saved)
+        record = step.record
+        nobody = OwnerRecord("", "", record.host, record.path, record.accepted_ms, record.samples)
+        await self.records.claim(step.step_id, nobody, step.row_version)
+        log.info("step handed over", step=step.step_id, at_hand=len(saved))
+        self.runner.drop(step)
--- a/src/balsamcleat/tasks/step_watch_feed.py
+++ b/src/balsamcleat/tasks/step_watch_feed.py
@@ -1,6 +1,5 @@
 """Knows all steps and their owners from the feed, and takes over those whose owner is dead."""
 
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -140,7 +139,7 @@
         if owner.vm and not self.watch.is_dead(owner.vm, owner.boot):
             known.orphan_since_s = None
             return False
-        now_s = time.monotonic()
+        now_s = anyio.current_time()
         if known.orphan_since_s is None:
             known.orphan_since_s = now_s
             log.warning(
@@ -168,4 +167,4 @@
             await self.take(step_id, known)
         except (PlatformError, ProtocolError) as error:
             log.warning("step not taken over", step=step_id, reason=str(error))
-            known.orphan_since_s = time.monotonic()
+            known.orphan_since_s = anyio.current_time()
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -1,6 +1,5 @@
 """Orders engines to load named weight versions, as the one holder of the lease."""
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -23,8 +22,8 @@
 
 TICK_S = 0.1
 # A load takes about this long; the target is asked for its state from then on.
-FIRST_LOOK_S = 0.95
-LOOK_EVERY_S = 0.35
+FIRST_LOOK_S = 1.0
+LOOK_EVERY_S = 0.15
 # An order without an answer may be carried out this much later.
 UNKNOWN_SETTLE_S = 1.0
 RETRY_S = 0.5
@@ -119,7 +118,7 @@
 
     def weights(self, replica: Replica) -> EngineWeights:
         """Return what is believed of an engine's weights."""
-        now_s = time.monotonic()
+        now_s = anyio.current_time()
         flight = self.in_flight.get(replica.target_id)
         return EngineWeights(
             target_id=replica.target_id,
@@ -146,7 +145,7 @@
         for order in orders:
             replica = self.directory.entries.get(order.target_id)
             if replica is not None:
-                self.in_flight[order.target_id] = OrderInFlight(order, time.monotonic())
+                self.in_flight[order.target_id] = OrderInFlight(order, anyio.current_time())
                 self.tasks.start_soon(self.carry_out, order, replica)
 
     async def carry_out(self, order: LoadOrder, replica: Replica) -> None:
@@ -162,7 +161,7 @@
                 await self.await_version(order, replica, UNKNOWN_SETTLE_S)
             else:
                 self.counts.pop(replica.target_id, None)
-                self.not_before_s[replica.target_id] = time.monotonic() + RETRY_S
+                self.not_before_s[replica.target_id] = anyio.current_time() + RETRY_S
         finally:
             self.in_flight.pop(replica.target_id, None)
             self.wake()
@@ -204,9 +203,9 @@
 
     async def await_version(self, order: LoadOrder, replica: Replica, first_s: float) -> None:
         """Wait until the target is seen to run the version or not to load any more."""
-        deadline_s = time.monotonic() + LOAD_LIMIT_S
+        deadline_s = anyio.current_time() + LOAD_LIMIT_S
         await anyio.sleep(first_s)
-        while time.monotonic() < deadline_s:
+        while anyio.current_time() < deadline_s:
             report = await self.look(replica)
             if report is not None:
                 if report.versions.get(order.model, 0) >= order.version:
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 import anyio
 import msgspec
@@ -71,6 +72,7 @@
         address: Where peers reach it.
         order_gap_s: Least time between orders of two holders.
         generator: Draws the jitter of beats.
+        clock: Returns seconds that also count while the machine is suspended.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         address: str,
         order_gap_s: float,
         generator: random.Random,
+        clock: Callable[[], float] = boot_clock_s,
     ) -> None:
         self.store = store
         self.vm = vm
@@ -88,6 +91,7 @@
         self.address = address
         self.order_gap_s = order_gap_s
         self.generator = generator
+        self.clock = clock
         self.watch = VmWatch()
         self.beat = 0
         self.store_ms = 0
@@ -99,12 +103,12 @@
 
     def store_now_ms(self) -> int:
         """Return the store's clock, as far as known."""
-        return self.store_ms + int((boot_clock_s() - self.store_read_s) * 1000)
+        return self.store_ms + int((self.clock() - self.store_read_s) * 1000)
 
     def told_time(self, store_ms: int) -> None:
         """Take the store's clock from an answer."""
         self.store_ms = store_ms
-        self.store_read_s = boot_clock_s()
+        self.store_read_s = self.clock()
 
     async def run(self) -> None:
         """Beat until cancelled."""
@@ -130,7 +134,7 @@
         await self.store.commit(RowCommit((RowWrite(key, msgspec.json.encode(fields)),)))
         page = await self.store.read(VMS_TABLE, VM_PART)
         self.told_time(page.store_ms)
-        self.watch.read([vm_row(row) for row in page.rows], boot_clock_s())
+        self.watch.read([vm_row(row) for row in page.rows], self.clock())
         await self.tend_lease()
 
     async def tend_lease(self) -> None:
@@ -148,7 +152,7 @@
 
     def may_take(self, state: LeaseState, version: int) -> bool:
         """Return whether the lease is free or its holder is dead."""
-        now_s = boot_clock_s()
+        now_s = self.clock()
         if self.seen_lease is None or self.seen_lease[0] != version:
             self.seen_lease = (version, now_s)
         if not state.vm or (state.vm == self.vm and state.boot != self.boot):
@@ -161,7 +165,7 @@
         first_ms = first_order_ms(previous, claimed_ms, self.order_gap_s)
         # The gap that the holder before left open must outlive this holder, too.
         state = LeaseState(self.vm, self.boot, False, first_ms - int(self.order_gap_s * 1000))
-        asked_s = boot_clock_s()
+        asked_s = self.clock()
         outcome = await self.commit_lease(state, version)
         if isinstance(outcome, RowConflict):
             self.seen_lease = None
@@ -182,7 +186,7 @@
         lease = self.lease
         if lease is None:
             return False
-        asked_s = boot_clock_s()
+        asked_s = self.clock()
         outcome = await self.commit_lease(state, lease.row_version)
         if isinstance(outcome, RowConflict):
             if not self.adopt_own(outcome.rows, asked_s):
@@ -244,7 +248,7 @@
         """Return whether an order may be sent now."""
         if self.lease is None:
             return False
-        return self.lease.may_order(boot_clock_s(), self.store_now_ms())
+        return self.lease.may_order(self.clock(), self.store_now_ms())
 
 
 def vm_row(row: RowChange) -> VmRow:
--- a/tests/test_http1_pool.py
+++ b/tests/test_http1_pool.py
@@ -2,6 +2,8 @@
 
 import socket
 
+import pytest
+
 from balsamcleat.http1 import ByteStream, ClientPool, PoolLimits
 from balsamcleat.http1.client import Connection
 
@@ -27,7 +29,8 @@
         self.sock.close()
 
 
-def test_a_pool_at_its_bound_closes_the_oldest_connection_of_an_address_that_was_emptied() -> None:
+@pytest.mark.anyio
+async def test_a_full_pool_closes_its_oldest_connection_also_after_an_address_was_emptied() -> None:
     pool = ClientPool(PoolLimits(idle_connections=1))
     first, keep_first = connection()
     pool.release("a:1", first, 10.0)
@@ -41,7 +44,8 @@
     del keep_first, keep_second, keep_third
 
 
-def test_a_connection_with_unasked_bytes_is_never_reused() -> None:
+@pytest.mark.anyio
+async def test_a_connection_with_unasked_bytes_is_never_reused() -> None:
     pool = ClientPool(PoolLimits())
     kept, theirs = connection()
     pool.release("a:1", kept, 10.0)
