Engines load after the step has started its samples, each model on its own; cut-off VMs step back

Cause: loads began at the naming, so the step that came with it found a third of the engines refusing new samples, and three models on five engines owed 15 loads in the time of 9. Now: no load for 0.3 s after a naming, engines shared out by the models' work, half of a model's engines at once at most, useless engines first. A VM whose store is silent asks peers and steps back from the balancer only where others reach it.

--- a/src/balsamcleat/decisions/vm_watch.py
+++ b/src/balsamcleat/decisions/vm_watch.py
@@ -25,12 +25,14 @@
         vm: Its name.
         boot: Differs with each start of its process.
         address: Where peers reach it.
+        zone: Its availability zone.
         version: The row's version.
     """
 
     vm: str
     boot: str
     address: str
+    zone: str
     version: int
 
 
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -9,6 +9,7 @@
 import anyio.abc
 import structlog
 
+from balsamcleat.decisions.readiness import Readiness, StoreView, decide_readiness
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
 from balsamcleat.errors import PlatformError
@@ -35,6 +36,8 @@
 )
 from balsamcleat.tasks.front_door import FrontDoor
 from balsamcleat.tasks.live_forwarder import LiveForwarder
+from balsamcleat.tasks.model_use import ModelUses
+from balsamcleat.tasks.peers import PeerDesk, PeerState, PeerWatch
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
 from balsamcleat.tasks.rollout_desk import RolloutDesk
 from balsamcleat.tasks.rollout_records import STEPS_TABLE, RolloutRecords
@@ -58,6 +61,8 @@
 LEAVING_CHECK_S = 0.05
 LOG_DRAIN_S = 0.2
 ENDED_KEPT_S = 10.0
+# Stands for a store that never answered, in seconds.
+NEVER_S = 999.0
 
 log = structlog.get_logger()
 
@@ -87,6 +92,7 @@
             settings.vm,
             self.boot,
             settings.peer_address,
+            settings.zone,
             settings.order_gap_s,
             generator,
         )
@@ -97,6 +103,7 @@
             self.book,
             lambda: self.routing.table,
             lambda: self.routing.named,
+            lambda model: self.uses.use(model),
         )
         self.records = RolloutRecords(self.store)
         self.runner = RolloutRunner(
@@ -137,6 +144,19 @@
             lambda: self.routing.table,
             self.presence.store_now_ms,
         )
+        self.peers = PeerWatch(
+            ClientPool(PoolLimits(connect_s=0.3, idle_connections=8)),
+            settings.vm,
+            settings.zone,
+            self.presence.watch.living,
+            self.store_view,
+            generator,
+        )
+        self.uses = ModelUses(
+            lambda: self.feed.steps,
+            self.presence.store_now_ms,
+            settings.results_kept_s * 1000,
+        )
         forwarder = LiveForwarder(self.directory, self.book, self.pool, settings.zone, generator)
         self.door = FrontDoor(lambda: self.routing.table, forwarder, self.desk)
         self.followers = [
@@ -148,6 +168,12 @@
         self.ready = HttpServer(
             listen(settings.ready_address), self.answer_ready, lambda: ServerLimits()
         )
+        self.peer_server = HttpServer(
+            listen(settings.peer_address),
+            PeerDesk(self.peer_state).answer,
+            lambda: ServerLimits(),
+        )
+        self.readiness = Readiness.NO_CONFIGURATION
         self.leaving = False
         self.tasks: anyio.abc.TaskGroup | None = None
 
@@ -156,10 +182,34 @@
         self.runner.wake()
         self.orders.wake()
 
+    def store_view(self) -> StoreView:
+        """Return how this VM reaches the store."""
+        return StoreView(max(0.0, anyio.current_time() - self.store.answered_at_s))
+
+    def peer_state(self) -> PeerState:
+        """Return what this VM says of itself to others."""
+        silence_s = min(NEVER_S, self.store_view().silence_s)
+        return PeerState(self.boot, silence_s)
+
     async def answer_ready(self, request: Request, responder: Responder) -> None:
         """Say whether the balancer should send callers here."""
-        ready = self.routing.table is not None and not self.leaving
-        await responder.send(Response(200 if ready else 503))
+        readiness = decide_readiness(
+            leaving=self.leaving,
+            configured=self.routing.table is not None,
+            store=self.store_view(),
+            peers=self.peers.view,
+        )
+        if readiness is not self.readiness:
+            log.info(
+                "readiness",
+                now=readiness.value,
+                before=self.readiness.value,
+                store_silence_s=round(min(NEVER_S, self.store_view().silence_s), 2),
+                peers_answered=self.peers.view.answered,
+                peers_reach_store=self.peers.view.reach_store,
+            )
+            self.readiness = readiness
+        await responder.send(Response(200 if readiness.ready else 503))
 
     async def run(self) -> None:
         """Run until told to stop."""
@@ -176,6 +226,8 @@
                 self.feed.run,
                 self.front.run,
                 self.ready.run,
+                self.peers.run,
+                self.peer_server.run,
                 self.keep_house,
             ):
                 tasks.start_soon(part)
--- a/src/balsamcleat/platform/store.py
+++ b/src/balsamcleat/platform/store.py
@@ -4,6 +4,7 @@
 from typing import TypeVar
 from urllib.parse import quote, urlencode
 
+import anyio
 import msgspec
 
 from balsamcleat.errors import (
@@ -112,6 +113,8 @@
         self.access = access
         self.pool = pool
         self.limits = access.limits
+        # When the store answered last, on the process's clock.
+        self.answered_at_s = float("-inf")
 
     async def commit(self, commit: RowCommit) -> RowsCommitted | RowConflict:
         """Apply all writes or none."""
@@ -123,8 +126,10 @@
             raise lost_write(error) from error
         if response.status == 200:
             fields = decode(response, RowsFields)
+            self.answered()
             return RowsCommitted(fields.ver, int(fields.now_ms))
         if response.status == 412:
+            self.answered()
             return RowConflict(tuple(map(decode_row, decode(response, RowsFields).rows)))
         if response.status in (400, 403, 413):
             raise InvalidInputError(
@@ -175,11 +180,17 @@
                 error.message, step=f"store{path}", peer=self.access.address
             ) from error
         if response.status == 410:
+            self.answered()
             raise HistoryLostError
         if response.status != 200:
             raise self.refusal(response, f"store{path}")
+        self.answered()
         return decode(response, kind)
 
+    def answered(self) -> None:
+        """Take note that the store did what it was asked or said why it can't."""
+        self.answered_at_s = anyio.current_time()
+
     def refusal(self, response: Response, step: str) -> PlatformUnavailableError:
         """Return the error for a call that was turned away: nothing was done."""
         return PlatformUnavailableError(
--- /dev/null
+++ b/src/balsamcleat/tasks/model_use.py
@@ -0,0 +1,43 @@
+"""Knows how models are used, from the open steps that the feed tells of."""
+
+from collections.abc import Callable
+
+from balsamcleat.model import StepId
+from balsamcleat.tasks.step_watch_feed import KnownStep
+from balsamcleat.tasks.version_orders import ModelUse
+
+__all__ = ["ModelUses"]
+
+
+class ModelUses:
+    """Answers questions about the use of models.
+
+    Args:
+        steps: Returns the steps known from the feed.
+        store_now_ms: Returns the store's clock.
+        kept_ms: How long after its submission a step matters, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        steps: Callable[[], dict[StepId, KnownStep]],
+        store_now_ms: Callable[[], int],
+        kept_ms: float,
+    ) -> None:
+        self.steps = steps
+        self.store_now_ms = store_now_ms
+        self.kept_ms = kept_ms
+
+    def use(self, model: str) -> ModelUse:
+        """Return how a model is used now."""
+        now_ms = self.store_now_ms()
+        known = [step for step in self.steps().values() if step.owner.model == model]
+        newest = max(known, key=lambda step: step.owner.accepted_ms, default=None)
+        return ModelUse(
+            open_oldest=tuple(
+                step.owner.oldest_version
+                for step in known
+                if not step.ended and now_ms - step.owner.accepted_ms < self.kept_ms
+            ),
+            work=newest.owner.work if newest else 1.0,
+        )
--- /dev/null
+++ b/src/balsamcleat/tasks/peers.py
@@ -0,0 +1,149 @@
+"""What VMs tell each other directly: whether the store answers them.
+
+Plain HTTP with JSON bodies on the port that is free between the VMs. The schema compiler's
+messages would cost each process 4 MB for a library that it needs for nothing else.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import msgspec
+import structlog
+
+from balsamcleat.decisions.readiness import PeerView, StoreView, is_suspect
+from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.errors import AttemptFailedError
+from balsamcleat.http1 import ClientPool, Request, Responder, Response
+
+__all__ = ["PeerDesk", "PeerState", "PeerWatch"]
+
+STATE_PATH = "/state"
+ASK_TIMEOUT_S = 0.4
+ASK_EVERY_S = 0.25
+PEERS_ASKED = 4
+# A peer whose store answered within this time reaches it.
+REACHES_WITHIN_S = 1.0
+
+log = structlog.get_logger()
+
+
+class PeerState(msgspec.Struct, frozen=True):
+    """What a VM says of itself.
+
+    Attributes:
+        boot: The start of its process.
+        store_silence_s: Time since the store's last answer to it, in seconds.
+    """
+
+    boot: str
+    store_silence_s: float
+
+
+class PeerDesk:
+    """Answers peers.
+
+    Args:
+        state: Returns what this VM says of itself.
+    """
+
+    def __init__(self, state: Callable[[], PeerState]) -> None:
+        self.state = state
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Answer one peer's request."""
+        if request.path != STATE_PATH:
+            await responder.send(Response(404))
+            return
+        await responder.send(Response(200, (), msgspec.json.encode(self.state())))
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A peer's answer; None where none came."""
+
+    vm: str
+    state: PeerState | None
+
+
+class PeerWatch:
+    """Asks peers when there is a reason to.
+
+    Args:
+        pool: Connections to them.
+        vm: This VM.
+        zone: Its availability zone.
+        living: Returns the rows of VMs believed to live.
+        store_view: Returns how this VM reaches the store.
+        generator: Draws peers.
+    """
+
+    def __init__(
+        self,
+        pool: ClientPool,
+        vm: str,
+        zone: str,
+        living: Callable[[], list[VmRow]],
+        store_view: Callable[[], StoreView],
+        generator: random.Random,
+    ) -> None:
+        self.pool = pool
+        self.vm = vm
+        self.zone = zone
+        self.living = living
+        self.store_view = store_view
+        self.generator = generator
+        self.view = PeerView()
+        self.rows: dict[str, VmRow] = {}
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            await anyio.sleep(ASK_EVERY_S)
+            for row in self.living():
+                self.rows[row.vm] = row
+            if is_suspect(self.store_view()):
+                await self.ask_about_store()
+            else:
+                self.view = PeerView()
+
+    async def ask_about_store(self) -> None:
+        """Ask some peers, those of other zones first, whether they reach the store."""
+        others = [row for row in self.rows.values() if row.vm != self.vm and row.address]
+        self.generator.shuffle(others)
+        others.sort(key=lambda row: row.zone == self.zone)
+        asked = await self.ask(others[:PEERS_ASKED])
+        states = [answer.state for answer in asked if answer.state is not None]
+        reach = sum(1 for state in states if state.store_silence_s < REACHES_WITHIN_S)
+        before = self.view
+        self.view = PeerView(len(asked), len(states), reach)
+        if self.view != before:
+            log.info(
+                "peers asked about the store",
+                asked=len(asked),
+                answered=len(states),
+                reach_store=reach,
+                silence_s=round(self.store_view().silence_s, 2),
+            )
+
+    async def ask(self, rows: list[VmRow]) -> list[Asked]:
+        """Ask peers at the same time."""
+        answers: list[Asked] = []
+
+        async def one(row: VmRow) -> None:
+            request = Request("GET", STATE_PATH, (("Host", row.address),))
+            try:
+                response = await self.pool.fetch(row.address, request, ASK_TIMEOUT_S)
+                state = msgspec.json.decode(response.body, type=PeerState)
+            except (AttemptFailedError, msgspec.DecodeError):
+                # Its silence is the answer; the caller counts it.
+                answers.append(Asked(row.vm, None))
+                return
+            answers.append(Asked(row.vm, state))
+
+        async with anyio.create_task_group() as tasks:
+            for row in rows:
+                tasks.start_soon(one, row)
+        return answers
--- a/src/balsamcleat/tasks/rollout_desk.py
+++ b/src/balsamcleat/tasks/rollout_desk.py
@@ -5,6 +5,7 @@
 import anyio
 import structlog
 
+from balsamcleat.decisions.step_order import expected_left
 from balsamcleat.errors import (
     InvalidInputError,
     OutcomeUnknownError,
@@ -100,6 +101,9 @@
             path=request.path,
             accepted_ms=self.store_now_ms(),
             samples=len(step.samples),
+            model=step.model,
+            oldest_version=step.oldest_version,
+            work=sum(expected_left(sample, 0.0) for sample in step.samples),
         )
         submission = StepSubmission(request.headers, request.body)
         self.being_kept.add(step.step_id)
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -54,6 +54,9 @@
         path: The path that the step was submitted to.
         accepted_ms: The store's clock at the submission.
         samples: Number of samples.
+        model: Whose weights generate them.
+        oldest_version: The oldest weight version allowed.
+        work: Tokens expected of all samples.
     """
 
     vm: str
@@ -62,6 +65,13 @@
     path: str
     accepted_ms: int
     samples: int
+    model: str = ""
+    oldest_version: WeightVersion = WeightVersion(0)
+    work: float = 0.0
+
+    def given_to(self, vm: str, boot: str) -> "OwnerRecord":
+        """Return the record with another owner."""
+        return msgspec.structs.replace(self, vm=vm, boot=boot)
 
 
 class StepSubmission(msgspec.Struct, frozen=True):
--- a/src/balsamcleat/tasks/step_claims.py
+++ b/src/balsamcleat/tasks/step_claims.py
@@ -67,9 +67,7 @@
     async def take_over(self, step_id: StepId, known: KnownStep) -> None:
         """Claim a step and run what is left of it."""
         before = known.owner
-        record = OwnerRecord(
-            self.vm, self.boot, before.host, before.path, before.accepted_ms, before.samples
-        )
+        record = before.given_to(self.vm, self.boot)
         outcome = await self.records.claim(step_id, record, known.row_version)
         if isinstance(outcome, RowConflict):
             log.info("step claimed by another VM", step=step_id)
@@ -125,8 +123,7 @@
         await self.runner.stop(step)
         saved = step.to_hand_over()
         await self.records.save_progress(step.step_id, saved)
-        record = step.record
-        nobody = OwnerRecord("", "", record.host, record.path, record.accepted_ms, record.samples)
+        nobody = step.record.given_to("", "")
         await self.records.claim(step.step_id, nobody, step.row_version)
         log.info("step handed over", step=step.step_id, at_hand=len(saved))
         self.runner.drop(step)
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -9,7 +9,13 @@
 
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
-from balsamcleat.decisions.weight_rollout import EngineWeights, LoadOrder, next_loads
+from balsamcleat.decisions.sample_placement import SLOW_RATIO
+from balsamcleat.decisions.weight_rollout import (
+    EngineWeights,
+    LoadOrder,
+    ModelDemand,
+    next_loads,
+)
 from balsamcleat.errors import AttemptFailedError, PlatformError
 from balsamcleat.model import ServiceName, TargetId, WeightVersion
 from balsamcleat.model.replicas import Replica, ReplicaReport
@@ -18,7 +24,7 @@
 from balsamcleat.platform.orders import OrderVerdict
 from balsamcleat.tasks.vm_presence import VmPresence
 
-__all__ = ["VersionOrders"]
+__all__ = ["ModelUse", "VersionOrders"]
 
 TICK_S = 0.1
 # A load takes about this long; the target is asked for its state from then on.
@@ -41,6 +47,19 @@
     sent_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ModelUse:
+    """How a model is used now.
+
+    Attributes:
+        open_oldest: The oldest version allowed, for each open step.
+        work: Tokens expected of its newest step.
+    """
+
+    open_oldest: tuple[WeightVersion, ...]
+    work: float
+
+
 class VersionOrders:
     """Compares named versions with what engines run, and orders the difference.
 
@@ -51,6 +70,7 @@
         book: Evidence on them.
         table: Returns the configuration in force.
         named: Returns the versions named, by model.
+        use: Returns how a model is used now.
     """
 
     def __init__(
@@ -61,6 +81,7 @@
         book: EvidenceBook,
         table: Callable[[], RoutingTable | None],
         named: Callable[[], dict[str, WeightVersion]],
+        use: Callable[[str], ModelUse],
     ) -> None:
         self.presence = presence
         self.control = control
@@ -68,6 +89,8 @@
         self.book = book
         self.table = table
         self.named = named
+        self.use = use
+        self.named_since: dict[str, tuple[WeightVersion, float]] = {}
         self.in_flight: dict[TargetId, OrderInFlight] = {}
         # What targets told this VM itself, newer than their entries.
         self.versions: dict[tuple[TargetId, str], WeightVersion] = {}
@@ -112,25 +135,59 @@
         """Return the orders to give now."""
         return [
             order
-            for replicas in self.engines().values()
-            for order in next_loads([self.weights(item) for item in replicas], self.named())
+            for service, replicas in self.engines().items()
+            for order in next_loads(self.weights(replicas), self.demands(service))
         ]
 
-    def weights(self, replica: Replica) -> EngineWeights:
-        """Return what is believed of an engine's weights."""
+    def demands(self, service: ServiceName) -> list[ModelDemand]:
+        """Return what is wanted of a service's models."""
+        table = self.table()
+        traits = table.services[service].engine if table else None
+        models = traits.models if traits else ()
+        return [
+            self.demand(model, self.named()[model]) for model in models if model in self.named()
+        ]
+
+    def demand(self, model: str, named: WeightVersion) -> ModelDemand:
+        """Return what is wanted of a model."""
         now_s = anyio.current_time()
-        flight = self.in_flight.get(replica.target_id)
-        return EngineWeights(
-            target_id=replica.target_id,
-            versions={
-                model: max(version, self.versions.get((replica.target_id, model), version))
-                for model, version in replica.versions.items()
-            },
-            ordered={} if flight is None else {flight.order.model: flight.order.version},
-            running=self.book.of(replica.target_id).load(now_s),
-            usable=now_s >= self.not_before_s.get(replica.target_id, 0.0),
+        version, since_s = self.named_since.get(model, (WeightVersion(0), now_s))
+        if version != named:
+            since_s = now_s
+            self.named_since[model] = (named, now_s)
+        use = self.use(model)
+        return ModelDemand(
+            model=model,
+            named=named,
+            named_age_s=now_s - since_s,
+            open_oldest=use.open_oldest,
+            work=use.work,
         )
 
+    def weights(self, replicas: list[Replica]) -> list[EngineWeights]:
+        """Return what is believed of engines."""
+        now_s = anyio.current_time()
+        paces = [self.book.of(item.target_id).pace_s(now_s) for item in replicas]
+        fastest_s = min((pace for pace in paces if pace > 0.0), default=0.0)
+        return [
+            EngineWeights(
+                target_id=replica.target_id,
+                versions={
+                    model: max(version, self.versions.get((replica.target_id, model), version))
+                    for model, version in replica.versions.items()
+                },
+                ordered=self.ordered(replica.target_id),
+                usable=now_s >= self.not_before_s.get(replica.target_id, 0.0),
+                slow=fastest_s > 0.0 and pace > SLOW_RATIO * fastest_s,
+            )
+            for replica, pace in zip(replicas, paces, strict=True)
+        ]
+
+    def ordered(self, target_id: TargetId) -> dict[str, WeightVersion]:
+        """Return the version that a target was ordered to load and isn't seen to run yet."""
+        flight = self.in_flight.get(target_id)
+        return {} if flight is None else {flight.order.model: flight.order.version}
+
     async def step(self) -> None:
         """Give the orders owed now."""
         if self.presence.lease is None or self.tasks is None:
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -44,6 +44,7 @@
 
     boot: str
     address: str
+    zone: str
     beat: int
 
 
@@ -70,6 +71,7 @@
         vm: This VM.
         boot: This start of its process.
         address: Where peers reach it.
+        zone: Its availability zone.
         order_gap_s: Least time between orders of two holders.
         generator: Draws the jitter of beats.
         clock: Returns seconds that also count while the machine is suspended.
@@ -81,6 +83,7 @@
         vm: str,
         boot: str,
         address: str,
+        zone: str,
         order_gap_s: float,
         generator: random.Random,
         clock: Callable[[], float] = boot_clock_s,
@@ -89,6 +92,7 @@
         self.vm = vm
         self.boot = boot
         self.address = address
+        self.zone = zone
         self.order_gap_s = order_gap_s
         self.generator = generator
         self.clock = clock
@@ -129,7 +133,7 @@
     async def beat_once(self) -> None:
         """Renew this VM's row, read the others', and renew or take the lease."""
         self.beat += 1
-        fields = VmFields(self.boot, self.address, self.beat)
+        fields = VmFields(self.boot, self.address, self.zone, self.beat)
         key = RowKey(VMS_TABLE, VM_PART, self.vm)
         await self.store.commit(RowCommit((RowWrite(key, msgspec.json.encode(fields)),)))
         page = await self.store.read(VMS_TABLE, VM_PART)
@@ -256,8 +260,8 @@
     try:
         fields = msgspec.json.decode(row.value or b"", type=VmFields)
     except msgspec.DecodeError:
-        fields = VmFields("", "", 0)
-    return VmRow(row.key.key, fields.boot, fields.address, row.version)
+        fields = VmFields("", "", "", 0)
+    return VmRow(row.key.key, fields.boot, fields.address, fields.zone, row.version)
 
 
 def lease_state(row: RowChange) -> LeaseState | None:
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -21,7 +21,7 @@
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.rollout_desk import RolloutDesk
-from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords
+from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.sample_run import SampleEnd, SampleOrder, SampleRunOutcome
 from balsamcleat.tasks.step_claims import StepClaims
@@ -176,7 +176,7 @@
         records = RolloutRecords(view)
         engines = SleepingEngines(book, self.events)
         generator = random.Random(name)
-        presence = VmPresence(view, name, boot, "", 3.0, generator, anyio.current_time)
+        presence = VmPresence(view, name, boot, "", "a", 3.0, generator, anyio.current_time)
         runner = RolloutRunner(
             records,
             self.directory,
@@ -245,7 +245,7 @@
     found = await records.owner(StepId(step_id))
     assert found is not None
     owner, version = found
-    other = OwnerRecord("other", "b", owner.host, owner.path, owner.accepted_ms, owner.samples)
+    other = owner.given_to("other", "b")
     return not isinstance(await records.claim(StepId(step_id), other, version), RowConflict)
 
 
--- /dev/null
+++ b/tests/test_weight_rollout.py
@@ -0,0 +1,166 @@
+"""Which engine loads a named version when: the trainer's rhythm, replayed."""
+
+from dataclasses import dataclass, field
+
+from balsamcleat.decisions.weight_rollout import (
+    EngineWeights,
+    ModelDemand,
+    assign_engines,
+    loads_at_once,
+    next_loads,
+    quotas,
+)
+from balsamcleat.model import TargetId, WeightVersion
+
+LOAD_S = 0.9
+TICK_S = 0.1
+# A step starts its samples within this time; how many engines it can use then is what counts.
+STARTS_S = 0.25
+
+
+def engines(count: int, models: tuple[str, ...] = ("m",), version: int = 1) -> list[EngineWeights]:
+    return [
+        EngineWeights(TargetId(f"e{number}"), {model: WeightVersion(version) for model in models})
+        for number in range(count)
+    ]
+
+
+def test_two_engines_load_at_once_where_few_are_there_and_a_share_of_many() -> None:
+    assert [loads_at_once(count) for count in (1, 5, 6, 23)] == [2, 2, 2, 9]
+
+
+def test_each_model_has_an_engine_and_more_by_its_work() -> None:
+    demands = [
+        ModelDemand(m, WeightVersion(2), 0.0, work=w)
+        for m, w in zip("abc", (8, 10, 5), strict=True)
+    ]
+    assert quotas(5, demands) == {"a": 2, "b": 2, "c": 1}
+    assert sum(quotas(23, demands).values()) == 23
+    assert quotas(2, demands) == {"a": 1, "b": 1, "c": 1}
+
+
+def test_engines_stay_with_the_model_whose_newest_version_they_have() -> None:
+    demands = [ModelDemand(m, WeightVersion(5), 1.0) for m in "ab"]
+    found = engines(4, ("a", "b"))
+    found[0].versions["a"] = found[2].versions["a"] = WeightVersion(5)
+    found[1].versions["b"] = found[3].versions["b"] = WeightVersion(5)
+    assigned = assign_engines(found, demands)
+    assert sorted(assigned["a"]) == ["e0", "e2"]
+    assert sorted(assigned["b"]) == ["e1", "e3"]
+
+
+def test_an_engine_that_an_open_step_cannot_use_loads_first() -> None:
+    found = engines(6)
+    found[3].versions["m"] = WeightVersion(0)
+    demand = ModelDemand("m", WeightVersion(2), 2.0, open_oldest=(WeightVersion(1),))
+    assert next_loads(found, [demand])[0].target_id == "e3"
+
+
+def test_no_engine_loads_until_the_step_of_the_version_has_started_its_samples() -> None:
+    just_named = ModelDemand("m", WeightVersion(2), 0.1)
+    assert next_loads(engines(6), [just_named]) == []
+    placed = ModelDemand("m", WeightVersion(2), 0.4, open_oldest=(WeightVersion(1),))
+    assert len(next_loads(engines(6), [placed])) == 2
+    assert len(next_loads(engines(1), [placed])) == 1
+
+
+def test_half_of_a_model_s_engines_go_on_starting_samples() -> None:
+    placed = ModelDemand("m", WeightVersion(2), 0.4, open_oldest=(WeightVersion(1),))
+    found = engines(2)
+    assert len(next_loads(found, [placed])) == 1
+    found[0] = EngineWeights(found[0].target_id, found[0].versions, {"m": WeightVersion(2)})
+    assert next_loads(found, [placed]) == []
+
+
+def test_an_engine_that_turned_slow_gives_its_place_to_another() -> None:
+    found = engines(4, ("a", "b"))
+    found[0] = EngineWeights(found[0].target_id, found[0].versions, slow=True)
+    demands = [ModelDemand(m, WeightVersion(2), 1.0, work=1.0) for m in "ab"]
+    assigned = assign_engines(found, demands)
+    assert found[0].target_id in (assigned["a"][-1], assigned["b"][-1])
+
+
+@dataclass
+class Rhythm:
+    """Three trainers on shared engines: submit, run, train, name; loads take their time."""
+
+    count: int
+    models: tuple[str, ...]
+    step_s: float = 3.0
+    train_s: float = 1.0
+    versions: dict[str, dict[str, int]] = field(default_factory=dict)
+    loading: dict[str, tuple[str, int, float]] = field(default_factory=dict)
+
+    def play(self, length_s: float, decide) -> tuple[float, int]:
+        """Return the mean share of its engines that a step can use, and the loads."""
+        names = [f"e{number}" for number in range(self.count)]
+        self.versions = {name: {model: 1 for model in self.models} for name in names}
+        period = self.step_s + self.train_s
+        shares: list[float] = []
+        loads = 0
+        at = 0.0
+        while at < length_s:
+            demands = []
+            for place, model in enumerate(self.models):
+                passed = at + place * period / len(self.models)
+                named = 2 + int(passed / period)
+                since = passed % period
+                is_open = since < self.step_s
+                oldest = (WeightVersion(named - 1),) if is_open else ()
+                demands.append(ModelDemand(model, WeightVersion(named), since, oldest))
+                if is_open and since < STARTS_S:
+                    usable = sum(
+                        self.versions[name][model] >= named - 1
+                        and self.loading.get(name, ("",))[0] != model
+                        for name in names
+                    )
+                    shares.append(min(1.0, usable / (self.count / len(self.models))))
+            for name, (model, version, until) in list(self.loading.items()):
+                if at >= until:
+                    self.versions[name][model] = version
+                    del self.loading[name]
+            for name, model, version in decide(names, demands, self):
+                self.loading[name] = (model, version, at + LOAD_S)
+                loads += 1
+            at += TICK_S
+        return sum(shares) / len(shares), loads
+
+
+def ours(names, demands, rhythm: Rhythm):
+    known = [
+        EngineWeights(
+            TargetId(name),
+            {model: WeightVersion(version) for model, version in rhythm.versions[name].items()},
+            {rhythm.loading[name][0]: WeightVersion(0)} if name in rhythm.loading else {},
+        )
+        for name in names
+    ]
+    return [(o.target_id, o.model, o.version) for o in next_loads(known, demands)]
+
+
+def all_everywhere(names, demands, rhythm: Rhythm):
+    """The simple way: every engine loads every model as soon as there is room."""
+    room = loads_at_once(len(names)) - len(rhythm.loading)
+    found = [
+        (name, demand.model, demand.named)
+        for demand in demands
+        for name in names
+        if name not in rhythm.loading and rhythm.versions[name][demand.model] < demand.named
+    ]
+    taken: dict[str, tuple] = {}
+    for entry in found:
+        taken.setdefault(entry[0], entry)
+    return list(taken.values())[: max(0, room)]
+
+
+def test_three_trainers_on_five_engines_have_theirs_and_pay_for_no_needless_load() -> None:
+    share, loads = Rhythm(5, ("a", "b", "c")).play(40.0, ours)
+    simple_share, simple_loads = Rhythm(5, ("a", "b", "c")).play(40.0, all_everywhere)
+    assert share >= simple_share
+    assert loads < 0.8 * simple_loads
+
+
+def test_a_trainer_alone_has_most_engines_while_its_step_runs() -> None:
+    share, _ = Rhythm(6, ("a",)).play(40.0, ours)
+    simple_share, _ = Rhythm(6, ("a",)).play(40.0, all_everywhere)
+    assert share > simple_share
