Live streams, targets' own failures tried elsewhere, requests that crash targets stopped, bad input

Found by test: a head over the limit that arrives in one piece was taken (the parser checks only incomplete ones).

--- a/src/balsamcleat/decisions/live_attempts.py
+++ b/src/balsamcleat/decisions/live_attempts.py
@@ -25,6 +25,8 @@
     NOT_RUN = 503
     CUT = 502
     TIMED_OUT = 504
+    # Sent before, at some VM: so it has run.
+    CRASHES_TARGETS = 500
 
 
 def hedge_delay_s(objective_s: float) -> float:
--- a/src/balsamcleat/decisions/replica_choice.py
+++ b/src/balsamcleat/decisions/replica_choice.py
@@ -20,6 +20,8 @@
 SLOW_START_COST = 0.5
 AVOIDED_COST = 10.0
 TIE_COST = 0.05
+# Worth of finding the prompt at hand, as a share of a target that is full.
+PROMPT_BONUS = 0.5
 
 
 def choose_service(shares: Sequence[ServiceShare], draw: float) -> ServiceShare | None:
@@ -43,6 +45,7 @@
     tried: Collection[TargetId],
     now_s: float,
     generator: random.Random,
+    prompt: Collection[str] = (),
 ) -> Replica | None:
     """Return the target with the least held against it, or None where all were tried."""
     best: Replica | None = None
@@ -51,6 +54,8 @@
         if replica.target_id in tried:
             continue
         cost = replica_cost(replica, book, zone, now_s) + generator.random() * TIE_COST
+        if any(part in book.of(replica.target_id).prompts for part in prompt):
+            cost -= PROMPT_BONUS
         if cost < best_cost:
             best, best_cost = replica, cost
     return best
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -46,6 +46,8 @@
 from balsamcleat.tasks.sample_run import SampleRunner
 from balsamcleat.tasks.step_claims import StepClaims
 from balsamcleat.tasks.step_watch_feed import StepFeed
+from balsamcleat.tasks.stream_forwarder import StreamForwarder
+from balsamcleat.tasks.suspect_board import SUSPECTS_TABLE, SuspectBoard
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.version_orders import VersionOrders
 from balsamcleat.tasks.vm_presence import VmPresence
@@ -157,12 +159,18 @@
             self.presence.store_now_ms,
             settings.results_kept_s * 1000,
         )
-        forwarder = LiveForwarder(self.directory, self.book, self.pool, settings.zone, generator)
-        self.door = FrontDoor(lambda: self.routing.table, forwarder, self.desk)
+        self.board = SuspectBoard(self.store, self.runner.start_task)
+        forwarder = LiveForwarder(
+            self.directory, self.book, self.pool, settings.zone, generator, self.board
+        )
+        self.door = FrontDoor(
+            lambda: self.routing.table, forwarder, StreamForwarder(forwarder), self.desk
+        )
         self.followers = [
             TableFollower(self.store, OPERATOR_TABLE, self.routing, generator, single_part=True),
             TableFollower(self.store, REPLICA_TABLE, self.replicas, generator, single_part=True),
             TableFollower(self.store, STEPS_TABLE, self.feed, generator, single_part=False),
+            TableFollower(self.store, SUSPECTS_TABLE, self.board, generator, single_part=False),
         ]
         self.front = HttpServer(listen(settings.front_address), self.door.answer, self.door.limits)
         self.ready = HttpServer(
--- a/src/balsamcleat/http1/server.py
+++ b/src/balsamcleat/http1/server.py
@@ -273,11 +273,24 @@
             while True:
                 event = self.next_event()
                 if isinstance(event, h11.Request):
+                    self.check_size(event)
                     return event
                 if event is not h11.NEED_DATA or not await self.feed():
                     return None
         raise RequestRejectedError(408, "the request's head took too long")
 
+    def check_size(self, head: h11.Request) -> None:
+        """Refuse a head that is too large; the parser checks only those that come in pieces.
+
+        Raises:
+            RequestRejectedError: It is too large.
+        """
+        size = len(head.method) + len(head.target)
+        size += sum(len(name) + len(value) for name, value in head.headers)
+        if size > self.limits.max_header_bytes:
+            limit = self.limits.max_header_bytes
+            raise RequestRejectedError(431, f"a request's head may have {limit} bytes")
+
     async def wait_first_bytes(self) -> bool:
         """Wait for a request to begin; returns False when the connection is over."""
         with anyio.move_on_after(self.limits.idle_timeout_s):
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -12,6 +12,8 @@
     "caller_wait_s",
     "failure_headers",
     "forwarded_headers",
+    "last_event_of",
+    "prompt_ids",
     "read_marks",
     "relayed_headers",
     "request_id",
@@ -25,6 +27,7 @@
 LOAD = "Server-Load"
 NOT_RUN = "Not-Run"
 PRIORITY = "Request-Priority"
+PROMPT = "Prompt-Prefix"
 RETRY_AFTER = "Retry-After"
 # Proves that a target made the body; it must reach the caller unchanged.
 STAMP = "Server-Stamp"
@@ -80,6 +83,7 @@
     *,
     target_id: TargetId,
     remaining_s: float,
+    priority: int,
     last_event: int | None = None,
 ) -> Headers:
     """Return a caller's headers as one attempt at a target sends them.
@@ -88,6 +92,7 @@
         headers: As the caller sent them.
         target_id: Only this target may run it.
         remaining_s: Time left for the target.
+        priority: 0 to 9, 0 first.
         last_event: Number of the last event of a stream that is at hand.
     """
     passed = without(end_to_end(headers), SET_HERE)
@@ -98,6 +103,7 @@
         *passed,
         (DEADLINE, str(max(1, int(remaining_s * MS)))),
         (EXPECTED_TARGET, target_id),
+        (PRIORITY, str(priority)),
     )
 
 
@@ -132,6 +138,20 @@
     )
 
 
+def last_event_of(headers: Headers) -> int | None:
+    """Return the number of the last event that a caller has of a stream, if it resumes one."""
+    value = header(headers, LAST_EVENT)
+    return int(value) if value is not None and value.isdecimal() else None
+
+
+def prompt_ids(headers: Headers) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts, in order; none where the request has no prompt."""
+    value = header(headers, PROMPT)
+    if value is None:
+        return ()
+    return tuple(entry.strip().partition(":")[0] for entry in value.split(",") if entry.strip())
+
+
 def load_of(value: str | None) -> tuple[int | None, int, int]:
     """Return requests running, requests waiting and slots; None first where nothing is said."""
     parts = (value or "").split(",")
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -23,6 +23,7 @@
     LAST_EVENT,
     MS,
     PRIORITY,
+    PROMPT,
     VERSION,
     number,
     request_id,
@@ -45,7 +46,6 @@
 WAIT = "Wait-Ms"
 MODEL = "Model"
 TOKENS = "Token-Usage"
-PROMPT = "Prompt-Prefix"
 LENGTH = "Length-Hint"
 MAX_WAIT_S = 1.0
 
--- a/src/balsamcleat/tasks/front_door.py
+++ b/src/balsamcleat/tasks/front_door.py
@@ -9,6 +9,7 @@
 from balsamcleat.platform import classify_step_call, failure_headers, request_id
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.rollout_desk import RolloutDesk
+from balsamcleat.tasks.stream_forwarder import StreamForwarder
 
 __all__ = ["FrontDoor"]
 
@@ -25,6 +26,7 @@
     Args:
         table: Returns the configuration in force.
         forwarder: Answers live requests.
+        streams: Answers live streams.
         desk: Answers trainers.
     """
 
@@ -32,10 +34,12 @@
         self,
         table: Callable[[], RoutingTable | None],
         forwarder: LiveForwarder,
+        streams: StreamForwarder,
         desk: RolloutDesk,
     ) -> None:
         self.table = table
         self.forwarder = forwarder
+        self.streams = streams
         self.desk = desk
 
     def limits(self) -> ServerLimits:
@@ -80,6 +84,8 @@
             await self.answer_unrouted(request, responder, table, host)
         elif route.kind is RouteKind.ROLLOUT and request.method == SUBMIT:
             await self.desk.submit(request, route, responder)
+        elif route.kind is RouteKind.STREAM:
+            await self.streams.answer(request, route, responder)
         else:
             await self.forwarder.answer(request, route, responder)
 
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -8,6 +8,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from balsamcleat.decisions.crash_suspects import content_of
 from balsamcleat.decisions.live_attempts import AttemptLedger, FinalAnswer, hedge_delay_s
 from balsamcleat.decisions.replica_choice import choose_replica, choose_service
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
@@ -19,20 +20,29 @@
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import (
     caller_wait_s,
-    failure_headers,
     forwarded_headers,
+    prompt_ids,
     read_marks,
     relayed_headers,
     request_id,
 )
+from balsamcleat.tasks.live_answers import (
+    foreign_answer,
+    no_target,
+    refuse,
+    timed_out,
+    turned_away,
+)
+from balsamcleat.tasks.suspect_board import SuspectBoard
 
-__all__ = ["LiveForwarder"]
+__all__ = ["LiveCall", "LiveForwarder"]
 
 # Kept back of the caller's time for our own answer on its way.
 ANSWER_MARGIN_S = 0.03
-# When to come back after a refusal: long enough for a place, short against any objective here.
-RETRY_AFTER_MIN_S = 0.1
-RETRY_AFTER_SPREAD_S = 0.3
+# From this status on an answer is a target's own failure; another target may do better.
+TARGET_FAILED = 500
+# Samples of steps have the priorities after this one.
+LAST_LIVE_PRIORITY = 3
 
 log = structlog.get_logger()
 
@@ -46,6 +56,12 @@
     service: ServiceName
     deadline_s: float
     ledger: AttemptLedger
+    prompt: tuple[str, ...] = ()
+
+    def content(self) -> str:
+        """Return what the request is known by when it comes again."""
+        request = self.request
+        return content_of(request.peer, request.method, request.target, request.body)
 
     @property
     def attempt_id(self) -> str:
@@ -53,9 +69,16 @@
         return request_id(self.request.headers)
 
     def remaining_s(self) -> float:
-        """Return the time left, in seconds."""
+        """Return the time left for an answer to begin, in seconds."""
         return self.deadline_s - anyio.current_time()
 
+    def stream_remaining_s(self) -> float:
+        """Return the time left for a whole stream, which the route's timeout doesn't bound."""
+        waits_s = caller_wait_s(self.request.headers)
+        if waits_s is None:
+            return self.remaining_s()
+        return self.request.received_at_s + waits_s - anyio.current_time()
+
 
 class LiveForwarder:
     """Forwards one request at a time for each of its callers.
@@ -66,6 +89,7 @@
         pool: Connections to them.
         zone: This VM's availability zone.
         generator: Draws services, ties and times to come back.
+        board: Knows requests under which targets crashed.
     """
 
     def __init__(
@@ -75,36 +99,51 @@
         pool: ClientPool,
         zone: ZoneName,
         generator: random.Random,
+        board: SuspectBoard,
     ) -> None:
         self.directory = directory
         self.book = book
         self.pool = pool
         self.zone = zone
         self.generator = generator
+        self.board = board
 
     async def answer(self, request: Request, route: Route, responder: Responder) -> None:
         """Answer a live request from a target, or say why not."""
+        call = self.begin(request, route)
+        if call is None or self.is_condemned(call):
+            reason = "no service" if call is None else "targets crash under it"
+            final = FinalAnswer.NOT_RUN if call is None else FinalAnswer.CRASHES_TARGETS
+            await refuse(request, responder, final, reason, self.generator)
+            return
+        outcome = await self.run(call)
+        if isinstance(outcome, Ok):
+            response = outcome.ok_value
+            headers = relayed_headers(response.headers)
+            await responder.send(Response(response.status, headers, response.body))
+            return
+        reason = str(outcome.err_value)
+        await refuse(request, responder, call.ledger.final(), reason, self.generator)
+
+    def begin(self, request: Request, route: Route) -> LiveCall | None:
+        """Return the call with its service and deadline, or None where the route has none."""
         share = choose_service(route.shares, self.generator.random())
         if share is None:
-            await self.refuse(request, responder, FinalAnswer.NOT_RUN, "the route has no service")
-            return
+            return None
         waits_s = caller_wait_s(request.headers)
         time_s = route.timeout_s if waits_s is None else min(route.timeout_s, waits_s)
-        call = LiveCall(
+        return LiveCall(
             request=request,
             route=route,
             service=share.service,
             deadline_s=request.received_at_s + time_s - ANSWER_MARGIN_S,
             ledger=AttemptLedger(route.repeatable, route.attempts),
+            prompt=prompt_ids(request.headers) if route.sticky else (),
         )
-        outcome = await self.run(call)
-        if isinstance(outcome, Ok):
-            response = outcome.ok_value
-            headers = relayed_headers(response.headers)
-            await responder.send(Response(response.status, headers, response.body))
-            return
-        final = call.ledger.final()
-        await self.refuse(request, responder, final, str(outcome.err_value))
+
+    def is_condemned(self, call: LiveCall) -> bool:
+        """Return whether targets crashed under the same content before."""
+        return self.board.has_suspects() and self.board.is_condemned(call.content())
 
     async def run(self, call: LiveCall) -> Result[Response, AttemptFailedError]:
         """Ask targets until one answers whole or no more may be asked."""
@@ -125,15 +164,20 @@
                     continue
                 if outcome is None:
                     call.ledger.silent = True
-                    last = Err(timed_out())
+                    last = last if isinstance(last, Ok) else Err(timed_out())
                     break
                 running -= 1
-                last = outcome
-                if is_final(outcome):
+                if isinstance(outcome, Ok) or isinstance(last, Err):
+                    last = outcome
+                if isinstance(outcome, Ok) and not self.may_improve(call, outcome.ok_value):
                     break
             tasks.cancel_scope.cancel()
         return last
 
+    def may_improve(self, call: LiveCall, response: Response) -> bool:
+        """Return whether another target may do better than a target's own failure."""
+        return response.status >= TARGET_FAILED and call.ledger.repeatable
+
     def next_replica(self, call: LiveCall) -> Replica | None:
         """Return the target to ask next, or None where none may be asked."""
         if not call.ledger.may_begin() or call.remaining_s() <= 0.0:
@@ -143,6 +187,7 @@
             self.book,
             zone=self.zone,
             tried=call.ledger.tried,
+            prompt=call.prompt,
             now_s=anyio.current_time(),
             generator=self.generator,
         )
@@ -183,7 +228,10 @@
         evidence.in_flight += 1
         began_s = anyio.current_time()
         headers = forwarded_headers(
-            call.request.headers, target_id=replica.target_id, remaining_s=call.remaining_s()
+            call.request.headers,
+            target_id=replica.target_id,
+            remaining_s=call.remaining_s(),
+            priority=live_priority(call.route),
         )
         request = Request(call.request.method, call.request.target, headers, call.request.body)
         exchange = Exchange(self.pool, replica.address, request)
@@ -194,6 +242,8 @@
         except AttemptFailedError as error:
             evidence.failed(anyio.current_time())
             outcome = Err(error)
+            if error.kind is FailureKind.CUT and not exchange.status:
+                self.board.crashed(call.content(), replica.target_id, call.attempt_id)
         finally:
             exchange.end()
             evidence.in_flight -= 1
@@ -212,29 +262,10 @@
             return Err(turned_away(replica, response.status, marks.retry_after_s))
         if not marks.stamped:
             evidence.failed(now_s)
-            return Err(foreign(replica))
+            return Err(foreign_answer(replica))
         evidence.succeeded()
         return Ok(response)
 
-    async def refuse(
-        self, request: Request, responder: Responder, final: FinalAnswer, reason: str
-    ) -> None:
-        """Tell the caller at once that no target answered."""
-        attempt_id = request_id(request.headers)
-        retry_after_s = None
-        if final is FinalAnswer.NOT_RUN:
-            spread_s = self.generator.random() * RETRY_AFTER_SPREAD_S
-            retry_after_s = RETRY_AFTER_MIN_S + spread_s
-        log.warning(
-            "request refused",
-            request=attempt_id,
-            status=final.value,
-            reason=reason,
-            retry_after_s=retry_after_s,
-        )
-        headers = failure_headers(attempt_id, retry_after_s)
-        await responder.send(Response(final.value, headers, problem(final, reason)))
-
     def log_attempt(
         self,
         call: LiveCall,
@@ -260,57 +291,6 @@
             log.warning("attempt failed", kind=error.kind.value, reason=error.message, **fields)
 
 
-def is_final(outcome: Result[Response, AttemptFailedError]) -> bool:
-    """Return whether an attempt's end answers the caller."""
-    return isinstance(outcome, Ok)
-
-
-def problem(final: FinalAnswer, reason: str) -> bytes:
-    """Return the body of an answer of our own."""
-    certainty = "not run" if final is FinalAnswer.NOT_RUN else "outcome unknown"
-    return f'{{"title":"{certainty}","status":{final.value}}}\n'.encode()
-
-
-def no_target(service: ServiceName) -> AttemptFailedError:
-    """Return the failure where no target takes work."""
-    return AttemptFailedError(
-        f"no target of {service} takes work",
-        step="live.choose",
-        peer=None,
-        perhaps_sent=False,
-        kind=FailureKind.NO_TARGET,
-    )
-
-
-def timed_out() -> AttemptFailedError:
-    """Return the failure of a request whose time is up."""
-    return AttemptFailedError(
-        "the time is up",
-        step="live.wait",
-        peer=None,
-        perhaps_sent=True,
-        kind=FailureKind.DEADLINE,
-    )
-
-
-def turned_away(replica: Replica, status: int, retry_after_s: float | None) -> AttemptFailedError:
-    """Return the failure where a target says that it did not run the request."""
-    return AttemptFailedError(
-        f"turned away with {status}",
-        step="live.attempt",
-        peer=replica.target_id,
-        perhaps_sent=False,
-        kind=FailureKind.REFUSED,
-        retry_after_s=retry_after_s,
-    )
-
-
-def foreign(replica: Replica) -> AttemptFailedError:
-    """Return the failure where an answer wasn't made by a target."""
-    return AttemptFailedError(
-        "an answer without the target's stamp",
-        step="live.attempt",
-        peer=replica.target_id,
-        perhaps_sent=True,
-        kind=FailureKind.MALFORMED,
-    )
+def live_priority(route: Route) -> int:
+    """Return a route's priority at a target: 0 to 3, before any sample's."""
+    return min(route.rank, LAST_LIVE_PRIORITY)
--- /dev/null
+++ b/tests/live_world.py
@@ -0,0 +1,174 @@
+"""A front server with live forwarding to raw targets, all on loopback."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.replica_evidence import EvidenceBook
+from balsamcleat.http1 import ClientPool, HttpServer, PoolLimits, Request, Responder, ServerLimits
+from balsamcleat.http1.streams import listen
+from balsamcleat.model import ServiceName, TargetId, ZoneName
+from balsamcleat.model.replicas import Replica, ReplicaState
+from balsamcleat.model.routing import Route, RouteKind, ServiceShare
+from balsamcleat.platform import CORRELATION_HEADER
+from balsamcleat.standins.row_store import MemoryRowStore, RowStoreView
+from balsamcleat.tasks.live_forwarder import LiveForwarder
+from balsamcleat.tasks.stream_forwarder import StreamForwarder
+from balsamcleat.tasks.suspect_board import SuspectBoard
+from raw_target import RawTarget, Script, raw_target
+
+SERVICE = ServiceName("service")
+
+
+def route(kind: RouteKind = RouteKind.IDEMPOTENT, **fields) -> Route:
+    known = {
+        "name": "r",
+        "host": "host.example",
+        "prefix": "/",
+        "kind": kind,
+        "shares": (ServiceShare(SERVICE),),
+        "timeout_s": 2.0,
+        "objective_s": 0.3,
+        "attempts": 3,
+    }
+    return Route(**{**known, **fields})
+
+
+def answer_bytes(attempt: str, body: bytes, status: str = "200 OK", **headers: str) -> bytes:
+    head = [
+        f"HTTP/1.1 {status}",
+        f"Attempt-Id: {attempt}",
+        "Server-Stamp: stamp",
+        f"Content-Length: {len(body)}",
+    ]
+    head += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+def attempt_of(request: bytes) -> str:
+    for line in request.split(b"\r\n"):
+        if line.lower().startswith(b"attempt-id:"):
+            return line.split(b":")[1].strip().decode()
+    return ""
+
+
+@dataclass
+class Caller:
+    """A caller on a raw connection."""
+
+    stream: anyio.abc.SocketStream
+    rest: bytes = b""
+
+    async def send(self, data: bytes) -> None:
+        await self.stream.send(data)
+
+    async def ask(
+        self, attempt: str, method: str = "POST", body: bytes = b"", more: str = ""
+    ) -> None:
+        head = (
+            f"{method} /path HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: {attempt}\r\n"
+            f"Deadline-Ms: 2000\r\nContent-Length: {len(body)}\r\n{more}\r\n"
+        )
+        await self.send(head.encode() + body)
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        """Read one whole answer; raises ``anyio.EndOfStream`` where it is cut."""
+        while b"\r\n\r\n" not in self.rest:
+            self.rest += await self.stream.receive()
+        head, _, self.rest = self.rest.partition(b"\r\n\r\n")
+        first, *lines = head.decode().split("\r\n")
+        headers = {k.lower(): v.strip() for k, v in (line.split(":", 1) for line in lines)}
+        if headers.get("transfer-encoding") == "chunked":
+            return int(first.split()[1]), headers, await self.chunks()
+        size = int(headers["content-length"])
+        while len(self.rest) < size:
+            self.rest += await self.stream.receive()
+        body, self.rest = self.rest[:size], self.rest[size:]
+        return int(first.split()[1]), headers, body
+
+    async def chunks(self) -> bytes:
+        body = b""
+        while True:
+            while b"\r\n" not in self.rest:
+                self.rest += await self.stream.receive()
+            size, _, self.rest = self.rest.partition(b"\r\n")
+            length = int(size, 16)
+            while len(self.rest) < length + 2:
+                self.rest += await self.stream.receive()
+            body += self.rest[:length]
+            self.rest = self.rest[length + 2 :]
+            if not length:
+                return body
+
+    async def call(self, attempt: str, **options) -> tuple[int, dict[str, str], bytes]:
+        await self.ask(attempt, **options)
+        return await self.answer()
+
+
+@dataclass
+class LiveWorld:
+    """The front, its targets and its callers."""
+
+    address: str
+    server: HttpServer
+    targets: list[RawTarget]
+    pool: ClientPool
+    board: SuspectBoard
+    callers: list[Caller] = field(default_factory=list)
+
+    async def caller(self) -> Caller:
+        host, port = self.address.split(":")
+        found = Caller(await anyio.connect_tcp(host, int(port)))
+        self.callers.append(found)
+        return found
+
+
+@asynccontextmanager
+async def live_world(
+    scripts: list[Script], to: Route, limits: ServerLimits | None = None
+) -> AsyncIterator[LiveWorld]:
+    directory = ReplicaDirectory()
+    async with AsyncExitStack() as stack:
+        targets = [await stack.enter_async_context(raw_target(script)) for script in scripts]
+        for number, target in enumerate(targets):
+            directory.changed(
+                Replica(
+                    target_id=TargetId(f"t{number}"),
+                    service=SERVICE,
+                    address=target.address,
+                    zone=ZoneName("a" if number == 0 else "b"),
+                    state=ReplicaState.READY,
+                    slots=6,
+                    entry_version=1,
+                )
+            )
+        group = await stack.enter_async_context(anyio.create_task_group())
+        pool = ClientPool(PoolLimits(), CORRELATION_HEADER)
+        board = SuspectBoard(
+            RowStoreView(MemoryRowStore()), lambda task, key: group.start_soon(task, key)
+        )
+        forwarder = LiveForwarder(
+            directory, EvidenceBook(), pool, ZoneName("a"), random.Random(1), board
+        )
+        streams = StreamForwarder(forwarder)
+
+        async def handle(request: Request, responder: Responder) -> None:
+            answerer = streams if to.kind is RouteKind.STREAM else forwarder
+            await answerer.answer(request, to, responder)
+
+        listener = listen("127.0.0.1:0")
+        server = HttpServer(listener, handle, lambda: limits or ServerLimits())
+        group.start_soon(server.run)
+        host, port = listener.getsockname()
+        world = LiveWorld(f"{host}:{port}", server, targets, pool, board)
+        yield world
+        server.stop_accepting()
+        pool.close()
+        for caller in world.callers:
+            await caller.stream.aclose()
+        group.cancel_scope.cancel()
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -17,6 +17,7 @@
     connections: int = 0
     requests: list[bytes] = field(default_factory=list)
     closed: anyio.Event = field(default_factory=anyio.Event)
+    asked: anyio.Event = field(default_factory=anyio.Event)
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
         self.connections += 1
@@ -36,6 +37,7 @@
                 while len(body) < int(line.split(b":")[1]):
                     body += await stream.receive()
         self.requests.append(head + b"\r\n\r\n" + body)
+        self.asked.set()
         return data
 
 
--- /dev/null
+++ b/tests/test_stream_forwarding.py
@@ -0,0 +1,79 @@
+"""Live streams over sockets: each event once and in order, also when targets break off."""
+
+import anyio
+import pytest
+
+from balsamcleat.model.routing import RouteKind
+from live_world import live_world, route
+from raw_target import RawTarget
+
+pytestmark = pytest.mark.anyio
+EVENTS = 6
+STREAM = route(RouteKind.STREAM, resumable=True)
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: event {number}\n\n".encode()
+
+
+def chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def streaming(cut_after: int | None = None, skip: int | None = None):
+    """Return a target that streams events, breaking off in the middle of one or leaving one out."""
+
+    async def script(target: RawTarget, stream) -> None:
+        await target.read_request(stream)
+        request = target.requests[-1].decode()
+        first = 1
+        for line in request.split("\r\n"):
+            if line.startswith("Last-Event-Id:"):
+                first = int(line.split(":")[1]) + 1
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        for number in range(first, EVENTS + 1):
+            if number == skip:
+                continue
+            if number == cut_after:
+                await stream.send(chunk(event(number)[:7]))
+                return
+            await stream.send(chunk(event(number)))
+        await stream.send(b"0\r\n\r\n")
+
+    return script
+
+
+WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
+
+
+async def test_a_stream_passes_through_unchanged() -> None:
+    async with live_world([streaming()], STREAM) as world:
+        caller = await world.caller()
+        status, headers, body = await caller.call("a")
+        assert (status, body) == (200, WHOLE)
+        assert headers["server-stamp"] == "s"
+
+
+@pytest.mark.parametrize("broken", [streaming(cut_after=3), streaming(skip=3)])
+async def test_a_broken_stream_goes_on_elsewhere_without_gap_or_doubling(broken) -> None:
+    async with live_world([broken, streaming()], STREAM) as world:
+        caller = await world.caller()
+        assert (await caller.call("a"))[2] == WHOLE
+
+
+async def test_a_stream_that_may_not_go_on_ends_visibly() -> None:
+    async with live_world([streaming(cut_after=3), streaming()], route(RouteKind.STREAM)) as world:
+        caller = await world.caller()
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            await caller.call("a")
+        assert not world.targets[1].requests
+
+
+async def test_a_caller_may_go_on_after_the_events_that_it_has() -> None:
+    async with live_world([streaming(cut_after=5), streaming()], STREAM) as world:
+        caller = await world.caller()
+        _, _, body = await caller.call("a", more="Last-Event-Id: 3\r\n")
+        assert body == b"".join(event(number) for number in range(4, EVENTS + 1))
