--- a/src/balsamcleat/decisions/readiness.py
+++ b/src/balsamcleat/decisions/readiness.py
@@ -10,7 +10,7 @@
 
 __all__ = ["PeerView", "Readiness", "StoreView", "decide_readiness", "is_suspect"]
 
-# The store answers many times a second; silence for this long is worth asking others about.
+# Every VM calls the store twice a second; silence for this long is worth asking others about.
 SUSPECT_AFTER_S = 1.0
 
 
@@ -32,9 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreView:
-    """How this VM reaches the store; ``silence_s`` is the time since its last answer."""
+    """How this VM reaches the store.
+
+    Attributes:
+        silence_s: Time since the store's last answer.
+        failing: Whether the last calls failed, though perhaps at once.
+    """
 
     silence_s: float
+    failing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +60,7 @@
 
 def is_suspect(store: StoreView) -> bool:
     """Return whether peers should be asked."""
-    return store.silence_s >= SUSPECT_AFTER_S
+    return store.failing or store.silence_s >= SUSPECT_AFTER_S
 
 
 def decide_readiness(
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -38,6 +38,7 @@
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.model_use import ModelUses
 from balsamcleat.tasks.peers import PeerDesk, PeerState, PeerWatch
+from balsamcleat.tasks.relayed_store import RelayedRowStore, StoreRelay
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
 from balsamcleat.tasks.rollout_desk import RolloutDesk
 from balsamcleat.tasks.rollout_records import STEPS_TABLE, RolloutRecords
@@ -84,7 +85,9 @@
         generator = random.Random()
         store_pool = ClientPool(PoolLimits(connect_s=0.8, idle_connections=16))
         self.pool = ClientPool(PoolLimits(connect_s=0.5), CORRELATION_HEADER)
-        self.store = PlatformRowStore(settings.store, store_pool)
+        self.straight = PlatformRowStore(settings.store, store_pool)
+        self.peer_pool = ClientPool(PoolLimits(connect_s=0.3, idle_connections=16))
+        self.store = RelayedRowStore(self.straight, self.peer_pool, lambda: self.peers.reaching)
         self.directory = ReplicaDirectory()
         self.book = EvidenceBook()
         self.routing = RoutingKeeper(self.wake)
@@ -147,11 +150,11 @@
             self.presence.store_now_ms,
         )
         self.peers = PeerWatch(
-            ClientPool(PoolLimits(connect_s=0.3, idle_connections=8)),
+            self.peer_pool,
             settings.vm,
             settings.zone,
             self.presence.watch.living,
-            self.store_view,
+            self.straight_view,
             generator,
         )
         self.uses = ModelUses(
@@ -178,7 +181,7 @@
         )
         self.peer_server = HttpServer(
             listen(settings.peer_address),
-            PeerDesk(self.peer_state).answer,
+            PeerDesk(self.peer_state, StoreRelay(self.straight)).answer,
             lambda: ServerLimits(),
         )
         self.readiness = Readiness.NO_CONFIGURATION
@@ -191,12 +194,17 @@
         self.orders.wake()
 
     def store_view(self) -> StoreView:
-        """Return how this VM reaches the store."""
+        """Return how this VM reaches the store, by whichever way."""
         return StoreView(max(0.0, anyio.current_time() - self.store.answered_at_s))
 
+    def straight_view(self) -> StoreView:
+        """Return how this VM reaches the store without another's help."""
+        silence_s = max(0.0, anyio.current_time() - self.straight.answered_at_s)
+        return StoreView(silence_s, failing=self.store.path.failing)
+
     def peer_state(self) -> PeerState:
         """Return what this VM says of itself to others."""
-        silence_s = min(NEVER_S, self.store_view().silence_s)
+        silence_s = min(NEVER_S, self.straight_view().silence_s)
         return PeerState(self.boot, silence_s)
 
     async def answer_ready(self, request: Request, responder: Responder) -> None:
@@ -221,7 +229,9 @@
 
     async def run(self) -> None:
         """Run until told to stop."""
-        log.info("start", boot=self.boot, zone=self.settings.zone, store=self.store.access.address)
+        log.info(
+            "start", boot=self.boot, zone=self.settings.zone, store=self.settings.store.address
+        )
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
             for follower in self.followers:
--- a/src/balsamcleat/http1/streams.py
+++ b/src/balsamcleat/http1/streams.py
@@ -12,7 +12,7 @@
 # A peer that acknowledges nothing for this long is taken as cut off. Partitions are silent; the
 # shortest bound that hangs on noticing one is a couple of seconds.
 USER_TIMEOUT_MS = 2500
-KEEPALIVE_IDLE_S = 2
+KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 BACKLOG = 512
--- a/src/balsamcleat/platform/store.py
+++ b/src/balsamcleat/platform/store.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from balsamcleat.decisions.store_path import CallTimeout
 from balsamcleat.errors import (
     AttemptFailedError,
     InvalidInputError,
@@ -14,6 +15,7 @@
     PlatformUnavailableError,
 )
 from balsamcleat.http1 import ClientPool, Request, Response
+from balsamcleat.model import FailureKind
 from balsamcleat.platform.settings import StoreAccess
 from balsamcleat.ports.rows import (
     FeedPage,
@@ -29,10 +31,6 @@
 
 __all__ = ["PlatformRowStore"]
 
-# An answer takes some 4 ms, and 60 times that when the store is slow; a store that is away is
-# silent. Feeds wait longer by what they ask.
-CALL_TIMEOUT_S = 1.5
-FEED_SLACK_S = 1.5
 MAX_PARTS = 1000
 
 
@@ -113,6 +111,7 @@
         self.access = access
         self.pool = pool
         self.limits = access.limits
+        self.timeout = CallTimeout()
         # When the store answered last, on the process's clock.
         self.answered_at_s = float("-inf")
 
@@ -121,7 +120,7 @@
         body = msgspec.json.encode(encode_commit(commit))
         request = Request("POST", "/rows-tx", self.headers(), body)
         try:
-            response = await self.pool.fetch(self.access.address, request, CALL_TIMEOUT_S)
+            response = await self.fetch(request, 0.0)
         except AttemptFailedError as error:
             raise lost_write(error) from error
         if response.status == 200:
@@ -148,7 +147,7 @@
             query["from"] = start
         if end:
             query["to"] = end
-        fields = await self.get("/rows-get", query, RowsFields, CALL_TIMEOUT_S)
+        fields = await self.get("/rows-get", query, RowsFields)
         rows = tuple(map(decode_row, fields.rows))
         return RowPage(rows, fields.has_more, fields.ver, int(fields.now_ms))
 
@@ -157,24 +156,38 @@
         query = {"table": table}
         if after:
             query["after"] = after
-        fields = await self.get("/rows-parts", query, PartsFields, CALL_TIMEOUT_S)
+        fields = await self.get("/rows-parts", query, PartsFields)
         return tuple(fields.parts), fields.has_more or len(fields.parts) >= MAX_PARTS
 
     async def changes(self, table: str, after: int, wait_s: float) -> FeedPage:
         """Return what changed after a version."""
         query = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
-        fields = await self.get("/rows-feed", query, RowsFields, wait_s + FEED_SLACK_S)
+        fields = await self.get("/rows-feed", query, RowsFields, wait_s)
         rows = tuple(map(decode_row, fields.rows))
         return FeedPage(rows, max(fields.ver, after), int(fields.now_ms))
 
+    async def fetch(self, request: Request, wait_s: float) -> Response:
+        """Make one call; ``wait_s`` is how long the store was asked to wait before it answers."""
+        began_s = anyio.current_time()
+        timeout_s = wait_s + self.timeout.timeout_s
+        try:
+            response = await self.pool.fetch(self.access.address, request, timeout_s)
+        except AttemptFailedError as error:
+            if error.kind is FailureKind.SILENT:
+                self.timeout.expired()
+            raise
+        if not wait_s:
+            self.timeout.answered(anyio.current_time() - began_s)
+        return response
+
     async def get(
-        self, path: str, query: dict[str, str], kind: type[Fields], timeout_s: float
+        self, path: str, query: dict[str, str], kind: type[Fields], wait_s: float = 0.0
     ) -> Fields:
-        """Make a reading call; one that failed on a kept connection is made once more."""
+        """Make a reading call."""
         target = f"{path}?{urlencode(query, quote_via=quote)}"
         request = Request("GET", target, self.headers())
         try:
-            response = await self.pool.fetch(self.access.address, request, timeout_s)
+            response = await self.fetch(request, wait_s)
         except AttemptFailedError as error:
             raise PlatformUnavailableError(
                 error.message, step=f"store{path}", peer=self.access.address
--- a/src/balsamcleat/tasks/peers.py
+++ b/src/balsamcleat/tasks/peers.py
@@ -17,6 +17,7 @@
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ClientPool, Request, Responder, Response
+from balsamcleat.tasks.relayed_store import RELAY_PREFIX, StoreRelay
 
 __all__ = ["PeerDesk", "PeerState", "PeerWatch"]
 
@@ -47,13 +48,18 @@
 
     Args:
         state: Returns what this VM says of itself.
+        relay: Carries their calls to the store.
     """
 
-    def __init__(self, state: Callable[[], PeerState]) -> None:
+    def __init__(self, state: Callable[[], PeerState], relay: StoreRelay) -> None:
         self.state = state
+        self.relay = relay
 
     async def answer(self, request: Request, responder: Responder) -> None:
         """Answer one peer's request."""
+        if request.path.startswith(RELAY_PREFIX):
+            await self.relay.answer(request, responder)
+            return
         if request.path != STATE_PATH:
             await responder.send(Response(404))
             return
@@ -76,7 +82,7 @@
         vm: This VM.
         zone: Its availability zone.
         living: Returns the rows of VMs believed to live.
-        store_view: Returns how this VM reaches the store.
+        straight: Returns how this VM reaches the store without another's help.
         generator: Draws peers.
     """
 
@@ -86,16 +92,18 @@
         vm: str,
         zone: str,
         living: Callable[[], list[VmRow]],
-        store_view: Callable[[], StoreView],
+        straight: Callable[[], StoreView],
         generator: random.Random,
     ) -> None:
         self.pool = pool
         self.vm = vm
         self.zone = zone
         self.living = living
-        self.store_view = store_view
+        self.straight = straight
         self.generator = generator
         self.view = PeerView()
+        # VMs that reach the store, while this one doesn't.
+        self.reaching: list[VmRow] = []
         self.rows: dict[str, VmRow] = {}
 
     async def run(self) -> None:
@@ -104,10 +112,11 @@
             await anyio.sleep(ASK_EVERY_S)
             for row in self.living():
                 self.rows[row.vm] = row
-            if is_suspect(self.store_view()):
+            if is_suspect(self.straight()):
                 await self.ask_about_store()
             else:
                 self.view = PeerView()
+                self.reaching = []
 
     async def ask_about_store(self) -> None:
         """Ask some peers, those of other zones first, whether they reach the store."""
@@ -115,17 +124,20 @@
         self.generator.shuffle(others)
         others.sort(key=lambda row: row.zone == self.zone)
         asked = await self.ask(others[:PEERS_ASKED])
-        states = [answer.state for answer in asked if answer.state is not None]
-        reach = sum(1 for state in states if state.store_silence_s < REACHES_WITHIN_S)
+        states = {answer.vm: answer.state for answer in asked if answer.state is not None}
+        reaching = {vm for vm, state in states.items() if state.store_silence_s < REACHES_WITHIN_S}
+        found = [row for row in others if row.vm in reaching]
+        # Bytes between zones are dear; the rest is left to chance.
+        self.reaching = sorted(found, key=lambda row: row.zone != self.zone)
         before = self.view
-        self.view = PeerView(len(asked), len(states), reach)
+        self.view = PeerView(len(asked), len(states), len(reaching))
         if self.view != before:
             log.info(
                 "peers asked about the store",
                 asked=len(asked),
                 answered=len(states),
-                reach_store=reach,
-                silence_s=round(self.store_view().silence_s, 2),
+                reach_store=len(reaching),
+                silence_s=round(self.straight().silence_s, 2),
             )
 
     async def ask(self, rows: list[VmRow]) -> list[Asked]:
--- /dev/null
+++ b/src/balsamcleat/tasks/relayed_store.py
@@ -0,0 +1,242 @@
+"""The row store by the way that is open: straight, or carried by a VM that reaches it."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import anyio
+import msgspec
+import structlog
+
+from balsamcleat.decisions.store_path import StorePath
+from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.errors import (
+    AttemptFailedError,
+    OutcomeUnknownError,
+    PlatformError,
+    PlatformUnavailableError,
+)
+from balsamcleat.http1 import ClientPool, Request, Responder, Response
+from balsamcleat.ports.rows import (
+    FeedPage,
+    HistoryLostError,
+    RowCommit,
+    RowConflict,
+    RowPage,
+    RowsCommitted,
+    RowStore,
+)
+
+__all__ = ["RELAY_PREFIX", "RelayedRowStore", "StoreRelay"]
+
+RELAY_PREFIX = "/rows/"
+RELAY_TIMEOUT_S = 1.5
+# A feed by way of another VM waits no longer, so that the straight way is soon tried again.
+RELAYED_FEED_WAIT_S = 1.0
+NOT_DONE = 503
+UNKNOWN = 504
+HISTORY_LOST = 410
+
+Kind = TypeVar("Kind")
+log = structlog.get_logger()
+
+
+class CommitReply(msgspec.Struct, frozen=True):
+    """A commit's outcome: one of the two."""
+
+    committed: RowsCommitted | None = None
+    conflict: RowConflict | None = None
+
+
+class ReadCall(msgspec.Struct, frozen=True):
+    """Arguments of a read."""
+
+    table: str
+    part: str
+    start: str
+    end: str
+    limit: int
+
+
+class PartsCall(msgspec.Struct, frozen=True):
+    """Arguments of a listing of parts."""
+
+    table: str
+    after: str
+
+
+class ChangesCall(msgspec.Struct, frozen=True):
+    """Arguments of a feed."""
+
+    table: str
+    after: int
+    wait_s: float
+
+
+class StoreRelay:
+    """Carries other VMs' calls to the store; never by way of a third one.
+
+    Args:
+        store: The straight way.
+    """
+
+    def __init__(self, store: RowStore) -> None:
+        self.store = store
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Make one call for a peer and answer with its outcome."""
+        name = request.path.removeprefix(RELAY_PREFIX)
+        try:
+            reply = await self.call(name, request.body)
+        except msgspec.DecodeError as error:
+            log.warning("peer's call unreadable", call=name, reason=str(error))
+            await responder.send(Response(400))
+        except HistoryLostError:
+            await responder.send(Response(HISTORY_LOST))
+        except OutcomeUnknownError:
+            await responder.send(Response(UNKNOWN))
+        except PlatformError:
+            await responder.send(Response(NOT_DONE))
+        else:
+            await responder.send(Response(200, (), msgspec.msgpack.encode(reply)))
+
+    async def call(self, name: str, body: bytes) -> object:
+        """Return the reply to a call."""
+        if name == "commit":
+            outcome = await self.store.commit(msgspec.msgpack.decode(body, type=RowCommit))
+            if isinstance(outcome, RowConflict):
+                return CommitReply(conflict=outcome)
+            return CommitReply(committed=outcome)
+        if name == "read":
+            read = msgspec.msgpack.decode(body, type=ReadCall)
+            return await self.store.read(read.table, read.part, read.start, read.end, read.limit)
+        if name == "parts":
+            parts = msgspec.msgpack.decode(body, type=PartsCall)
+            return await self.store.parts(parts.table, parts.after)
+        changes = msgspec.msgpack.decode(body, type=ChangesCall)
+        wait_s = min(changes.wait_s, RELAYED_FEED_WAIT_S)
+        return await self.store.changes(changes.table, changes.after, wait_s)
+
+
+class RelayedRowStore(RowStore):
+    """Goes straight while that works, else by way of a VM that reaches the store.
+
+    Args:
+        store: The straight way.
+        pool: Connections to peers.
+        relays: Returns VMs that reach the store, the best first.
+    """
+
+    def __init__(
+        self, store: RowStore, pool: ClientPool, relays: Callable[[], list[VmRow]]
+    ) -> None:
+        self.store = store
+        self.pool = pool
+        self.relays = relays
+        self.limits = store.limits
+        self.path = StorePath()
+        self.detouring = False
+        # When the store answered last by either way, on the process's clock.
+        self.answered_at_s = float("-inf")
+
+    async def commit(self, commit: RowCommit) -> RowsCommitted | RowConflict:
+        """Apply all writes or none."""
+        if self.straight():
+            try:
+                return self.done(await self.store.commit(commit))
+            except OutcomeUnknownError:
+                # It may yet take effect; only the caller knows whether it may be made again.
+                self.path.failed()
+                raise
+            except PlatformUnavailableError as error:
+                self.not_done(error)
+        body = msgspec.msgpack.encode(commit)
+        reply = await self.relay("commit", body, CommitReply, RELAY_TIMEOUT_S)
+        if reply.conflict is not None:
+            return reply.conflict
+        if reply.committed is None:
+            raise OutcomeUnknownError("an empty reply", step="store.relay")
+        return reply.committed
+
+    async def read(
+        self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
+    ) -> RowPage:
+        """Return rows with ``start <= key < end``; an empty bound is open."""
+        if self.straight():
+            try:
+                return self.done(await self.store.read(table, part, start, end, limit))
+            except PlatformUnavailableError as error:
+                self.not_done(error)
+        call = ReadCall(table, part, start, end, limit)
+        return await self.relay("read", msgspec.msgpack.encode(call), RowPage, RELAY_TIMEOUT_S)
+
+    async def parts(self, table: str, after: str = "") -> tuple[tuple[str, ...], bool]:
+        """Return names of parts above ``after`` and whether there are more."""
+        if self.straight():
+            try:
+                return self.done(await self.store.parts(table, after))
+            except PlatformUnavailableError as error:
+                self.not_done(error)
+        body = msgspec.msgpack.encode(PartsCall(table, after))
+        kind: Any = tuple[tuple[str, ...], bool]
+        found: tuple[tuple[str, ...], bool] = await self.relay("parts", body, kind, RELAY_TIMEOUT_S)
+        return found
+
+    async def changes(self, table: str, after: int, wait_s: float) -> FeedPage:
+        """Return what changed after a version."""
+        if self.straight():
+            try:
+                # A probe of the straight way must not wait long for nothing.
+                probe_s = 0.0 if self.path.failing else wait_s
+                return self.done(await self.store.changes(table, after, probe_s))
+            except PlatformUnavailableError as error:
+                self.not_done(error)
+        wait_s = min(wait_s, RELAYED_FEED_WAIT_S)
+        body = msgspec.msgpack.encode(ChangesCall(table, after, wait_s))
+        return await self.relay("changes", body, FeedPage, RELAY_TIMEOUT_S + wait_s)
+
+    def straight(self) -> bool:
+        """Return whether the next call goes straight."""
+        now_s = anyio.current_time()
+        return self.path.go_straight(now_s, detour_known=bool(self.relays()))
+
+    def done(self, outcome: Kind) -> Kind:
+        """Take note of an answer on the straight way."""
+        self.path.succeeded()
+        self.answered_at_s = anyio.current_time()
+        if self.detouring:
+            self.detouring = False
+            log.info("store reached straight again")
+        return outcome
+
+    def not_done(self, error: PlatformUnavailableError) -> None:
+        """Take note that the straight way did nothing; raises where there is no other."""
+        self.path.failed()
+        if not self.path.failing or not self.relays():
+            raise error
+
+    async def relay(self, name: str, body: bytes, kind: type[Kind], timeout_s: float) -> Kind:
+        """Make a call by way of the best VM that reaches the store."""
+        relays = self.relays()
+        if not relays:
+            raise PlatformUnavailableError("no way to the store", step="store.relay")
+        peer = relays[0]
+        if not self.detouring:
+            self.detouring = True
+            log.warning("store reached by way of a peer", peer=peer.vm)
+        request = Request("POST", RELAY_PREFIX + name, (("Host", peer.address),), body)
+        try:
+            response = await self.pool.fetch(peer.address, request, timeout_s)
+        except AttemptFailedError as error:
+            unknown = name == "commit" and error.perhaps_sent
+            failure = OutcomeUnknownError if unknown else PlatformUnavailableError
+            raise failure(error.message, step="store.relay", peer=peer.vm) from error
+        if response.status == HISTORY_LOST:
+            raise HistoryLostError
+        if response.status == UNKNOWN:
+            raise OutcomeUnknownError("no answer", step="store.relay", peer=peer.vm)
+        if response.status != 200:
+            raise PlatformUnavailableError(
+                f"refused with {response.status}", step="store.relay", peer=peer.vm
+            )
+        self.answered_at_s = anyio.current_time()
+        return msgspec.msgpack.decode(response.body, type=kind)
--- a/src/balsamcleat/tasks/table_follower.py
+++ b/src/balsamcleat/tasks/table_follower.py
@@ -11,7 +11,8 @@
 
 __all__ = ["TableFollower", "TableObserver", "read_table"]
 
-FEED_WAIT_S = 10.0
+# A connection can go silent for good; a change must be in force some 2 s after it was accepted.
+FEED_WAIT_S = 2.0
 RETRY_BASE_S = 0.05
 RETRY_CAP_S = 0.4
 
--- /dev/null
+++ b/tests/test_relayed_store.py
@@ -0,0 +1,135 @@
+"""The store by way of another VM, over sockets, as the straight way closes and opens."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from balsamcleat.decisions.readiness import StoreView
+from balsamcleat.decisions.store_path import (
+    LONGEST_TIMEOUT_S,
+    PROBE_EVERY_S,
+    SHORTEST_TIMEOUT_S,
+    CallTimeout,
+    StorePath,
+)
+from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.errors import OutcomeUnknownError, PlatformUnavailableError
+from balsamcleat.http1 import ClientPool, HttpServer, PoolLimits, ServerLimits
+from balsamcleat.http1.streams import listen
+from balsamcleat.ports.rows import (
+    HistoryLostError,
+    RowCommit,
+    RowConflict,
+    RowKey,
+    RowsCommitted,
+    RowWrite,
+)
+from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
+from balsamcleat.tasks.peers import PeerDesk, PeerState, PeerWatch
+from balsamcleat.tasks.relayed_store import RelayedRowStore, StoreRelay
+
+KEY = RowKey("table", "part", "key")
+WRITE = RowCommit((RowWrite(KEY, b"value"),), ((KEY, 0),))
+
+
+@asynccontextmanager
+async def cut_off_vm(
+    relay_flaws: RowStoreFlaws,
+) -> AsyncIterator[tuple[MemoryRowStore, RowStoreFlaws, RelayedRowStore]]:
+    """Yield the store, the cut-off VM's flaws and its store, with a peer that reaches it."""
+    store = MemoryRowStore()
+    flaws = RowStoreFlaws(down=True)
+    relay = StoreRelay(RowStoreView(store, relay_flaws))
+    desk = PeerDesk(lambda: PeerState("boot", 0.1), relay)
+    listener = listen("127.0.0.1:0")
+    host, port = listener.getsockname()
+    server = HttpServer(listener, desk.answer, lambda: ServerLimits())
+    pool = ClientPool(PoolLimits())
+    row = VmRow("peer", "boot", f"{host}:{port}", "a", 1)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        watch = PeerWatch(
+            pool, "me", "a", lambda: [row], lambda: StoreView(5.0, True), random.Random(1)
+        )
+        tasks.start_soon(watch.run)
+        await anyio.sleep(0.5)
+        view = RowStoreView(store, flaws)
+        found = RelayedRowStore(view, pool, lambda: watch.reaching)
+        found.path.failures = 2
+        yield store, flaws, found
+        server.stop_accepting()
+        pool.close()
+        tasks.cancel_scope.cancel()
+
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_calls_go_by_way_of_a_peer_and_mean_the_same() -> None:
+    async with cut_off_vm(RowStoreFlaws()) as (store, _, cut_off):
+        assert isinstance(await cut_off.commit(WRITE), RowsCommitted)
+        assert isinstance(await cut_off.commit(WRITE), RowConflict)
+        page = await cut_off.read("table", "part")
+        assert [row.value for row in page.rows] == [b"value"]
+        assert (await cut_off.parts("table"))[0] == ("part",)
+        assert (await cut_off.changes("table", 0, 0.0)).rows[0].key == KEY
+        store.forget_history()
+        with pytest.raises(HistoryLostError):
+            await cut_off.changes("table", 0, 0.0)
+
+
+async def test_a_peer_s_failures_keep_their_meaning() -> None:
+    async with cut_off_vm(RowStoreFlaws(refuse_commits=1, lose_answers=1)) as (_, _, cut_off):
+        with pytest.raises(PlatformUnavailableError):
+            await cut_off.commit(WRITE)
+        with pytest.raises(OutcomeUnknownError):
+            await cut_off.commit(WRITE)
+        assert isinstance(await cut_off.commit(WRITE), RowConflict)
+
+
+async def test_the_straight_way_is_taken_again_once_it_is_open() -> None:
+    async with cut_off_vm(RowStoreFlaws()) as (_, flaws, cut_off):
+        await cut_off.read("table", "part")
+        assert cut_off.detouring
+        flaws.down = False
+        await anyio.sleep(PROBE_EVERY_S)
+        await cut_off.read("table", "part")
+        assert not cut_off.detouring
+
+
+async def test_a_commit_without_an_answer_is_not_made_again_by_another_way() -> None:
+    async with cut_off_vm(RowStoreFlaws()) as (store, flaws, cut_off):
+        flaws.down, flaws.lose_answers = False, 1
+        cut_off.path.failures = 0
+        with pytest.raises(OutcomeUnknownError):
+            await cut_off.commit(WRITE)
+        assert store.version == 1
+
+
+async def test_one_failure_is_no_reason_for_a_detour() -> None:
+    path = StorePath()
+    path.failed()
+    assert path.go_straight(0.0, detour_known=True)
+    path.failed()
+    assert path.go_straight(0.0, detour_known=True)
+    assert not path.go_straight(0.1, detour_known=True)
+    assert path.go_straight(0.1, detour_known=False)
+    assert path.go_straight(PROBE_EVERY_S + 0.01, detour_known=True)
+
+
+async def test_timeouts_follow_a_store_that_is_slow_and_not_one_that_is_away() -> None:
+    timeout = CallTimeout()
+    for _ in range(20):
+        timeout.answered(0.004)
+    assert timeout.timeout_s == SHORTEST_TIMEOUT_S
+    for _ in range(10):
+        timeout.answered(0.4)
+    assert 1.2 < timeout.timeout_s <= LONGEST_TIMEOUT_S
+    for _ in range(20):
+        timeout.answered(0.004)
+    for _ in range(9):
+        timeout.expired()
+    assert timeout.timeout_s == LONGEST_TIMEOUT_S
