A trainer's steps stay at the VM that ran the last one

The VM that ran the step before has them open and knows the engines' pace; the acceptor names it as owner in the same commit. A VM that leaves says so first, so that none is named in vain.

--- a/src/balsamcleat/decisions/vm_watch.py
+++ b/src/balsamcleat/decisions/vm_watch.py
@@ -27,6 +27,7 @@
         address: Where peers reach it.
         zone: Its availability zone.
         version: The row's version.
+        leaving: Whether it takes no new steps.
     """
 
     vm: str
@@ -34,6 +35,7 @@
     address: str
     zone: str
     version: int
+    leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -80,6 +82,13 @@
             return True
         return sighting.unchanged_s >= VM_TERM_S
 
+    def takes_steps(self, vm: str, boot: str) -> bool:
+        """Return whether a start of a VM's process lives and takes new steps."""
+        sighting = self.seen.get(vm)
+        if sighting is None or sighting.row.leaving:
+            return False
+        return not self.is_dead(vm, boot)
+
     def silence_s(self, vm: str) -> float:
         """Return how long a VM's row has stayed unchanged, in seconds."""
         sighting = self.seen.get(vm)
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -64,6 +64,9 @@
 LEAVING_CHECK_S = 0.05
 LOG_DRAIN_S = 0.2
 ENDED_KEPT_S = 10.0
+# A trainer's next step comes some seconds after the one before and finds the connections open.
+TARGET_IDLE_S = 8.0
+TARGET_CONNECTIONS = 256
 # Stands for a store that never answered, in seconds.
 NEVER_S = 999.0
 
@@ -84,7 +87,10 @@
         self.boot = uuid.uuid4().hex[:12]
         generator = random.Random()
         store_pool = ClientPool(PoolLimits(connect_s=0.8, idle_connections=16))
-        self.pool = ClientPool(PoolLimits(connect_s=0.5), CORRELATION_HEADER)
+        self.pool = ClientPool(
+            PoolLimits(connect_s=0.5, idle_s=TARGET_IDLE_S, idle_connections=TARGET_CONNECTIONS),
+            CORRELATION_HEADER,
+        )
         self.straight = PlatformRowStore(settings.store, store_pool)
         self.peer_pool = ClientPool(PoolLimits(connect_s=0.3, idle_connections=16))
         self.store = RelayedRowStore(self.straight, self.peer_pool, lambda: self.peers.reaching)
@@ -148,6 +154,7 @@
             lambda: self.feed.steps,
             lambda: self.routing.table,
             self.presence.store_now_ms,
+            self.presence.watch,
         )
         self.peers = PeerWatch(
             self.peer_pool,
@@ -291,12 +298,13 @@
                 return
 
     async def hand_over(self) -> None:
-        """Give up the lease and all steps; a store that is away ends the attempt."""
-        await self.claims.hand_over()
+        """Give up all steps and the lease; a store that is away ends the attempt."""
         try:
+            await self.presence.announce_leaving()
+            await self.claims.hand_over()
             await self.presence.release()
         except PlatformError as error:
-            log.warning("lease not released", reason=str(error))
+            log.warning("not all handed over", reason=str(error))
 
     async def keep_house(self) -> None:
         """Write out waiting log lines and forget steps that ended a while ago."""
--- a/src/balsamcleat/tasks/rollout_desk.py
+++ b/src/balsamcleat/tasks/rollout_desk.py
@@ -6,6 +6,7 @@
 import structlog
 
 from balsamcleat.decisions.step_order import expected_left
+from balsamcleat.decisions.vm_watch import VmWatch
 from balsamcleat.errors import (
     InvalidInputError,
     OutcomeUnknownError,
@@ -57,6 +58,7 @@
         known: Returns the steps known from the feed.
         table: Returns the configuration in force.
         store_now_ms: Returns the store's clock.
+        watch: Which VMs live.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         known: Callable[[], dict[StepId, KnownStep]],
         table: Callable[[], RoutingTable | None],
         store_now_ms: Callable[[], int],
+        watch: VmWatch,
     ) -> None:
         self.vm = vm
         self.boot = boot
@@ -76,6 +79,7 @@
         self.known = known
         self.table = table
         self.store_now_ms = store_now_ms
+        self.watch = watch
         self.accepting = True
         # Steps that are being kept: the feed may tell of one before its commit is answered here.
         self.being_kept: set[StepId] = set()
@@ -94,9 +98,10 @@
         if not self.accepting:
             await self.unavailable(responder, step.step_id, "leaving")
             return
+        vm, boot = self.home(route, request)
         record = OwnerRecord(
-            vm=self.vm,
-            boot=self.boot,
+            vm=vm,
+            boot=boot,
             host=route.host,
             path=request.path,
             accepted_ms=self.store_now_ms(),
@@ -123,21 +128,43 @@
             self.being_kept.discard(step.step_id)
             await self.accepted(responder, step.step_id, "kept already")
             return
-        owned = OwnedStep(
-            step=step,
-            record=record,
-            row_version=outcome.version,
-            accepted_s=request.received_at_s,
-        )
-        # Not as a part of this request: it ends when the trainer closes its connection.
-        self.runner.start_task(self.begin, owned, route)
-        await self.accepted(responder, step.step_id, "new")
+        if vm == self.vm:
+            owned = OwnedStep(
+                step=step,
+                record=record,
+                row_version=outcome.version,
+                accepted_s=request.received_at_s,
+            )
+            # Not as a part of this request: it ends when the trainer closes its connection.
+            self.runner.start_task(self.begin, owned, route)
+        else:
+            self.being_kept.discard(step.step_id)
+        await self.accepted(responder, step.step_id, f"new, for {vm}")
+
+    def home(self, route: Route, request: Request) -> tuple[str, str]:
+        """Return the VM, and the start of its process, that runs a trainer's steps.
+
+        It is the one that ran the step before, if it lives: it has connections to the targets
+        and knows their pace.
+        """
+        part = carry_part(route.host, request.path)
+        earlier = [
+            step.owner
+            for step in self.known().values()
+            if carry_part(step.owner.host, step.owner.path) == part
+        ]
+        newest = max(earlier, key=lambda owner: owner.accepted_ms, default=None)
+        if newest is None or not self.watch.takes_steps(newest.vm, newest.boot):
+            return self.vm, self.boot
+        return newest.vm, newest.boot
 
     async def begin(self, owned: OwnedStep, route: Route) -> None:
         """Run a new step, with the text that the step before left of the same samples."""
         try:
             with anyio.move_on_after(CARRY_WAIT_S):
-                saved = await self.records.load_progress(carry_part(owned.record))
+                saved = await self.records.load_progress(
+                    carry_part(owned.record.host, owned.record.path)
+                )
                 owned.restore(saved, carried=True, single=route.single_version)
         except (PlatformError, ProtocolError) as error:
             log.warning("no text of earlier steps", step=owned.step_id, reason=str(error))
@@ -249,10 +276,10 @@
         await responder.send(Response(404, failure_headers("")))
 
 
-def carry_part(record: OwnerRecord) -> str:
+def carry_part(host: str, path: str) -> str:
     """Return where text for a later step of the same trainer is kept."""
-    prefix = record.path.strip("/").partition("/")[0]
-    return f"carry/{record.host}/{prefix}"[:200]
+    prefix = path.strip("/").partition("/")[0]
+    return f"carry/{host}/{prefix}"[:200]
 
 
 def first_page(results: tuple[SampleResult, ...]) -> tuple[SampleResult, ...]:
--- a/src/balsamcleat/tasks/step_claims.py
+++ b/src/balsamcleat/tasks/step_claims.py
@@ -54,7 +54,7 @@
         """Stop a step that was ended, where this VM owns it."""
         step = self.runner.steps.get(step_id)
         if step is not None and tasks is not None:
-            tasks.start_soon(self.runner.end, step, carry_part(step.record))
+            tasks.start_soon(self.runner.end, step, carry_part(step.record.host, step.record.path))
 
     def owner_changed(self, step_id: StepId, known: KnownStep) -> None:
         """Stop running a step that another VM owns now."""
@@ -68,11 +68,14 @@
         """Claim a step and run what is left of it."""
         before = known.owner
         record = before.given_to(self.vm, self.boot)
-        outcome = await self.records.claim(step_id, record, known.row_version)
-        if isinstance(outcome, RowConflict):
-            log.info("step claimed by another VM", step=step_id)
-            return
-        owned = await self.load(step_id, record, outcome.version)
+        row_version = known.row_version
+        if record != before:
+            outcome = await self.records.claim(step_id, record, row_version)
+            if isinstance(outcome, RowConflict):
+                log.info("step claimed by another VM", step=step_id)
+                return
+            row_version = outcome.version
+        owned = await self.load(step_id, record, row_version)
         if owned is None:
             log.error("step without submission", step=step_id)
             return
@@ -104,7 +107,8 @@
         table = self.table()
         route = table.match(record.host, record.path) if table else None
         single = route is not None and route.single_version
-        for part, carried in ((carry_part(record), True), (step_id, False)):
+        carry = carry_part(record.host, record.path)
+        for part, carried in ((carry, True), (step_id, False)):
             owned.restore(await self.records.load_progress(part), carried=carried, single=single)
         return owned
 
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -35,6 +35,8 @@
 LEASE_PART = "lease"
 ORDER_LEASE_KEY = "orders"
 BEAT_S = 0.5
+# Stands for the start of a process in the row of a VM that leaves.
+LEFT = ""
 
 log = structlog.get_logger()
 
@@ -46,6 +48,7 @@
     address: str
     zone: str
     beat: int
+    leaving: bool = False
 
 
 class LeaseFields(msgspec.Struct, frozen=True):
@@ -103,6 +106,7 @@
         self.lease: OrderLease | None = None
         self.seen_lease: tuple[int, float] | None = None
         self.wants_lease = True
+        self.leaving = False
         self.failing = False
 
     def store_now_ms(self) -> int:
@@ -132,15 +136,19 @@
 
     async def beat_once(self) -> None:
         """Renew this VM's row, read the others', and renew or take the lease."""
-        self.beat += 1
-        fields = VmFields(self.boot, self.address, self.zone, self.beat)
-        key = RowKey(VMS_TABLE, VM_PART, self.vm)
-        await self.store.commit(RowCommit((RowWrite(key, msgspec.json.encode(fields)),)))
+        await self.renew()
         page = await self.store.read(VMS_TABLE, VM_PART)
         self.told_time(page.store_ms)
         self.watch.read([vm_row(row) for row in page.rows], self.clock())
         await self.tend_lease()
 
+    async def renew(self) -> None:
+        """Renew this VM's row."""
+        self.beat += 1
+        fields = VmFields(self.boot, self.address, self.zone, self.beat, self.leaving)
+        key = RowKey(VMS_TABLE, VM_PART, self.vm)
+        await self.store.commit(RowCommit((RowWrite(key, msgspec.json.encode(fields)),)))
+
     async def tend_lease(self) -> None:
         """Renew the lease where it is held, take it where it is free."""
         if self.lease is not None:
@@ -238,9 +246,16 @@
             state = LeaseState(self.vm, self.boot, False, self.store_now_ms())
             await self.write_lease(state)
 
+    async def announce_leaving(self) -> None:
+        """Say that this VM takes no new steps."""
+        self.leaving = True
+        await self.renew()
+
     async def release(self) -> None:
-        """Give the lease back and take it no more."""
+        """Say that this VM has left; give the lease back and take it no more."""
         self.wants_lease = False
+        self.boot = LEFT
+        await self.renew()
         if self.lease is not None:
             last_ms = self.lease.state.last_order_ms
             if self.lease.state.ordering:
@@ -261,7 +276,7 @@
         fields = msgspec.json.decode(row.value or b"", type=VmFields)
     except msgspec.DecodeError:
         fields = VmFields("", "", "", 0)
-    return VmRow(row.key.key, fields.boot, fields.address, fields.zone, row.version)
+    return VmRow(row.key.key, fields.boot, fields.address, fields.zone, row.version, fields.leaving)
 
 
 def lease_state(row: RowChange) -> LeaseState | None:
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -201,7 +201,14 @@
             claims.owner_changed,
         )
         desk = RolloutDesk(
-            name, boot, records, runner, lambda: feed.steps, lambda: TABLE, presence.store_now_ms
+            name,
+            boot,
+            records,
+            runner,
+            lambda: feed.steps,
+            lambda: TABLE,
+            presence.store_now_ms,
+            presence.watch,
         )
         vm = StepVm(name, view, runner, desk, feed, presence, claims, engines)
         follower = TableFollower(view, "steps", feed, generator, single_part=False)
--- a/tests/test_step_ownership.py
+++ b/tests/test_step_ownership.py
@@ -131,6 +131,7 @@
         await anyio.sleep(0.3)
         vm.feed.accepting = False
         await vm.claims.hand_over()
+        await vm.presence.release()
         world.kill(vm)
         began_s = anyio.current_time()
         await world.whole(SAMPLES, 2.0)
@@ -203,3 +204,34 @@
         assert StepId("step-1") in vm.runner.steps
 
     play(test)
+
+
+def test_a_trainer_s_next_step_is_run_where_its_last_one_was() -> None:
+    async def test(world: w.StepWorld) -> None:
+        first = await world.start("a")
+        other = await world.start("b")
+        assert await first.submit(w.submission(3, 4, 3)) == 202
+        await world.whole(SAMPLES, 3.0)
+        assert await first.end("step-1") == 200
+        assert await other.submit(w.submission(3, 4, 3, "step-2")) == 202
+        await world.whole(SAMPLES, 3.0, "step-2")
+        assert not other.engines.runs
+
+    play(test)
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_next_step_whose_usual_vm_is_gone_runs_elsewhere(leaves: bool) -> None:
+    async def test(world: w.StepWorld) -> None:
+        first = await world.start("a")
+        other = await world.start("b")
+        assert await first.submit(w.submission(3, 4, 3)) == 202
+        await world.whole(SAMPLES, 3.0)
+        if leaves:
+            await first.presence.release()
+        world.kill(first)
+        assert await other.submit(w.submission(3, 4, 3, "step-2")) == 202
+        await world.whole(SAMPLES, 4.0, "step-2")
+        assert other.engines.runs
+
+    play(test)
