Text of running samples is kept every second; orders are marked only while on their way

The frozen VM also held the lease on orders marked as giving orders while it only waited for a load, so that nobody might order for 3.2 s; and a renewal could write the mark from before over the new one (found by reading, a test fails on the code before).

--- a/src/balsamcleat/decisions/sample_progress.py
+++ b/src/balsamcleat/decisions/sample_progress.py
@@ -1,10 +1,11 @@
 """Decide what of a sample's stream counts, from whatever targets it came."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from balsamcleat.model import WeightVersion
 
-__all__ = ["FIRST_EVENT", "SampleProgress", "SavedProgress"]
+__all__ = ["FIRST_EVENT", "ProgressSlice", "SampleProgress", "SavedProgress", "join_slices"]
 
 # Events count up by one from here.
 FIRST_EVENT = 1
@@ -20,6 +21,45 @@
     complete: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ProgressSlice:
+    """Some events of a sample in a row, as they are kept while it runs.
+
+    Attributes:
+        generation: Slices of different generations don't belong together.
+        start: Place of the first event among the sample's events, from 0.
+        first_event: Number of the sample's first event.
+        events: Data of the events.
+        versions: Versions of all events up to and with these.
+        complete: Whether nothing follows.
+    """
+
+    generation: int
+    start: int
+    first_event: int
+    events: tuple[str, ...]
+    versions: tuple[WeightVersion, ...]
+    complete: bool = False
+
+
+def join_slices(slices: Iterable[ProgressSlice]) -> SavedProgress | None:
+    """Return what the newest generation's slices hold without a gap; None for nothing."""
+    ordered = sorted(slices, key=lambda piece: (-piece.generation, piece.start))
+    newest = [piece for piece in ordered if piece.generation == ordered[0].generation]
+    events: list[str] = []
+    versions: tuple[WeightVersion, ...] = ()
+    complete = False
+    for piece in newest:
+        if piece.start > len(events):
+            break
+        events[piece.start :] = piece.events
+        versions = piece.versions
+        complete = piece.complete
+    if not events:
+        return None
+    return SavedProgress(tuple(events), versions, newest[0].first_event, complete)
+
+
 @dataclass(slots=True)
 class SampleProgress:
     """The events at hand, whole and in order, and the weight versions that made them.
@@ -29,12 +69,14 @@
         versions: Versions that made at least one of them.
         first_event: Number of the first one.
         current: Version of the stream that is being read; None where it isn't known.
+        generation: Grows each time that everything is dropped.
     """
 
     events: list[str] = field(default_factory=list)
     versions: set[WeightVersion] = field(default_factory=set)
     first_event: int = FIRST_EVENT
     current: WeightVersion | None = None
+    generation: int = 0
 
     @property
     def last_event(self) -> int | None:
@@ -77,15 +119,20 @@
         self.versions.clear()
         self.first_event = FIRST_EVENT
         self.current = None
+        self.generation += 1
 
     def text(self) -> str:
         """Return the data of all events, joined by line feeds."""
         return "\n".join(self.events)
 
-    def save(self, *, complete: bool) -> SavedProgress:
-        """Return what is at hand, to be kept."""
-        return SavedProgress(
-            tuple(self.events), tuple(sorted(self.versions)), self.first_event, complete
+    def slice_from(self, start: int) -> ProgressSlice:
+        """Return the events from a place on, to be kept."""
+        return ProgressSlice(
+            generation=self.generation,
+            start=start,
+            first_event=self.first_event,
+            events=tuple(self.events[start:]),
+            versions=tuple(sorted(self.versions)),
         )
 
     @classmethod
--- a/src/balsamcleat/decisions/vm_watch.py
+++ b/src/balsamcleat/decisions/vm_watch.py
@@ -11,7 +11,7 @@
 
 # Owners renew several times within it. A step has some seconds until it is due; noticing a dead
 # owner must leave most of them.
-VM_TERM_S = 2.0
+VM_TERM_S = 1.7
 # What passes between two readings counts up to this much, so that an observer that stood still
 # doesn't take everyone else for dead.
 MAX_COUNTED_S = 0.8
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -12,6 +12,7 @@
 from balsamcleat.decisions.readiness import Readiness, StoreView, decide_readiness
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
+from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.errors import PlatformError
 from balsamcleat.http1 import (
     ClientPool,
@@ -37,6 +38,7 @@
 from balsamcleat.tasks.front_door import FrontDoor
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.model_use import ModelUses
+from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
 from balsamcleat.tasks.peers import PeerDesk, PeerState, PeerWatch
 from balsamcleat.tasks.relayed_store import RelayedRowStore, StoreRelay
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
@@ -47,6 +49,7 @@
 from balsamcleat.tasks.sample_run import SampleRunner
 from balsamcleat.tasks.step_claims import StepClaims
 from balsamcleat.tasks.step_watch_feed import StepFeed
+from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
 from balsamcleat.tasks.suspect_board import SUSPECTS_TABLE, SuspectBoard
 from balsamcleat.tasks.table_follower import TableFollower
@@ -98,17 +101,19 @@
         self.book = EvidenceBook()
         self.routing = RoutingKeeper(self.wake)
         self.replicas = ReplicaKeeper(self.directory, self.book, self.pool, self.wake)
+        self.time = StoreClock()
         self.presence = VmPresence(
             self.store,
-            settings.vm,
-            self.boot,
-            settings.peer_address,
-            settings.zone,
-            settings.order_gap_s,
+            VmRow(settings.vm, self.boot, settings.peer_address, settings.zone, 0),
+            self.time,
+            lambda: bool(self.runner.steps) or self.lease.lease is not None,
             generator,
         )
+        self.lease = OrderLeaseKeeper(
+            self.store, settings.vm, self.boot, settings.order_gap_s, self.time, generator
+        )
         self.orders = VersionOrders(
-            self.presence,
+            self.lease,
             ReplicaControl(self.pool, settings.vm),
             self.directory,
             self.book,
@@ -133,14 +138,14 @@
             self.records,
             self.runner,
             lambda: self.routing.table,
-            self.presence.store_now_ms,
+            self.time.now_ms,
         )
         self.feed = StepFeed(
             settings.vm,
             self.boot,
             self.presence.watch,
             settings.results_kept_s,
-            self.presence.store_now_ms,
+            self.time.now_ms,
             self.claims.take_over,
             lambda step_id: self.desk.runs(step_id),
             lambda step_id: self.claims.ended(step_id, self.tasks),
@@ -153,7 +158,7 @@
             self.runner,
             lambda: self.feed.steps,
             lambda: self.routing.table,
-            self.presence.store_now_ms,
+            self.time.now_ms,
             self.presence.watch,
         )
         self.peers = PeerWatch(
@@ -166,7 +171,7 @@
         )
         self.uses = ModelUses(
             lambda: self.feed.steps,
-            self.presence.store_now_ms,
+            self.time.now_ms,
             settings.results_kept_s * 1000,
         )
         self.board = SuspectBoard(self.store, self.runner.start_task)
@@ -246,6 +251,7 @@
             for part in (
                 self.replicas.run,
                 self.presence.run,
+                self.lease.run,
                 self.runner.run,
                 self.orders.run,
                 self.feed.run,
@@ -302,7 +308,8 @@
         try:
             await self.presence.announce_leaving()
             await self.claims.hand_over()
-            await self.presence.release()
+            await self.lease.release()
+            await self.presence.announce_left()
         except PlatformError as error:
             log.warning("not all handed over", reason=str(error))
 
--- /dev/null
+++ b/src/balsamcleat/tasks/order_lease_keeper.py
@@ -0,0 +1,224 @@
+"""Holds the lease on orders to engines, or waits to take it."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+import msgspec
+import structlog
+
+from balsamcleat.decisions.order_lease import (
+    HOLDER_SAFE_S,
+    LEASE_TERM_S,
+    RENEW_EVERY_S,
+    LeaseState,
+    OrderLease,
+    first_order_ms,
+)
+from balsamcleat.errors import PlatformError
+from balsamcleat.ports.rows import (
+    ABSENT_VERSION,
+    RowChange,
+    RowCommit,
+    RowConflict,
+    RowKey,
+    RowsCommitted,
+    RowStore,
+    RowWrite,
+)
+from balsamcleat.tasks.store_clock import StoreClock
+
+__all__ = ["OrderLeaseKeeper"]
+
+LEASES_TABLE = "leases"
+ORDER_LEASE_KEY = "orders"
+JITTER = 0.2
+
+log = structlog.get_logger()
+
+
+class LeaseFields(msgspec.Struct, frozen=True):
+    """The lease's row; ``beat`` only makes it change."""
+
+    vm: str
+    boot: str
+    ordering: bool
+    last_order_ms: int
+    beat: int
+
+
+class OrderLeaseKeeper:
+    """Renews the lease where it is held, takes it where it is free or its holder is dead.
+
+    Args:
+        store: The row store.
+        vm: This VM.
+        boot: This start of its process.
+        order_gap_s: Least time between orders of two holders.
+        time: The store's clock.
+        generator: Draws the jitter of renewals.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        vm: str,
+        boot: str,
+        order_gap_s: float,
+        time: StoreClock,
+        generator: random.Random,
+    ) -> None:
+        self.store = store
+        self.vm = vm
+        self.boot = boot
+        self.order_gap_s = order_gap_s
+        self.time = time
+        self.generator = generator
+        self.lease: OrderLease | None = None
+        # Version of another holder's row and when it was first seen.
+        self.seen: tuple[int, float] | None = None
+        self.beat = 0
+        self.wanted = True
+        self.failing = False
+        self.lock = anyio.Lock()
+
+    async def run(self) -> None:
+        """Tend the lease until cancelled."""
+        while True:
+            try:
+                await self.tend()
+                if self.failing:
+                    self.failing = False
+                    log.info("lease on orders tended again")
+            except PlatformError as error:
+                # Silence of the store says nothing of the holder.
+                self.seen = None
+                if not self.failing:
+                    self.failing = True
+                    log.warning("lease on orders not tended", reason=str(error))
+            jitter = 1.0 + JITTER * (2.0 * self.generator.random() - 1.0)
+            await anyio.sleep(RENEW_EVERY_S * jitter)
+
+    async def tend(self) -> None:
+        """Renew or read the lease once."""
+        if self.lease is not None:
+            await self.write(lambda state: state)
+            return
+        page = await self.store.read(LEASES_TABLE, "")
+        self.time.told(page.store_ms)
+        row = next((row for row in page.rows if row.key.key == ORDER_LEASE_KEY), None)
+        state = None if row is None else decode_lease(row)
+        version = ABSENT_VERSION if row is None else row.version
+        if self.wanted and (state is None or self.may_take(state, version)):
+            await self.take(state, version)
+
+    def may_take(self, state: LeaseState, version: int) -> bool:
+        """Return whether the lease is free or its holder is dead."""
+        now_s = self.time.clock()
+        if self.seen is None or self.seen[0] != version:
+            self.seen = (version, now_s)
+        if not state.vm or (state.vm == self.vm and state.boot != self.boot):
+            return True
+        return now_s - self.seen[1] >= LEASE_TERM_S
+
+    async def take(self, previous: LeaseState | None, version: int) -> None:
+        """Take the lease if its row is still as it was read."""
+        claimed_ms = self.time.now_ms()
+        first_ms = first_order_ms(previous, claimed_ms, self.order_gap_s)
+        # The gap that the holder before left open must outlive this holder, too.
+        state = LeaseState(self.vm, self.boot, False, first_ms - int(self.order_gap_s * 1000))
+        asked_s = self.time.clock()
+        outcome = await self.commit(state, version)
+        if isinstance(outcome, RowConflict):
+            self.seen = None
+            return
+        safe_until_s = asked_s + HOLDER_SAFE_S
+        self.lease = OrderLease(state, outcome.version, outcome.version, safe_until_s, first_ms)
+        log.info(
+            "lease on orders taken",
+            fence=outcome.version,
+            before=previous.vm if previous else None,
+            before_ordering=previous.ordering if previous else None,
+            first_order_in_ms=first_ms - claimed_ms,
+        )
+
+    async def write(self, change: Callable[[LeaseState], LeaseState]) -> bool:
+        """Change the lease's row as its holder; returns False where the lease is lost."""
+        async with self.lock:
+            while self.lease is not None:
+                asked_s = self.time.clock()
+                state = change(self.lease.state)
+                outcome = await self.commit(state, self.lease.row_version)
+                if isinstance(outcome, RowsCommitted):
+                    self.lease.state = state
+                    self.lease.row_version = outcome.version
+                    self.lease.safe_until_s = asked_s + HOLDER_SAFE_S
+                    self.time.told(outcome.store_ms)
+                    return True
+                if not self.adopt_own(outcome.rows):
+                    log.warning("lease on orders lost", fence=self.lease.fence)
+                    self.lease = None
+                    self.seen = None
+            return False
+
+    def adopt_own(self, rows: tuple[RowChange, ...]) -> bool:
+        """Take the row's version where it was this process that wrote it, unanswered."""
+        for row in rows:
+            state = decode_lease(row)
+            if state is not None and (state.vm, state.boot) == (self.vm, self.boot):
+                assert self.lease is not None
+                self.lease.row_version = row.version
+                return True
+        return False
+
+    async def commit(self, state: LeaseState, version: int) -> RowsCommitted | RowConflict:
+        """Write the lease's row on the condition of its version."""
+        self.beat += 1
+        key = RowKey(LEASES_TABLE, "", ORDER_LEASE_KEY)
+        fields = LeaseFields(state.vm, state.boot, state.ordering, state.last_order_ms, self.beat)
+        write = RowWrite(key, msgspec.json.encode(fields))
+        return await self.store.commit(RowCommit((write,), ((key, version),)))
+
+    async def begin_orders(self) -> bool:
+        """Write that orders are about to be given; returns whether they may be."""
+        if self.lease is None:
+            return False
+        if self.lease.state.ordering:
+            return True
+        return await self.write(
+            lambda state: LeaseState(self.vm, self.boot, True, state.last_order_ms)
+        )
+
+    async def end_orders(self) -> None:
+        """Write that the last order is past."""
+        if self.lease is not None and self.lease.state.ordering:
+            now_ms = self.time.now_ms()
+            await self.write(lambda _: LeaseState(self.vm, self.boot, False, now_ms))
+
+    async def release(self) -> None:
+        """Give the lease back and take it no more."""
+        self.wanted = False
+        if self.lease is None:
+            return
+        now_ms = self.time.now_ms()
+        await self.write(
+            lambda state: LeaseState(
+                "", "", False, now_ms if state.ordering else state.last_order_ms
+            )
+        )
+        self.lease = None
+
+    def may_order(self) -> bool:
+        """Return whether an order may be sent now."""
+        if self.lease is None:
+            return False
+        return self.lease.may_order(self.time.clock(), self.time.now_ms())
+
+
+def decode_lease(row: RowChange) -> LeaseState | None:
+    """Return the lease in a row, or None where it can't be read."""
+    try:
+        fields = msgspec.json.decode(row.value or b"", type=LeaseFields)
+    except msgspec.DecodeError:
+        return None
+    return LeaseState(fields.vm, fields.boot, fields.ordering, fields.last_order_ms)
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -5,7 +5,12 @@
 
 import anyio
 
-from balsamcleat.decisions.sample_progress import SampleProgress, SavedProgress
+from balsamcleat.decisions.sample_progress import (
+    FIRST_EVENT,
+    ProgressSlice,
+    SampleProgress,
+    SavedProgress,
+)
 from balsamcleat.decisions.step_order import SampleRank, rank_samples
 from balsamcleat.model import StepId, TargetId
 from balsamcleat.model.rollout import RolloutStep, SampleResult, SampleState, SampleTask
@@ -13,6 +18,9 @@
 
 __all__ = ["OwnedStep", "SampleOnTarget"]
 
+# Generations of text in the hands of one owner; those of a later owner are higher.
+GENERATIONS_AN_OWNER = 1000
+
 
 @dataclass(slots=True)
 class SampleOnTarget:
@@ -42,6 +50,7 @@
         ended: The trainer ended the step.
         lost: Another VM owns it now.
         handing_over: No sample is started any more.
+        saved: Generation and number of the events that are kept, by sample.
     """
 
     step: RolloutStep
@@ -61,6 +70,7 @@
     handing_over: bool = False
     ended_at_s: float = 0.0
     changed: anyio.Event = field(default_factory=anyio.Event)
+    saved: dict[str, tuple[int, int]] = field(default_factory=dict)
     ranks: dict[str, SampleRank] = field(default_factory=dict)
     samples: dict[str, SampleTask] = field(default_factory=dict)
 
@@ -73,6 +83,19 @@
         """The step's id."""
         return self.step.step_id
 
+    @property
+    def first_generation(self) -> int:
+        """Generation of text that this owner begins to keep."""
+        return self.row_version * GENERATIONS_AN_OWNER
+
+    def progress_of(self, sample_id: str) -> SampleProgress:
+        """Return the text at hand of a sample, empty at first."""
+        found = self.progress.get(sample_id)
+        if found is None:
+            found = SampleProgress(generation=self.first_generation)
+            self.progress[sample_id] = found
+        return found
+
     @property
     def active(self) -> bool:
         """Whether samples may run."""
@@ -87,6 +110,7 @@
             if carried:
                 self.carried.add(sample.group)
             progress = SampleProgress.restore(kept)
+            progress.generation = self.first_generation
             if not kept.events or not progress.fits(self.step.oldest_version, single=single):
                 continue
             self.progress[sample_id] = progress
@@ -145,32 +169,37 @@
         for running in list(self.running.values()):
             running.scope.cancel()
 
-    def to_carry(self) -> dict[str, SavedProgress]:
+    def to_carry(self) -> dict[str, ProgressSlice]:
         """Return the text of groups that aren't whole, for a later step that asks for them."""
+        listed = {result.sample_id for result in self.listed}
         incomplete = {
-            sample.group
-            for sample_id, sample in self.samples.items()
-            if sample_id not in {result.sample_id for result in self.listed}
+            sample.group for sample_id, sample in self.samples.items() if sample_id not in listed
         }
-        saved = {
-            sample_id: progress.save(complete=False)
+        slices = {
+            sample_id: progress.slice_from(0)
             for sample_id, progress in self.progress.items()
             if progress.events and sample_id not in self.done
         }
         for result in (*self.listed, *self.finished):
-            if (
-                result.state is SampleState.COMPLETE
-                and self.samples[result.sample_id].group in incomplete
-            ):
-                saved[result.sample_id] = SavedProgress(
-                    tuple(result.text.split("\n")), result.versions, 1, True
+            group = self.samples[result.sample_id].group
+            if result.state is SampleState.COMPLETE and group in incomplete:
+                events = tuple(result.text.split("\n"))
+                slices[result.sample_id] = ProgressSlice(
+                    0, 0, FIRST_EVENT, events, result.versions, complete=True
                 )
-        return saved
-
-    def to_hand_over(self) -> dict[str, SavedProgress]:
-        """Return the text of unfinished samples, for the next owner."""
-        return {
-            sample_id: progress.save(complete=False)
-            for sample_id, progress in self.progress.items()
-            if progress.events and sample_id not in self.done
-        }
+        return slices
+
+    def unsaved(self, least_events: int) -> dict[str, ProgressSlice]:
+        """Return text of unfinished samples that isn't kept, where it is worth a write."""
+        slices = {}
+        for sample_id, progress in self.progress.items():
+            generation, count = self.saved.get(sample_id, (progress.generation, 0))
+            start = count if generation == progress.generation else 0
+            if sample_id not in self.done and len(progress.events) - start >= least_events:
+                slices[sample_id] = progress.slice_from(start)
+        return slices
+
+    def kept_slices(self, slices: dict[str, ProgressSlice]) -> None:
+        """Take note that text is kept."""
+        for sample_id, piece in slices.items():
+            self.saved[sample_id] = (piece.generation, piece.start + len(piece.events))
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from balsamcleat.decisions.sample_progress import SavedProgress
+from balsamcleat.decisions.sample_progress import ProgressSlice, SavedProgress, join_slices
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import StepId, WeightVersion
 from balsamcleat.model.rollout import SampleResult, SampleState
@@ -90,15 +90,6 @@
     versions: tuple[WeightVersion, ...]
 
 
-class KeptProgress(msgspec.Struct, frozen=True, array_like=True):
-    """Text of a sample that isn't listed, as it is stored."""
-
-    events: tuple[str, ...]
-    versions: tuple[WeightVersion, ...]
-    first_event: int
-    complete: bool
-
-
 def is_owner_key(key: RowKey) -> bool:
     """Return whether a row of the steps' table says who owns a step."""
     return key.key == OWNER_KEY
@@ -275,25 +266,39 @@
         page = await self.store.read(STEPS_TABLE, step_id, END_KEY, END_KEY + "\0")
         return bool(page.rows)
 
-    async def save_progress(self, part: str, progress: dict[str, SavedProgress]) -> None:
-        """Keep text of samples that aren't listed; best effort, nothing hangs on it."""
+    async def save_progress(
+        self, part: str, slices: dict[str, ProgressSlice], owner_version: int | None = None
+    ) -> bool:
+        """Keep text of samples that aren't listed.
+
+        Args:
+            part: The step, or where a later step of the same trainer looks.
+            slices: New text by sample.
+            owner_version: Version of the step's owner row that must be in force.
+
+        Returns:
+            False where another VM owns the step by now; then not all is kept.
+        """
         writes: list[RowWrite] = []
-        for sample_id, saved in progress.items():
-            kept = KeptProgress(saved.events, saved.versions, saved.first_event, saved.complete)
-            writes += self.chunks(PROGRESS_TABLE, part, sample_id, pack(kept))
+        for sample_id, piece in slices.items():
+            name = f"{sample_id}@{piece.generation:015d}@{piece.start:06d}"
+            writes += self.chunks(PROGRESS_TABLE, part, name, pack(piece))
+        expected = () if owner_version is None else ((owner_key(StepId(part)), owner_version),)
         for group in self.split_writes(writes):
-            if group:
-                await self.store.commit(RowCommit(group))
+            if group and isinstance(
+                await self.store.commit(RowCommit(group, expected)), RowConflict
+            ):
+                return False
+        return True
 
     async def load_progress(self, part: str) -> dict[str, SavedProgress]:
         """Return the text that was kept, by sample."""
-        found = {}
-        for sample_id, packed in (await self.values(PROGRESS_TABLE, part)).items():
-            kept = unpack(packed, KeptProgress)
-            found[sample_id] = SavedProgress(
-                kept.events, kept.versions, kept.first_event, kept.complete
-            )
-        return found
+        pieces: dict[str, list[ProgressSlice]] = {}
+        for name, packed in (await self.values(PROGRESS_TABLE, part)).items():
+            sample_id = name.rsplit("@", 2)[0]
+            pieces.setdefault(sample_id, []).append(unpack(packed, ProgressSlice))
+        joined = {sample_id: join_slices(found) for sample_id, found in pieces.items()}
+        return {sample_id: saved for sample_id, saved in joined.items() if saved is not None}
 
     async def drop_progress(self, part: str) -> None:
         """Delete the text kept in a part."""
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -18,7 +18,6 @@
     find_moves,
     place_samples,
 )
-from balsamcleat.decisions.sample_progress import SampleProgress
 from balsamcleat.decisions.step_order import expected_left
 from balsamcleat.errors import InvalidInputError, PlatformError, ProtocolError
 from balsamcleat.model import ServiceName, StepId, TargetId, WeightVersion, ZoneName
@@ -50,6 +49,9 @@
 TOKENS_AN_EVENT = 60.0
 WANTED_PRIORITY = 4
 TAKEN_OFF = "taken off"
+# Text is kept this often, of samples with so many new events at least; an event takes some 40 ms.
+SAVE_EVERY_S = 1.0
+LEAST_EVENTS_SAVED = 12
 SPARE_PRIORITY = 6
 # Time that a target is given beyond the time left, where none is set.
 DEFAULT_RUN_S = 60.0
@@ -108,6 +110,7 @@
         self.steps[step.step_id] = step
         step.rank(TOKENS_AN_EVENT)
         self.start_task(self.list_results, step)
+        self.start_task(self.save_progress, step)
         self.wake()
 
     def drop(self, step: OwnedStep) -> None:
@@ -278,7 +281,7 @@
     ) -> None:
         """Run a sample at a target and take what came of it."""
         sample_id = order.sample.sample_id
-        progress = step.progress.setdefault(sample_id, SampleProgress())
+        progress = step.progress_of(sample_id)
         began_s, before = anyio.current_time(), len(progress.events)
         self.book.of(order.replica.target_id).read_prompt(
             order.sample.prompt[0].part_id if order.sample.prompt else order.sample.group
@@ -353,6 +356,24 @@
                 return
             self.wake()
 
+    async def save_progress(self, step: OwnedStep) -> None:
+        """Keep the text of running samples now and then, so that little is lost with this VM."""
+        while step.active and not step.handing_over:
+            await anyio.sleep(SAVE_EVERY_S * (0.8 + 0.4 * self.generator.random()))
+            slices = step.unsaved(LEAST_EVENTS_SAVED)
+            if not slices or step.lost or step.handing_over:
+                continue
+            try:
+                kept = await self.records.save_progress(step.step_id, slices, step.row_version)
+            except PlatformError as error:
+                log.warning("text not kept", step=step.step_id, reason=str(error))
+                continue
+            if not kept:
+                log.warning("step lost to another VM", step=step.step_id, position=None)
+                self.drop(step)
+                return
+            step.kept_slices(slices)
+
     async def list_batch(self, step: OwnedStep, batch: tuple[SampleResult, ...]) -> bool:
         """List a group of results; returns False when the step is another VM's now.
 
@@ -401,8 +422,8 @@
         log.info("step ended", step=step.step_id, listed=len(step.listed), carried=len(carry))
         try:
             await self.records.drop_progress(carry_part)
-            if carry:
-                await self.records.save_progress(carry_part, carry)
+            await self.records.save_progress(carry_part, carry)
+            await self.records.drop_progress(step.step_id)
         except (PlatformError, ProtocolError) as error:
             log.warning("text not kept", step=step.step_id, reason=str(error))
 
--- a/src/balsamcleat/tasks/step_claims.py
+++ b/src/balsamcleat/tasks/step_claims.py
@@ -125,9 +125,9 @@
     async def release(self, step: OwnedStep) -> None:
         """Give one step away."""
         await self.runner.stop(step)
-        saved = step.to_hand_over()
-        await self.records.save_progress(step.step_id, saved)
+        saved = step.unsaved(1)
+        await self.records.save_progress(step.step_id, saved, step.row_version)
         nobody = step.record.given_to("", "")
         await self.records.claim(step.step_id, nobody, step.row_version)
-        log.info("step handed over", step=step.step_id, at_hand=len(saved))
+        log.info("step handed over", step=step.step_id, text_of=len(saved))
         self.runner.drop(step)
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -22,7 +22,7 @@
 from balsamcleat.model.routing import RouteKind, RoutingTable
 from balsamcleat.platform import OrderOutcome, ReplicaControl
 from balsamcleat.platform.orders import OrderVerdict
-from balsamcleat.tasks.vm_presence import VmPresence
+from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
 
 __all__ = ["ModelUse", "VersionOrders"]
 
@@ -64,7 +64,7 @@
     """Compares named versions with what engines run, and orders the difference.
 
     Args:
-        presence: Holds the lease.
+        lease: Holds the lease on orders.
         control: Gives the orders.
         directory: The targets.
         book: Evidence on them.
@@ -75,7 +75,7 @@
 
     def __init__(
         self,
-        presence: VmPresence,
+        lease: OrderLeaseKeeper,
         control: ReplicaControl,
         directory: ReplicaDirectory,
         book: EvidenceBook,
@@ -83,7 +83,7 @@
         named: Callable[[], dict[str, WeightVersion]],
         use: Callable[[str], ModelUse],
     ) -> None:
-        self.presence = presence
+        self.lease = lease
         self.control = control
         self.directory = directory
         self.book = book
@@ -96,6 +96,8 @@
         self.versions: dict[tuple[TargetId, str], WeightVersion] = {}
         self.counts: dict[TargetId, tuple[int, int]] = {}
         self.not_before_s: dict[TargetId, float] = {}
+        # Orders on their way; while there are none, others needn't wait for this holder's.
+        self.sending = 0
         self.changed = anyio.Event()
         self.tasks: anyio.abc.TaskGroup | None = None
 
@@ -118,7 +120,7 @@
 
     def busy(self) -> bool:
         """Return whether orders are under way or owed."""
-        return self.presence.lease is not None and (bool(self.in_flight) or bool(self.owed()))
+        return self.lease.lease is not None and (bool(self.in_flight) or bool(self.owed()))
 
     def engines(self) -> dict[ServiceName, list[Replica]]:
         """Return the engines that serve, by service."""
@@ -190,14 +192,14 @@
 
     async def step(self) -> None:
         """Give the orders owed now."""
-        if self.presence.lease is None or self.tasks is None:
+        if self.lease.lease is None or self.tasks is None:
             return
         orders = self.owed()
         if not orders:
-            if not self.in_flight:
-                await self.presence.end_orders()
+            if not self.sending:
+                await self.lease.end_orders()
             return
-        if not await self.presence.begin_orders() or not self.presence.may_order():
+        if not await self.lease.begin_orders() or not self.lease.may_order():
             return
         for order in orders:
             replica = self.directory.entries.get(order.target_id)
@@ -225,10 +227,19 @@
 
     async def give(self, order: LoadOrder, replica: Replica) -> OrderOutcome:
         """Send one order, if the lease still allows it."""
+        self.sending += 1
+        try:
+            return await self.send(order, replica)
+        finally:
+            self.sending -= 1
+            self.wake()
+
+    async def send(self, order: LoadOrder, replica: Replica) -> OrderOutcome:
+        """Send one order with the target's count of orders."""
         count = await self.order_count(replica)
-        if count is None or not self.presence.may_order() or self.presence.lease is None:
+        if count is None or not self.lease.may_order() or self.lease.lease is None:
             return OrderOutcome(OrderVerdict.NOT_SENT)
-        fence = self.presence.lease.fence
+        fence = self.lease.lease.fence
         outcome = await self.control.order_version(
             replica,
             order.model,
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -13,6 +13,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
 from balsamcleat.decisions.sample_progress import SampleProgress
+from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.http1 import Request, Responder, Response
 from balsamcleat.model import ConfigurationVersion, ServiceName, StepId, TargetId, ZoneName
 from balsamcleat.model.replicas import Replica, ReplicaState
@@ -26,6 +27,7 @@
 from balsamcleat.tasks.sample_run import SampleEnd, SampleOrder, SampleRunOutcome
 from balsamcleat.tasks.step_claims import StepClaims
 from balsamcleat.tasks.step_watch_feed import StepFeed
+from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.vm_presence import VmPresence
 
@@ -176,7 +178,9 @@
         records = RolloutRecords(view)
         engines = SleepingEngines(book, self.events)
         generator = random.Random(name)
-        presence = VmPresence(view, name, boot, "", "a", 3.0, generator, anyio.current_time)
+        time = StoreClock(anyio.current_time)
+        row = VmRow(name, boot, "", "a", 0)
+        presence = VmPresence(view, row, time, lambda: bool(runner.steps), generator)
         runner = RolloutRunner(
             records,
             self.directory,
@@ -188,13 +192,13 @@
             generator,
         )
         vm: StepVm
-        claims = StepClaims(name, boot, records, runner, lambda: TABLE, presence.store_now_ms)
+        claims = StepClaims(name, boot, records, runner, lambda: TABLE, time.now_ms)
         feed = StepFeed(
             name,
             boot,
             presence.watch,
             120.0,
-            presence.store_now_ms,
+            time.now_ms,
             claims.take_over,
             lambda step_id: vm.desk.runs(step_id),
             lambda step_id: claims.ended(step_id, self.tasks),
@@ -207,7 +211,7 @@
             runner,
             lambda: feed.steps,
             lambda: TABLE,
-            presence.store_now_ms,
+            time.now_ms,
             presence.watch,
         )
         vm = StepVm(name, view, runner, desk, feed, presence, claims, engines)
--- /dev/null
+++ b/tests/test_order_lease.py
@@ -0,0 +1,143 @@
+"""Who may give orders to engines: never two VMs close to each other, whatever fails."""
+
+import random
+from itertools import pairwise
+
+import anyio
+import pytest
+import trio.testing
+
+from balsamcleat.decisions.order_lease import HOLDER_SAFE_S, LeaseState, first_order_ms
+from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
+from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
+from balsamcleat.tasks.store_clock import StoreClock
+
+GAP_S = 3.0
+
+
+def run(test) -> None:
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(test, backend="trio", backend_options={"clock": clock})
+
+
+class Vm:
+    """A VM that gives an order whenever it may, and notes when."""
+
+    def __init__(self, store: MemoryRowStore, name: str, orders: list[tuple[float, str, int]]):
+        self.flaws = RowStoreFlaws(delay_s=0.003)
+        self.name = name
+        self.orders = orders
+        self.stopped_s = 0.0
+        view = RowStoreView(store, self.flaws)
+        self.keeper = OrderLeaseKeeper(
+            view, name, "boot", GAP_S, StoreClock(anyio.current_time), random.Random(name)
+        )
+
+    async def live(self, every_s: float = 0.3) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.keeper.run)
+            while True:
+                await anyio.sleep(every_s)
+                try:
+                    began = await self.keeper.begin_orders()
+                except Exception:
+                    # The store's failure; a real holder logs it and waits as well.
+                    continue
+                # Standing still here is the worst moment: the lease was just confirmed.
+                await anyio.sleep(self.stopped_s)
+                if began and self.keeper.may_order():
+                    assert self.keeper.lease is not None
+                    self.orders.append((anyio.current_time(), self.name, self.keeper.lease.fence))
+                try:
+                    await self.keeper.end_orders()
+                except Exception:
+                    continue
+
+
+def check(orders: list[tuple[float, str, int]]) -> None:
+    """Fail if two holders' orders come closer than the gap or a fencing number goes back."""
+    for (before_s, before, fence), (after_s, after, later) in pairwise(orders):
+        assert later >= fence
+        if before != after:
+            assert later > fence
+            assert after_s - before_s >= GAP_S
+
+
+def test_a_holder_that_was_done_leaves_only_the_rest_of_the_gap() -> None:
+    done = LeaseState("a", "boot", False, 10_000)
+    at_it = LeaseState("a", "boot", True, 10_000)
+    assert first_order_ms(done, 12_000, GAP_S) == 13_200
+    assert first_order_ms(at_it, 12_000, GAP_S) == 15_200
+    assert first_order_ms(None, 12_000, GAP_S) == 12_000
+
+
+@pytest.mark.parametrize("stopped_s", [0.5, 2.0, 6.0])
+@pytest.mark.parametrize("faults", ["lose", "hold", "down", "none"])
+def test_orders_of_two_holders_keep_their_distance(stopped_s: float, faults: str) -> None:
+    async def test() -> None:
+        store = MemoryRowStore()
+        orders: list[tuple[float, str, int]] = []
+        vms = [Vm(store, name, orders) for name in "abc"]
+        rng = random.Random(f"{stopped_s}{faults}")
+        async with anyio.create_task_group() as tasks:
+            for vm in vms:
+                tasks.start_soon(vm.live)
+            for _ in range(12):
+                await anyio.sleep(3.0)
+                holder = next((vm for vm in vms if vm.keeper.lease is not None), vms[0])
+                holder.stopped_s = stopped_s
+                if faults == "lose":
+                    holder.flaws.lose_answers = rng.randrange(1, 4)
+                elif faults == "hold":
+                    holder.flaws.hold_commits = rng.randrange(1, 3)
+                elif faults == "down":
+                    holder.flaws.down = True
+                await anyio.sleep(3.0)
+                store.release()
+                holder.stopped_s = 0.0
+                holder.flaws.down = False
+            tasks.cancel_scope.cancel()
+        assert len(orders) > 20
+        check(orders)
+
+    run(test)
+
+
+def test_a_renewal_beside_an_order_never_takes_its_mark_away() -> None:
+    """A renewal wrote the state from before the order was announced over it."""
+
+    async def test() -> None:
+        store = MemoryRowStore()
+        vm = Vm(store, "a", [])
+        await vm.keeper.tend()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(vm.keeper.tend)
+            tasks.start_soon(vm.keeper.begin_orders)
+        assert vm.keeper.lease is not None
+        assert vm.keeper.lease.state.ordering
+        await vm.keeper.tend()
+        page = await RowStoreView(store).read("leases", "")
+        assert b'"ordering":true' in (page.rows[0].value or b"")
+
+    run(test)
+
+
+def test_a_released_lease_is_taken_at_once_and_keeps_the_gap() -> None:
+    async def test() -> None:
+        store = MemoryRowStore()
+        orders: list[tuple[float, str, int]] = []
+        first, second = Vm(store, "a", orders), Vm(store, "b", orders)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(first.live)
+            await anyio.sleep(2.0)
+            await first.keeper.release()
+            tasks.start_soon(second.live)
+            await anyio.sleep(6.0)
+            tasks.cancel_scope.cancel()
+        taken = [at_s for at_s, name, _ in orders if name == "b"]
+        last = max(at_s for at_s, name, _ in orders if name == "a")
+        assert GAP_S <= taken[0] - last < GAP_S + 1.0
+        check(orders)
+        assert HOLDER_SAFE_S < GAP_S
+
+    run(test)
--- a/tests/test_step_ownership.py
+++ b/tests/test_step_ownership.py
@@ -131,7 +131,7 @@
         await anyio.sleep(0.3)
         vm.feed.accepting = False
         await vm.claims.hand_over()
-        await vm.presence.release()
+        await vm.presence.announce_left()
         world.kill(vm)
         began_s = anyio.current_time()
         await world.whole(SAMPLES, 2.0)
@@ -228,10 +228,27 @@
         assert await first.submit(w.submission(3, 4, 3)) == 202
         await world.whole(SAMPLES, 3.0)
         if leaves:
-            await first.presence.release()
+            await first.presence.announce_left()
         world.kill(first)
         assert await other.submit(w.submission(3, 4, 3, "step-2")) == 202
         await world.whole(SAMPLES, 4.0, "step-2")
         assert other.engines.runs
 
     play(test)
+
+
+def test_little_of_a_long_sample_is_lost_with_its_owner() -> None:
+    """A step lost 6 s when its owner stood still, as its longest sample began anew."""
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        await world.start("b")
+        assert await vm.submit(w.submission(1, 2, 1)) == 202
+        await anyio.sleep(5.0)
+        world.kill(vm)
+        began_s = anyio.current_time()
+        await world.whole(2, 20.0)
+        # Of 6 s one is left, and some more was not kept yet.
+        assert anyio.current_time() - began_s < 5.0
+
+    play(test, events=lambda _: 120)
