Typed log events, metrics as text, reload of the settings, explain, and fuzzed decoders

log_events.py names every line with its fields; a test compares it with the code and the page is made from it.

--- a/src/balsamcleat/checking.py
+++ b/src/balsamcleat/checking.py
@@ -7,12 +7,14 @@
 
 from balsamcleat.configuration import Configuration
 from balsamcleat.configuration.validation import check
+from balsamcleat.errors import InvalidInputError
 from balsamcleat.faults import DocumentFault, find_faults
+from balsamcleat.platform import load_platform_settings
 from balsamcleat.settings import read_file, settings_faults
 
 __all__ = ["FileKind", "check_file"]
 
-FileKind = Literal["auto", "settings", "configuration"]
+FileKind = Literal["auto", "settings", "configuration", "platform"]
 
 
 def check_file(path: Path, kind: FileKind = "auto") -> list[DocumentFault]:
@@ -28,9 +30,20 @@
     data = read_file(path)
     if kind == "auto":
         kind = kind_of(data)
+    if kind == "platform":
+        return platform_faults(path)
     return configuration_faults(data) if kind == "configuration" else settings_faults(data)
 
 
+def platform_faults(path: Path) -> list[DocumentFault]:
+    """Return the first fault of a settings file that the operators' platform wrote."""
+    try:
+        load_platform_settings(path)
+    except InvalidInputError as error:
+        return [DocumentFault("", "", error.message)]
+    return []
+
+
 def kind_of(data: bytes) -> FileKind:
     """Return what a file holds: a configuration has fields that settings don't have."""
     try:
@@ -38,6 +51,8 @@
     except msgspec.DecodeError:
         return "settings"
     names = set(document) if isinstance(document, dict) else set()
+    if {"node", "listen", "platform"} <= names:
+        return "platform"
     return "configuration" if names & set(Configuration.__struct_fields__) else "settings"
 
 
--- a/src/balsamcleat/cli.py
+++ b/src/balsamcleat/cli.py
@@ -117,7 +117,42 @@
 
 
 @app.command
-def check(file: Path, *, kind: Literal["auto", "settings", "configuration"] = "auto") -> None:
+def entry(settings: Path) -> None:
+    """Run an entry VM's process on the operators' platform until SIGTERM.
+
+    Args:
+        settings: The settings file that the platform wrote; `balsamcleat check FILE` checks it.
+    """
+    from balsamcleat.entry import run_entry
+
+    anyio.run(run_entry, settings)
+
+
+@app.command
+def explain(wanted: str, *files: Path) -> None:
+    """Tell the life of one request, sample or step from the logs of one or more entry VMs.
+
+    Exits 1 if no line names it.
+
+    Args:
+        wanted: Its id: a caller's attempt, a step, a sample, or a target.
+        files: Files with log lines, in any order; what stands before a line's JSON is passed over.
+    """
+    from balsamcleat.explaining import explain as find
+    from balsamcleat.explaining import read_lines
+
+    lines = find(wanted, read_lines(files))
+    if not lines:
+        print(f"no line names {wanted}", file=sys.stderr)
+        sys.exit(EXIT_BROKEN)
+    for line in lines:
+        print(line.text(lines[0].at_s))
+
+
+@app.command
+def check(
+    file: Path, *, kind: Literal["auto", "settings", "configuration", "platform"] = "auto"
+) -> None:
     """Check a settings or configuration file; says every fault and exits 2 if there is one.
 
     Args:
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -9,10 +9,12 @@
 import anyio.abc
 import structlog
 
+from balsamcleat.adapters.text_metrics import TextMetrics
 from balsamcleat.decisions.readiness import Readiness, StoreView, decide_readiness
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
 from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.entry.reload import SettingsWatch
 from balsamcleat.errors import PlatformError
 from balsamcleat.http1 import (
     ClientPool,
@@ -70,6 +72,10 @@
 # A trainer's next step comes some seconds after the one before and finds the connections open.
 TARGET_IDLE_S = 8.0
 TARGET_CONNECTIONS = 256
+# Named in deploy/system.toml, where metrics are fetched.
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+TEXT = (("Content-Type", "text/plain; version=0.0.4"),)
 # Stands for a store that never answered, in seconds.
 NEVER_S = 999.0
 
@@ -80,12 +86,22 @@
     """All parts of one process, wired.
 
     Args:
-        settings: What the platform says of this VM.
+        path: The settings file.
+        settings: What it says of this VM.
+        metrics: Counts what happens.
         output: Where log lines go.
     """
 
-    def __init__(self, settings: PlatformSettings, output: BoundedOutput) -> None:
+    def __init__(
+        self,
+        path: Path,
+        settings: PlatformSettings,
+        metrics: TextMetrics,
+        output: BoundedOutput,
+    ) -> None:
         self.settings = settings
+        self.watch = SettingsWatch(path, settings, self.apply)
+        self.metrics = metrics
         self.output = output
         self.boot = uuid.uuid4().hex[:12]
         generator = random.Random()
@@ -196,6 +212,9 @@
             PeerDesk(self.peer_state, StoreRelay(self.straight)).answer,
             lambda: ServerLimits(),
         )
+        self.metrics_server = HttpServer(
+            listen(f"{settings.ip}:{METRICS_PORT}"), self.answer_metrics, lambda: ServerLimits()
+        )
         self.readiness = Readiness.NO_CONFIGURATION
         self.leaving = False
         self.tasks: anyio.abc.TaskGroup | None = None
@@ -259,6 +278,8 @@
                 self.ready.run,
                 self.peers.run,
                 self.peer_server.run,
+                self.metrics_server.run,
+                self.watch.run,
                 self.keep_house,
             ):
                 tasks.start_soon(part)
@@ -268,6 +289,27 @@
         log.info("stop", boot=self.boot)
         self.output.drain()
 
+    async def answer_metrics(self, request: Request, responder: Responder) -> None:
+        """Answer with counters, gauges and latencies as text."""
+        if request.path != METRICS_PATH:
+            await responder.send(Response(404))
+            return
+        self.metrics.gauge("steps.owned", len(self.runner.steps))
+        running = sum(len(step.running) for step in self.runner.steps.values())
+        self.metrics.gauge("samples.running", running)
+        self.metrics.gauge("requests.active", self.front.active)
+        self.metrics.gauge("connections.callers", len(self.front.connections))
+        self.metrics.gauge("connections.opened", self.pool.opened)
+        self.metrics.gauge("answers.foreign", self.pool.foreign_answers)
+        self.metrics.gauge("log.bytes_waiting", self.output.waiting_bytes)
+        await responder.send(Response(200, TEXT, self.metrics.render()))
+
+    def apply(self, settings: PlatformSettings) -> None:
+        """Put new settings into force; addresses to listen at need a new start."""
+        self.settings = settings
+        self.straight.access = settings.store
+        self.lease.order_gap_s = settings.order_gap_s
+
     async def wait_for_stop(self) -> None:
         """Wait for SIGTERM; SIGHUP only says that the settings file changed."""
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -275,7 +317,7 @@
                 if number != signal.SIGHUP:
                     log.info("stop asked for", signal=number)
                     return
-                log.info("reload asked for")
+                self.watch.reload("SIGHUP")
 
     async def leave(self) -> None:
         """Hand over steps, serve callers until the balancer knows, then end."""
@@ -327,5 +369,6 @@
 async def run_entry(settings_path: Path) -> None:
     """Run an entry VM's process by the platform's settings file."""
     settings = load_platform_settings(settings_path)
-    output = bounded_logs(settings.vm)
-    await EntryNode(settings, output).run()
+    metrics = TextMetrics()
+    output = bounded_logs(settings.vm, metrics)
+    await EntryNode(settings_path, settings, metrics, output).run()
--- a/src/balsamcleat/http1/messages.py
+++ b/src/balsamcleat/http1/messages.py
@@ -39,7 +39,7 @@
 
     method: str
     target: str
-    headers: Headers
+    headers: Headers = ()
     body: bytes = b""
     received_at_s: float = 0.0
     peer: str = ""
--- /dev/null
+++ b/src/balsamcleat/log_events.py
@@ -0,0 +1,171 @@
+"""Every log line of an entry VM's process: its name, its fields, what it says.
+
+Each event is also a counter, ``events.NAME``, which counts lines that were dropped as well. A test
+compares this list with the code, and docs/LOG-EVENTS.md is made from it:
+``python -m balsamcleat.log_events > docs/LOG-EVENTS.md``.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["COMMON_FIELDS", "EVENTS", "LogEvent", "render"]
+
+COMMON_FIELDS = ("at_s", "vm", "level", "event")
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """One kind of line.
+
+    Attributes:
+        name: Its name.
+        meaning: What was decided or learnt.
+        fields: The fields that it may have beside the common ones.
+    """
+
+    name: str
+    meaning: str
+    fields: tuple[str, ...] = ()
+
+
+def event(name: str, meaning: str, fields: str = "") -> LogEvent:
+    """Return an event; its fields are given in one text."""
+    return LogEvent(name, meaning, tuple(fields.split()))
+
+
+ATTEMPT = "request route target candidates load load_age_s took_s"
+
+EVENTS = (
+    # The process.
+    event("start", "The process runs.", "boot zone store"),
+    event("stop asked for", "A signal asked it to end; it hands over and serves on.", "signal"),
+    event("stop", "The process ends.", "boot"),
+    event("reload", "The settings file was read again.", "cause changed"),
+    event("reload failed", "The settings file can't be read; the old settings stay.", "reason"),
+    event("not all handed over", "The store was away while leaving.", "reason"),
+    event(
+        "readiness",
+        "The answer to the balancer changed.",
+        "now before store_silence_s peers_answered peers_reach_store",
+    ),
+    event("log lines dropped", "Lines that did not fit, by their names.", "counts"),
+    # Live requests.
+    event(
+        "request answered",
+        "The caller got a target's answer.",
+        "request route status took_s attempts version",
+    ),
+    event(
+        "request refused",
+        "The caller got an answer of ours: 503 not run, 502 or 504 outcome unknown.",
+        "request status reason retry_after_s",
+    ),
+    event("request failed by a fault", "A fault of this program.", "request path exception"),
+    event("caller gone", "The caller closed before its answer.", "request path took_s"),
+    event("no route", "No route of the configuration takes it.", "request host path version"),
+    event("attempt answered", "A target answered whole.", f"{ATTEMPT} status"),
+    event("attempt failed", "A target did not; the kind says how.", f"{ATTEMPT} kind reason"),
+    event(
+        "stream attempt failed",
+        "A stream broke off after this event.",
+        "request target last_event kind reason",
+    ),
+    event("request cut off by its target", "It may have crashed it.", "request target"),
+    event("crash not shared", "Other VMs were not told of it.", "content reason"),
+    # Trainers' calls.
+    event("step accepted", "The step is kept.", "step how"),
+    event("step refused", "The submission can't be read.", "request reason"),
+    event("call refused", "The store did not answer; nothing was done.", "step status reason"),
+    event("step's outcome unknown", "The step may be kept.", "step status reason"),
+    event("step not found", "There is no such step.", "step"),
+    event("results read", "The trainer got results.", "step position results source took_s"),
+    event("end kept", "The trainer ended the step.", "step"),
+    # Owners of steps.
+    event("step owner", "The store says who owns a step.", "step owner row_version"),
+    event("step without owner", "Its owner is dead.", "step owner silence_s row_version"),
+    event("step taken over", "This VM runs it now.", "step before listed at_hand age_s"),
+    event("step claimed by another VM", "Another one was faster.", "step"),
+    event("step not taken over", "The store failed.", "step reason"),
+    event("step without submission", "Its rows are missing.", "step"),
+    event("step taken by another VM", "This VM stops running it.", "step owner"),
+    event("step lost to another VM", "A conditional write said so.", "step position"),
+    event("step handed over", "This VM leaves.", "step text_of"),
+    event("step not handed over", "The store failed.", "step reason"),
+    event("step ended", "Its samples are taken off.", "step listed carried"),
+    event("step given up", "All that is left is listed as given up.", "step reason"),
+    # Samples.
+    event("text carried over", "Text of the step before serves this one.", "step groups"),
+    event("no text of earlier steps", "It could not be read.", "step reason"),
+    event("text not kept", "It is kept later or lost with this VM.", "step reason"),
+    event(
+        "sample run ended",
+        "A run at a target is over; load, pace and version are what was believed at its start.",
+        "step sample target end reason events resumed_at took_s load pace_ms version",
+    ),
+    event("sample run failed by a fault", "A fault of this program.", "step sample exception"),
+    event("sample moved", "It leaves a slow target.", "step sample source goal"),
+    event("target is behind", "It runs a version that the step doesn't allow.", "target version"),
+    event("results listed", "They are kept and may be read.", "step position results"),
+    event("results not listed yet", "The store failed.", "step position results reason"),
+    # What is believed.
+    event("configuration in force", "A newer one.", "version before row_version routes"),
+    event("document refused", "It can't be read.", "key reason"),
+    event("version named", "A trainer named a weight version.", "model version"),
+    *(
+        event(f"target {what}", "The list says so.", "target service address row_version")
+        for what in ("listed", "ready", "draining", "restarted", "gone")
+    ),
+    event("target entry ignored", "Written by another, or unreadable.", "target row_version"),
+    event("store lost", "A feed does not answer.", "table version reason"),
+    event("store regained", "It does again.", "table failures"),
+    event("feed gap", "History was lost; the table is read in full.", "table after"),
+    event("store reached by way of a peer", "The straight way is closed.", "peer"),
+    event("store reached straight again", "It is open."),
+    event(
+        "peers asked about the store",
+        "Their answers changed.",
+        "asked answered reach_store silence_s",
+    ),
+    event("peer's call unreadable", "A peer of another release.", "call reason"),
+    event("presence lost", "Other VMs may take this one for dead.", "what reason"),
+    event("presence regained", "They no longer do.", "what"),
+    # Orders to engines.
+    event(
+        "lease on orders taken",
+        "This VM gives the orders.",
+        "fence before before_ordering first_order_in_ms",
+    ),
+    event("lease on orders lost", "Another VM has it.", "fence"),
+    event("lease on orders not tended", "The store failed.", "reason"),
+    event("lease on orders tended again", "It answers."),
+    event(
+        "weight order",
+        "An engine was ordered to load a version.",
+        "target model version fence order_count outcome",
+    ),
+    event("weights loaded", "It runs the version.", "target version"),
+    event("weights not loaded", "It says that it loads nothing.", "target"),
+    event("no report", "It did not say its state.", "target reason"),
+    event("orders wait for the store", "They are given later.", "reason"),
+)
+
+
+def render() -> str:
+    """Return the page on log lines."""
+    lines = [
+        "# Log lines of an entry VM",
+        "",
+        "One JSON object a line on standard output. Every line has `at_s` (Unix seconds), `vm`,",
+        "`level` and `event`. Made by `python -m balsamcleat.log_events`. Each event is also the",
+        "counter `balsamcleat_events_NAME_total`, which counts dropped lines, too.",
+        "",
+        "| event | says | fields |",
+        "|---|---|---|",
+    ]
+    for item in EVENTS:
+        fields = ", ".join(f"`{field}`" for field in item.fields)
+        lines.append(f"| `{item.name}` | {item.meaning} | {fields} |")
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    print(render(), end="")
--- a/src/balsamcleat/logs.py
+++ b/src/balsamcleat/logs.py
@@ -9,9 +9,14 @@
 import structlog
 
 from balsamcleat.log_output import BoundedOutput
+from balsamcleat.ports.metrics import Metrics
 
 __all__ = ["bounded_logs", "json_logs", "quiet_logs"]
 
+TIMED_EVENTS = frozenset(
+    {"request answered", "attempt answered", "attempt failed", "sample run ended", "results read"}
+)
+MS = 1000.0
 URGENT = frozenset({"warning", "error", "critical"})
 
 
@@ -34,11 +39,12 @@
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
 
 
-def bounded_logs(vm: str) -> BoundedOutput:
+def bounded_logs(vm: str, metrics: Metrics) -> BoundedOutput:
     """Write log lines as JSON to standard output, bounded and without ever waiting.
 
     Args:
         vm: Name of this VM; it stands in every line.
+        metrics: Counts every event, written or not; times those that say how long they took.
     """
     output = BoundedOutput(sys.stdout.fileno())
 
@@ -47,6 +53,9 @@
     ) -> tuple[tuple[bytes], dict[str, Any]]:
         now_s = time.time()
         event = str(fields.pop("event"))
+        metrics.count(f"events.{event}")
+        if event in TIMED_EVENTS:
+            metrics.timing(f"took.{event}", float(fields.get("took_s", 0.0)) * MS)
         line = {"at_s": round(now_s, 4), "vm": vm, "level": level, "event": event, **fields}
         data = msgspec.json.encode(line, enc_hook=str) + b"\n"
         urgent = level in URGENT
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -1,5 +1,6 @@
 """The headers of live requests: what is passed on, what is added, what an answer means."""
 
+import math
 from dataclasses import dataclass
 
 from balsamcleat.http1 import Headers, header, without
@@ -164,6 +165,7 @@
 def number(value: str | None) -> float | None:
     """Return a header's number, or None where there is none."""
     try:
-        return None if value is None else float(value)
+        found = None if value is None else float(value)
     except ValueError:
         return None
+    return found if found is not None and math.isfinite(found) else None
--- a/src/balsamcleat/platform/settings.py
+++ b/src/balsamcleat/platform/settings.py
@@ -78,6 +78,7 @@
 
     Attributes:
         vm: This VM's name.
+        ip: Its address.
         zone: Its availability zone.
         zones: All availability zones, each with its region.
         front_address: Where callers connect; empty if this process serves none.
@@ -91,6 +92,7 @@
     """
 
     vm: VmId
+    ip: str
     zone: ZoneName
     zones: dict[ZoneName, str]
     front_address: str
@@ -121,6 +123,7 @@
     store = fields.platform
     return PlatformSettings(
         vm=VmId(fields.node),
+        ip=fields.ip,
         zone=ZoneName(fields.zone),
         zones={ZoneName(zone): region for zone, region in fields.zones.items()},
         front_address=fields.listen.front,
--- a/src/balsamcleat/tasks/front_door.py
+++ b/src/balsamcleat/tasks/front_door.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import anyio
 import structlog
 
 from balsamcleat.http1 import Request, Responder, Response, ServerLimits, header
@@ -61,6 +62,14 @@
             await self.dispatch(request, responder)
         except OSError:
             raise
+        except anyio.get_cancelled_exc_class():
+            log.info(
+                "caller gone",
+                request=request_id(request.headers),
+                path=request.path,
+                took_s=round(anyio.current_time() - request.received_at_s, 4),
+            )
+            raise
         except Exception:
             attempt_id = request_id(request.headers)
             log.exception("request failed by a fault", request=attempt_id, path=request.path)
@@ -85,9 +94,9 @@
         elif route.kind is RouteKind.ROLLOUT and request.method == SUBMIT:
             await self.desk.submit(request, route, responder)
         elif route.kind is RouteKind.STREAM:
-            await self.streams.answer(request, route, responder)
+            await self.streams.answer(request, route, responder, table.version)
         else:
-            await self.forwarder.answer(request, route, responder)
+            await self.forwarder.answer(request, route, responder, table.version)
 
     async def answer_unrouted(
         self, request: Request, responder: Responder, table: RoutingTable, host: str
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -35,7 +35,7 @@
 )
 from balsamcleat.tasks.suspect_board import SuspectBoard
 
-__all__ = ["LiveCall", "LiveForwarder"]
+__all__ = ["LiveCall", "LiveForwarder", "live_priority", "log_answered"]
 
 # Kept back of the caller's time for our own answer on its way.
 ANSWER_MARGIN_S = 0.03
@@ -108,8 +108,17 @@
         self.generator = generator
         self.board = board
 
-    async def answer(self, request: Request, route: Route, responder: Responder) -> None:
-        """Answer a live request from a target, or say why not."""
+    async def answer(
+        self, request: Request, route: Route, responder: Responder, version: int
+    ) -> None:
+        """Answer a live request from a target, or say why not.
+
+        Args:
+            request: The request.
+            route: Its route.
+            responder: Writes the answer.
+            version: Number of the configuration that the route is from.
+        """
         call = self.begin(request, route)
         if call is None or self.is_condemned(call):
             reason = "no service" if call is None else "targets crash under it"
@@ -121,6 +130,7 @@
             response = outcome.ok_value
             headers = relayed_headers(response.headers)
             await responder.send(Response(response.status, headers, response.body))
+            log_answered(call, response.status, version)
             return
         reason = str(outcome.err_value)
         await refuse(request, responder, call.ledger.final(), reason, self.generator)
@@ -278,6 +288,7 @@
         evidence = self.book.of(replica.target_id)
         fields = {
             "request": call.attempt_id,
+            "candidates": len(self.directory.serving(call.service)),
             "route": call.route.name,
             "target": replica.target_id,
             "load": round(evidence.load(now_s), 2),
@@ -291,6 +302,19 @@
             log.warning("attempt failed", kind=error.kind.value, reason=error.message, **fields)
 
 
+def log_answered(call: LiveCall, status: int, version: int) -> None:
+    """Log that a caller got a target's answer."""
+    log.info(
+        "request answered",
+        request=call.attempt_id,
+        route=call.route.name,
+        status=status,
+        took_s=round(anyio.current_time() - call.request.received_at_s, 4),
+        attempts=len(call.ledger.tried),
+        version=version,
+    )
+
+
 def live_priority(route: Route) -> int:
     """Return a route's priority at a target: 0 to 3, before any sample's."""
     return min(route.rank, LAST_LIVE_PRIORITY)
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -24,11 +24,23 @@
 
 @dataclass(slots=True)
 class SampleOnTarget:
-    """A sample that runs; cancelling ``scope`` takes it off its target."""
+    """A sample that runs; cancelling ``scope`` takes it off its target.
+
+    Attributes:
+        target_id: Where it runs.
+        scope: Cancels the run.
+        moving: Whether it is on its way to a better target.
+        load: Requests believed there at the start.
+        pace_s: Seconds for one event believed there at the start.
+        version: Weight version believed there at the start.
+    """
 
     target_id: TargetId
     scope: anyio.CancelScope
     moving: bool = False
+    load: float = 0.0
+    pace_s: float = 0.0
+    version: int = 0
 
 
 @dataclass(slots=True)
--- a/src/balsamcleat/tasks/rollout_desk.py
+++ b/src/balsamcleat/tasks/rollout_desk.py
@@ -208,7 +208,8 @@
 
     async def results(self, step_id: StepId, query: ResultsQuery, responder: Responder) -> None:
         """Answer with results from a position on, waiting for a first one."""
-        deadline_s = anyio.current_time() + query.wait_s
+        began_s = anyio.current_time()
+        deadline_s = began_s + query.wait_s
         total = await self.total(step_id)
         if total is None:
             await self.not_found(responder, step_id)
@@ -219,6 +220,14 @@
             results = await self.read(step_id, query.position)
         page = first_page(results)
         await responder.send(Response(200, JSON, encode_results(total, query.position, page)))
+        log.info(
+            "results read",
+            step=step_id,
+            position=query.position,
+            results=len(page),
+            source="owner" if step_id in self.runner.steps else "store",
+            took_s=round(anyio.current_time() - began_s, 4),
+        )
 
     async def total(self, step_id: StepId) -> int | None:
         """Return the number of a step's samples, or None for an unknown step."""
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -252,7 +252,15 @@
             priority=SPARE_PRIORITY if rank.spare else WANTED_PRIORITY,
             single_version=route.single_version,
         )
-        running = SampleOnTarget(replica.target_id, anyio.CancelScope())
+        evidence = self.book.of(replica.target_id)
+        now_s = anyio.current_time()
+        running = SampleOnTarget(
+            replica.target_id,
+            anyio.CancelScope(),
+            load=evidence.load(now_s),
+            pace_s=evidence.pace_s(now_s),
+            version=self.seat(replica, now_s).versions.get(step.step.model, 0),
+        )
         step.running[sample.sample_id] = running
         self.tasks.start_soon(self.run_sample, step, order, running, route.attempts)
 
@@ -307,6 +315,9 @@
             events=len(progress.events),
             resumed_at=before,
             took_s=round(anyio.current_time() - began_s, 3),
+            load=round(running.load, 1),
+            pace_ms=round(running.pace_s * 1000, 1),
+            version=running.version,
         )
         if progress.current is not None:
             key = (order.replica.target_id, step.step.model)
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -16,7 +16,7 @@
     relayed_headers,
 )
 from balsamcleat.tasks.live_answers import no_target, refuse, turned_away
-from balsamcleat.tasks.live_forwarder import LiveCall, LiveForwarder, live_priority
+from balsamcleat.tasks.live_forwarder import LiveCall, LiveForwarder, live_priority, log_answered
 
 __all__ = ["StreamForwarder"]
 
@@ -90,8 +90,17 @@
     def __init__(self, live: LiveForwarder) -> None:
         self.live = live
 
-    async def answer(self, request: Request, route: Route, responder: Responder) -> None:
-        """Answer with a stream from a target, or say why not."""
+    async def answer(
+        self, request: Request, route: Route, responder: Responder, version: int
+    ) -> None:
+        """Answer with a stream from a target, or say why not.
+
+        Args:
+            request: The request.
+            route: Its route.
+            responder: Writes the answer.
+            version: Number of the configuration that the route is from.
+        """
         call = self.live.begin(request, route)
         if call is None or self.live.is_condemned(call):
             final = FinalAnswer.NOT_RUN if call is None else FinalAnswer.CRASHES_TARGETS
@@ -111,6 +120,7 @@
                 call.ledger.failed(failure)
                 self.log_break(call, replica, relay, failure)
         if responder.finished:
+            log_answered(call, OK, version)
             return
         if not responder.started:
             final = call.ledger.final()
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -159,7 +159,7 @@
 
         async def handle(request: Request, responder: Responder) -> None:
             answerer = streams if to.kind is RouteKind.STREAM else forwarder
-            await answerer.answer(request, to, responder)
+            await answerer.answer(request, to, responder, 1)
 
         listener = listen("127.0.0.1:0")
         server = HttpServer(listener, handle, lambda: limits or ServerLimits())
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,262 @@
+"""The platform's edge: what is decoded, what is refused, and that its names stay in its folder."""
+
+import json
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+import balsamcleat
+from balsamcleat.checking import check_file
+from balsamcleat.entry.reload import SettingsWatch
+from balsamcleat.errors import InvalidInputError, ProtocolError
+from balsamcleat.http1 import EventParser, Request
+from balsamcleat.model import StepId, TargetId
+from balsamcleat.model.replicas import ReplicaState
+from balsamcleat.model.rollout import SampleResult, SampleState
+from balsamcleat.model.routing import RouteKind
+from balsamcleat.platform import (
+    StepCallKind,
+    classify_step_call,
+    decode_named_version,
+    decode_replica,
+    decode_routing,
+    decode_step,
+    encode_results,
+    item_headers,
+    load_platform_settings,
+    read_marks,
+    stream_versions,
+)
+
+SOURCE = Path(balsamcleat.__file__).parent
+# Names that only the platform uses; in the code they stand in its folder alone.
+WIRE_NAMES = re.compile(
+    r"rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|callSeq|kvUsed|kvCapTokens|coldLeftMs"
+    r"|Server-Stamp|Not-Run|Expect-Instance|Attempt-Id|Deadline-Ms|Weight-Versions|Prompt-Prefix"
+    r"|Token-Usage|queueTtlS|targetGroups|minVersion|totalCount|/lots/|/items/|Wait-Ms"
+)
+SETTINGS = {
+    "node": "front-a-1",
+    "ip": "10.0.0.1",
+    "zone": "a",
+    "zones": {"a": "r"},
+    "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+    "portRange": [7300, 7315],
+    "platform": {"address": "10.9.9.9:1", "writesPerS": 800, "rowBytes": 1000},
+    "bounds": {"graceS": 8, "leaseMs": 3000, "somethingNew": True},
+    "unknown": [1],
+}
+ROUTING = {
+    "version": 7,
+    "routes": [
+        {"host": "H.example", "prefix": "/a/", "kind": "safe", "svc": "s", "timeoutMs": 1500},
+        {"host": "h.example", "prefix": "/a/b/", "kind": "rollout", "split": [], "dueMs": 7500},
+        {"host": "h.example", "prefix": "/new/", "kind": "a kind of tomorrow", "svc": "s"},
+    ],
+    "services": [{"name": "s", "engine": {"batchSlots": 16, "models": [{"name": "m"}]}}],
+}
+
+
+def test_the_platform_s_names_stand_in_its_folder_alone() -> None:
+    for path in SOURCE.rglob("*.py"):
+        if SOURCE / "platform" not in path.parents:
+            found = WIRE_NAMES.search(path.read_text())
+            assert found is None, (path, found)
+
+
+def test_a_settings_file_is_read_in_our_terms(tmp_path: Path) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    settings = load_platform_settings(path)
+    assert settings.peer_address == "10.0.0.1:7300"
+    assert settings.order_gap_s == 3.0
+    assert settings.store.limits.row_bytes == 1000
+    assert check_file(path) == []
+
+
+@pytest.mark.parametrize("missing", ["node", "listen", "platform", "zone"])
+def test_a_settings_file_without_a_field_is_refused_by_its_name(
+    missing: str, tmp_path: Path
+) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({key: value for key, value in SETTINGS.items() if key != missing}))
+    with pytest.raises(InvalidInputError, match=missing):
+        load_platform_settings(path)
+    assert missing in str(check_file(path, "platform")[0])
+
+
+def test_a_changed_file_comes_into_force_and_a_bad_one_does_not(tmp_path: Path) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    applied = []
+    watch = SettingsWatch(path, load_platform_settings(path), applied.append)
+    path.write_text("{")
+    watch.reload("test")
+    assert applied == []
+    path.write_text(json.dumps({**SETTINGS, "platform": {"address": "10.9.9.8:1"}}))
+    watch.reload("test")
+    assert applied[0].store.address == "10.9.9.8:1"
+
+
+def test_routes_match_by_host_and_longest_prefix() -> None:
+    table = decode_routing(json.dumps(ROUTING).encode())
+    short, longer = table.match("h.example", "/a/x"), table.match("h.example", "/a/b/x")
+    assert short is not None and longer is not None
+    assert short.kind is RouteKind.IDEMPOTENT
+    assert longer.kind is RouteKind.ROLLOUT
+    assert table.match("h.example", "/a") is None
+    assert table.match("other.example", "/a/x") is None
+
+
+def test_a_kind_that_is_not_known_runs_once_at_most() -> None:
+    table = decode_routing(json.dumps(ROUTING).encode())
+    route = table.match("h.example", "/new/x")
+    assert route is not None
+    assert not route.repeatable
+
+
+def test_an_entry_of_a_target_is_read_and_one_of_another_writer_is_not() -> None:
+    entry = {"svc": "s", "address": "10.0.0.1:80", "state": "ready", "batchSlots": 4, "born": 17}
+    replica = decode_replica("i-1", json.dumps(entry).encode(), 3)
+    assert replica is not None
+    assert (replica.target_id, replica.state) == (TargetId("i-1"), ReplicaState.READY)
+    for wrong in (
+        {**entry, "state": "resting"},
+        {**entry, "svc": None},
+        {**entry, "address": "nowhere"},
+        {**entry, "batchSlots": "many"},
+        {"svc": "s"},
+        [],
+    ):
+        assert decode_replica("i-1", json.dumps(wrong).encode(), 3) is None
+
+
+@given(st.binary(max_size=200))
+def test_unreadable_bytes_end_in_a_typed_error_or_in_nothing(data: bytes) -> None:
+    assert decode_replica("i-1", data, 1) is None
+    for decode in (decode_routing, decode_named_version):
+        with pytest.raises(ProtocolError):
+            decode(data)
+    with pytest.raises(InvalidInputError):
+        decode_step((), data)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner),
+    max_leaves=8,
+)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(["svc", "address", "state", "models", "requests", "version", "routes"]),
+        JSON_VALUES,
+    )
+)
+def test_fields_of_other_types_end_in_a_typed_error_or_in_nothing(document) -> None:
+    data = msgspec.json.encode(document)
+    decode_replica("i-1", data, 1)
+    for decode in (decode_routing, decode_named_version):
+        try:
+            decode(data)
+        except ProtocolError:
+            continue
+    try:
+        decode_step((), data)
+    except InvalidInputError:
+        return
+
+
+@given(st.lists(st.binary(max_size=30), max_size=8))
+def test_any_bytes_pass_the_event_parser(pieces: list[bytes]) -> None:
+    parser = EventParser()
+    for piece in pieces:
+        try:
+            parser.feed(piece)
+        except UnicodeDecodeError:
+            return
+
+
+@example("inf", 200)
+@example("nan", 503)
+@example("1,2,-3", 200)
+@given(st.text(alphabet=st.characters(codec="ascii"), max_size=20), st.integers(100, 599))
+def test_any_header_value_is_read_without_an_error(value: str, status: int) -> None:
+    headers = tuple((name, value) for name in ("Server-Load", "Retry-After", "Weight-Versions"))
+    try:
+        read_marks(status, headers)
+    except (ValueError, OverflowError) as error:
+        raise AssertionError(value) from error
+
+
+def test_events_split_anywhere_come_out_whole() -> None:
+    stream = b"weight-versions: 3\nid: 1\ndata: a\ndata: b\n\n: note\n\nid: 2\ndata: \xc3\xa9\n\n"
+    for cut in range(len(stream)):
+        parser = EventParser()
+        events = parser.feed(stream[:cut]) + parser.feed(stream[cut:])
+        numbered = [event for event in events if event.number]
+        assert [(event.number, event.data) for event in numbered] == [(1, "a\nb"), (2, "é")]
+        assert stream_versions(numbered[0]) == 3
+        assert stream_versions(numbered[1]) is None
+
+
+def test_calls_about_steps_are_told_apart() -> None:
+    get = classify_step_call(Request("GET", "/lots/s1?after=12", (("Wait-Ms", "5000"),)))
+    assert get is not None and get.query is not None
+    assert (get.kind, get.step_id) == (StepCallKind.RESULTS, StepId("s1"))
+    assert (get.query.position, get.query.wait_s) == (12, 1.0)
+    body = classify_step_call(Request("GET", "/items/s1?id=x"))
+    assert body is not None and (body.kind, body.sample_id) == (StepCallKind.BODY, "x")
+    end = classify_step_call(Request("DELETE", "/lots/s1"))
+    assert end is not None and end.kind is StepCallKind.END
+    assert classify_step_call(Request("PUT", "/lots/s1")) is None
+    assert classify_step_call(Request("GET", "/other/s1")) is None
+
+
+def test_a_step_is_read_and_its_samples_are_sent_as_submitted() -> None:
+    item = {
+        "id": "x",
+        "path": "/p/x",
+        "group": "g",
+        "headers": {"Model": "m", "Token-Usage": "30,400", "Prompt-Prefix": "a:10,b:20"},
+        "body": "q83v",
+    }
+    body = json.dumps({"model": "m", "minVersion": 3, "targetGroups": 1, "requests": [item]})
+    step = decode_step((("Attempt-Id", "s1"),), body.encode())
+    assert (step.step_id, step.oldest_version) == ("s1", 3)
+    sample = step.samples[0]
+    assert (sample.prompt_tokens, sample.max_tokens) == (30, 400)
+    headers = dict(
+        item_headers(
+            sample,
+            "h",
+            target_id=TargetId("i-1"),
+            remaining_s=2.0,
+            priority=4,
+            last_event=7,
+        )
+    )
+    assert headers["Token-Usage"] == "30,400"
+    assert (headers["Attempt-Id"], headers["Last-Event-Id"]) == ("x", "7")
+    twice = json.dumps({"requests": [item, item]}).encode()
+    with pytest.raises(InvalidInputError):
+        decode_step((), twice)
+
+
+def test_results_are_listed_as_the_trainer_reads_them() -> None:
+    results = (SampleResult("x", SampleState.COMPLETE, "a\nb", (6, 7)),)
+    page = json.loads(encode_results(40, 12, results))
+    assert (page["totalCount"], page["next"]) == (40, 13)
+    assert page["results"][0] == {
+        "id": "x",
+        "state": "complete",
+        "text": "a\nb",
+        "versions": [6, 7],
+    }
+    lost = json.loads(encode_results(1, 0, (SampleResult("y", SampleState.GIVEN_UP),)))
+    assert lost["results"][0]["state"] == "lost"
