--- a/src/balsamcleat/tasks/relayed_store.py
+++ b/src/balsamcleat/tasks/relayed_store.py
@@ -227,6 +227,9 @@
         try:
             response = await self.pool.fetch(peer.address, request, timeout_s)
         except AttemptFailedError as error:
+            if peer in relays:
+                # It may leave or be cut off itself; the next call takes another one.
+                relays.remove(peer)
             unknown = name == "commit" and error.perhaps_sent
             failure = OutcomeUnknownError if unknown else PlatformUnavailableError
             raise failure(error.message, step="store.relay", peer=peer.vm) from error
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -19,9 +19,9 @@
 
 # A target that sends neither a head nor an event for this long is given up; loading weights
 # under a running sample takes less.
-SILENCE_S = 2.0
+SILENCE_S = 1.2
 # Before the head: the sample may wait in the target's queue.
-HEAD_SILENCE_S = 3.0
+HEAD_SILENCE_S = 2.5
 OK = 200
 CANNOT_BE_DONE = 422
 FAILED = 500
