A fault soak of our own: real processes on loopback, harm from outside, promises checked

Entry processes under signals (kill, stop, freeze, reload), stores that are silent, reset, down, slow, lose answers or commit late, each VM by a door of its own; engines and plain targets that crash, turn slow, answer twice or lose answers. Checked meanwhile: own whole answers, at most once, 'not run', positions, whole texts, versions named, staleness, ended steps, one holder of orders, recovery.

--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,338 @@
+"""A randomized soak: real entry processes on loopback, faults from outside, promises checked.
+
+    python tests/soak.py --seeds 1-50 --seconds 20 --vms 6
+
+Callers and a trainer go on all the while; signals, store faults and target faults come in series
+and overlap. It ends only processes that it started. A seed that ever failed is kept in
+``tests/soak_seeds.txt`` with a line on its cause, and is played again by the test suite.
+"""
+
+import argparse
+import base64
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import anyio.abc
+
+from balsamcleat.errors import AttemptFailedError
+from balsamcleat.http1 import ClientPool, PoolLimits, Request, Response
+from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
+from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
+from soak_faults import SoakFaults, SoakVm
+from soak_stand import SoakTarget, StoreDoor, events_of, serve
+
+HOST = "soak.example"
+MODEL = "m"
+ORDER_GAP_S = 1.0
+READY_AFTER_S = 6.0
+SETTLE_S = 12.0
+VM_PORTS = {"front": 8001, "ready": 8002, "peer": 8003}
+
+
+@dataclass
+class Soak:
+    """One seed's world, its faults and what was seen."""
+
+    seed: int
+    seconds: float
+    folder: Path
+    tasks: anyio.abc.TaskGroup
+    vms: list[SoakVm] = field(default_factory=list)
+    engines: list[SoakTarget] = field(default_factory=list)
+    plains: list[SoakTarget] = field(default_factory=list)
+    store: MemoryRowStore = field(default_factory=MemoryRowStore)
+    broken: list[str] = field(default_factory=list)
+    served: int = 0
+    asked: int = 0
+    steps: int = 0
+    version: int = 1
+    refused: dict[str, float] = field(default_factory=dict)
+    read: dict[tuple[str, int], str] = field(default_factory=dict)
+    ended: dict[str, float] = field(default_factory=dict)
+    stopping: bool = False
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.net = 10 + self.seed % 200
+        self.pool = ClientPool(PoolLimits(connect_s=0.5))
+
+    def address(self, number: int, port: int) -> str:
+        return f"127.{self.net}.0.{number}:{port}"
+
+    def write(self, key: str, document: object) -> None:
+        row = RowWrite(RowKey("op", "", key), json.dumps(document).encode())
+        self.store.apply(RowCommit((row,)))
+
+    def build(self, vms: int) -> None:
+        for number in range(3):
+            self.engines.append(self.target(f"engine{number}", 100 + number, "llm", MODEL))
+        for number in range(2):
+            self.plains.append(self.target(f"plain{number}", 110 + number, "app", ""))
+        self.write("config", self.configuration(1))
+        for number in range(vms):
+            self.vms.append(self.vm(number))
+
+    def target(self, name: str, number: int, service: str, model: str) -> SoakTarget:
+        found = SoakTarget(name, self.address(number, 9000), service, self.store, self.tasks, model)
+        found.rng = random.Random(f"{self.seed}{name}")
+        found.start()
+        return found
+
+    def vm(self, number: int) -> SoakVm:
+        ip = f"127.{self.net}.0.{number + 1}"
+        door = StoreDoor(RowStoreView(self.store, RowStoreFlaws(delay_s=0.002)))
+        serve(self.tasks, self.address(200 + number, 9100), door.answer)
+        settings = self.folder / f"vm{number}.json"
+        document = {
+            "node": f"vm{number}",
+            "ip": ip,
+            "zone": "ab"[number % 2],
+            "zones": {"a": "r", "b": "r"},
+            "listen": {
+                "front": f"{ip}:{VM_PORTS['front']}",
+                "ready": f"{ip}:{VM_PORTS['ready']}",
+            },
+            "portRange": [VM_PORTS["peer"], VM_PORTS["peer"]],
+            "platform": {"address": self.address(200 + number, 9100)},
+            "bounds": {"graceS": 6, "leaseMs": ORDER_GAP_S * 1000, "statusS": 120},
+        }
+        settings.write_text(json.dumps(document))
+        return SoakVm(f"vm{number}", ip, door, settings, self.folder / f"vm{number}.log")
+
+    def configuration(self, version: int) -> dict[str, object]:
+        def route(prefix: str, kind: str, service: str, **more: object) -> dict[str, object]:
+            known = {"host": HOST, "prefix": prefix, "kind": kind, "svc": service}
+            return {**known, "timeoutMs": 3000, "sloMs": 300, "attempts": 3, **more}
+
+        routes = [
+            route("/safe/", "safe", "app"),
+            route("/once/", "unsafe", "app"),
+            route("/steps/", "rollout", "llm", resumable=True, queueTtlS=60, dueMs=7500),
+        ]
+        engine = {"batchSlots": 8, "models": [{"name": MODEL}]}
+        services = [{"name": "app"}, {"name": "llm", "engine": engine}]
+        return {"version": version, "routes": routes, "services": services}
+
+    def breaks(self, promise: str, detail: str) -> None:
+        self.broken.append(f"{promise}: {detail}")
+
+    async def ask(
+        self, request: Request, timeout_s: float, vm: SoakVm | None = None
+    ) -> Response | None:
+        """Ask a VM, drawn if none is named; None where no whole answer came."""
+        vm = vm or self.rng.choice(self.vms)
+        address = f"{vm.ip}:{VM_PORTS['front']}"
+        try:
+            fresh = self.rng.random() < 0.5
+            return await self.pool.fetch(address, request, timeout_s, fresh=fresh)
+        except AttemptFailedError:
+            return None
+
+    async def call(self, number: int) -> None:
+        """Make live calls, one after the other; each answer must be its own."""
+        count = 0
+        while not self.stopping:
+            count += 1
+            kind = self.rng.choice(("safe", "once"))
+            attempt = f"{kind}-{number}-{count}"
+            headers = (("Host", HOST), ("Attempt-Id", attempt), ("Deadline-Ms", "2000"))
+            body = os.urandom(8).hex().encode()
+            self.asked += 1
+            response = await self.ask(Request("POST", f"/{kind}/x", headers, body), 2.5)
+            if response is not None and response.status == 200:
+                self.served += 1
+                if response.body != attempt.encode() + b":" + body:
+                    self.breaks("own answer", f"{attempt} got {response.body!r}")
+            if response is not None and response.status in (429, 503):
+                self.refused[attempt] = anyio.current_time()
+            await anyio.sleep(self.rng.uniform(0.02, 0.2))
+
+    async def train(self) -> None:
+        """Submit steps, read them from any VM and position, end them, name versions."""
+        number = 0
+        while not self.stopping:
+            step = f"step{self.seed}x{number}"
+            items = [
+                {
+                    "id": f"{step}i{place}",
+                    "path": "/steps/g",
+                    "group": f"{step}g{place // 4}",
+                    "headers": {"Model": MODEL, "Length-Hint": "900"},
+                    "body": base64.b64encode(f"{step}{place}".encode()).decode(),
+                }
+                for place in range(24)
+            ]
+            body = {
+                "model": MODEL,
+                "minVersion": max(1, self.version - 1),
+                "targetGroups": 5,
+                "requests": items,
+            }
+            await self.run_step(step, body, len(items))
+            number += 1
+            self.version += 1
+            self.write(f"version/{MODEL}", {"model": MODEL, "version": self.version})
+
+    async def run_step(self, step: str, body: dict[str, object], count: int) -> None:
+        headers = (("Host", HOST), ("Attempt-Id", step), ("Content-Type", "application/json"))
+        data = json.dumps(body).encode()
+        while True:
+            response = await self.ask(Request("POST", "/steps/s", headers, data), 2.5)
+            if response is not None and response.status == 202:
+                break
+            if self.stopping:
+                return
+            await anyio.sleep(0.3)
+        oldest = int(str(body["minVersion"]))
+        began_s, found = anyio.current_time(), 0
+        while found < count * 0.8 and anyio.current_time() - began_s < 12.0:
+            position = self.rng.choice((found, found, 0))
+            found = max(found, await self.read_results(step, position, count, oldest))
+            await anyio.sleep(0.2)
+        self.steps += found >= count * 0.8
+        while not self.stopping:
+            end = await self.ask(Request("DELETE", f"/lots/{step}", headers[:1]), 2.5)
+            if end is not None and end.status == 200:
+                self.ended[step] = anyio.current_time()
+                return
+            await anyio.sleep(0.3)
+
+    async def read_results(self, step: str, position: int, count: int, oldest: int) -> int:
+        """Read a page and check it; returns the next position."""
+        headers = (("Host", HOST), ("Wait-Ms", "500"))
+        request = Request("GET", f"/lots/{step}?after={position}", headers)
+        response = await self.ask(request, 3.0)
+        if response is None or response.status == 503:
+            return position
+        if response.status != 200:
+            self.breaks("step kept", f"{step} read with {response.status}")
+            return position
+        page = json.loads(response.body)
+        if page["totalCount"] != count or page["next"] != position + len(page["results"]):
+            self.breaks("positions", f"{step} {page['totalCount']} {page['next']}")
+        for offset, result in enumerate(page["results"]):
+            self.check_result(step, position + offset, result, oldest)
+        return int(page["next"])
+
+    def check_result(self, step: str, position: int, result, oldest: int) -> None:
+        text = json.dumps(result, sort_keys=True)
+        if self.read.setdefault((step, position), text) != text:
+            self.breaks("position never changes", f"{step} {position}")
+        known = [at for at, other in self.read.items() if at[0] == step and other == text]
+        if len(known) > 1:
+            self.breaks("listed once", f"{step} {result['id']} at {known}")
+        if result["state"] != "complete":
+            self.breaks("given up only where allowed", f"{step} {result['id']}")
+            return
+        lines = [line.split(":") for line in result["text"].split("\n")]
+        numbers = [int(line[1]) for line in lines]
+        if numbers != list(range(1, events_of(result["id"]) + 1)):
+            self.breaks("whole text", f"{result['id']} has events {numbers}")
+        made = sorted({int(line[2][1:]) for line in lines})
+        if made != result["versions"]:
+            self.breaks("versions named", f"{result['id']} {made} {result['versions']}")
+        if made[0] < oldest:
+            self.breaks("staleness", f"{result['id']} {made} under {oldest}")
+
+    async def faults(self) -> None:
+        """Do harm in series that overlap, then let all settle."""
+        until_s = anyio.current_time() + self.seconds
+        faults = SoakFaults(self.rng, self.vms, self.engines, self.plains, self.store, self.breaks)
+        async with anyio.create_task_group() as harm:
+            while anyio.current_time() < until_s:
+                harm.start_soon(faults.one)
+                await anyio.sleep(self.rng.expovariate(1.0))
+
+    def check_targets(self) -> None:
+        """Check what targets really ran against what callers were told."""
+        for target in self.plains:
+            seen: set[str] = set()
+            for attempt, at_s in target.ran:
+                told_s = self.refused.get(attempt)
+                if told_s is not None:
+                    self.breaks("not run is true", f"{attempt} ran {at_s - told_s:+.2f} s")
+                if attempt.startswith("once") and attempt in seen:
+                    self.breaks("at most once", attempt)
+                seen.add(attempt)
+        once = [a for t in self.plains for a, _ in t.ran if a.startswith("once")]
+        for attempt in {a for a in once if once.count(a) > 1}:
+            self.breaks("at most once", attempt)
+        for engine in self.engines:
+            for sample, at_s in engine.ran:
+                ended_s = self.ended.get(sample.split("i")[0])
+                if ended_s is not None and at_s - ended_s > 3.0:
+                    self.breaks("an ended step stops", f"{sample} {at_s - ended_s:.2f} s later")
+            self.check_orders(engine)
+
+    def check_orders(self, engine: SoakTarget) -> None:
+        for before, after in zip(engine.order_log, engine.order_log[1:], strict=False):
+            if after[2] < before[2]:
+                self.breaks("fencing numbers grow", f"{engine.name} {before} {after}")
+            if before[1] != after[1] and after[0] - before[0] < ORDER_GAP_S:
+                self.breaks("one holder of orders", f"{engine.name} {before} {after}")
+
+    async def play(self, vms: int) -> None:
+        """Play the seed to its end."""
+        self.build(vms)
+        for vm in self.vms:
+            vm.start()
+        try:
+            await anyio.sleep(READY_AFTER_S)
+            async with anyio.create_task_group() as users:
+                for number in range(6):
+                    users.start_soon(self.call, number)
+                users.start_soon(self.train)
+                await self.faults()
+                before = (self.served, self.steps)
+                await anyio.sleep(SETTLE_S)
+                if self.served == before[0] or self.steps == before[1]:
+                    self.breaks("recovers", f"{before} -> {(self.served, self.steps)}")
+                self.stopping = True
+                users.cancel_scope.cancel()
+            self.check_targets()
+        finally:
+            for vm in self.vms:
+                vm.send(signal.SIGCONT)
+                vm.end()
+
+
+async def play_seed(seed: int, seconds: float, vms: int, folder: Path) -> Soak:
+    """Play one seed; its logs stay in the folder."""
+    async with anyio.create_task_group() as tasks:
+        soak = Soak(seed, seconds, folder, tasks)
+        await soak.play(vms)
+        tasks.cancel_scope.cancel()
+    return soak
+
+
+def main() -> int:
+    """Play seeds one after the other; returns 1 if a promise was broken."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", default="1-3", help="FIRST-LAST")
+    parser.add_argument("--seconds", type=float, default=20.0, help="of faults a seed")
+    parser.add_argument("--vms", type=int, default=6)
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        soak = anyio.run(play_seed, seed, options.seconds, options.vms, folder)
+        verdict = "BROKEN" if soak.broken else "kept"
+        print(f"seed {seed}: {verdict}; {soak.served} of {soak.asked} calls, {soak.steps} steps")
+        for line in soak.broken[:8]:
+            print(f"  {line}")
+        if soak.broken:
+            failed += 1
+            print(f"  logs: {folder}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak_faults.py
@@ -0,0 +1,189 @@
+"""The soak's harm: signals, store faults and target faults, each mended after a while."""
+
+import os
+import random
+import signal
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+
+from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws
+from soak_stand import SoakTarget, StoreDoor
+
+GRACE_S = 8.0
+
+
+@dataclass
+class SoakVm:
+    """One real process; its addresses are its own, so that ports don't clash."""
+
+    name: str
+    ip: str
+    door: StoreDoor
+    settings: Path
+    log: Path
+    process: subprocess.Popen | None = None
+    frozen: bool = False
+
+    def start(self) -> None:
+        environment = {**os.environ, "BALSAMCLEAT_CONFIG": str(self.settings)}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "balsamcleat.entry"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+
+@dataclass
+class SoakFaults:
+    """Does one harm at a time; several calls overlap."""
+
+    rng: random.Random
+    vms: list[SoakVm]
+    engines: list[SoakTarget]
+    plains: list[SoakTarget]
+    store: MemoryRowStore
+    breaks: Callable[[str, str], None]
+
+    async def one(self) -> None:
+        """Do one harm, drawn at random, and mend it."""
+        harms: tuple[Callable[[], Awaitable[None]], ...] = (
+            self.kill,
+            self.kill,
+            self.stop,
+            self.freeze,
+            self.reload,
+            self.store_silent,
+            self.store_reset,
+            self.store_down,
+            self.store_slow,
+            self.answers_of_the_store_lost,
+            self.commits_late,
+            self.history_lost,
+            self.engine_crashes,
+            self.engine_slow,
+            self.plain_crashes,
+            self.plain_answers_twice,
+            self.plain_loses_answers,
+        )
+        await self.rng.choice(harms)()
+
+    def for_s(self) -> float:
+        return self.rng.uniform(0.3, 5.0)
+
+    def vm(self) -> SoakVm:
+        return self.rng.choice(self.vms)
+
+    async def kill(self) -> None:
+        vm = self.vm()
+        vm.end()
+        await anyio.sleep(self.rng.uniform(0.0, 2.0))
+        vm.start()
+
+    async def stop(self) -> None:
+        vm = self.vm()
+        vm.send(signal.SIGTERM)
+        await self.gone(vm)
+        vm.start()
+
+    async def gone(self, vm: SoakVm) -> None:
+        """Wait until a process has ended by itself; one that doesn't breaks a promise."""
+        for _ in range(int(GRACE_S / 0.1)):
+            if vm.process is None or vm.process.poll() is not None:
+                return
+            await anyio.sleep(0.1)
+        if not vm.frozen:
+            self.breaks("ends within its grace", vm.name)
+        vm.end()
+
+    async def freeze(self) -> None:
+        vm = self.vm()
+        vm.frozen = True
+        vm.send(signal.SIGSTOP)
+        await anyio.sleep(self.for_s())
+        vm.send(signal.SIGCONT)
+        vm.frozen = False
+
+    async def reload(self) -> None:
+        vm = self.vm()
+        vm.settings.write_text(vm.settings.read_text() + " ")
+        vm.send(signal.SIGHUP)
+
+    async def store_silent(self) -> None:
+        door = self.vm().door
+        door.silent = True
+        await anyio.sleep(self.for_s())
+        door.silent = False
+
+    async def store_reset(self) -> None:
+        door = self.vm().door
+        door.reset = True
+        await anyio.sleep(self.for_s())
+        door.reset = False
+
+    async def store_down(self) -> None:
+        await self.for_all(lambda flaws, on: setattr(flaws, "down", on))
+
+    async def store_slow(self) -> None:
+        await self.for_all(lambda flaws, on: setattr(flaws, "delay_s", 0.2 if on else 0.002))
+
+    async def for_all(self, change: Callable[[RowStoreFlaws, bool], None]) -> None:
+        for vm in self.vms:
+            change(vm.door.flaws, True)
+        await anyio.sleep(self.for_s())
+        for vm in self.vms:
+            change(vm.door.flaws, False)
+
+    async def answers_of_the_store_lost(self) -> None:
+        self.vm().door.flaws.lose_answers += self.rng.randrange(1, 5)
+
+    async def commits_late(self) -> None:
+        self.vm().door.flaws.hold_commits += self.rng.randrange(1, 3)
+        await anyio.sleep(self.for_s())
+        self.store.release()
+
+    async def history_lost(self) -> None:
+        self.store.forget_history()
+
+    async def engine_crashes(self) -> None:
+        await self.crash(self.rng.choice(self.engines))
+
+    async def plain_crashes(self) -> None:
+        await self.crash(self.rng.choice(self.plains))
+
+    async def crash(self, target: SoakTarget) -> None:
+        if target.up:
+            await target.crash(self.for_s())
+
+    async def engine_slow(self) -> None:
+        engine = self.rng.choice(self.engines)
+        engine.slow = self.rng.uniform(2.0, 6.0)
+        await anyio.sleep(self.for_s())
+        engine.slow = 1.0
+
+    async def plain_answers_twice(self) -> None:
+        plain = self.rng.choice(self.plains)
+        plain.answer_twice = True
+        await anyio.sleep(self.for_s())
+        plain.answer_twice = False
+
+    async def plain_loses_answers(self) -> None:
+        plain = self.rng.choice(self.plains)
+        plain.lose_answers = 0.2
+        await anyio.sleep(self.for_s())
+        plain.lose_answers = 0.0
--- /dev/null
+++ b/tests/soak_stand.py
@@ -0,0 +1,280 @@
+"""What the real entry processes talk to in the soak: store, engines and plain targets on loopback.
+
+Each VM reaches the store at an address of its own, so that its way there can be cut, reset,
+silenced or made slow from outside the process. Targets write down what they really ran.
+"""
+
+import base64
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import msgspec
+
+from balsamcleat.errors import OutcomeUnknownError, PlatformUnavailableError
+from balsamcleat.http1 import HttpServer, Request, Responder, Response, ServerLimits, header
+from balsamcleat.http1.streams import listen
+from balsamcleat.ports.rows import (
+    HistoryLostError,
+    RowChange,
+    RowCommit,
+    RowConflict,
+    RowKey,
+    RowWrite,
+)
+from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
+
+JSON = (("Content-Type", "application/json"),)
+EVENT_S = 0.02
+LOAD_S = 0.3
+LIMITS = ServerLimits(idle_timeout_s=60.0)
+
+
+def serve(tasks: anyio.abc.TaskGroup, address: str, handler) -> HttpServer:
+    server = HttpServer(listen(address), handler, lambda: LIMITS)
+    tasks.start_soon(server.run)
+    return server
+
+
+def wire_row(row: RowChange) -> dict[str, object]:
+    key = row.key
+    found: dict[str, object] = {
+        "table": key.table,
+        "part": key.part,
+        "key": key.key,
+        "ver": row.version,
+    }
+    if row.value is None:
+        return {**found, "deleted": True}
+    return {**found, "value": base64.b64encode(row.value).decode()}
+
+
+@dataclass
+class StoreDoor:
+    """The store as one VM reaches it."""
+
+    view: RowStoreView
+    silent: bool = False
+    reset: bool = False
+
+    @property
+    def flaws(self) -> RowStoreFlaws:
+        return self.view.flaws
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        if self.silent:
+            await anyio.sleep_forever()
+        if self.reset:
+            responder.connection.stream.reset()
+            return
+        try:
+            status, body = await self.call(request)
+        except PlatformUnavailableError:
+            status, body = 503, {}
+        except HistoryLostError:
+            status, body = 410, {}
+        except OutcomeUnknownError:
+            # The channel delivers nothing further.
+            responder.connection.stream.reset()
+            return
+        await responder.send(Response(status, JSON, msgspec.json.encode(body)))
+
+    async def call(self, request: Request) -> tuple[int, dict[str, object]]:
+        query = dict(pair.split("=", 1) for pair in request.query.split("&") if "=" in pair)
+        name = {key: value.replace("%2F", "/").replace("%40", "@") for key, value in query.items()}
+        if request.path == "/rows-tx":
+            return await self.commit(msgspec.json.decode(request.body))
+        if request.path == "/rows-parts":
+            parts, _ = await self.view.parts(name["table"], name.get("after", ""))
+            return 200, {"parts": list(parts)}
+        if request.path == "/rows-feed":
+            wait_s = int(name["waitMs"]) / 1000
+            page = await self.view.changes(name["table"], int(name["after"]), wait_s)
+        else:
+            bounds = (name.get("from", ""), name.get("to", ""))
+            read = await self.view.read(name["table"], name["part"], *bounds)
+            rows = [wire_row(row) for row in read.rows]
+            return 200, {
+                "rows": rows,
+                "hasMore": read.more,
+                "ver": read.version,
+                "nowMs": read.store_ms,
+            }
+        rows = [wire_row(row) for row in page.rows]
+        return 200, {"rows": rows, "ver": page.version, "nowMs": page.store_ms}
+
+    async def commit(self, body) -> tuple[int, dict[str, object]]:
+        writes = [
+            RowWrite(RowKey(p["table"], p["part"], p["key"]), base64.b64decode(p["value"]))
+            for p in body["puts"]
+        ]
+        writes += [RowWrite(RowKey(p["table"], p["part"], p["key"]), None) for p in body["remove"]]
+        expected = tuple(
+            (RowKey(p["table"], p["part"], p["key"]), p["ver"]) for p in body["expected"]
+        )
+        outcome = await self.view.commit(RowCommit(tuple(writes), expected))
+        if isinstance(outcome, RowConflict):
+            return 412, {"rows": [wire_row(row) for row in outcome.rows if row.value is not None]}
+        return 200, {"ver": outcome.version, "nowMs": outcome.store_ms}
+
+
+@dataclass
+class SoakTarget:
+    """A target that can crash, leave and come back under another id."""
+
+    name: str
+    address: str
+    service: str
+    store: MemoryRowStore
+    tasks: anyio.abc.TaskGroup
+    model: str = ""
+    life: int = 0
+    version: int = 1
+    orders: int = 0
+    loading: bool = False
+    up: bool = True
+    slow: float = 1.0
+    answer_twice: bool = False
+    lose_answers: float = 0.0
+    server: HttpServer | None = None
+    draining_since_s: float | None = None
+    ran: list[tuple[str, float]] = field(default_factory=list)
+    late_after_drain: int = 0
+    order_log: list[tuple[float, str, int]] = field(default_factory=list)
+    named: Callable[[], int] = lambda: 1
+    rng: random.Random = field(default_factory=random.Random)
+
+    @property
+    def target_id(self) -> str:
+        return f"{self.name}-{self.life}"
+
+    def put(self, state: str | None) -> None:
+        key = RowKey("servers", "", self.target_id)
+        entry = {
+            "svc": self.service,
+            "address": self.address,
+            "zone": "a",
+            "state": state,
+            "batchSlots": 8,
+            "born": self.life + 1,
+            "models": [{"name": self.model, "version": self.version}] if self.model else [],
+        }
+        value = None if state is None else msgspec.json.encode(entry)
+        self.store.apply(RowCommit((RowWrite(key, value),)))
+
+    def start(self) -> None:
+        self.life += 1
+        self.orders = 0
+        self.loading = False
+        self.up = True
+        self.draining_since_s = None
+        self.server = serve(self.tasks, self.address, self.answer)
+        self.put("ready")
+
+    def drain(self) -> None:
+        self.draining_since_s = anyio.current_time()
+        self.put("draining")
+
+    async def crash(self, down_s: float) -> None:
+        """Break all connections, stay away, come back with a new id."""
+        assert self.server is not None
+        self.up = False
+        self.server.stop_accepting()
+        for connection in list(self.server.connections):
+            connection.stream.reset()
+        await anyio.sleep(min(down_s, 0.5))
+        self.put(None)
+        await anyio.sleep(max(0.0, down_s - 0.5))
+        self.start()
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        attempt = header(request.headers, "Attempt-Id") or ""
+        wanted = header(request.headers, "Expect-Instance")
+        if wanted is not None and wanted != self.target_id:
+            await responder.send(Response(421, (("Attempt-Id", attempt),)))
+        elif request.path == "/report":
+            await responder.send(Response(200, JSON, msgspec.json.encode(self.report())))
+        elif request.path == "/order":
+            await self.order(msgspec.json.decode(request.body), responder)
+        elif self.model:
+            await self.generate(request, attempt, responder)
+        else:
+            await self.plain(request, attempt, responder)
+
+    def report(self) -> dict[str, object]:
+        return {
+            "models": [{"name": self.model, "version": self.version}],
+            "busy": self.loading,
+            "callSeq": self.orders,
+            "born": self.life + 1,
+        }
+
+    async def order(self, body, responder: Responder) -> None:
+        if body["expected"] != self.orders or self.loading:
+            await responder.send(Response(409))
+            return
+        self.order_log.append((anyio.current_time(), body["holder"], body["fence"]))
+        self.orders += 1
+        self.loading = True
+        self.tasks.start_soon(self.load, body["version"], self.life)
+        await responder.send(Response(202))
+
+    async def load(self, version: int, life: int) -> None:
+        await anyio.sleep(LOAD_S)
+        if self.life == life:
+            self.version, self.loading = version, False
+            self.put("draining" if self.draining_since_s else "ready")
+
+    def note_run(self, attempt: str) -> None:
+        now_s = anyio.current_time()
+        self.ran.append((attempt, now_s))
+        if self.draining_since_s is not None and now_s - self.draining_since_s > 3.0:
+            self.late_after_drain += 1
+
+    async def plain(self, request: Request, attempt: str, responder: Responder) -> None:
+        self.note_run(attempt)
+        await anyio.sleep(0.01 * self.slow)
+        if self.rng.random() < self.lose_answers:
+            responder.connection.stream.reset()
+            return
+        body = attempt.encode() + b":" + request.body
+        headers = (("Attempt-Id", attempt), ("Server-Stamp", "s"))
+        await responder.send(Response(200, headers, body))
+        if self.answer_twice:
+            head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: s\r\n"
+            extra = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+            await responder.connection.stream.send(extra)
+
+    async def generate(self, request: Request, attempt: str, responder: Responder) -> None:
+        """Stream events whose data says by which version each was made."""
+        if self.loading:
+            refusal = (("Attempt-Id", attempt), ("Not-Run", "1"))
+            await responder.send(Response(503, refusal))
+            return
+        self.note_run(attempt)
+        number = int(header(request.headers, "Last-Event-Id") or 0)
+        version = self.version
+        await responder.start(
+            200,
+            (
+                ("Attempt-Id", attempt),
+                ("Server-Stamp", "s"),
+                ("Weight-Versions", str(version)),
+                ("Content-Type", "text/event-stream"),
+            ),
+        )
+        for event in range(number + 1, events_of(attempt) + 1):
+            await anyio.sleep(EVENT_S * self.slow)
+            changed = f"weight-versions: {self.version}\n" if self.version != version else ""
+            version = self.version
+            data = f"{changed}id: {event}\ndata: {attempt}:{event}:v{version}\n\n"
+            await responder.write(data.encode())
+        await responder.finish()
+
+
+def events_of(sample_id: str) -> int:
+    """Return a sample's length, the same at every target; one in ten is long."""
+    rng = random.Random(sample_id)
+    return rng.randrange(60, 120) if rng.random() < 0.1 else rng.randrange(5, 30)
