Old steps and rows of VMs that are gone are deleted

Rows of steps were kept for ever, and every VM read all of them at its start. The VM that holds the lease on orders deletes steps 60 s after their results need be readable no more, a few at a time, and rows of VMs that were silent for 10 minutes.

--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -38,6 +38,7 @@
     load_platform_settings,
 )
 from balsamcleat.tasks.front_door import FrontDoor
+from balsamcleat.tasks.janitor import Janitor
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.model_use import ModelUses
 from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
@@ -167,6 +168,14 @@
             lambda step_id: self.claims.ended(step_id, self.tasks),
             self.claims.owner_changed,
         )
+        self.janitor = Janitor(
+            self.records,
+            lambda: self.feed.steps,
+            self.presence.watch,
+            lambda: self.lease.lease is not None,
+            self.time.now_ms,
+            settings.results_kept_s,
+        )
         self.desk = RolloutDesk(
             settings.vm,
             self.boot,
@@ -280,6 +289,7 @@
                 self.peer_server.run,
                 self.metrics_server.run,
                 self.watch.run,
+                self.janitor.run,
                 self.keep_house,
             ):
                 tasks.start_soon(part)
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -128,6 +128,9 @@
     event("peer's call unreadable", "A peer of another release.", "call reason"),
     event("presence lost", "Other VMs may take this one for dead.", "what reason"),
     event("presence regained", "They no longer do.", "what"),
+    event("step deleted", "Nobody may ask for it any more.", "step rows"),
+    event("VM forgotten", "It was silent for so long that it was replaced.", "gone silence_s"),
+    event("cleaning failed", "It is tried again.", "reason"),
     # Orders to engines.
     event(
         "lease on orders taken",
--- /dev/null
+++ b/src/balsamcleat/tasks/janitor.py
@@ -0,0 +1,84 @@
+"""Deletes what nobody may ask for any more: rows of old steps and of VMs that are gone for good."""
+
+from collections.abc import Callable
+
+import anyio
+import structlog
+
+from balsamcleat.decisions.vm_watch import VmWatch
+from balsamcleat.errors import PlatformError
+from balsamcleat.model import StepId
+from balsamcleat.tasks.rollout_records import RolloutRecords
+from balsamcleat.tasks.step_watch_feed import KnownStep
+
+__all__ = ["Janitor"]
+
+LOOK_EVERY_S = 10.0
+# Beyond the time that results must stay readable, for calls that are on their way.
+STEP_SLACK_S = 60.0
+# A VM that was silent for so long was replaced; one that comes back writes its row anew.
+VM_GONE_S = 600.0
+# Old steps deleted in one look, so that a backlog takes only a few writes at a time.
+STEPS_AT_ONCE = 5
+
+log = structlog.get_logger()
+
+
+class Janitor:
+    """Works at one VM at a time: the one that holds the lease on orders.
+
+    Args:
+        records: What is kept of steps.
+        steps: Returns the steps known from the feed.
+        watch: Which VMs live.
+        is_on_duty: Returns whether this VM is the one.
+        store_now_ms: Returns the store's clock.
+        kept_s: How long after its submission a step's results stay readable.
+    """
+
+    def __init__(
+        self,
+        records: RolloutRecords,
+        steps: Callable[[], dict[StepId, KnownStep]],
+        watch: VmWatch,
+        is_on_duty: Callable[[], bool],
+        store_now_ms: Callable[[], int],
+        kept_s: float,
+    ) -> None:
+        self.records = records
+        self.steps = steps
+        self.watch = watch
+        self.is_on_duty = is_on_duty
+        self.store_now_ms = store_now_ms
+        self.kept_s = kept_s
+
+    async def run(self) -> None:
+        """Clean up until cancelled."""
+        while True:
+            await anyio.sleep(LOOK_EVERY_S)
+            if not self.is_on_duty():
+                continue
+            try:
+                await self.clean()
+            except PlatformError as error:
+                log.warning("cleaning failed", reason=str(error))
+
+    async def clean(self) -> None:
+        """Delete a few old steps and the rows of VMs that are gone."""
+        for step_id in self.old_steps()[:STEPS_AT_ONCE]:
+            rows = await self.records.forget(step_id)
+            log.info("step deleted", step=step_id, rows=rows)
+        for vm, sighting in list(self.watch.seen.items()):
+            if sighting.unchanged_s >= VM_GONE_S:
+                await self.records.forget_vm(vm, sighting.row.version)
+                log.info("VM forgotten", gone=vm, silence_s=round(sighting.unchanged_s, 1))
+
+    def old_steps(self) -> list[StepId]:
+        """Return the steps that nobody may ask for any more, the oldest first."""
+        before_ms = self.store_now_ms() - (self.kept_s + STEP_SLACK_S) * 1000
+        found = [
+            (known.owner.accepted_ms, step_id)
+            for step_id, known in self.steps().items()
+            if known.owner.accepted_ms < before_ms
+        ]
+        return [step_id for _, step_id in sorted(found)]
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -22,6 +22,8 @@
 
 __all__ = [
     "STEPS_TABLE",
+    "VMS_TABLE",
+    "VM_PART",
     "OwnerRecord",
     "RolloutRecords",
     "StepSubmission",
@@ -31,6 +33,8 @@
 ]
 
 STEPS_TABLE = "steps"
+VMS_TABLE = "vms"
+VM_PART = "vm"
 BODIES_TABLE = "step-bodies"
 RESULTS_TABLE = "step-results"
 PROGRESS_TABLE = "step-progress"
@@ -302,11 +306,31 @@
 
     async def drop_progress(self, part: str) -> None:
         """Delete the text kept in a part."""
-        page = await self.store.read(PROGRESS_TABLE, part)
-        writes = [RowWrite(row.key, None) for row in page.rows]
-        for group in self.split_writes(writes):
-            if group:
-                await self.store.commit(RowCommit(group))
+        await self.drop_part(PROGRESS_TABLE, part)
+
+    async def drop_part(self, table: str, part: str) -> int:
+        """Delete all rows of a part; returns how many there were."""
+        count = 0
+        more = True
+        while more:
+            page = await self.store.read(table, part)
+            writes = [RowWrite(row.key, None) for row in page.rows]
+            for group in self.split_writes(writes):
+                if group:
+                    await self.store.commit(RowCommit(group))
+            count += len(writes)
+            more = page.more
+        return count
+
+    async def forget(self, step_id: StepId) -> int:
+        """Delete all that is kept of a step, its owner's row last; returns the rows deleted."""
+        tables = (PROGRESS_TABLE, RESULTS_TABLE, BODIES_TABLE, STEPS_TABLE)
+        return sum([await self.drop_part(table, step_id) for table in tables])
+
+    async def forget_vm(self, vm: str, version: int) -> None:
+        """Delete a VM's row, if it is still as it was read."""
+        key = RowKey(VMS_TABLE, VM_PART, vm)
+        await self.store.commit(RowCommit((RowWrite(key, None),), ((key, version),)))
 
 
 def whole(pieces: dict[str, list[bytes]], counts: dict[str, int]) -> list[str]:
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -10,12 +10,11 @@
 from balsamcleat.decisions.vm_watch import VmRow, VmWatch
 from balsamcleat.errors import PlatformError
 from balsamcleat.ports.rows import RowChange, RowCommit, RowKey, RowStore, RowWrite
+from balsamcleat.tasks.rollout_records import VM_PART, VMS_TABLE
 from balsamcleat.tasks.store_clock import StoreClock
 
 __all__ = ["VmPresence"]
 
-VMS_TABLE = "vms"
-VM_PART = "vm"
 # A VM that others depend on renews often; nobody waits for the others.
 BEAT_S = 0.4
 IDLE_BEAT_S = 1.0
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -19,6 +19,7 @@
         SOURCE / "tasks" / f"{name}.py"
         for name in (
             "front_door",
+            "janitor",
             "live_answers",
             "live_forwarder",
             "order_lease_keeper",
--- a/tests/test_step_ownership.py
+++ b/tests/test_step_ownership.py
@@ -5,6 +5,8 @@
 
 import step_world as w
 from balsamcleat.model import StepId
+from balsamcleat.tasks.janitor import Janitor
+from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.sample_run import SampleEnd
 
 SAMPLES = 12
@@ -252,3 +254,29 @@
         assert anyio.current_time() - began_s < 5.0
 
     play(test, events=lambda _: 120)
+
+
+def test_old_steps_are_deleted_and_young_ones_are_not() -> None:
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        janitor = Janitor(
+            RolloutRecords(vm.view),
+            lambda: vm.feed.steps,
+            vm.presence.watch,
+            lambda: True,
+            world.store.now_ms,
+            120.0,
+        )
+        for step in ("step-1", "step-2"):
+            assert await vm.submit(w.submission(3, 4, 3, step)) == 202
+            await world.whole(SAMPLES, 5.0, step)
+            assert await vm.end(step) == 200
+            await anyio.sleep(100.0)
+        await janitor.clean()
+        await anyio.sleep(0.1)
+        kept = {key.part for key in world.store.rows if key.table.startswith("step")}
+        assert "step-1" not in kept
+        assert "step-2" in kept
+        assert list(vm.feed.steps) == [StepId("step-2")]
+
+    play(test)
