Listing and saving apart from placing; the feed of steps under a plain name

No change of behaviour: result_lister.py takes the two loops that write on the owner's condition out of rollout_runner.py (447 -> 375 lines), step_watch_feed.py is step_feed.py.

--- a/src/balsamcleat/bench/capacity_page.py
+++ b/src/balsamcleat/bench/capacity_page.py
@@ -130,7 +130,8 @@
 This page is made by `balsamcleat bench slopes`, which measures the project's own parts against
 small stand-ins at several sizes, and `balsamcleat bench report`, which turns the measured slopes
 in `docs/capacity/slopes.json` into the tables below. The figures hold for the machine that the
-slopes were measured on; processor time is that of one of its cores.
+slopes were measured on; processor time is that of one of its cores. What an entry VM costs on the
+operators' platform, measured on whole days, stands in [capacity/platform.md](capacity/platform.md).
 
 The size: {SCALE.nodes} nodes before {SCALE.replicas} replicas in {SCALE.zones} availability zones
 of {SCALE.regions} regions, {SCALE.requests_per_s:.0f} requests and {SCALE.tokens_per_s / 1e6:.0f}
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -51,7 +51,7 @@
 from balsamcleat.tasks.routing_keeper import RoutingKeeper
 from balsamcleat.tasks.sample_run import SampleRunner
 from balsamcleat.tasks.step_claims import StepClaims
-from balsamcleat.tasks.step_watch_feed import StepFeed
+from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
 from balsamcleat.tasks.suspect_board import SUSPECTS_TABLE, SuspectBoard
--- a/src/balsamcleat/tasks/janitor.py
+++ b/src/balsamcleat/tasks/janitor.py
@@ -9,7 +9,7 @@
 from balsamcleat.errors import PlatformError
 from balsamcleat.model import StepId
 from balsamcleat.tasks.rollout_records import RolloutRecords
-from balsamcleat.tasks.step_watch_feed import KnownStep
+from balsamcleat.tasks.step_feed import KnownStep
 
 __all__ = ["Janitor"]
 
--- a/src/balsamcleat/tasks/model_use.py
+++ b/src/balsamcleat/tasks/model_use.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from balsamcleat.model import StepId
-from balsamcleat.tasks.step_watch_feed import KnownStep
+from balsamcleat.tasks.step_feed import KnownStep
 from balsamcleat.tasks.version_orders import ModelUse
 
 __all__ = ["ModelUses"]
--- /dev/null
+++ b/src/balsamcleat/tasks/result_lister.py
@@ -0,0 +1,115 @@
+"""Lists results of an owned step and keeps the text of its running samples."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+import structlog
+
+from balsamcleat.errors import InvalidInputError, PlatformError
+from balsamcleat.model.rollout import SampleResult
+from balsamcleat.ports.rows import RowConflict
+from balsamcleat.tasks.owned_step import OwnedStep
+from balsamcleat.tasks.rollout_records import RolloutRecords
+
+__all__ = ["ResultLister"]
+
+# Results that finish close together are listed together.
+LISTING_LINGER_S = 0.03
+LISTING_RETRY_S = 0.15
+# Text is kept this often, of samples with so many new events at least; an event takes some 40 ms.
+SAVE_EVERY_S = 1.0
+LEAST_EVENTS_SAVED = 12
+
+log = structlog.get_logger()
+
+
+class ResultLister:
+    """Writes what an owner has, on the condition that it still is the owner.
+
+    Args:
+        records: What is kept of steps.
+        generator: Draws the jitter of retries.
+        drop: Stops running a step that another VM owns now.
+        wake: Called when results are listed.
+    """
+
+    def __init__(
+        self,
+        records: RolloutRecords,
+        generator: random.Random,
+        drop: Callable[[OwnedStep], None],
+        wake: Callable[[], None],
+    ) -> None:
+        self.records = records
+        self.generator = generator
+        self.drop = drop
+        self.wake = wake
+
+    async def list_results(self, step: OwnedStep) -> None:
+        """List finished results in groups until all are listed or the step is over."""
+        while not step.ended and not step.lost and len(step.listed) < len(step.samples):
+            if not step.finished:
+                changed = step.changed
+                await changed.wait()
+                await anyio.sleep(LISTING_LINGER_S)
+                continue
+            count = self.records.fits_one_commit(list(step.finished))
+            batch = tuple(step.finished[place] for place in range(count))
+            if not await self.list_batch(step, batch):
+                return
+            self.wake()
+
+    async def save_progress(self, step: OwnedStep) -> None:
+        """Keep the text of running samples now and then, so that little is lost with this VM."""
+        while step.active and not step.handing_over:
+            await anyio.sleep(SAVE_EVERY_S * (0.8 + 0.4 * self.generator.random()))
+            slices = step.unsaved(LEAST_EVENTS_SAVED)
+            if not slices or step.lost or step.handing_over:
+                continue
+            try:
+                kept = await self.records.save_progress(step.step_id, slices, step.row_version)
+            except PlatformError as error:
+                log.warning("text not kept", step=step.step_id, reason=str(error))
+                continue
+            if not kept:
+                log.warning("step lost to another VM", step=step.step_id, position=None)
+                self.drop(step)
+                return
+            step.kept_slices(slices)
+
+    async def list_batch(self, step: OwnedStep, batch: tuple[SampleResult, ...]) -> bool:
+        """List a group of results; returns False when the step is another VM's now.
+
+        The same commit is sent until its outcome is known: one that was thought lost may take
+        effect later, and only an identical one may then count as done.
+        """
+        position = len(step.listed)
+        while not step.lost:
+            try:
+                outcome = await self.records.append(step.step_id, step.row_version, position, batch)
+            except (PlatformError, InvalidInputError) as error:
+                log.warning(
+                    "results not listed yet",
+                    step=step.step_id,
+                    position=position,
+                    results=len(batch),
+                    reason=str(error),
+                )
+                await anyio.sleep(LISTING_RETRY_S * (0.5 + self.generator.random()))
+                continue
+            if isinstance(outcome, RowConflict) and not self.still_owner(step, outcome):
+                log.warning("step lost to another VM", step=step.step_id, position=position)
+                self.drop(step)
+                return False
+            step.kept(batch)
+            log.info("results listed", step=step.step_id, position=position, results=len(batch))
+            return True
+        return False
+
+    def still_owner(self, step: OwnedStep, conflict: RowConflict) -> bool:
+        """Return whether a conflict only says that our own earlier commit took effect."""
+        return any(
+            row.version == step.row_version and row.key.part == step.step_id
+            for row in conflict.rows
+        )
--- a/src/balsamcleat/tasks/rollout_desk.py
+++ b/src/balsamcleat/tasks/rollout_desk.py
@@ -31,7 +31,7 @@
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords, StepSubmission
 from balsamcleat.tasks.rollout_runner import RolloutRunner
-from balsamcleat.tasks.step_watch_feed import KnownStep
+from balsamcleat.tasks.step_feed import KnownStep
 
 __all__ = ["RolloutDesk"]
 
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -1,4 +1,4 @@
-"""Runs the steps that this VM owns: places samples, moves them, lists what is finished."""
+"""Runs the steps that this VM owns: places samples, moves them, settles how runs ended."""
 
 import random
 from collections.abc import Callable, Coroutine
@@ -19,13 +19,13 @@
     place_samples,
 )
 from balsamcleat.decisions.step_order import expected_left
-from balsamcleat.errors import InvalidInputError, PlatformError, ProtocolError
+from balsamcleat.errors import PlatformError, ProtocolError
 from balsamcleat.model import ServiceName, StepId, TargetId, WeightVersion, ZoneName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
-from balsamcleat.ports.rows import RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep, SampleOnTarget
+from balsamcleat.tasks.result_lister import ResultLister
 from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.sample_run import (
     SampleEnd,
@@ -39,20 +39,15 @@
 
 # Samples are placed when something changes, and at least this often for what only time changes.
 TICK_S = 0.1
-# Results that finish close together are listed together.
-LISTING_LINGER_S = 0.03
-LISTING_RETRY_S = 0.15
-# After a run that broke, the sample waits this long times the breaks in a row.
+# After a run that broke, the sample waits up to this long.
 BROKEN_HOLD_S = 0.05
 FAILED_HOLD_S = 0.2
 # Output tokens an event holds, until one is seen; only ratios matter.
 TOKENS_AN_EVENT = 60.0
+# Live requests come before all samples.
 WANTED_PRIORITY = 4
-TAKEN_OFF = "taken off"
-# Text is kept this often, of samples with so many new events at least; an event takes some 40 ms.
-SAVE_EVERY_S = 1.0
-LEAST_EVENTS_SAVED = 12
 SPARE_PRIORITY = 6
+TAKEN_OFF = "taken off"
 # Time that a target is given beyond the time left, where none is set.
 DEFAULT_RUN_S = 60.0
 
@@ -100,6 +95,7 @@
         self.changed = anyio.Event()
         self.tasks: anyio.abc.TaskGroup | None = None
         self.leaving = False
+        self.lister = ResultLister(records, generator, self.drop, self.wake)
 
     def wake(self) -> None:
         """Place samples soon: something changed."""
@@ -109,8 +105,8 @@
         """Take over a step and run it."""
         self.steps[step.step_id] = step
         step.rank(TOKENS_AN_EVENT)
-        self.start_task(self.list_results, step)
-        self.start_task(self.save_progress, step)
+        self.start_task(self.lister.list_results, step)
+        self.start_task(self.lister.save_progress, step)
         self.wake()
 
     def drop(self, step: OwnedStep) -> None:
@@ -353,74 +349,6 @@
         if seen is not None:
             log.info("target is behind", target=order.replica.target_id, version=seen)
 
-    async def list_results(self, step: OwnedStep) -> None:
-        """List finished results in groups until all are listed or the step is over."""
-        while not step.ended and not step.lost and len(step.listed) < len(step.samples):
-            if not step.finished:
-                changed = step.changed
-                await changed.wait()
-                await anyio.sleep(LISTING_LINGER_S)
-                continue
-            count = self.records.fits_one_commit(list(step.finished))
-            batch = tuple(step.finished[place] for place in range(count))
-            if not await self.list_batch(step, batch):
-                return
-            self.wake()
-
-    async def save_progress(self, step: OwnedStep) -> None:
-        """Keep the text of running samples now and then, so that little is lost with this VM."""
-        while step.active and not step.handing_over:
-            await anyio.sleep(SAVE_EVERY_S * (0.8 + 0.4 * self.generator.random()))
-            slices = step.unsaved(LEAST_EVENTS_SAVED)
-            if not slices or step.lost or step.handing_over:
-                continue
-            try:
-                kept = await self.records.save_progress(step.step_id, slices, step.row_version)
-            except PlatformError as error:
-                log.warning("text not kept", step=step.step_id, reason=str(error))
-                continue
-            if not kept:
-                log.warning("step lost to another VM", step=step.step_id, position=None)
-                self.drop(step)
-                return
-            step.kept_slices(slices)
-
-    async def list_batch(self, step: OwnedStep, batch: tuple[SampleResult, ...]) -> bool:
-        """List a group of results; returns False when the step is another VM's now.
-
-        The same commit is sent until its outcome is known: one that was thought lost may take
-        effect later, and only an identical one may then count as done.
-        """
-        position = len(step.listed)
-        while not step.lost:
-            try:
-                outcome = await self.records.append(step.step_id, step.row_version, position, batch)
-            except (PlatformError, InvalidInputError) as error:
-                log.warning(
-                    "results not listed yet",
-                    step=step.step_id,
-                    position=position,
-                    results=len(batch),
-                    reason=str(error),
-                )
-                await anyio.sleep(LISTING_RETRY_S * (0.5 + self.generator.random()))
-                continue
-            if isinstance(outcome, RowConflict) and not self.still_owner(step, outcome):
-                log.warning("step lost to another VM", step=step.step_id, position=position)
-                self.drop(step)
-                return False
-            step.kept(batch)
-            log.info("results listed", step=step.step_id, position=position, results=len(batch))
-            return True
-        return False
-
-    def still_owner(self, step: OwnedStep, conflict: RowConflict) -> bool:
-        """Return whether a conflict only says that our own earlier commit took effect."""
-        return any(
-            row.version == step.row_version and row.key.part == step.step_id
-            for row in conflict.rows
-        )
-
     async def end(self, step: OwnedStep, carry_part: str) -> None:
         """Stop a step that its trainer ended, and keep text that a later step may use."""
         if step.ended or step.lost:
--- a/src/balsamcleat/tasks/step_claims.py
+++ b/src/balsamcleat/tasks/step_claims.py
@@ -15,7 +15,7 @@
 from balsamcleat.tasks.rollout_desk import carry_part
 from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords
 from balsamcleat.tasks.rollout_runner import RolloutRunner
-from balsamcleat.tasks.step_watch_feed import KnownStep
+from balsamcleat.tasks.step_feed import KnownStep
 
 __all__ = ["StepClaims"]
 
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -26,7 +26,7 @@
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.sample_run import SampleEnd, SampleOrder, SampleRunOutcome
 from balsamcleat.tasks.step_claims import StepClaims
-from balsamcleat.tasks.step_watch_feed import StepFeed
+from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.vm_presence import VmPresence
