--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -168,6 +168,7 @@
             lambda step_id: self.claims.ended(step_id, self.tasks),
             self.claims.owner_changed,
         )
+        self.runner.on_conflict = self.feed.take_conflict
         self.janitor = Janitor(
             self.records,
             lambda: self.feed.steps,
--- a/src/balsamcleat/tasks/result_lister.py
+++ b/src/balsamcleat/tasks/result_lister.py
@@ -30,7 +30,7 @@
     Args:
         records: What is kept of steps.
         generator: Draws the jitter of retries.
-        drop: Stops running a step that another VM owns now.
+        lost: Stops running a step that another VM owns now, as the conflict says.
         wake: Called when results are listed.
     """
 
@@ -38,12 +38,12 @@
         self,
         records: RolloutRecords,
         generator: random.Random,
-        drop: Callable[[OwnedStep], None],
+        lost: Callable[[OwnedStep, RowConflict], None],
         wake: Callable[[], None],
     ) -> None:
         self.records = records
         self.generator = generator
-        self.drop = drop
+        self.lost = lost
         self.wake = wake
 
     async def list_results(self, step: OwnedStep) -> None:
@@ -68,13 +68,13 @@
             if not slices or step.lost or step.handing_over:
                 continue
             try:
-                kept = await self.records.save_progress(step.step_id, slices, step.row_version)
+                conflict = await self.records.save_progress(step.step_id, slices, step.row_version)
             except PlatformError as error:
                 log.warning("text not kept", step=step.step_id, reason=str(error))
                 continue
-            if not kept:
+            if conflict is not None:
                 log.warning("step lost to another VM", step=step.step_id, position=None)
-                self.drop(step)
+                self.lost(step, conflict)
                 return
             step.kept_slices(slices)
 
@@ -100,7 +100,7 @@
                 continue
             if isinstance(outcome, RowConflict) and not self.still_owner(step, outcome):
                 log.warning("step lost to another VM", step=step.step_id, position=position)
-                self.drop(step)
+                self.lost(step, outcome)
                 return False
             step.kept(batch)
             log.info("results listed", step=step.step_id, position=position, results=len(batch))
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -272,7 +272,7 @@
 
     async def save_progress(
         self, part: str, slices: dict[str, ProgressSlice], owner_version: int | None = None
-    ) -> bool:
+    ) -> RowConflict | None:
         """Keep text of samples that aren't listed.
 
         Args:
@@ -281,7 +281,7 @@
             owner_version: Version of the step's owner row that must be in force.
 
         Returns:
-            False where another VM owns the step by now; then not all is kept.
+            A conflict where another VM owns the step by now; then not all is kept.
         """
         writes: list[RowWrite] = []
         for sample_id, piece in slices.items():
@@ -289,11 +289,12 @@
             writes += self.chunks(PROGRESS_TABLE, part, name, pack(piece))
         expected = () if owner_version is None else ((owner_key(StepId(part)), owner_version),)
         for group in self.split_writes(writes):
-            if group and isinstance(
-                await self.store.commit(RowCommit(group, expected)), RowConflict
-            ):
-                return False
-        return True
+            if not group:
+                continue
+            outcome = await self.store.commit(RowCommit(group, expected))
+            if isinstance(outcome, RowConflict):
+                return outcome
+        return None
 
     async def load_progress(self, part: str) -> dict[str, SavedProgress]:
         """Return the text that was kept, by sample."""
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -24,6 +24,7 @@
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
+from balsamcleat.ports.rows import RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep, SampleOnTarget
 from balsamcleat.tasks.result_lister import ResultLister
 from balsamcleat.tasks.rollout_records import RolloutRecords
@@ -95,7 +96,9 @@
         self.changed = anyio.Event()
         self.tasks: anyio.abc.TaskGroup | None = None
         self.leaving = False
-        self.lister = ResultLister(records, generator, self.drop, self.wake)
+        self.lister = ResultLister(records, generator, self.lose, self.wake)
+        # Told what a conflict says of a step's owner, which the feed may tell only later.
+        self.on_conflict: Callable[[RowConflict], None] = lambda _: None
 
     def wake(self) -> None:
         """Place samples soon: something changed."""
@@ -126,6 +129,11 @@
         assert self.tasks is not None
         self.tasks.start_soon(task, *arguments)
 
+    def lose(self, step: OwnedStep, conflict: RowConflict) -> None:
+        """Stop running a step, and believe what the conflict says of its owner."""
+        self.on_conflict(conflict)
+        self.drop(step)
+
     async def run(self) -> None:
         """Place samples until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -10,7 +10,7 @@
 from balsamcleat.decisions.vm_watch import VmWatch
 from balsamcleat.errors import PlatformError, ProtocolError
 from balsamcleat.model import StepId
-from balsamcleat.ports.rows import RowChange
+from balsamcleat.ports.rows import RowChange, RowConflict
 from balsamcleat.tasks.rollout_records import (
     OwnerRecord,
     decode_owner,
@@ -110,6 +110,12 @@
         log.info("step owner", step=step_id, owner=owner.vm, row_version=row.version)
         self.owner_changed(step_id, known)
 
+    def take_conflict(self, conflict: RowConflict) -> None:
+        """Take who owns a step from a commit that did not hold."""
+        for row in conflict.rows:
+            if row.value is not None and is_owner_key(row.key):
+                self.take_owner(StepId(row.key.part), row)
+
     def take_end(self, step_id: StepId) -> None:
         """Take note that a step was ended."""
         known = self.steps.get(step_id)
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -204,6 +204,7 @@
             lambda step_id: claims.ended(step_id, self.tasks),
             claims.owner_changed,
         )
+        runner.on_conflict = feed.take_conflict
         desk = RolloutDesk(
             name,
             boot,
--- a/tests/test_step_ownership.py
+++ b/tests/test_step_ownership.py
@@ -112,19 +112,40 @@
 
 
 def test_an_owner_that_lost_its_step_unaware_lists_nothing_more() -> None:
+    """Its feed lags: only the condition of its own commit can tell it."""
+
     async def test(world: w.StepWorld) -> None:
         vm = await world.start("a")
         assert await vm.submit(w.submission(3, 4, 3)) == 202
         await anyio.sleep(0.3)
+        vm.feed.changed = lambda rows, version: None  # type: ignore[method-assign]
+        vm.feed.accepting = False
         assert await w.claim_by_other(vm, "step-1")
-        world.kill(vm)
         listed = await world.listed()
-        await anyio.sleep(1.0)
+        assert len(listed) < SAMPLES
+        await anyio.sleep(2.0)
         assert await world.listed() == listed
+        assert not vm.runner.steps
+        assert vm.feed.steps[StepId("step-1")].owner.vm == "other"
 
     play(test)
 
 
+def test_text_of_an_owner_that_lost_its_step_unaware_is_not_kept() -> None:
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        assert await vm.submit(w.submission(1, 2, 1)) == 202
+        await anyio.sleep(0.3)
+        vm.feed.changed = lambda rows, version: None  # type: ignore[method-assign]
+        vm.feed.accepting = False
+        assert await w.claim_by_other(vm, "step-1")
+        await anyio.sleep(3.0)
+        assert await RolloutRecords(vm.view).load_progress("step-1") == {}
+        assert not vm.runner.steps
+
+    play(test, events=lambda _: 200)
+
+
 def test_a_leaving_owner_hands_over_what_is_at_hand() -> None:
     async def test(world: w.StepWorld) -> None:
         vm = await world.start("a")
