--- a/src/balsamcleat/explaining.py
+++ b/src/balsamcleat/explaining.py
@@ -53,7 +53,7 @@
 def read_lines(paths: Iterable[Path]) -> list[ExplainedLine]:
     """Return the log lines in files; what stands before a line's JSON is passed over.
 
-    A prefix with the bench's or a collector's own time is used in place of the VM's time of day,
+    A prefix with a collector's own time is used in place of the VM's time of day,
     as it is the same clock for all VMs.
     """
     lines = []
