--- a/src/balsamcleat/decisions/replica_evidence.py
+++ b/src/balsamcleat/decisions/replica_evidence.py
@@ -29,7 +29,6 @@
     Attributes:
         in_flight: Attempts of this VM that run there.
         others: Requests of others there, as of the last answer.
-        waiting: Requests that waited there then.
         said_at_s: When that was, on the process's clock.
         failures: Failures in a row.
         refusals: Refusals in a row.
@@ -41,7 +40,6 @@
 
     in_flight: int = 0
     others: int = 0
-    waiting: int = 0
     said_at_s: float = float("-inf")
     failures: int = 0
     refusals: int = 0
@@ -63,7 +61,6 @@
     def said_load(self, running: int, waiting: int, now_s: float) -> None:
         """Take what it said of its load; this VM's own share is taken off."""
         self.others = max(0, running + waiting - self.in_flight)
-        self.waiting = waiting
         self.said_at_s = now_s
 
     def succeeded(self) -> None:
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -1,7 +1,6 @@
 """The client's side: pooled connections, one exchange at a time, typed failures."""
 
 from collections import OrderedDict
-from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 
 import anyio
@@ -43,7 +42,6 @@
     """One kept connection: ``usable_until_s`` bounds its idle time on the monotonic clock."""
 
     stream: ByteStream
-    used: bool = False
     usable_until_s: float = 0.0
 
 
@@ -100,7 +98,6 @@
 
     def release(self, address: str, connection: Connection, idle_s: float) -> None:
         """Keep a connection whose exchange ended cleanly."""
-        connection.used = True
         connection.usable_until_s = anyio.current_time() + idle_s
         self.idle.setdefault(address, []).append(connection)
         self.idle.move_to_end(address)
@@ -275,11 +272,6 @@
             return b""
         raise self.failure("the answer was cut short", FailureKind.CUT)
 
-    async def body(self) -> AsyncGenerator[bytes, None]:
-        """Yield the body as it arrives; ends normally only at its proper end."""
-        while data := await self.next_data():
-            yield data
-
     async def whole_response(self) -> Response:
         """Return the response with all of its body."""
         parts: list[bytes] = []
--- a/src/balsamcleat/http1/messages.py
+++ b/src/balsamcleat/http1/messages.py
@@ -49,6 +49,11 @@
         """The target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def host(self) -> str:
+        """The host that the request names, in lower case and without its port."""
+        return (header(self.headers, "host") or "").partition(":")[0].lower()
+
     @property
     def query(self) -> str:
         """What follows the question mark, undecoded."""
--- a/src/balsamcleat/log_output.py
+++ b/src/balsamcleat/log_output.py
@@ -9,7 +9,6 @@
 BUFFER_BYTES = 256 * 1024
 # Lines of one second; above it only warnings and errors are written, up to twice as many.
 LINES_PER_S = 400
-PIPE_BYTES = 4096
 
 
 class BoundedOutput:
--- a/src/balsamcleat/model/replicas.py
+++ b/src/balsamcleat/model/replicas.py
@@ -51,6 +51,4 @@
     versions: dict[str, WeightVersion]
     loading: bool
     order_count: int
-    waiting: int
-    running: int
     started_ms: int = 0
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -52,20 +52,16 @@
         stamped: A target made the body.
         running: Requests that the target runs; None where it doesn't say.
         waiting: Requests that wait there.
-        slots: Requests that it can run at once.
         weight_version: The weight version at the answer's start.
         retry_after_s: When to come back, in seconds.
-        leaving: The target closes the connection.
     """
 
     not_run: bool
     stamped: bool
     running: int | None = None
     waiting: int = 0
-    slots: int = 0
     weight_version: WeightVersion | None = None
     retry_after_s: float | None = None
-    leaving: bool = False
 
 
 def request_id(headers: Headers) -> str:
@@ -125,17 +121,15 @@
 
 def read_marks(status: int, headers: Headers) -> AnswerMarks:
     """Return what an answer's head means."""
-    running, waiting, slots = load_of(header(headers, LOAD))
+    running, waiting = load_of(header(headers, LOAD))
     version = number(header(headers, VERSION))
     return AnswerMarks(
         not_run=status == MISDIRECTED or header(headers, NOT_RUN) is not None,
         stamped=header(headers, STAMP) is not None,
         running=running,
         waiting=waiting,
-        slots=slots,
         weight_version=None if version is None else WeightVersion(int(version)),
         retry_after_s=number(header(headers, RETRY_AFTER)),
-        leaving=(header(headers, "connection") or "").lower() == "close",
     )
 
 
@@ -153,13 +147,13 @@
     return tuple(entry.strip().partition(":")[0] for entry in value.split(",") if entry.strip())
 
 
-def load_of(value: str | None) -> tuple[int | None, int, int]:
-    """Return requests running, requests waiting and slots; None first where nothing is said."""
+def load_of(value: str | None) -> tuple[int | None, int]:
+    """Return requests running and waiting; None first where nothing is said."""
     parts = (value or "").split(",")
     if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
-        return None, 0, 0
-    running, waiting, slots = (int(part) for part in parts)
-    return running, waiting, slots
+        return None, 0
+    running, waiting, _slots = (int(part) for part in parts)
+    return running, waiting
 
 
 def number(value: str | None) -> float | None:
--- a/src/balsamcleat/platform/orders.py
+++ b/src/balsamcleat/platform/orders.py
@@ -77,8 +77,6 @@
     busy: bool = False
     # The number of orders accepted; in the list of targets the name stands for something else.
     call_seq: int = 0
-    queued: int = 0
-    running: int = 0
     born: int = 0
 
 
@@ -154,8 +152,6 @@
             versions={model.name: WeightVersion(model.version) for model in fields.models},
             loading=fields.busy,
             order_count=fields.call_seq,
-            waiting=fields.queued,
-            running=fields.running,
             started_ms=fields.born,
         )
 
--- a/src/balsamcleat/platform/settings.py
+++ b/src/balsamcleat/platform/settings.py
@@ -27,11 +27,7 @@
     """The platform's store."""
 
     address: str
-    writes_per_s: float = 800.0
-    reads_per_s: float = 2000.0
     row_bytes: int = 65536
-    # Whether one transaction may span several parts.
-    across: bool = True
     history_s: float = 20.0
 
 
@@ -43,8 +39,6 @@
     lease_ms: float = 3000.0
     # How long a step's results stay readable after it was submitted.
     status_s: float = 120.0
-    drain_ms: float = 2000.0
-    cancel_ms: float = 3000.0
 
 
 class SettingsFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -58,7 +52,6 @@
     zones: dict[str, str] = {}
     port_range: tuple[int, int] = (0, 0)
     bounds: BoundFields = BoundFields()
-    heartbeat_ms: float = 1200.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,9 +59,6 @@
     """Where the store is and what it takes."""
 
     address: str
-    writes_per_s: float
-    reads_per_s: float
-    spans_parts: bool
     limits: StoreLimits
 
 
@@ -88,7 +78,6 @@
         grace_s: Time between the request to stop and the kill.
         order_gap_s: How long one holder's orders must be past before another's.
         results_kept_s: How long a step's results stay readable after its submission.
-        heartbeat_s: How often targets renew their entries.
     """
 
     vm: VmId
@@ -102,7 +91,6 @@
     grace_s: float
     order_gap_s: float
     results_kept_s: float
-    heartbeat_s: float
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -131,13 +119,9 @@
         peer_address=f"{fields.ip}:{fields.port_range[0]}" if fields.port_range[0] else "",
         store=StoreAccess(
             address=store.address,
-            writes_per_s=store.writes_per_s,
-            reads_per_s=store.reads_per_s,
-            spans_parts=store.across,
             limits=StoreLimits(row_bytes=store.row_bytes, history_s=store.history_s),
         ),
         grace_s=fields.bounds.grace_s,
         order_gap_s=fields.bounds.lease_ms / MS,
         results_kept_s=fields.bounds.status_s,
-        heartbeat_s=fields.heartbeat_ms / MS,
     )
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -44,7 +44,6 @@
 RESULTS_PREFIX = "/lots/"
 BODIES_PREFIX = "/items/"
 WAIT = "Wait-Ms"
-MODEL = "Model"
 TOKENS = "Token-Usage"
 LENGTH = "Length-Hint"
 MAX_WAIT_S = 1.0
--- a/src/balsamcleat/tasks/front_door.py
+++ b/src/balsamcleat/tasks/front_door.py
@@ -5,7 +5,7 @@
 import anyio
 import structlog
 
-from balsamcleat.http1 import Request, Responder, Response, ServerLimits, header
+from balsamcleat.http1 import Request, Responder, Response, ServerLimits
 from balsamcleat.model.routing import RouteKind, RoutingTable
 from balsamcleat.platform import classify_step_call, failure_headers, request_id
 from balsamcleat.tasks.live_forwarder import LiveForwarder
@@ -87,10 +87,9 @@
             headers = failure_headers(attempt_id, NO_CONFIGURATION_RETRY_S)
             await responder.send(Response(503, headers))
             return
-        host = (header(request.headers, "host") or "").partition(":")[0].lower()
-        route = table.match(host, request.path)
+        route = table.match(request.host, request.path)
         if route is None:
-            await self.answer_unrouted(request, responder, table, host)
+            await self.answer_unrouted(request, responder, table)
         elif route.kind is RouteKind.ROLLOUT and request.method == SUBMIT:
             await self.desk.submit(request, route, responder)
         elif route.kind is RouteKind.STREAM:
@@ -99,18 +98,22 @@
             await self.forwarder.answer(request, route, responder, table.version)
 
     async def answer_unrouted(
-        self, request: Request, responder: Responder, table: RoutingTable, host: str
+        self, request: Request, responder: Responder, table: RoutingTable
     ) -> None:
         """Answer a request that no route takes: a call about a step, or not found."""
         call = classify_step_call(request)
         serves_steps = any(
-            route.kind is RouteKind.ROLLOUT and route.host == host for route in table.routes
+            route.kind is RouteKind.ROLLOUT and route.host == request.host for route in table.routes
         )
         if call is not None and serves_steps:
             await self.desk.call(call, responder)
             return
         attempt_id = request_id(request.headers)
         log.info(
-            "no route", request=attempt_id, host=host, path=request.path, version=table.version
+            "no route",
+            request=attempt_id,
+            host=request.host,
+            path=request.path,
+            version=table.version,
         )
         await responder.send(Response(404, failure_headers(attempt_id)))
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -119,11 +119,8 @@
             responder: Writes the answer.
             version: Number of the configuration that the route is from.
         """
-        call = self.begin(request, route)
-        if call is None or self.is_condemned(call):
-            reason = "no service" if call is None else "targets crash under it"
-            final = FinalAnswer.NOT_RUN if call is None else FinalAnswer.CRASHES_TARGETS
-            await refuse(request, responder, final, reason, self.generator)
+        call = await self.admit(request, route, responder)
+        if call is None:
             return
         outcome = await self.run(call)
         if isinstance(outcome, Ok):
@@ -135,6 +132,18 @@
         reason = str(outcome.err_value)
         await refuse(request, responder, call.ledger.final(), reason, self.generator)
 
+    async def admit(self, request: Request, route: Route, responder: Responder) -> LiveCall | None:
+        """Return the call to send, or None where it was refused as it can't be sent."""
+        call = self.begin(request, route)
+        if call is None:
+            final, reason = FinalAnswer.NOT_RUN, "no service"
+        elif self.is_condemned(call):
+            final, reason = FinalAnswer.CRASHES_TARGETS, "targets crash under it"
+        else:
+            return call
+        await refuse(request, responder, final, reason, self.generator)
+        return None
+
     def begin(self, request: Request, route: Route) -> LiveCall | None:
         """Return the call with its service and deadline, or None where the route has none."""
         share = choose_service(route.shares, self.generator.random())
--- a/src/balsamcleat/tasks/rollout_desk.py
+++ b/src/balsamcleat/tasks/rollout_desk.py
@@ -13,7 +13,7 @@
     PlatformError,
     ProtocolError,
 )
-from balsamcleat.http1 import Request, Responder, Response, header
+from balsamcleat.http1 import Request, Responder, Response
 from balsamcleat.model import StepId
 from balsamcleat.model.rollout import SampleResult
 from balsamcleat.model.routing import Route, RoutingTable
@@ -299,8 +299,3 @@
         if count and size > PAGE_BYTES:
             return results[:count]
     return results
-
-
-def host_of(request: Request) -> str:
-    """Return the host that a request names, without its port."""
-    return (header(request.headers, "host") or "").partition(":")[0].lower()
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -42,7 +42,8 @@
 END_KEY = "end"
 # Room for base64 and the names around a value in one commit.
 COMMIT_SHARE = 0.6
-COMMIT_ROWS = 90
+# Rows of a commit that are left to its conditions.
+CONDITION_ROWS = 10
 COMPRESSION = 1
 
 Kept = TypeVar("Kept")
@@ -164,6 +165,10 @@
         expected = ((owner_key(step_id), ABSENT_VERSION),)
         return await self.store.commit(RowCommit((write, *first), expected))
 
+    def most_rows(self) -> int:
+        """Return the rows that one commit may write beside its conditions."""
+        return self.store.limits.commit_rows - CONDITION_ROWS
+
     def split_writes(self, writes: list[RowWrite]) -> list[tuple[RowWrite, ...]]:
         """Return writes in groups that fit into one commit each."""
         limit = self.store.limits.commit_bytes * COMMIT_SHARE
@@ -171,7 +176,7 @@
         size = 0
         for write in writes:
             length = len(write.value or b"")
-            if groups[-1] and (size + length > limit or len(groups[-1]) >= COMMIT_ROWS):
+            if groups[-1] and (size + length > limit or len(groups[-1]) >= self.most_rows()):
                 groups.append([])
                 size = 0
             groups[-1].append(write)
@@ -225,7 +230,7 @@
             length = len(result.text) + 100
             size += length
             rows += 1 + length // self.store.limits.row_bytes
-            if count and (size > limit or rows > COMMIT_ROWS):
+            if count and (size > limit or rows > self.most_rows()):
                 return count
         return len(results)
 
@@ -265,11 +270,6 @@
         """Keep that a step was ended; ending it twice is fine."""
         return await self.store.commit(RowCommit((RowWrite(end_key(step_id), b"1"),)))
 
-    async def is_ended(self, step_id: StepId) -> bool:
-        """Return whether a step was ended."""
-        page = await self.store.read(STEPS_TABLE, step_id, END_KEY, END_KEY + "\0")
-        return bool(page.rows)
-
     async def save_progress(
         self, part: str, slices: dict[str, ProgressSlice], owner_version: int | None = None
     ) -> RowConflict | None:
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -155,8 +155,9 @@
         for service, steps in self.by_service(table, active, now_s).items():
             seats = [self.seat(replica, now_s) for replica in self.directory.serving(service)]
             waiting = [item for step, _ in steps for item in self.waiting(step, now_s)]
+            routes = {step.step_id: route for step, route in steps}
             for placement in place_samples(waiting, seats):
-                self.start(placement, table)
+                self.start(placement, routes[placement.step_id])
             running = [item for step, _ in steps for item in self.running(step)]
             for move in find_moves(running, seats):
                 self.move(move)
@@ -187,22 +188,25 @@
     def seat(self, replica: Replica, now_s: float) -> Seat:
         """Return a target as a place for samples."""
         evidence = self.book.of(replica.target_id)
-        versions = dict(replica.versions)
-        for model, version in versions.items():
-            seen = self.seen_versions.get((replica.target_id, model), version)
-            versions[model] = max(version, seen)
         return Seat(
             target_id=replica.target_id,
             slots=replica.slots,
             load=evidence.load(now_s),
             pace_s=evidence.pace_s(now_s),
-            versions=versions,
+            versions=self.versions(replica),
             loading=self.loading(replica.target_id),
             usable=not evidence.avoided(now_s),
             own_zone=replica.zone == self.zone,
             prompts=set(evidence.prompts),
         )
 
+    def versions(self, replica: Replica) -> dict[str, WeightVersion]:
+        """Return the weight versions that a target runs, by its entry or as seen since."""
+        return {
+            model: max(version, self.seen_versions.get((replica.target_id, model), version))
+            for model, version in replica.versions.items()
+        }
+
     def waiting(self, step: OwnedStep, now_s: float) -> list[WaitingSample]:
         """Return a step's samples that may start now."""
         return [
@@ -238,12 +242,11 @@
             )
         return found
 
-    def start(self, placement: Placement, table: RoutingTable) -> None:
+    def start(self, placement: Placement, route: Route) -> None:
         """Start a sample at a target."""
         step = self.steps[placement.step_id]
         replica = self.directory.entries.get(placement.target_id)
-        route = table.match(step.record.host, step.record.path)
-        if replica is None or route is None or self.tasks is None:
+        if replica is None:
             return
         sample = step.samples[placement.sample_id]
         rank = step.ranks[sample.sample_id]
@@ -263,10 +266,10 @@
             anyio.CancelScope(),
             load=evidence.load(now_s),
             pace_s=evidence.pace_s(now_s),
-            version=self.seat(replica, now_s).versions.get(step.step.model, 0),
+            version=self.versions(replica).get(step.step.model, 0),
         )
         step.running[sample.sample_id] = running
-        self.tasks.start_soon(self.run_sample, step, order, running, route.attempts)
+        self.start_task(self.run_sample, step, order, running, route.attempts)
 
     def remaining_s(self, step: OwnedStep, route: Route) -> float:
         """Return the time that a target is given, in seconds."""
--- a/src/balsamcleat/tasks/routing_keeper.py
+++ b/src/balsamcleat/tasks/routing_keeper.py
@@ -33,10 +33,6 @@
         self.table: RoutingTable | None = None
         self.named: dict[str, WeightVersion] = {}
 
-    def listed(self, rows: tuple[RowChange, ...], version: int) -> None:
-        """Take all documents."""
-        self.changed(rows, version)
-
     def changed(self, rows: tuple[RowChange, ...], version: int) -> None:
         """Take documents as they were written."""
         for row in rows:
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -79,10 +79,6 @@
         self.changed_event = anyio.Event()
         self.accepting = True
 
-    def listed(self, rows: tuple[RowChange, ...], version: int) -> None:
-        """Take all steps."""
-        self.changed(rows, version)
-
     def changed(self, rows: tuple[RowChange, ...], version: int) -> None:
         """Take owners and ends as they were written."""
         for row in rows:
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -3,7 +3,6 @@
 import anyio
 import structlog
 
-from balsamcleat.decisions.live_attempts import FinalAnswer
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import EventParser, Exchange, Request, Responder, Response
 from balsamcleat.model import FailureKind
@@ -101,10 +100,8 @@
             responder: Writes the answer.
             version: Number of the configuration that the route is from.
         """
-        call = self.live.begin(request, route)
-        if call is None or self.live.is_condemned(call):
-            final = FinalAnswer.NOT_RUN if call is None else FinalAnswer.CRASHES_TARGETS
-            await refuse(request, responder, final, "can't be sent", self.live.generator)
+        call = await self.live.admit(request, route, responder)
+        if call is None:
             return
         relay = StreamRelay(call, responder)
         error = no_target(call.service)
--- a/src/balsamcleat/tasks/suspect_board.py
+++ b/src/balsamcleat/tasks/suspect_board.py
@@ -61,10 +61,6 @@
                 log.warning("crash not shared", content=key.part, reason=str(error))
             await anyio.sleep(wait_s)
 
-    def listed(self, rows: tuple[RowChange, ...], version: int) -> None:
-        """Take all crashes."""
-        self.changed(rows, version)
-
     def changed(self, rows: tuple[RowChange, ...], version: int) -> None:
         """Take crashes as they were written."""
         now_s = anyio.current_time()
--- a/src/balsamcleat/tasks/table_follower.py
+++ b/src/balsamcleat/tasks/table_follower.py
@@ -22,9 +22,9 @@
 class TableObserver(ABC):
     """Is told what a table holds, in order."""
 
-    @abstractmethod
     def listed(self, rows: tuple[RowChange, ...], version: int) -> None:
-        """Take all rows as of ``version``."""
+        """Take all rows as of ``version``; by default as so many changes."""
+        self.changed(rows, version)
 
     @abstractmethod
     def changed(self, rows: tuple[RowChange, ...], version: int) -> None:
