--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -50,9 +50,10 @@
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.routing_keeper import RoutingKeeper
 from balsamcleat.tasks.sample_run import SampleRunner
+from balsamcleat.tasks.standstill_guard import StandstillGuard
 from balsamcleat.tasks.step_claims import StepClaims
 from balsamcleat.tasks.step_feed import StepFeed
-from balsamcleat.tasks.store_clock import StoreClock
+from balsamcleat.tasks.store_clock import StoreClock, boot_clock_s
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
 from balsamcleat.tasks.suspect_board import SUSPECTS_TABLE, SuspectBoard
 from balsamcleat.tasks.table_follower import TableFollower
@@ -139,6 +140,7 @@
             lambda model: self.uses.use(model),
         )
         self.records = RolloutRecords(self.store)
+        guard = StandstillGuard(self.records, boot_clock_s, generator)
         self.runner = RolloutRunner(
             self.records,
             self.directory,
@@ -147,6 +149,7 @@
             settings.zone,
             lambda: self.routing.table,
             self.orders.loading,
+            guard,
             generator,
         )
         self.claims = StepClaims(
@@ -168,7 +171,7 @@
             lambda step_id: self.claims.ended(step_id, self.tasks),
             self.claims.owner_changed,
         )
-        self.runner.on_conflict = self.feed.take_conflict
+        self.runner.on_rows = guard.on_rows = self.feed.take_rows
         self.janitor = Janitor(
             self.records,
             lambda: self.feed.steps,
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -62,6 +62,8 @@
         ended: The trainer ended the step.
         lost: Another VM owns it now.
         handing_over: No sample is started any more.
+        doubted: This VM stood still; no sample is started before the store has told whether the
+            step is still its own.
         saved: Generation and number of the events that are kept, by sample.
     """
 
@@ -80,6 +82,7 @@
     ended: bool = False
     lost: bool = False
     handing_over: bool = False
+    doubted: bool = False
     ended_at_s: float = 0.0
     changed: anyio.Event = field(default_factory=anyio.Event)
     saved: dict[str, tuple[int, int]] = field(default_factory=dict)
@@ -113,6 +116,11 @@
         """Whether samples may run."""
         return not self.ended and not self.lost and len(self.done) < len(self.samples)
 
+    @property
+    def may_start(self) -> bool:
+        """Whether samples may be started here now."""
+        return self.active and not self.handing_over and not self.doubted
+
     def restore(self, saved: dict[str, SavedProgress], *, carried: bool, single: bool) -> None:
         """Take text that was kept, as far as its versions fit this step."""
         for sample_id, kept in saved.items():
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -192,6 +192,11 @@
                 return record, row.version
         return None
 
+    async def state(self, step_id: StepId) -> tuple[RowChange, ...]:
+        """Return the rows that say who owns a step and whether it was ended."""
+        page = await self.store.read(STEPS_TABLE, step_id)
+        return page.rows
+
     async def claim(
         self, step_id: StepId, owner: OwnerRecord, row_version: int
     ) -> RowsCommitted | RowConflict:
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -24,7 +24,7 @@
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
-from balsamcleat.ports.rows import RowConflict
+from balsamcleat.ports.rows import RowChange, RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep, SampleOnTarget
 from balsamcleat.tasks.result_lister import ResultLister
 from balsamcleat.tasks.rollout_records import RolloutRecords
@@ -35,6 +35,7 @@
     SampleRunOutcome,
     version_of,
 )
+from balsamcleat.tasks.standstill_guard import StandstillGuard
 
 __all__ = ["RolloutRunner"]
 
@@ -68,6 +69,7 @@
         zone: This VM's availability zone.
         table: Returns the configuration in force.
         loading: Returns the models whose weights a target is believed to change.
+        guard: Doubts steps after a standstill of this process.
         generator: Draws the jitter of retries.
     """
 
@@ -80,6 +82,7 @@
         zone: ZoneName,
         table: Callable[[], RoutingTable | None],
         loading: Callable[[TargetId], frozenset[str]],
+        guard: StandstillGuard,
         generator: random.Random,
     ) -> None:
         self.records = records
@@ -89,6 +92,8 @@
         self.zone = zone
         self.table = table
         self.loading = loading
+        self.guard = guard
+        guard.on_confirmed = self.wake
         self.generator = generator
         self.steps: dict[StepId, OwnedStep] = {}
         # Versions that targets were found to run, newer than their entries say.
@@ -98,7 +103,7 @@
         self.leaving = False
         self.lister = ResultLister(records, generator, self.lose, self.wake)
         # Told what a conflict says of a step's owner, which the feed may tell only later.
-        self.on_conflict: Callable[[RowConflict], None] = lambda _: None
+        self.on_rows: Callable[[tuple[RowChange, ...]], None] = lambda _: None
 
     def wake(self) -> None:
         """Place samples soon: something changed."""
@@ -131,7 +136,7 @@
 
     def lose(self, step: OwnedStep, conflict: RowConflict) -> None:
         """Stop running a step, and believe what the conflict says of its owner."""
-        self.on_conflict(conflict)
+        self.on_rows(conflict.rows)
         self.drop(step)
 
     async def run(self) -> None:
@@ -142,6 +147,10 @@
                 with anyio.move_on_after(TICK_S if self.steps else None):
                     await self.changed.wait()
                 self.changed = anyio.Event()
+                if not self.steps:
+                    self.guard.watch.rest()
+                    continue
+                self.guard.look(self.steps.values(), tasks)
                 if not self.leaving:
                     self.place()
 
@@ -149,7 +158,7 @@
         """Start waiting samples and move those that are better off elsewhere."""
         now_s = anyio.current_time()
         table = self.table()
-        active = [step for step in self.steps.values() if step.active and not step.handing_over]
+        active = [step for step in self.steps.values() if step.may_start]
         if table is None or not active:
             return
         for service, steps in self.by_service(table, active, now_s).items():
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -10,7 +10,7 @@
 from balsamcleat.decisions.vm_watch import VmWatch
 from balsamcleat.errors import PlatformError, ProtocolError
 from balsamcleat.model import StepId
-from balsamcleat.ports.rows import RowChange, RowConflict
+from balsamcleat.ports.rows import RowChange
 from balsamcleat.tasks.rollout_records import (
     OwnerRecord,
     decode_owner,
@@ -106,11 +106,15 @@
         log.info("step owner", step=step_id, owner=owner.vm, row_version=row.version)
         self.owner_changed(step_id, known)
 
-    def take_conflict(self, conflict: RowConflict) -> None:
-        """Take who owns a step from a commit that did not hold."""
-        for row in conflict.rows:
-            if row.value is not None and is_owner_key(row.key):
+    def take_rows(self, rows: tuple[RowChange, ...]) -> None:
+        """Take owners and ends that a reading or a conflict told before the feed does."""
+        for row in rows:
+            if row.value is None:
+                continue
+            if is_owner_key(row.key):
                 self.take_owner(StepId(row.key.part), row)
+            elif is_end_key(row.key):
+                self.take_end(StepId(row.key.part))
 
     def take_end(self, step_id: StepId) -> None:
         """Take note that a step was ended."""
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -25,6 +25,7 @@
 from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.sample_run import SampleEnd, SampleOrder, SampleRunOutcome
+from balsamcleat.tasks.standstill_guard import StandstillGuard
 from balsamcleat.tasks.step_claims import StepClaims
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.store_clock import StoreClock
@@ -130,6 +131,16 @@
         self.response = response
 
 
+@dataclass
+class Pause:
+    """A clock that also counted while the VM stood still."""
+
+    seconds: float = 0.0
+
+    def clock(self) -> float:
+        return anyio.current_time() + self.seconds
+
+
 @dataclass
 class StepVm:
     """One VM's part that owns steps."""
@@ -142,6 +153,7 @@
     presence: VmPresence
     claims: StepClaims
     engines: SleepingEngines
+    pause: Pause
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     async def submit(self, request: Request) -> int:
@@ -181,6 +193,8 @@
         time = StoreClock(anyio.current_time)
         row = VmRow(name, boot, "", "a", 0)
         presence = VmPresence(view, row, time, lambda: bool(runner.steps), generator)
+        pause = Pause()
+        guard = StandstillGuard(records, pause.clock, generator)
         runner = RolloutRunner(
             records,
             self.directory,
@@ -189,6 +203,7 @@
             ZoneName("a"),
             lambda: TABLE,
             lambda _: frozenset(),
+            guard,
             generator,
         )
         vm: StepVm
@@ -204,7 +219,7 @@
             lambda step_id: claims.ended(step_id, self.tasks),
             claims.owner_changed,
         )
-        runner.on_conflict = feed.take_conflict
+        runner.on_rows = guard.on_rows = feed.take_rows
         desk = RolloutDesk(
             name,
             boot,
@@ -215,7 +230,7 @@
             time.now_ms,
             presence.watch,
         )
-        vm = StepVm(name, view, runner, desk, feed, presence, claims, engines)
+        vm = StepVm(name, view, runner, desk, feed, presence, claims, engines, pause)
         follower = TableFollower(view, "steps", feed, generator, single_part=False)
         self.vms[name] = vm
         self.tasks.start_soon(self.run_parts, vm, follower)
--- /dev/null
+++ b/tests/test_standstill.py
@@ -0,0 +1,91 @@
+"""A VM that stood still starts nothing before the store has said what became of its steps."""
+
+import anyio
+import pytest
+
+import step_world as w
+from balsamcleat.decisions.standstill import STANDSTILL_S, StandstillWatch
+from balsamcleat.model import StepId
+
+STOOD_S = 3.0
+
+
+def play(test) -> None:
+    async def with_world() -> None:
+        async with anyio.create_task_group() as tasks:
+            # Half of the samples find a place, the others wait for one.
+            await test(w.StepWorld(tasks, events=lambda _: 20))
+            tasks.cancel_scope.cancel()
+
+    w.run(with_world)
+
+
+def deafen(vm: w.StepVm) -> None:
+    """Let the feed tell nothing more: what it says is still on its way."""
+    vm.feed.changed = lambda rows, version: None  # type: ignore[method-assign]
+    vm.feed.accepting = False
+
+
+def test_looks_that_come_late_tell_of_a_standstill() -> None:
+    watch = StandstillWatch()
+    assert watch.look(10.0) == 0.0
+    assert watch.look(10.1) == 0.0
+    assert watch.look(10.1 + STOOD_S) == pytest.approx(STOOD_S)
+    assert watch.look(10.2 + STOOD_S) == 0.0
+    watch.rest()
+    assert watch.look(100.0) == 0.0
+    assert watch.look(100.0 + STANDSTILL_S / 2) == 0.0
+
+
+def test_no_sample_of_a_step_that_was_ended_meanwhile_starts() -> None:
+    """The soak's seed 10: two samples of an ended step were resumed before the feed told of it."""
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        other = await world.start("b")
+        assert await vm.submit(w.submission(6, 4, 6)) == 202
+        await anyio.sleep(0.3)
+        deafen(vm)
+        started = len(vm.engines.runs)
+        assert started < 24
+        assert await other.end("step-1") == 200
+        vm.pause.seconds = STOOD_S
+        await anyio.sleep(3.0)
+        assert len(vm.engines.runs) == started
+        assert vm.feed.steps[StepId("step-1")].ended
+
+    play(test)
+
+
+def test_no_sample_of_a_step_that_was_taken_over_meanwhile_starts() -> None:
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        assert await vm.submit(w.submission(6, 4, 6)) == 202
+        await anyio.sleep(0.3)
+        deafen(vm)
+        started = len(vm.engines.runs)
+        assert await w.claim_by_other(vm, "step-1")
+        vm.pause.seconds = STOOD_S
+        await anyio.sleep(3.0)
+        assert len(vm.engines.runs) == started
+        assert not vm.runner.steps
+
+    play(test)
+
+
+@pytest.mark.parametrize("away_s", [0.0, 2.0])
+def test_a_step_that_is_still_its_own_goes_on_once_the_store_has_said_so(away_s: float) -> None:
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        assert await vm.submit(w.submission(6, 4, 6)) == 202
+        await anyio.sleep(0.3)
+        started = len(vm.engines.runs)
+        vm.view.flaws.down = away_s > 0.0
+        vm.pause.seconds = STOOD_S
+        await anyio.sleep(away_s)
+        if away_s:
+            assert len(vm.engines.runs) == started
+        vm.view.flaws.down = False
+        await world.whole(24, 5.0)
+
+    play(test)
