--- a/src/balsamcleat/decisions/sample_placement.py
+++ b/src/balsamcleat/decisions/sample_placement.py
@@ -12,13 +12,14 @@
 
 from balsamcleat.decisions.seat_board import (
     SLOW_RATIO,
+    SampleKind,
     Seat,
     SeatBoard,
     fastest_pace,
     may_take,
 )
 from balsamcleat.decisions.step_order import SampleRank
-from balsamcleat.model import StepId, TargetId, WeightVersion
+from balsamcleat.model import StepId, TargetId
 
 __all__ = ["Placement", "RunningSample", "WaitingSample", "find_moves", "place_samples"]
 
@@ -32,8 +33,7 @@
 
     step_id: StepId
     sample_id: str
-    model: str
-    oldest_version: WeightVersion
+    kind: SampleKind
     prompt_id: str
     rank: tuple[float, SampleRank]
 
@@ -54,8 +54,7 @@
     step_id: StepId
     sample_id: str
     target_id: TargetId
-    model: str
-    oldest_version: WeightVersion
+    kind: SampleKind
     events_left: float
 
 
@@ -67,7 +66,7 @@
     board = SeatBoard(seats, {sample.prompt_id for sample in samples})
     placements = []
     for sample in samples:
-        seat = board.take(sample.model, sample.oldest_version, sample.prompt_id)
+        seat = board.take(sample.kind, sample.prompt_id)
         if seat is not None:
             placements.append(Placement(sample.step_id, sample.sample_id, seat.target_id))
     return placements
@@ -101,7 +100,7 @@
         seat
         for seat in seats
         if seat.target_id != sample.target_id
-        and may_take(seat, sample.model, sample.oldest_version)
+        and may_take(seat, sample.kind)
         and 0.0 < seat.pace_s <= SLOW_RATIO * fastest_s
     ]
     return min(goals, key=lambda seat: seat.load / seat.slots, default=None)
--- a/src/balsamcleat/decisions/seat_board.py
+++ b/src/balsamcleat/decisions/seat_board.py
@@ -11,7 +11,7 @@
 
 from balsamcleat.model import TargetId, WeightVersion
 
-__all__ = ["SLOW_RATIO", "Seat", "SeatBoard", "fastest_pace", "may_take"]
+__all__ = ["SLOW_RATIO", "SampleKind", "Seat", "SeatBoard", "fastest_pace", "may_take"]
 
 # An engine this much slower than the fastest takes work only when no other can.
 SLOW_RATIO = 1.8
@@ -21,6 +21,19 @@
 OTHER_ZONE_COST = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class SampleKind:
+    """What a sample asks of an engine.
+
+    Attributes:
+        model: The model.
+        oldest: The oldest weight version allowed.
+    """
+
+    model: str
+    oldest: WeightVersion
+
+
 @dataclass(slots=True)
 class Seat:
     """An engine as a place for samples.
@@ -54,13 +67,13 @@
     return min(paces, default=0.0)
 
 
-def may_take(seat: Seat, model: str, oldest: WeightVersion) -> bool:
-    """Return whether an engine has a place and weights for a sample."""
+def may_take(seat: Seat, kind: SampleKind) -> bool:
+    """Return whether an engine has a place and weights for a kind of sample."""
     return (
         seat.usable
         and seat.load + 1.0 <= seat.slots
-        and model not in seat.loading
-        and seat.versions.get(model, 0) >= oldest
+        and kind.model not in seat.loading
+        and seat.versions.get(kind.model, 0) >= kind.oldest
     )
 
 
@@ -85,7 +98,7 @@
     def __init__(self, seats: Sequence[Seat], prompts: Iterable[str]) -> None:
         self.seats = seats
         self.fastest_s = fastest_pace(seats)
-        self.orders: dict[tuple[str, WeightVersion], list[tuple[float, int]]] = {}
+        self.orders: dict[SampleKind, list[tuple[float, int]]] = {}
         self.holders: dict[str, list[int]] = {prompt: [] for prompt in prompts}
         asked = self.holders.keys()
         for number, seat in enumerate(seats):
@@ -97,11 +110,11 @@
         """Return what is held against an engine now."""
         return seat_cost(self.seats[number], self.fastest_s)
 
-    def take(self, model: str, oldest: WeightVersion, prompt: str) -> Seat | None:
+    def take(self, kind: SampleKind, prompt: str) -> Seat | None:
         """Take the best place for a sample, or None where it should wait."""
-        best = self.cheapest(model, oldest)
+        best = self.cheapest(kind)
         for number in self.holders[prompt]:
-            if may_take(self.seats[number], model, oldest):
+            if may_take(self.seats[number], kind):
                 found = (self.cost(number) - PROMPT_BONUS, number)
                 best = found if best is None else min(best, found)
         if best is None:
@@ -113,12 +126,12 @@
             self.holders[prompt].append(number)
         return seat
 
-    def cheapest(self, model: str, oldest: WeightVersion) -> tuple[float, int] | None:
+    def cheapest(self, kind: SampleKind) -> tuple[float, int] | None:
         """Return cost and number of the engine with the least held against it, if any."""
-        order = self.order(model, oldest)
+        order = self.order(kind)
         while order:
             cost, number = order[0]
-            if not may_take(self.seats[number], model, oldest):
+            if not may_take(self.seats[number], kind):
                 heapq.heappop(order)
                 continue
             now = self.cost(number)
@@ -128,15 +141,15 @@
             heapq.heapreplace(order, (now, number))
         return None
 
-    def order(self, model: str, oldest: WeightVersion) -> list[tuple[float, int]]:
+    def order(self, kind: SampleKind) -> list[tuple[float, int]]:
         """Return the engines for a kind of sample, as a heap by cost."""
-        found = self.orders.get((model, oldest))
+        found = self.orders.get(kind)
         if found is None:
             found = [
                 (self.cost(number), number)
                 for number, seat in enumerate(self.seats)
-                if may_take(seat, model, oldest)
+                if may_take(seat, kind)
             ]
             heapq.heapify(found)
-            self.orders[model, oldest] = found
+            self.orders[kind] = found
         return found
--- a/src/balsamcleat/model/rollout.py
+++ b/src/balsamcleat/model/rollout.py
@@ -55,6 +55,11 @@
     max_tokens: int = 0
     expected_tokens: float | None = None
 
+    @property
+    def prompt_id(self) -> str:
+        """What targets that have read the prompt are remembered by."""
+        return self.prompt[0].part_id if self.prompt else self.group
+
 
 @dataclass(frozen=True, slots=True)
 class RolloutStep:
--- /dev/null
+++ b/src/balsamcleat/tasks/placement_view.py
@@ -0,0 +1,112 @@
+"""What the steps of this VM and the targets look like to the decision that places samples."""
+
+from collections.abc import Callable
+
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.replica_evidence import EvidenceBook
+from balsamcleat.decisions.sample_placement import RunningSample, WaitingSample
+from balsamcleat.decisions.seat_board import SampleKind, Seat
+from balsamcleat.decisions.step_order import expected_left
+from balsamcleat.model import ServiceName, TargetId, WeightVersion, ZoneName
+from balsamcleat.model.replicas import Replica
+from balsamcleat.tasks.owned_step import OwnedStep
+
+__all__ = ["TOKENS_AN_EVENT", "PlacementView"]
+
+# Output tokens an event holds, until one is seen; only ratios matter.
+TOKENS_AN_EVENT = 60.0
+
+
+class PlacementView:
+    """Brings together what is listed, what was seen and what runs.
+
+    Args:
+        directory: The targets.
+        book: Evidence on them.
+        zone: This VM's availability zone.
+        loading: Returns the models whose weights a target is believed to change.
+    """
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        book: EvidenceBook,
+        zone: ZoneName,
+        loading: Callable[[TargetId], frozenset[str]],
+    ) -> None:
+        self.directory = directory
+        self.book = book
+        self.zone = zone
+        self.loading = loading
+        # Versions that targets were found to run, newer than their entries say.
+        self.seen_versions: dict[tuple[TargetId, str], WeightVersion] = {}
+
+    def saw_version(self, target_id: TargetId, model: str, version: WeightVersion) -> None:
+        """Take note of the version that a target's own answer named."""
+        key = (target_id, model)
+        self.seen_versions[key] = max(version, self.seen_versions.get(key, version))
+
+    def versions(self, replica: Replica) -> dict[str, WeightVersion]:
+        """Return the weight versions that a target runs, by its entry or as seen since."""
+        return {
+            model: max(version, self.seen_versions.get((replica.target_id, model), version))
+            for model, version in replica.versions.items()
+        }
+
+    def seats(self, service: ServiceName, now_s: float) -> list[Seat]:
+        """Return the targets of a service as places for samples."""
+        return [self.seat(replica, now_s) for replica in self.directory.serving(service)]
+
+    def seat(self, replica: Replica, now_s: float) -> Seat:
+        """Return one target as a place for samples."""
+        evidence = self.book.of(replica.target_id)
+        return Seat(
+            target_id=replica.target_id,
+            slots=replica.slots,
+            load=evidence.load(now_s),
+            pace_s=evidence.pace_s(now_s),
+            versions=self.versions(replica),
+            loading=self.loading(replica.target_id),
+            usable=not evidence.avoided(now_s),
+            own_zone=replica.zone == self.zone,
+            prompts=evidence.prompts,
+        )
+
+    def kind(self, step: OwnedStep) -> SampleKind:
+        """Return what a step's samples ask of an engine."""
+        return SampleKind(step.step.model, step.step.oldest_version)
+
+    def waiting(self, step: OwnedStep, now_s: float) -> list[WaitingSample]:
+        """Return a step's samples that may start now."""
+        kind = self.kind(step)
+        return [
+            WaitingSample(
+                step_id=step.step_id,
+                sample_id=sample.sample_id,
+                kind=kind,
+                prompt_id=sample.prompt_id,
+                rank=(step.accepted_s, step.ranks[sample.sample_id]),
+            )
+            for sample in step.waiting(now_s)
+        ]
+
+    def running(self, step: OwnedStep) -> list[RunningSample]:
+        """Return a step's samples that run and may be moved."""
+        kind = self.kind(step)
+        found = []
+        for sample_id, run in step.running.items():
+            progress = step.progress.get(sample_id)
+            if run.moving or progress is None or not progress.events:
+                continue
+            tokens = len(progress.events) * TOKENS_AN_EVENT
+            left = expected_left(step.samples[sample_id], tokens) / TOKENS_AN_EVENT
+            found.append(
+                RunningSample(
+                    step_id=step.step_id,
+                    sample_id=sample_id,
+                    target_id=run.target_id,
+                    kind=kind,
+                    events_left=left,
+                )
+            )
+        return found
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -13,20 +13,16 @@
 from balsamcleat.decisions.replica_evidence import EvidenceBook
 from balsamcleat.decisions.sample_placement import (
     Placement,
-    RunningSample,
-    WaitingSample,
     find_moves,
     place_samples,
 )
-from balsamcleat.decisions.seat_board import Seat
-from balsamcleat.decisions.step_order import expected_left
 from balsamcleat.errors import PlatformError, ProtocolError
-from balsamcleat.model import ServiceName, StepId, TargetId, WeightVersion, ZoneName
-from balsamcleat.model.replicas import Replica
+from balsamcleat.model import ServiceName, StepId, TargetId, ZoneName
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
 from balsamcleat.ports.rows import RowChange, RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep, SampleOnTarget
+from balsamcleat.tasks.placement_view import TOKENS_AN_EVENT, PlacementView
 from balsamcleat.tasks.result_lister import ResultLister
 from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.sample_run import (
@@ -45,8 +41,6 @@
 # After a run that broke, the sample waits up to this long.
 BROKEN_HOLD_S = 0.05
 FAILED_HOLD_S = 0.2
-# Output tokens an event holds, until one is seen; only ratios matter.
-TOKENS_AN_EVENT = 60.0
 # Live requests come before all samples.
 WANTED_PRIORITY = 4
 SPARE_PRIORITY = 6
@@ -90,15 +84,12 @@
         self.directory = directory
         self.book = book
         self.samples = samples
-        self.zone = zone
         self.table = table
-        self.loading = loading
+        self.view = PlacementView(directory, book, zone, loading)
         self.guard = guard
         guard.on_confirmed = self.wake
         self.generator = generator
         self.steps: dict[StepId, OwnedStep] = {}
-        # Versions that targets were found to run, newer than their entries say.
-        self.seen_versions: dict[tuple[TargetId, str], WeightVersion] = {}
         self.changed = anyio.Event()
         self.tasks: anyio.abc.TaskGroup | None = None
         self.leaving = False
@@ -170,16 +161,17 @@
         if may_move:
             self.moves_looked_s = now_s
         for service, steps in self.by_service(table, active, now_s).items():
-            waiting = [item for step, _ in steps for item in self.waiting(step, now_s)]
+            waiting = [item for step, _ in steps for item in self.view.waiting(step, now_s)]
             if not waiting and not may_move:
                 continue
-            seats = [self.seat(replica, now_s) for replica in self.directory.serving(service)]
+            seats = self.view.seats(service, now_s)
             routes = {step.step_id: route for step, route in steps}
             for placement in place_samples(waiting, seats):
                 self.start(placement, routes[placement.step_id])
-            running = [item for step, _ in steps for item in self.running(step)] if may_move else []
-            for move in find_moves(running, seats):
-                self.move(move)
+            if may_move:
+                running = [item for step, _ in steps for item in self.view.running(step)]
+                for move in find_moves(running, seats):
+                    self.move(move)
 
     def by_service(
         self, table: RoutingTable, steps: list[OwnedStep], now_s: float
@@ -204,63 +196,6 @@
         for sample_id in step.samples:
             step.finish(SampleResult(sample_id, SampleState.GIVEN_UP))
 
-    def seat(self, replica: Replica, now_s: float) -> Seat:
-        """Return a target as a place for samples."""
-        evidence = self.book.of(replica.target_id)
-        return Seat(
-            target_id=replica.target_id,
-            slots=replica.slots,
-            load=evidence.load(now_s),
-            pace_s=evidence.pace_s(now_s),
-            versions=self.versions(replica),
-            loading=self.loading(replica.target_id),
-            usable=not evidence.avoided(now_s),
-            own_zone=replica.zone == self.zone,
-            prompts=evidence.prompts,
-        )
-
-    def versions(self, replica: Replica) -> dict[str, WeightVersion]:
-        """Return the weight versions that a target runs, by its entry or as seen since."""
-        return {
-            model: max(version, self.seen_versions.get((replica.target_id, model), version))
-            for model, version in replica.versions.items()
-        }
-
-    def waiting(self, step: OwnedStep, now_s: float) -> list[WaitingSample]:
-        """Return a step's samples that may start now."""
-        return [
-            WaitingSample(
-                step_id=step.step_id,
-                sample_id=sample.sample_id,
-                model=step.step.model,
-                oldest_version=step.step.oldest_version,
-                prompt_id=sample.prompt[0].part_id if sample.prompt else sample.group,
-                rank=(step.accepted_s, step.ranks[sample.sample_id]),
-            )
-            for sample in step.waiting(now_s)
-        ]
-
-    def running(self, step: OwnedStep) -> list[RunningSample]:
-        """Return a step's samples that run and may be moved."""
-        found = []
-        for sample_id, run in step.running.items():
-            progress = step.progress.get(sample_id)
-            if run.moving or progress is None or not progress.events:
-                continue
-            tokens = len(progress.events) * TOKENS_AN_EVENT
-            left = expected_left(step.samples[sample_id], tokens) / TOKENS_AN_EVENT
-            found.append(
-                RunningSample(
-                    step_id=step.step_id,
-                    sample_id=sample_id,
-                    target_id=run.target_id,
-                    model=step.step.model,
-                    oldest_version=step.step.oldest_version,
-                    events_left=left,
-                )
-            )
-        return found
-
     def start(self, placement: Placement, route: Route) -> None:
         """Start a sample at a target."""
         step = self.steps[placement.step_id]
@@ -285,7 +220,7 @@
             anyio.CancelScope(),
             load=evidence.load(now_s),
             pace_s=evidence.pace_s(now_s),
-            version=self.versions(replica).get(step.step.model, 0),
+            version=self.view.versions(replica).get(step.step.model, 0),
         )
         step.running[sample.sample_id] = running
         self.start_task(self.run_sample, step, order, running, route.attempts)
@@ -317,9 +252,7 @@
         sample_id = order.sample.sample_id
         progress = step.progress_of(sample_id)
         began_s, before = anyio.current_time(), len(progress.events)
-        self.book.of(order.replica.target_id).read_prompt(
-            order.sample.prompt[0].part_id if order.sample.prompt else order.sample.group
-        )
+        self.book.of(order.replica.target_id).read_prompt(order.sample.prompt_id)
         outcome = SampleRunOutcome(SampleEnd.BROKEN, TAKEN_OFF)
         try:
             with running.scope:
@@ -346,10 +279,7 @@
             version=running.version,
         )
         if progress.current is not None:
-            key = (order.replica.target_id, step.step.model)
-            self.seen_versions[key] = max(
-                progress.current, self.seen_versions.get(key, progress.current)
-            )
+            self.view.saw_version(order.replica.target_id, step.step.model, progress.current)
         if not step.ended and not step.lost:
             self.settle(step, order, outcome, attempts)
         self.wake()
--- a/tests/test_sample_placement.py
+++ b/tests/test_sample_placement.py
@@ -13,7 +13,7 @@
     find_moves,
     place_samples,
 )
-from balsamcleat.decisions.seat_board import Seat
+from balsamcleat.decisions.seat_board import SampleKind, Seat
 from balsamcleat.decisions.step_order import SampleRank, rank_samples
 from balsamcleat.model import StepId, TargetId, WeightVersion
 from balsamcleat.model.rollout import RolloutStep, SampleTask
@@ -22,6 +22,7 @@
 TOKENS_AN_EVENT = 60.0
 MODEL = "m"
 STEP = StepId("s")
+KIND = SampleKind(MODEL, WeightVersion(1))
 
 
 def lengths(rng: random.Random, groups: int, size: int) -> dict[str, int]:
@@ -92,9 +93,7 @@
     def choose(waiting: list[SampleTask], seats: list[Seat]) -> list:
         found = place_samples(
             [
-                WaitingSample(
-                    STEP, s.sample_id, MODEL, WeightVersion(1), s.group, (0.0, ranks[s.sample_id])
-                )
+                WaitingSample(STEP, s.sample_id, KIND, s.group, (0.0, ranks[s.sample_id]))
                 for s in waiting
             ],
             seats,
@@ -179,7 +178,11 @@
 def waiting(count: int, oldest: int = 1, prompt: str = "p") -> list[WaitingSample]:
     return [
         WaitingSample(
-            STEP, f"x{n}", MODEL, WeightVersion(oldest), prompt, (0.0, SampleRank(0.0, n))
+            STEP,
+            f"x{n}",
+            SampleKind(MODEL, WeightVersion(oldest)),
+            prompt,
+            (0.0, SampleRank(0.0, n)),
         )
         for n in range(count)
     ]
@@ -205,7 +208,7 @@
     found = seats(2.0, 3.0)
     found[0].pace_s, found[1].pace_s = 0.16, 0.04
     running = [
-        RunningSample(STEP, name, TargetId("e0"), MODEL, WeightVersion(1), left)
+        RunningSample(STEP, name, TargetId("e0"), KIND, left)
         for name, left in (("long", 80.0), ("longer", 90.0), ("nearly done", 1.0))
     ]
     assert [(m.sample_id, m.target_id) for m in find_moves(running, found)] == [("longer", "e1")]
--- a/tests/test_seat_board.py
+++ b/tests/test_seat_board.py
@@ -7,7 +7,14 @@
 from balsamcleat.decisions import seat_board
 from balsamcleat.decisions.pass_pacing import LONGEST_PAUSE_S, PASS_SHARE, pause_after
 from balsamcleat.decisions.sample_placement import WaitingSample, place_samples
-from balsamcleat.decisions.seat_board import PROMPT_BONUS, Seat, fastest_pace, may_take, seat_cost
+from balsamcleat.decisions.seat_board import (
+    PROMPT_BONUS,
+    SampleKind,
+    Seat,
+    fastest_pace,
+    may_take,
+    seat_cost,
+)
 from balsamcleat.decisions.step_order import SampleRank
 from balsamcleat.model import StepId, TargetId, WeightVersion
 
@@ -37,8 +44,7 @@
         WaitingSample(
             STEP,
             f"x{number}",
-            rng.choice(MODELS),
-            WeightVersion(rng.randrange(1, 4)),
+            SampleKind(rng.choice(MODELS), WeightVersion(rng.randrange(1, 4))),
             f"p{number // 8}",
             (0.0, SampleRank(rng.random(), number)),
         )
@@ -53,7 +59,7 @@
     for sample in sorted(waiting, key=lambda item: item.rank):
         costs = []
         for number, seat in enumerate(seats):
-            if may_take(seat, sample.model, sample.oldest_version):
+            if may_take(seat, sample.kind):
                 bonus = PROMPT_BONUS if sample.prompt_id in seat.prompts else 0.0
                 costs.append((seat_cost(seat, fastest_s) - bonus, number))
         if costs:
