--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -10,7 +10,7 @@
 import structlog
 
 from balsamcleat.adapters.text_metrics import TextMetrics
-from balsamcleat.decisions.readiness import Readiness, StoreView, decide_readiness
+from balsamcleat.decisions.readiness import Readiness, StoreView, decide_readiness, is_suspect
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
 from balsamcleat.decisions.vm_watch import VmRow
@@ -190,6 +190,7 @@
             lambda: self.routing.table,
             self.time.now_ms,
             self.presence.watch,
+            lambda: is_suspect(self.store_view()),
         )
         self.peers = PeerWatch(
             self.peer_pool,
--- a/src/balsamcleat/tasks/rollout_desk.py
+++ b/src/balsamcleat/tasks/rollout_desk.py
@@ -39,6 +39,7 @@
 PAGE_BYTES = 700_000
 POLL_S = 0.12
 RETRY_AFTER_S = 0.4
+STORE_AWAY = "the store is away"
 # A step waits this long for text of the step before it; then it starts without.
 CARRY_WAIT_S = 0.3
 JSON = (("Content-Type", "application/json"),)
@@ -59,6 +60,7 @@
         table: Returns the configuration in force.
         store_now_ms: Returns the store's clock.
         watch: Which VMs live.
+        store_away: Returns whether the store is known not to answer.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         table: Callable[[], RoutingTable | None],
         store_now_ms: Callable[[], int],
         watch: VmWatch,
+        store_away: Callable[[], bool],
     ) -> None:
         self.vm = vm
         self.boot = boot
@@ -80,6 +83,7 @@
         self.table = table
         self.store_now_ms = store_now_ms
         self.watch = watch
+        self.store_away = store_away
         self.accepting = True
         # Steps that are being kept: the feed may tell of one before its commit is answered here.
         self.being_kept: set[StepId] = set()
@@ -98,6 +102,9 @@
         if not self.accepting:
             await self.unavailable(responder, step.step_id, "leaving")
             return
+        if self.store_away():
+            await self.unavailable(responder, step.step_id, STORE_AWAY)
+            return
         vm, boot = self.home(route, request)
         record = OwnerRecord(
             vm=vm,
@@ -196,6 +203,9 @@
 
     async def call(self, call: StepCall, responder: Responder) -> None:
         """Answer a call about an accepted step."""
+        if self.store_away() and not self.answers_alone(call):
+            await self.unavailable(responder, call.step_id, STORE_AWAY)
+            return
         try:
             if call.kind is StepCallKind.RESULTS and call.query is not None:
                 await self.results(call.step_id, call.query, responder)
@@ -206,6 +216,10 @@
         except (PlatformError, ProtocolError) as error:
             await self.unavailable(responder, call.step_id, str(error))
 
+    def answers_alone(self, call: StepCall) -> bool:
+        """Return whether this VM answers a call without the store: reads of a step that it runs."""
+        return call.kind is not StepCallKind.END and call.step_id in self.runner.steps
+
     async def results(self, step_id: StepId, query: ResultsQuery, responder: Responder) -> None:
         """Answer with results from a position on, waiting for a first one."""
         began_s = anyio.current_time()
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -10,6 +10,7 @@
 import msgspec
 import trio.testing
 
+from balsamcleat.decisions.readiness import SUSPECT_AFTER_S
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
 from balsamcleat.decisions.sample_progress import SampleProgress
@@ -18,6 +19,7 @@
 from balsamcleat.model import ConfigurationVersion, ServiceName, StepId, TargetId, ZoneName
 from balsamcleat.model.replicas import Replica, ReplicaState
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable, ServiceShare
+from balsamcleat.platform import ResultsQuery, StepCall, StepCallKind
 from balsamcleat.ports.rows import RowConflict
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.owned_step import OwnedStep
@@ -163,9 +165,15 @@
         await self.desk.submit(request, ROUTE, answer)
         return answer.response.status
 
+    async def read(self, step_id: str, position: int = 0) -> int:
+        answer = Answer()
+        query = ResultsQuery(position, 0.0)
+        await self.desk.call(StepCall(StepCallKind.RESULTS, StepId(step_id), query), answer)
+        return answer.response.status
+
     async def end(self, step_id: str) -> int:
         answer = Answer()
-        await self.desk.end(StepId(step_id), answer)
+        await self.desk.call(StepCall(StepCallKind.END, StepId(step_id)), answer)
         return answer.response.status
 
 
@@ -231,6 +239,7 @@
             lambda: TABLE,
             time.now_ms,
             presence.watch,
+            lambda: anyio.current_time() - time.told_at_s >= SUSPECT_AFTER_S,
         )
         vm = StepVm(name, view, runner, desk, feed, presence, claims, engines, pause)
         follower = TableFollower(view, "steps", feed, generator, single_part=False)
--- a/tests/test_step_ownership.py
+++ b/tests/test_step_ownership.py
@@ -277,6 +277,35 @@
     play(test, events=lambda _: 120)
 
 
+def test_calls_that_need_a_store_known_to_be_away_are_refused_at_once() -> None:
+    """They waited 0.7 s for the store's silence to be refused."""
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        other = await world.start("b")
+        assert await vm.submit(w.submission(3, 4, 3)) == 202
+        await world.whole(SAMPLES, 3.0)
+        for each in (vm, other):
+            each.view.flaws.down = True
+        await anyio.sleep(2.0)
+        for each in (vm, other):
+            each.view.flaws.delay_s = 5.0
+        began_s = anyio.current_time()
+        assert await vm.submit(w.submission(3, 4, 3, "step-2")) == 503
+        assert await vm.end("step-1") == 503
+        assert await other.read("step-1") == 503
+        assert await vm.read("step-1") == 200
+        assert anyio.current_time() == began_s
+        for each in (vm, other):
+            each.view.flaws.down, each.view.flaws.delay_s = False, 0.002
+        await anyio.sleep(6.0)
+        assert await other.submit(w.submission(3, 4, 3, "step-2")) == 202
+        await world.whole(SAMPLES, 3.0, "step-2")
+        assert await vm.end("step-1") == 200
+
+    play(test)
+
+
 def test_old_steps_are_deleted_and_young_ones_are_not() -> None:
     async def test(world: w.StepWorld) -> None:
         vm = await world.start("a")
