--- a/src/balsamcleat/decisions/seat_board.py
+++ b/src/balsamcleat/decisions/engine_ranking.py
@@ -11,7 +11,7 @@
 
 from balsamcleat.model import TargetId, WeightVersion
 
-__all__ = ["SLOW_RATIO", "SampleKind", "Seat", "SeatBoard", "fastest_pace", "may_take"]
+__all__ = ["SLOW_RATIO", "EngineRanking", "EngineView", "SampleKind", "fastest_pace", "may_take"]
 
 # An engine this much slower than the fastest takes work only when no other can.
 SLOW_RATIO = 1.8
@@ -35,7 +35,7 @@
 
 
 @dataclass(slots=True)
-class Seat:
+class EngineView:
     """An engine as a place for samples.
 
     Attributes:
@@ -61,77 +61,77 @@
     prompts: Collection[str] = field(default_factory=set)
 
 
-def fastest_pace(seats: Iterable[Seat]) -> float:
+def fastest_pace(engines: Iterable[EngineView]) -> float:
     """Return the seconds for one event at the fastest engine seen; 0 where none was seen."""
-    paces = [seat.pace_s for seat in seats if seat.pace_s > 0.0 and seat.usable]
+    paces = [engine.pace_s for engine in engines if engine.pace_s > 0.0 and engine.usable]
     return min(paces, default=0.0)
 
 
-def may_take(seat: Seat, kind: SampleKind) -> bool:
+def may_take(engine: EngineView, kind: SampleKind) -> bool:
     """Return whether an engine has a place and weights for a kind of sample."""
     return (
-        seat.usable
-        and seat.load + 1.0 <= seat.slots
-        and kind.model not in seat.loading
-        and seat.versions.get(kind.model, 0) >= kind.oldest
+        engine.usable
+        and engine.load + 1.0 <= engine.slots
+        and kind.model not in engine.loading
+        and engine.versions.get(kind.model, 0) >= kind.oldest
     )
 
 
-def seat_cost(seat: Seat, fastest_s: float) -> float:
+def engine_cost(engine: EngineView, fastest_s: float) -> float:
     """Return what is held against an engine, in shares of a full batch."""
-    cost = seat.load / seat.slots
-    if not seat.own_zone:
+    cost = engine.load / engine.slots
+    if not engine.own_zone:
         cost += OTHER_ZONE_COST
-    if fastest_s > 0.0 and seat.pace_s > SLOW_RATIO * fastest_s:
-        cost += seat.pace_s / fastest_s
+    if fastest_s > 0.0 and engine.pace_s > SLOW_RATIO * fastest_s:
+        cost += engine.pace_s / fastest_s
     return cost
 
 
-class SeatBoard:
+class EngineRanking:
     """Engines in order of their cost, for each kind of sample that asks.
 
     Args:
-        seats: The engines; their loads grow as places are taken.
+        engines: The engines; their loads grow as places are taken.
         prompts: The prompts that samples may ask for.
     """
 
-    def __init__(self, seats: Sequence[Seat], prompts: Iterable[str]) -> None:
-        self.seats = seats
-        self.fastest_s = fastest_pace(seats)
+    def __init__(self, engines: Sequence[EngineView], prompts: Iterable[str]) -> None:
+        self.engines = engines
+        self.fastest_s = fastest_pace(engines)
         self.orders: dict[SampleKind, list[tuple[float, int]]] = {}
         self.holders: dict[str, list[int]] = {prompt: [] for prompt in prompts}
         asked = self.holders.keys()
-        for number, seat in enumerate(seats):
-            if seat.prompts:
-                for prompt in asked & set(seat.prompts):
+        for number, engine in enumerate(engines):
+            if engine.prompts:
+                for prompt in asked & set(engine.prompts):
                     self.holders[prompt].append(number)
 
     def cost(self, number: int) -> float:
         """Return what is held against an engine now."""
-        return seat_cost(self.seats[number], self.fastest_s)
+        return engine_cost(self.engines[number], self.fastest_s)
 
-    def take(self, kind: SampleKind, prompt: str) -> Seat | None:
+    def take(self, kind: SampleKind, prompt: str) -> EngineView | None:
         """Take the best place for a sample, or None where it should wait."""
         best = self.cheapest(kind)
         for number in self.holders[prompt]:
-            if may_take(self.seats[number], kind):
+            if may_take(self.engines[number], kind):
                 found = (self.cost(number) - PROMPT_BONUS, number)
                 best = found if best is None else min(best, found)
         if best is None:
             return None
         number = best[1]
-        seat = self.seats[number]
-        seat.load += 1.0
+        engine = self.engines[number]
+        engine.load += 1.0
         if number not in self.holders[prompt]:
             self.holders[prompt].append(number)
-        return seat
+        return engine
 
     def cheapest(self, kind: SampleKind) -> tuple[float, int] | None:
         """Return cost and number of the engine with the least held against it, if any."""
         order = self.order(kind)
         while order:
             cost, number = order[0]
-            if not may_take(self.seats[number], kind):
+            if not may_take(self.engines[number], kind):
                 heapq.heappop(order)
                 continue
             now = self.cost(number)
@@ -147,8 +147,8 @@
         if found is None:
             found = [
                 (self.cost(number), number)
-                for number, seat in enumerate(self.seats)
-                if may_take(seat, kind)
+                for number, engine in enumerate(self.engines)
+                if may_take(engine, kind)
             ]
             heapq.heapify(found)
             self.orders[kind] = found
--- a/src/balsamcleat/decisions/live_line.py
+++ b/src/balsamcleat/decisions/live_queue.py
@@ -15,7 +15,7 @@
 from bisect import insort
 from dataclasses import dataclass, field
 
-__all__ = ["Admitted", "Decision", "LiveLine", "Places", "Rejected", "Ticket", "new_ticket"]
+__all__ = ["Admitted", "Decision", "LiveQueue", "Places", "Rejected", "Ticket", "new_ticket"]
 
 # A target takes one request more than it runs, so that a place that comes free is used at once.
 QUEUED_AT_TARGET = 1
@@ -27,7 +27,7 @@
 # A call waits here while it can still be answered within this share of its objective; the rest is
 # kept for what the estimate doesn't know. One that can't is better off coming back.
 WAIT_SHARE = 0.5
-# A line whose places were never seen free is judged as if it had been stuck for this long.
+# A queue whose places were never seen free is judged as if it had been stuck for this long.
 LONGEST_STUCK_S = 10.0
 # Least pause after all targets turned a call away, in seconds.
 TURNED_AWAY_S = 0.05
@@ -110,7 +110,7 @@
 
 
 @dataclass
-class LiveLine:
+class LiveQueue:
     """The calls of one service that wait at this VM.
 
     Attributes:
--- a/src/balsamcleat/decisions/sample_placement.py
+++ b/src/balsamcleat/decisions/sample_placement.py
@@ -10,11 +10,11 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from balsamcleat.decisions.seat_board import (
+from balsamcleat.decisions.engine_ranking import (
     SLOW_RATIO,
+    EngineRanking,
+    EngineView,
     SampleKind,
-    Seat,
-    SeatBoard,
     fastest_pace,
     may_take,
 )
@@ -58,24 +58,26 @@
     events_left: float
 
 
-def place_samples(waiting: Iterable[WaitingSample], seats: Sequence[Seat]) -> list[Placement]:
-    """Return where to start waiting samples, best rank first; seats are updated on the way."""
+def place_samples(
+    waiting: Iterable[WaitingSample], engines: Sequence[EngineView]
+) -> list[Placement]:
+    """Return where to start waiting samples, best rank first; engines are updated on the way."""
     samples = sorted(waiting, key=lambda item: item.rank)
     if not samples:
         return []
-    board = SeatBoard(seats, {sample.prompt_id for sample in samples})
+    ranking = EngineRanking(engines, {sample.prompt_id for sample in samples})
     placements = []
     for sample in samples:
-        seat = board.take(sample.kind, sample.prompt_id)
-        if seat is not None:
-            placements.append(Placement(sample.step_id, sample.sample_id, seat.target_id))
+        engine = ranking.take(sample.kind, sample.prompt_id)
+        if engine is not None:
+            placements.append(Placement(sample.step_id, sample.sample_id, engine.target_id))
     return placements
 
 
-def find_moves(running: Iterable[RunningSample], seats: Sequence[Seat]) -> list[Placement]:
+def find_moves(running: Iterable[RunningSample], engines: Sequence[EngineView]) -> list[Placement]:
     """Return the samples to take off slow engines, and where each goes on; longest first."""
-    by_id = {seat.target_id: seat for seat in seats}
-    fastest_s = fastest_pace(seats)
+    by_id = {engine.target_id: engine for engine in engines}
+    fastest_s = fastest_pace(engines)
     if fastest_s <= 0.0:
         return []
     moves = []
@@ -85,7 +87,7 @@
             continue
         if sample.events_left * source.pace_s < MIN_LEFT_TO_MOVE_S:
             continue
-        goal = move_goal(sample, seats, fastest_s)
+        goal = move_goal(sample, engines, fastest_s)
         if goal is None:
             continue
         goal.load += 1.0
@@ -94,13 +96,15 @@
     return moves
 
 
-def move_goal(sample: RunningSample, seats: Iterable[Seat], fastest_s: float) -> Seat | None:
+def move_goal(
+    sample: RunningSample, engines: Iterable[EngineView], fastest_s: float
+) -> EngineView | None:
     """Return a fast engine with a place for a running sample, or None."""
     goals = [
-        seat
-        for seat in seats
-        if seat.target_id != sample.target_id
-        and may_take(seat, sample.kind)
-        and 0.0 < seat.pace_s <= SLOW_RATIO * fastest_s
+        engine
+        for engine in engines
+        if engine.target_id != sample.target_id
+        and may_take(engine, sample.kind)
+        and 0.0 < engine.pace_s <= SLOW_RATIO * fastest_s
     ]
-    return min(goals, key=lambda seat: seat.load / seat.slots, default=None)
+    return min(goals, key=lambda engine: engine.load / engine.slots, default=None)
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -40,9 +40,10 @@
 from balsamcleat.tasks.front_door import FrontDoor
 from balsamcleat.tasks.janitor import Janitor
 from balsamcleat.tasks.live_forwarder import LiveForwarder
-from balsamcleat.tasks.live_lines import LiveLines
+from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.model_use import ModelUses
 from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
+from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.peers import PeerDesk, PeerState, PeerWatch
 from balsamcleat.tasks.relayed_store import RelayedRowStore, StoreRelay
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
@@ -51,7 +52,6 @@
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.routing_keeper import RoutingKeeper
 from balsamcleat.tasks.sample_run import SampleRunner
-from balsamcleat.tasks.standstill_guard import StandstillGuard
 from balsamcleat.tasks.step_claims import StepClaims
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.store_clock import StoreClock, boot_clock_s
@@ -141,7 +141,7 @@
             lambda model: self.uses.use(model),
         )
         self.records = RolloutRecords(self.store)
-        guard = StandstillGuard(self.records, boot_clock_s, generator)
+        guard = PauseGuard(self.records, boot_clock_s, generator)
         self.runner = RolloutRunner(
             self.records,
             self.directory,
@@ -206,9 +206,9 @@
             settings.results_kept_s * 1000,
         )
         self.board = SuspectBoard(self.store, self.runner.start_task)
-        self.lines = LiveLines(self.directory, self.book, generator)
+        self.queues = LiveQueues(self.directory, self.book, generator)
         forwarder = LiveForwarder(
-            self.directory, self.book, self.pool, settings.zone, generator, self.board, self.lines
+            self.directory, self.book, self.pool, settings.zone, generator, self.board, self.queues
         )
         self.door = FrontDoor(
             lambda: self.routing.table, forwarder, StreamForwarder(forwarder), self.desk
@@ -285,7 +285,7 @@
                 tasks.start_soon(follower.run)
             for part in (
                 self.replicas.run,
-                self.lines.run,
+                self.queues.run,
                 self.presence.run,
                 self.lease.run,
                 self.runner.run,
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -96,9 +96,9 @@
     event("step handed over", "This VM leaves.", "step text_of"),
     event("step not handed over", "The store failed.", "step reason"),
     event("step ended", "Its samples are taken off.", "step listed carried"),
-    event("process stood still", "Its steps are asked about before they go on.", "seconds steps"),
+    event("process was paused", "Its steps are asked about before they go on.", "seconds steps"),
     event("step confirmed", "The store said what became of it.", "step ended lost"),
-    event("step still in doubt", "The store failed; no sample is started.", "step reason"),
+    event("step not confirmed yet", "The store failed; no sample is started.", "step reason"),
     event("step given up", "All that is left is listed as given up.", "step reason"),
     # Samples.
     event("text carried over", "Text of the step before serves this one.", "step groups"),
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -10,7 +10,7 @@
 
 from balsamcleat.decisions.crash_suspects import content_of
 from balsamcleat.decisions.live_attempts import AttemptLedger, FinalAnswer, hedge_delay_s
-from balsamcleat.decisions.live_line import Rejected, new_ticket
+from balsamcleat.decisions.live_queue import Rejected, new_ticket
 from balsamcleat.decisions.replica_choice import choose_replica, choose_service
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
@@ -34,7 +34,7 @@
     timed_out,
     turned_away,
 )
-from balsamcleat.tasks.live_lines import LiveLines
+from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.suspect_board import SuspectBoard
 
 __all__ = ["LiveCall", "LiveForwarder", "live_priority", "log_answered"]
@@ -94,7 +94,7 @@
         zone: This VM's availability zone.
         generator: Draws services, ties and times to come back.
         board: Knows requests under which targets crashed.
-        lines: Where calls wait for a place.
+        queues: Where calls wait for a place.
     """
 
     def __init__(
@@ -105,7 +105,7 @@
         zone: ZoneName,
         generator: random.Random,
         board: SuspectBoard,
-        lines: LiveLines,
+        queues: LiveQueues,
     ) -> None:
         self.directory = directory
         self.book = book
@@ -113,7 +113,7 @@
         self.zone = zone
         self.generator = generator
         self.board = board
-        self.lines = lines
+        self.queues = queues
 
     async def answer(
         self, request: Request, route: Route, responder: Responder, version: int
@@ -187,7 +187,7 @@
         while True:
             asked_s = anyio.current_time()
             ticket = new_ticket(call.route.rank, call.deadline_s, asked_s, call.route.objective_s)
-            rejected = await self.lines.enter(call.service, ticket)
+            rejected = await self.queues.enter(call.service, ticket)
             if rejected is not None:
                 return rejected
             began_s = anyio.current_time()
@@ -199,9 +199,9 @@
                 if isinstance(outcome, Ok):
                     took_s = anyio.current_time() - began_s
                 elif call.ledger.turned_away():
-                    self.lines.turned_away(call.service)
+                    self.queues.turned_away(call.service)
             finally:
-                self.lines.leave(call.service, took_s)
+                self.queues.leave(call.service, took_s)
             if isinstance(outcome, Ok) or not self.may_wait_again(call):
                 return outcome
             call.ledger.start_over()
@@ -210,7 +210,7 @@
         """Return whether a call that all targets turned away may wait for another place."""
         return (
             call.ledger.may_start_over()
-            and self.lines.has_line(call.service)
+            and self.queues.has_queue(call.service)
             and call.remaining_s() > 0.0
         )
 
@@ -223,7 +223,7 @@
             rank=call.route.rank,
             waited_s=round(waited_s, 4),
             left_s=round(call.remaining_s(), 3),
-            own=self.lines.of(call.service).own,
+            own=self.queues.of(call.service).own,
         )
 
     async def ask_targets(self, call: LiveCall) -> Result[Response, AttemptFailedError]:
@@ -282,7 +282,7 @@
     ) -> Result[Response, AttemptFailedError] | None:
         """Return the next attempt's end, or None when it is time to ask a second target."""
         wait_s = call.remaining_s()
-        if may_hedge and call.ledger.repeatable and self.lines.may_hedge(call.service):
+        if may_hedge and call.ledger.repeatable and self.queues.may_hedge(call.service):
             wait_s = min(wait_s, hedge_delay_s(call.route.objective_s))
         with anyio.move_on_after(max(0.0, wait_s)):
             return await receive.receive()
--- a/src/balsamcleat/tasks/live_lines.py
+++ b/src/balsamcleat/tasks/live_queues.py
@@ -1,4 +1,4 @@
-"""Keeps the lines in which live calls of plain services wait, and carries out what they decide."""
+"""Keeps the queues of live calls to plain services and carries out what they decide."""
 
 import random
 from dataclasses import dataclass, field
@@ -6,10 +6,10 @@
 import anyio
 import structlog
 
-from balsamcleat.decisions.live_line import (
+from balsamcleat.decisions.live_queue import (
     QUEUED_AT_TARGET,
     Admitted,
-    LiveLine,
+    LiveQueue,
     Places,
     Rejected,
     Ticket,
@@ -18,7 +18,7 @@
 from balsamcleat.decisions.replica_evidence import EvidenceBook
 from balsamcleat.model import ServiceName
 
-__all__ = ["LiveLines"]
+__all__ = ["LiveQueues"]
 
 # While calls wait, what others have at the targets is looked at again this often.
 RECHECK_S = 0.02
@@ -27,19 +27,19 @@
 
 
 @dataclass
-class ServiceLine:
-    """One service's line, the calls that hold a place and what was decided on waiting ones."""
+class ServiceState:
+    """One service's queue, the calls that hold a place and what was decided on waiting ones."""
 
-    line: LiveLine
+    queue: LiveQueue
     own: int = 0
     decided: dict[Ticket, Admitted | Rejected] = field(default_factory=dict)
     waiters: dict[Ticket, anyio.Event] = field(default_factory=dict)
 
 
-class LiveLines:
+class LiveQueues:
     """Gives live calls their places at the targets of plain services.
 
-    Model engines admit live requests ahead of samples by themselves and have no line here.
+    Model engines admit live requests ahead of samples by themselves and have no queue here.
 
     Args:
         directory: The targets.
@@ -53,18 +53,18 @@
         self.directory = directory
         self.book = book
         self.generator = generator
-        self.services: dict[ServiceName, ServiceLine] = {}
+        self.services: dict[ServiceName, ServiceState] = {}
         self.some_wait = anyio.Event()
 
-    def of(self, service: ServiceName) -> ServiceLine:
-        """Return a service's line, an empty one at first."""
+    def of(self, service: ServiceName) -> ServiceState:
+        """Return a service's queue, an empty one at first."""
         found = self.services.get(service)
         if found is None:
-            found = self.services[service] = ServiceLine(LiveLine(self.generator))
+            found = self.services[service] = ServiceState(LiveQueue(self.generator))
         return found
 
     def places(self, service: ServiceName, own: int, now_s: float) -> Places | None:
-        """Return what is believed of a service's places; None where it needs no line."""
+        """Return what is believed of a service's places; None where it needs no queue."""
         replicas = self.directory.serving(service)
         if not replicas or any(replica.versions for replica in replicas):
             return None
@@ -84,7 +84,7 @@
         if self.places(service, found.own, anyio.current_time()) is None:
             found.own += 1
             return None
-        found.line.join(ticket)
+        found.queue.join(ticket)
         self.settle(service)
         if ticket not in found.decided:
             await self.wait(service, ticket)
@@ -99,7 +99,7 @@
         try:
             await decided.wait()
         except BaseException:
-            found.line.leave(ticket)
+            found.queue.leave(ticket)
             if isinstance(found.decided.pop(ticket, None), Admitted):
                 self.leave(service, None)
             raise
@@ -110,32 +110,32 @@
         """Give a place back; ``took_s`` is set where the call was answered."""
         found = self.of(service)
         found.own -= 1
-        found.line.freed(took_s, anyio.current_time())
+        found.queue.freed(took_s, anyio.current_time())
         self.settle(service)
 
     def turned_away(self, service: ServiceName) -> None:
         """Take note that no target took a call that held a place."""
-        self.of(service).line.turned_away(anyio.current_time())
+        self.of(service).queue.turned_away(anyio.current_time())
 
-    def has_line(self, service: ServiceName) -> bool:
+    def has_queue(self, service: ServiceName) -> bool:
         """Return whether calls of a service wait here rather than at its targets."""
         return self.places(service, 0, anyio.current_time()) is not None
 
     def may_hedge(self, service: ServiceName) -> bool:
         """Return whether a call may take a second place: nobody waits for one."""
-        return not self.of(service).line.waiting
+        return not self.of(service).queue.waiting
 
     def settle(self, service: ServiceName) -> None:
         """Decide on those that wait and wake them."""
         found = self.of(service)
-        if not found.line.waiting:
+        if not found.queue.waiting:
             return
         now_s = anyio.current_time()
         places = self.places(service, found.own, now_s)
         if places is None:
             # Its last target is gone: whoever asks for one is told so.
-            places = Places(float(len(found.line.waiting) + found.own), 0.0, found.own)
-        for decision in found.line.decide(places, now_s):
+            places = Places(float(len(found.queue.waiting) + found.own), 0.0, found.own)
+        for decision in found.queue.decide(places, now_s):
             if isinstance(decision, Admitted):
                 found.own += 1
             found.decided[decision.ticket] = decision
@@ -144,11 +144,11 @@
                 waiter.set()
 
     async def run(self) -> None:
-        """Look again at lines in which calls wait, until cancelled."""
+        """Look again at queues in which calls wait, until cancelled."""
         while True:
             await self.some_wait.wait()
             await anyio.sleep(RECHECK_S)
             for service in list(self.services):
                 self.settle(service)
-            if not any(found.line.waiting for found in self.services.values()):
+            if not any(found.queue.waiting for found in self.services.values()):
                 self.some_wait = anyio.Event()
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -62,7 +62,7 @@
         ended: The trainer ended the step.
         lost: Another VM owns it now.
         handing_over: No sample is started any more.
-        doubted: This VM stood still; no sample is started before the store has told whether the
+        unconfirmed: This VM was paused; no sample is started before the store has told whether the
             step is still its own.
         saved: Generation and number of the events that are kept, by sample.
     """
@@ -82,7 +82,7 @@
     ended: bool = False
     lost: bool = False
     handing_over: bool = False
-    doubted: bool = False
+    unconfirmed: bool = False
     ended_at_s: float = 0.0
     changed: anyio.Event = field(default_factory=anyio.Event)
     saved: dict[str, tuple[int, int]] = field(default_factory=dict)
@@ -119,7 +119,7 @@
     @property
     def may_start(self) -> bool:
         """Whether samples may be started here now."""
-        return self.active and not self.handing_over and not self.doubted
+        return self.active and not self.handing_over and not self.unconfirmed
 
     def restore(self, saved: dict[str, SavedProgress], *, carried: bool, single: bool) -> None:
         """Take text that was kept, as far as its versions fit this step."""
--- a/src/balsamcleat/tasks/standstill_guard.py
+++ b/src/balsamcleat/tasks/pause_guard.py
@@ -1,4 +1,4 @@
-"""Has a VM that stood still ask the store about its steps before it starts samples again."""
+"""Has a VM that was paused ask the store about its steps before it starts samples again."""
 
 import random
 from collections.abc import Callable, Iterable
@@ -7,13 +7,13 @@
 import anyio.abc
 import structlog
 
-from balsamcleat.decisions.standstill import StandstillWatch
+from balsamcleat.decisions.pause_detector import PauseDetector
 from balsamcleat.errors import PlatformError
 from balsamcleat.ports.rows import RowChange
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.rollout_records import RolloutRecords, is_end_key
 
-__all__ = ["StandstillGuard"]
+__all__ = ["PauseGuard"]
 
 # Between two questions about one step, in seconds, with jitter.
 ASK_AGAIN_S = 0.2
@@ -21,8 +21,8 @@
 log = structlog.get_logger()
 
 
-class StandstillGuard:
-    """Doubts the steps of this VM after a standstill until the store has told their state.
+class PauseGuard:
+    """Holds the steps of this VM back after a pause until the store has told their state.
 
     Args:
         records: What is kept of steps.
@@ -36,21 +36,21 @@
         self.records = records
         self.clock = clock
         self.generator = generator
-        self.watch = StandstillWatch()
+        self.watch = PauseDetector()
         # Told what the store says of a step: its owner and whether it was ended.
         self.on_rows: Callable[[tuple[RowChange, ...]], None] = lambda _: None
         # Called when a step turned out to be this VM's still.
         self.on_confirmed: Callable[[], None] = lambda: None
 
     def look(self, steps: Iterable[OwnedStep], tasks: anyio.abc.TaskGroup) -> None:
-        """Look at the clock; after a standstill, doubt all steps and ask about them."""
-        stood_s = self.watch.look(self.clock())
-        if not stood_s:
+        """Look at the clock; after a pause, ask about all steps."""
+        paused_s = self.watch.look(self.clock())
+        if not paused_s:
             return
-        doubted = [step for step in steps if step.active and not step.doubted]
-        log.warning("process stood still", seconds=round(stood_s, 2), steps=len(doubted))
-        for step in doubted:
-            step.doubted = True
+        unconfirmed = [step for step in steps if step.active and not step.unconfirmed]
+        log.warning("process was paused", seconds=round(paused_s, 2), steps=len(unconfirmed))
+        for step in unconfirmed:
+            step.unconfirmed = True
             tasks.start_soon(self.confirm, step)
 
     async def confirm(self, step: OwnedStep) -> None:
@@ -59,11 +59,11 @@
             try:
                 rows = await self.records.state(step.step_id)
             except PlatformError as error:
-                log.warning("step still in doubt", step=step.step_id, reason=str(error))
+                log.warning("step not confirmed yet", step=step.step_id, reason=str(error))
                 await anyio.sleep(ASK_AGAIN_S * (0.5 + self.generator.random()))
                 continue
             self.on_rows(rows)
-            step.doubted = any(is_end_key(row.key) for row in rows)
-            log.info("step confirmed", step=step.step_id, ended=step.doubted, lost=step.lost)
+            step.unconfirmed = any(is_end_key(row.key) for row in rows)
+            log.info("step confirmed", step=step.step_id, ended=step.unconfirmed, lost=step.lost)
             self.on_confirmed()
             return
--- a/src/balsamcleat/tasks/placement_view.py
+++ b/src/balsamcleat/tasks/placement_view.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
+from balsamcleat.decisions.engine_ranking import EngineView, SampleKind
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
 from balsamcleat.decisions.sample_placement import RunningSample, WaitingSample
-from balsamcleat.decisions.seat_board import SampleKind, Seat
 from balsamcleat.decisions.step_order import expected_left
 from balsamcleat.model import ServiceName, TargetId, WeightVersion, ZoneName
 from balsamcleat.model.replicas import Replica
@@ -53,14 +53,14 @@
             for model, version in replica.versions.items()
         }
 
-    def seats(self, service: ServiceName, now_s: float) -> list[Seat]:
+    def engines(self, service: ServiceName, now_s: float) -> list[EngineView]:
         """Return the targets of a service as places for samples."""
-        return [self.seat(replica, now_s) for replica in self.directory.serving(service)]
+        return [self.engine(replica, now_s) for replica in self.directory.serving(service)]
 
-    def seat(self, replica: Replica, now_s: float) -> Seat:
+    def engine(self, replica: Replica, now_s: float) -> EngineView:
         """Return one target as a place for samples."""
         evidence = self.book.of(replica.target_id)
-        return Seat(
+        return EngineView(
             target_id=replica.target_id,
             slots=replica.slots,
             load=evidence.load(now_s),
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -22,6 +22,7 @@
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
 from balsamcleat.ports.rows import RowChange, RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep, SampleOnTarget
+from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.placement_view import TOKENS_AN_EVENT, PlacementView
 from balsamcleat.tasks.result_lister import ResultLister
 from balsamcleat.tasks.rollout_records import RolloutRecords
@@ -32,7 +33,6 @@
     SampleRunOutcome,
     version_of,
 )
-from balsamcleat.tasks.standstill_guard import StandstillGuard
 
 __all__ = ["RolloutRunner"]
 
@@ -64,7 +64,7 @@
         zone: This VM's availability zone.
         table: Returns the configuration in force.
         loading: Returns the models whose weights a target is believed to change.
-        guard: Doubts steps after a standstill of this process.
+        guard: Holds steps back after a pause of this process.
         generator: Draws the jitter of retries.
     """
 
@@ -77,7 +77,7 @@
         zone: ZoneName,
         table: Callable[[], RoutingTable | None],
         loading: Callable[[TargetId], frozenset[str]],
-        guard: StandstillGuard,
+        guard: PauseGuard,
         generator: random.Random,
     ) -> None:
         self.records = records
@@ -164,13 +164,13 @@
             waiting = [item for step, _ in steps for item in self.view.waiting(step, now_s)]
             if not waiting and not may_move:
                 continue
-            seats = self.view.seats(service, now_s)
+            engines = self.view.engines(service, now_s)
             routes = {step.step_id: route for step, route in steps}
-            for placement in place_samples(waiting, seats):
+            for placement in place_samples(waiting, engines):
                 self.start(placement, routes[placement.step_id])
             if may_move:
                 running = [item for step, _ in steps for item in self.view.running(step)]
-                for move in find_moves(running, seats):
+                for move in find_moves(running, engines):
                     self.move(move)
 
     def by_service(
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -7,10 +7,10 @@
 import anyio.abc
 import structlog
 
+from balsamcleat.decisions.engine_ranking import SLOW_RATIO
 from balsamcleat.decisions.pass_pacing import pause_after
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
-from balsamcleat.decisions.seat_board import SLOW_RATIO
 from balsamcleat.decisions.weight_rollout import (
     EngineWeights,
     LoadOrder,
--- a/tests/burst_world.py
+++ b/tests/burst_world.py
@@ -16,7 +16,7 @@
 from balsamcleat.model.routing import Route, RouteKind, ServiceShare
 from balsamcleat.tasks.live_answers import turned_away
 from balsamcleat.tasks.live_forwarder import LiveCall, LiveForwarder
-from balsamcleat.tasks.live_lines import LiveLines
+from balsamcleat.tasks.live_queues import LiveQueues
 
 SERVICE = ServiceName("plain")
 SLOTS = 6
@@ -103,7 +103,7 @@
             evidence.in_flight -= 1
 
 
-class OpenLines(LiveLines):
+class NoQueues(LiveQueues):
     """The baseline: every call goes to the targets at once."""
 
     def places(self, service, own, now_s):
@@ -129,7 +129,7 @@
     seed: int = 1
     vms: int = 4
     targets: int = 3
-    lines: type[LiveLines] = LiveLines
+    queues: type[LiveQueues] = LiveQueues
     outcomes: list[Outcome] = field(default_factory=list)
     began_s: float = 0.0
 
@@ -144,8 +144,8 @@
         for target in self.plain:
             directory.changed(target.replica)
         rng = random.Random(f"{self.seed}/vm{number}")
-        lines = self.lines(directory, book, rng)
-        found = ModelForwarder(directory, book, None, ZoneName("a"), rng, None, lines)  # type: ignore[arg-type]
+        queues = self.queues(directory, book, rng)
+        found = ModelForwarder(directory, book, None, ZoneName("a"), rng, None, queues)  # type: ignore[arg-type]
         found.targets = {target.replica.target_id: target for target in self.plain}
         return found
 
@@ -157,7 +157,7 @@
         """Let callers come at a rate that changes with time, then wait for the last of them."""
         async with anyio.create_task_group() as tasks:
             for forwarder in self.forwarders:
-                tasks.start_soon(forwarder.lines.run)
+                tasks.start_soon(forwarder.queues.run)
             self.began_s = anyio.current_time()
             async with anyio.create_task_group() as callers:
                 while (passed_s := anyio.current_time() - self.began_s) < seconds:
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -18,7 +18,7 @@
 from balsamcleat.platform import CORRELATION_HEADER
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreView
 from balsamcleat.tasks.live_forwarder import LiveForwarder
-from balsamcleat.tasks.live_lines import LiveLines
+from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
 from balsamcleat.tasks.suspect_board import SuspectBoard
 from raw_target import RawTarget, Script, raw_target
@@ -154,9 +154,9 @@
             RowStoreView(MemoryRowStore()), lambda task, key: group.start_soon(task, key)
         )
         book, generator = EvidenceBook(), random.Random(1)
-        lines = LiveLines(directory, book, generator)
-        forwarder = LiveForwarder(directory, book, pool, ZoneName("a"), generator, board, lines)
-        group.start_soon(lines.run)
+        queues = LiveQueues(directory, book, generator)
+        forwarder = LiveForwarder(directory, book, pool, ZoneName("a"), generator, board, queues)
+        group.start_soon(queues.run)
         streams = StreamForwarder(forwarder)
 
         async def handle(request: Request, responder: Responder) -> None:
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -23,11 +23,11 @@
 from balsamcleat.ports.rows import RowConflict
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.owned_step import OwnedStep
+from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.rollout_desk import RolloutDesk
 from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.sample_run import SampleEnd, SampleOrder, SampleRunOutcome
-from balsamcleat.tasks.standstill_guard import StandstillGuard
 from balsamcleat.tasks.step_claims import StepClaims
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.store_clock import StoreClock
@@ -204,7 +204,7 @@
         row = VmRow(name, boot, "", "a", 0)
         presence = VmPresence(view, row, time, lambda: bool(runner.steps), generator)
         pause = Pause()
-        guard = StandstillGuard(records, pause.clock, generator)
+        guard = PauseGuard(records, pause.clock, generator)
         runner = RolloutRunner(
             records,
             self.directory,
--- a/tests/test_seat_board.py
+++ b/tests/test_engine_ranking.py
@@ -4,17 +4,17 @@
 
 import pytest
 
-from balsamcleat.decisions import seat_board
-from balsamcleat.decisions.pass_pacing import LONGEST_PAUSE_S, PASS_SHARE, pause_after
-from balsamcleat.decisions.sample_placement import WaitingSample, place_samples
-from balsamcleat.decisions.seat_board import (
+from balsamcleat.decisions import engine_ranking
+from balsamcleat.decisions.engine_ranking import (
     PROMPT_BONUS,
+    EngineView,
     SampleKind,
-    Seat,
+    engine_cost,
     fastest_pace,
     may_take,
-    seat_cost,
 )
+from balsamcleat.decisions.pass_pacing import LONGEST_PAUSE_S, PASS_SHARE, pause_after
+from balsamcleat.decisions.sample_placement import WaitingSample, place_samples
 from balsamcleat.decisions.step_order import SampleRank
 from balsamcleat.model import StepId, TargetId, WeightVersion
 
@@ -22,9 +22,9 @@
 MODELS = ("m1", "m2")
 
 
-def some_seats(rng: random.Random, count: int, prompts: int = 30) -> list[Seat]:
+def some_engines(rng: random.Random, count: int, prompts: int = 30) -> list[EngineView]:
     return [
-        Seat(
+        EngineView(
             target_id=TargetId(f"e{number}"),
             slots=8,
             load=float(rng.randrange(9)),
@@ -52,47 +52,49 @@
     ]
 
 
-def by_looking_at_all(waiting: list[WaitingSample], seats: list[Seat]) -> list[tuple[str, str]]:
+def by_looking_at_all(
+    waiting: list[WaitingSample], engines: list[EngineView]
+) -> list[tuple[str, str]]:
     """The plain way: the cheapest of all engines for each sample."""
-    fastest_s = fastest_pace(seats)
+    fastest_s = fastest_pace(engines)
     found = []
     for sample in sorted(waiting, key=lambda item: item.rank):
         costs = []
-        for number, seat in enumerate(seats):
-            if may_take(seat, sample.kind):
-                bonus = PROMPT_BONUS if sample.prompt_id in seat.prompts else 0.0
-                costs.append((seat_cost(seat, fastest_s) - bonus, number))
+        for number, engine in enumerate(engines):
+            if may_take(engine, sample.kind):
+                bonus = PROMPT_BONUS if sample.prompt_id in engine.prompts else 0.0
+                costs.append((engine_cost(engine, fastest_s) - bonus, number))
         if costs:
-            seat = seats[min(costs)[1]]
-            seat.load += 1.0
-            assert isinstance(seat.prompts, set)
-            seat.prompts.add(sample.prompt_id)
-            found.append((sample.sample_id, seat.target_id))
+            engine = engines[min(costs)[1]]
+            engine.load += 1.0
+            assert isinstance(engine.prompts, set)
+            engine.prompts.add(sample.prompt_id)
+            found.append((sample.sample_id, engine.target_id))
     return found
 
 
 @pytest.mark.parametrize("seed", range(20))
 def test_the_places_are_those_that_looking_at_all_engines_gives(seed: int) -> None:
     samples = some_samples(random.Random(seed), 150)
-    plain = by_looking_at_all(samples, some_seats(random.Random(seed), 40))
-    placed = place_samples(samples, some_seats(random.Random(seed), 40))
+    plain = by_looking_at_all(samples, some_engines(random.Random(seed), 40))
+    placed = place_samples(samples, some_engines(random.Random(seed), 40))
     assert [(item.sample_id, item.target_id) for item in placed] == plain
 
 
 def test_a_thousand_samples_on_three_thousand_engines_cost_some_looks_each(monkeypatch) -> None:
     """Looking at all takes three million costs, seconds of the owner's core."""
     looks = 0
-    cost = seat_board.seat_cost
+    cost = engine_ranking.engine_cost
 
-    def counted(seat: Seat, fastest_s: float) -> float:
+    def counted(engine: EngineView, fastest_s: float) -> float:
         nonlocal looks
         looks += 1
-        return cost(seat, fastest_s)
+        return cost(engine, fastest_s)
 
-    monkeypatch.setattr(seat_board, "seat_cost", counted)
+    monkeypatch.setattr(engine_ranking, "engine_cost", counted)
     rng = random.Random(1)
-    seats = some_seats(rng, 3_000, prompts=3_000)
-    assert len(place_samples(some_samples(rng, 1_000), seats)) == 1_000
+    engines = some_engines(rng, 3_000, prompts=3_000)
+    assert len(place_samples(some_samples(rng, 1_000), engines)) == 1_000
     # Six kinds of sample have an order each, and each sample looks at a few engines.
     assert looks < 6 * 3_000 + 12 * 1_000
 
--- a/tests/test_live_line.py
+++ b/tests/test_live_queue.py
@@ -1,6 +1,6 @@
 """Live calls under more load than the targets take: who waits, who is rejected, who returns when.
 
-Each replay plays the same load through the line and through the baseline, which sends every call
+Each replay plays the same load through the queue and through the baseline, which sends every call
 on at once and lets the targets turn it away.
 """
 
@@ -12,7 +12,7 @@
 
 import burst_world as b
 import step_world as w
-from balsamcleat.decisions.live_line import Admitted, LiveLine, Places, Rejected, new_ticket
+from balsamcleat.decisions.live_queue import Admitted, LiveQueue, Places, Rejected, new_ticket
 
 OBJECTIVE_S = 0.2
 # An early refusal is one within a quarter of the objective.
@@ -25,9 +25,11 @@
     return 3.0 if 1.0 < passed_s < BURST_ENDS_S else 0.5
 
 
-def play(load: Callable[[float], float], lines: type, slow: float = 1.0, **options) -> b.BurstWorld:
+def play(
+    load: Callable[[float], float], queues: type, slow: float = 1.0, **options
+) -> b.BurstWorld:
     async def test() -> b.BurstWorld:
-        world = b.BurstWorld(lines=lines, **options)
+        world = b.BurstWorld(queues=queues, **options)
         world.plain[0].slowness = slow
         await world.play(lambda passed_s: world.capacity_per_s * load(passed_s), 4.0)
         return world
@@ -38,91 +40,91 @@
 @pytest.mark.parametrize("vms", [4, 12])
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_burst_is_served_by_rank_and_its_refusals_come_early(vms: int, seed: int) -> None:
-    line = play(burst, b.LiveLines, vms=vms, seed=seed)
-    straight = play(burst, b.OpenLines, vms=vms, seed=seed)
-    assert line.served(0) > max(straight.served(0), line.served(1))
-    assert line.served() >= straight.served() - 0.02
-    assert line.turned_away() < straight.turned_away() / 10
-    refused = sorted(o.first_refusal_s for o in line.outcomes if o.came_back)
+    queued = play(burst, b.LiveQueues, vms=vms, seed=seed)
+    straight = play(burst, b.NoQueues, vms=vms, seed=seed)
+    assert queued.served(0) > max(straight.served(0), queued.served(1))
+    assert queued.served() >= straight.served() - 0.02
+    assert queued.turned_away() < straight.turned_away() / 10
+    refused = sorted(o.first_refusal_s for o in queued.outcomes if o.came_back)
     assert refused[int(0.95 * len(refused))] <= EARLY_S
 
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_no_wave_of_refusals_follows_a_burst(seed: int) -> None:
-    line = play(burst, b.LiveLines, seed=seed)
-    later = [o for o in line.outcomes if o.began_s > BURST_ENDS_S + 1.0]
+    queued = play(burst, b.LiveQueues, seed=seed)
+    later = [o for o in queued.outcomes if o.began_s > BURST_ENDS_S + 1.0]
     assert len(later) > 100
     assert sum(o.came_back for o in later) <= 0.01 * len(later)
     assert all(o.served for o in later)
 
 
 def test_lasting_overload_fills_all_places_and_starves_nobody() -> None:
-    line = play(lambda _: 2.0, b.LiveLines)
-    straight = play(lambda _: 2.0, b.OpenLines)
-    ran = sum(target.ran for target in line.plain)
+    queued = play(lambda _: 2.0, b.LiveQueues)
+    straight = play(lambda _: 2.0, b.NoQueues)
+    ran = sum(target.ran for target in queued.plain)
     assert ran >= sum(target.ran for target in straight.plain)
-    assert line.served(0) > straight.served(0)
-    assert line.served(1) >= line.served() / 4
+    assert queued.served(0) > straight.served(0)
+    assert queued.served(1) >= queued.served() / 4
 
 
 def test_nobody_is_refused_while_there_are_places() -> None:
-    line = play(lambda _: 0.6, b.LiveLines)
-    assert all(outcome.served for outcome in line.outcomes)
-    assert sum(outcome.came_back for outcome in line.outcomes) <= 0.005 * len(line.outcomes)
+    queued = play(lambda _: 0.6, b.LiveQueues)
+    assert all(outcome.served for outcome in queued.outcomes)
+    assert sum(outcome.came_back for outcome in queued.outcomes) <= 0.005 * len(queued.outcomes)
 
 
 def test_a_slow_target_does_not_make_the_others_refuse() -> None:
-    line = play(lambda _: 0.5, b.LiveLines, slow=8.0)
-    straight = play(lambda _: 0.5, b.OpenLines, slow=8.0)
-    assert line.served() >= straight.served() - 0.005
-    assert line.in_time() >= straight.in_time() - 0.02
+    queued = play(lambda _: 0.5, b.LiveQueues, slow=8.0)
+    straight = play(lambda _: 0.5, b.NoQueues, slow=8.0)
+    assert queued.served() >= straight.served() - 0.005
+    assert queued.in_time() >= straight.in_time() - 0.02
 
 
-def line_of(service_s: float = 0.05) -> LiveLine:
-    return LiveLine(random.Random(1), service_s=service_s, free_seen_s=0.0)
+def queue_of(service_s: float = 0.05) -> LiveQueue:
+    return LiveQueue(random.Random(1), service_s=service_s, free_seen_s=0.0)
 
 
 def test_calls_go_on_by_rank_then_by_deadline() -> None:
-    line = line_of()
+    queue = queue_of()
     new, back = (new_ticket(1, deadline_s, 0.0, 1.0) for deadline_s in (2.0, 1.2))
     urgent = new_ticket(0, 2.0, 0.0, 1.0)
     for ticket in (new, back, urgent):
-        line.join(ticket)
-    decisions = line.decide(Places(capacity=3.0, others=0.0, own=0), 0.0)
+        queue.join(ticket)
+    decisions = queue.decide(Places(capacity=3.0, others=0.0, own=0), 0.0)
     assert [decision.ticket for decision in decisions] == [urgent, back, new]
 
 
 def test_a_call_that_cannot_be_answered_in_time_is_rejected_at_once() -> None:
-    line = line_of()
+    queue = queue_of()
     full = Places(capacity=2.0, others=0.0, own=2)
     tickets = [new_ticket(0, 2.0, 0.0, OBJECTIVE_S) for _ in range(4)]
     decisions = []
     for ticket in tickets:
-        line.join(ticket)
-        decisions += line.decide(full, 0.0)
+        queue.join(ticket)
+        decisions += queue.decide(full, 0.0)
     # A place comes free each 25 ms and an answer takes 50 ms; 100 ms may pass.
-    assert len(line.waiting) == 2
+    assert len(queue.waiting) == 2
     assert [type(decision) for decision in decisions] == [Rejected, Rejected]
 
 
 def test_calls_are_rejected_when_nothing_has_come_free_for_long() -> None:
-    line = line_of()
-    line.join(new_ticket(0, 2.0, 0.0, OBJECTIVE_S))
-    assert line.decide(Places(capacity=2.0, others=0.0, own=2), 0.0) == []
-    (decision,) = line.decide(Places(capacity=2.0, others=0.0, own=2), 0.08)
+    queue = queue_of()
+    queue.join(new_ticket(0, 2.0, 0.0, OBJECTIVE_S))
+    assert queue.decide(Places(capacity=2.0, others=0.0, own=2), 0.0) == []
+    (decision,) = queue.decide(Places(capacity=2.0, others=0.0, own=2), 0.08)
     assert isinstance(decision, Rejected)
-    line.freed(None, 0.1)
-    line.join(new_ticket(0, 2.1, 0.1, OBJECTIVE_S))
-    assert isinstance(line.decide(Places(2.0, 0.0, 1), 0.1)[0], Admitted)
+    queue.freed(None, 0.1)
+    queue.join(new_ticket(0, 2.1, 0.1, OBJECTIVE_S))
+    assert isinstance(queue.decide(Places(2.0, 0.0, 1), 0.1)[0], Admitted)
 
 
 def test_rejected_callers_come_back_one_after_the_other() -> None:
-    line = line_of()
+    queue = queue_of()
     full = Places(capacity=2.0, others=0.0, own=2)
     returns = []
     for _ in range(40):
-        line.join(new_ticket(0, 2.0, 0.0, OBJECTIVE_S))
-        returns += [d.retry_after_s for d in line.decide(full, 0.0) if isinstance(d, Rejected)]
+        queue.join(new_ticket(0, 2.0, 0.0, OBJECTIVE_S))
+        returns += [d.retry_after_s for d in queue.decide(full, 0.0) if isinstance(d, Rejected)]
     assert len(returns) == 38
     assert max(returns) <= 2.0 / 3.0
     tenths = [sum(int(after_s * 10) == tenth for after_s in returns) for tenth in range(7)]
@@ -133,16 +135,16 @@
 def test_a_caller_that_leaves_gives_its_place_to_the_next() -> None:
     async def test() -> None:
         world = b.BurstWorld(vms=1, targets=1)
-        lines = world.forwarders[0].lines
+        queues = world.forwarders[0].queues
         for _ in range(b.SLOTS + 1):
-            assert await lines.enter(b.SERVICE, new_ticket(0, 9.0, 0.0, 9.0)) is None
+            assert await queues.enter(b.SERVICE, new_ticket(0, 9.0, 0.0, 9.0)) is None
         async with anyio.create_task_group() as tasks:
             first = anyio.CancelScope()
             entered: list[str] = []
 
             async def wait(name: str, scope: anyio.CancelScope) -> None:
                 with scope:
-                    assert await lines.enter(b.SERVICE, new_ticket(0, 9.0, 0.0, 9.0)) is None
+                    assert await queues.enter(b.SERVICE, new_ticket(0, 9.0, 0.0, 9.0)) is None
                     entered.append(name)
 
             tasks.start_soon(wait, "first", first)
@@ -151,9 +153,9 @@
             await anyio.sleep(0.001)
             # It is given a place in the same instant in which it leaves.
             first.cancel()
-            lines.leave(b.SERVICE, 0.05)
+            queues.leave(b.SERVICE, 0.05)
             await anyio.sleep(0.001)
             assert entered == ["second"]
-        assert lines.of(b.SERVICE).own == b.SLOTS + 1
+        assert queues.of(b.SERVICE).own == b.SLOTS + 1
 
     w.run(test)
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -30,7 +30,7 @@
             "rollout_desk",
             "rollout_runner",
             "routing_keeper",
-            "standstill_guard",
+            "pause_guard",
             "step_claims",
             "step_feed",
             "stream_forwarder",
--- a/tests/test_standstill.py
+++ b/tests/test_pause_guard.py
@@ -1,13 +1,13 @@
-"""A VM that stood still starts nothing before the store has said what became of its steps."""
+"""A VM that was paused starts nothing before the store has said what became of its steps."""
 
 import anyio
 import pytest
 
 import step_world as w
-from balsamcleat.decisions.standstill import STANDSTILL_S, StandstillWatch
+from balsamcleat.decisions.pause_detector import LEAST_PAUSE_S, PauseDetector
 from balsamcleat.model import StepId
 
-STOOD_S = 3.0
+PAUSED_S = 3.0
 
 
 def play(test) -> None:
@@ -26,15 +26,15 @@
     vm.feed.accepting = False
 
 
-def test_looks_that_come_late_tell_of_a_standstill() -> None:
-    watch = StandstillWatch()
+def test_looks_that_come_late_tell_of_a_pause() -> None:
+    watch = PauseDetector()
     assert watch.look(10.0) == 0.0
     assert watch.look(10.1) == 0.0
-    assert watch.look(10.1 + STOOD_S) == pytest.approx(STOOD_S)
-    assert watch.look(10.2 + STOOD_S) == 0.0
+    assert watch.look(10.1 + PAUSED_S) == pytest.approx(PAUSED_S)
+    assert watch.look(10.2 + PAUSED_S) == 0.0
     watch.rest()
     assert watch.look(100.0) == 0.0
-    assert watch.look(100.0 + STANDSTILL_S / 2) == 0.0
+    assert watch.look(100.0 + LEAST_PAUSE_S / 2) == 0.0
 
 
 def test_no_sample_of_a_step_that_was_ended_meanwhile_starts() -> None:
@@ -49,7 +49,7 @@
         started = len(vm.engines.runs)
         assert started < 24
         assert await other.end("step-1") == 200
-        vm.pause.seconds = STOOD_S
+        vm.pause.seconds = PAUSED_S
         await anyio.sleep(3.0)
         assert len(vm.engines.runs) == started
         assert vm.feed.steps[StepId("step-1")].ended
@@ -65,7 +65,7 @@
         deafen(vm)
         started = len(vm.engines.runs)
         assert await w.claim_by_other(vm, "step-1")
-        vm.pause.seconds = STOOD_S
+        vm.pause.seconds = PAUSED_S
         await anyio.sleep(3.0)
         assert len(vm.engines.runs) == started
         assert not vm.runner.steps
@@ -81,7 +81,7 @@
         await anyio.sleep(0.3)
         started = len(vm.engines.runs)
         vm.view.flaws.down = away_s > 0.0
-        vm.pause.seconds = STOOD_S
+        vm.pause.seconds = PAUSED_S
         await anyio.sleep(away_s)
         if away_s:
             assert len(vm.engines.runs) == started
--- a/tests/test_sample_placement.py
+++ b/tests/test_sample_placement.py
@@ -7,13 +7,13 @@
 
 import pytest
 
+from balsamcleat.decisions.engine_ranking import EngineView, SampleKind
 from balsamcleat.decisions.sample_placement import (
     RunningSample,
     WaitingSample,
     find_moves,
     place_samples,
 )
-from balsamcleat.decisions.seat_board import SampleKind, Seat
 from balsamcleat.decisions.step_order import SampleRank, rank_samples
 from balsamcleat.model import StepId, TargetId, WeightVersion
 from balsamcleat.model.rollout import RolloutStep, SampleTask
@@ -62,10 +62,10 @@
     paces: list[float]
     ends: dict[str, float] = field(default_factory=dict)
 
-    def play(self, choose: Callable[[list[SampleTask], list[Seat]], list]) -> float:
+    def play(self, choose: Callable[[list[SampleTask], list[EngineView]], list]) -> float:
         """Return when the trainer has its wanted groups."""
         seats = [
-            Seat(TargetId(f"e{n}"), self.slots, 0.0, pace, {MODEL: WeightVersion(1)})
+            EngineView(TargetId(f"e{n}"), self.slots, 0.0, pace, {MODEL: WeightVersion(1)})
             for n, pace in enumerate(self.paces)
         ]
         by_id = {seat.target_id: seat for seat in seats}
@@ -90,7 +90,7 @@
 def ours(step: RolloutStep):
     ranks = rank_samples(step, {})
 
-    def choose(waiting: list[SampleTask], seats: list[Seat]) -> list:
+    def choose(waiting: list[SampleTask], seats: list[EngineView]) -> list:
         found = place_samples(
             [
                 WaitingSample(STEP, s.sample_id, KIND, s.group, (0.0, ranks[s.sample_id]))
@@ -103,7 +103,7 @@
     return choose
 
 
-def in_turn(waiting: list[SampleTask], seats: list[Seat]) -> list:
+def in_turn(waiting: list[SampleTask], seats: list[EngineView]) -> list:
     """The simple way: as submitted, to the engine with most places."""
     found = []
     for sample in waiting:
@@ -115,7 +115,7 @@
     return found
 
 
-def shortest_first(waiting: list[SampleTask], seats: list[Seat]) -> list:
+def shortest_first(waiting: list[SampleTask], seats: list[EngineView]) -> list:
     """Another simple way: the shortest sample first."""
     return in_turn(sorted(waiting, key=lambda sample: sample.expected_tokens or 0.0), seats)
 
@@ -168,9 +168,9 @@
     assert min(carried, key=carried.__getitem__).startswith("4-")
 
 
-def seats(*loads: float, **fields) -> list[Seat]:
+def seats(*loads: float, **fields) -> list[EngineView]:
     return [
-        Seat(TargetId(f"e{n}"), 4, load, versions={MODEL: WeightVersion(1)}, **fields)
+        EngineView(TargetId(f"e{n}"), 4, load, versions={MODEL: WeightVersion(1)}, **fields)
         for n, load in enumerate(loads)
     ]
 
