--- a/src/balsamcleat/bench/capacity.py
+++ b/src/balsamcleat/bench/capacity.py
@@ -35,6 +35,7 @@
 # A claim is written before the call and its outcome after it.
 WRITES_PER_CLAIM = 2.0
 ENTRY = "entry for callers"
+PLATFORM_ENTRY = "entry on the platform"
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +93,7 @@
     """
     needs = (
         caller_entry(book, scale),
+        platform_entry(book, scale),
         target_watch(book, scale),
         membership(book, scale),
         vm_list(book, scale),
@@ -108,9 +110,12 @@
 def totals(needs: tuple[RoleNeed, ...], limits: Limits) -> tuple[Total, ...]:
     """Return the sums that have a limit."""
     control = [need for need in needs if need.control]
-    entry = next(need for need in needs if need.role == ENTRY)
+    entry, on_platform = (
+        next(need for need in needs if need.role == role) for role in (ENTRY, PLATFORM_ENTRY)
+    )
     return (
         Total("entry for callers, processor", "core", entry.cores, limits.entry_core),
+        Total("entry on the platform, processor", "core", on_platform.cores, limits.entry_core),
         Total("control, processor", "core", sum(n.cores for n in control), limits.control_core),
         Total(
             "control, memory", "bytes", sum(n.memory_bytes for n in control), limits.control_bytes
@@ -143,6 +148,13 @@
     return RoleNeed(ENTRY, control=False, cores=calls + tokens)
 
 
+def platform_entry(book: SlopeBook, scale: Scale) -> RoleNeed:
+    """Return the need of passing on calls and tokens by the platform's entry process."""
+    calls = book.slope("entry call", Quantity.CPU) * scale.node_requests_per_s
+    tokens = book.slope("entry token", Quantity.CPU) * scale.node_tokens_per_s
+    return RoleNeed(PLATFORM_ENTRY, control=False, cores=calls + tokens)
+
+
 def target_watch(book: SlopeBook, scale: Scale) -> RoleNeed:
     """Return the need of knowing the zone's targets: questions, news, the router's state."""
     interval_s = max(LOAD_INTERVAL_S, scale.zone_replicas / MAX_REPORTS_PER_S)
--- a/src/balsamcleat/bench/capacity_page.py
+++ b/src/balsamcleat/bench/capacity_page.py
@@ -19,6 +19,12 @@
         "HTTP in, HTTP to the target; no message to a peer",
         "a pure router that looks at a few targets of the own zone, not at all of them",
     ),
+    (
+        "entry on the platform",
+        "calls in flight, a queue by plain service, one exchange a connection",
+        "HTTP in, HTTP to the target; no message to a peer",
+        "one sans-I/O parser at both ends, events passed on in one piece",
+    ),
     (
         "target watch",
         "the own zone's replicas in detail, others as one digest a zone and service",
@@ -186,6 +192,7 @@
     everybody = list(capacity.needs)
     weights = {
         "entry for callers, processor": (everybody, lambda need: need.cores),
+        "entry on the platform, processor": (everybody, lambda need: need.cores),
         "control, processor": (control, lambda need: need.cores),
         "control, memory": (control, lambda need: need.memory_bytes),
         "control, traffic": (control, lambda need: need.bytes_per_s),
--- a/src/balsamcleat/bench/slopes.py
+++ b/src/balsamcleat/bench/slopes.py
@@ -12,6 +12,7 @@
     LeaseProbe,
     ListReadProbe,
 )
+from balsamcleat.bench.probes.entry import EntryCallProbe, EntryTokenProbe
 from balsamcleat.bench.probes.peers import PeerListedProbe, PeerProbe
 from balsamcleat.bench.probes.rollout import StepProbe, WaveProbe
 from balsamcleat.bench.probes.targets import (
@@ -41,6 +42,8 @@
     WaveProbe,
     LiveCallProbe,
     TokenProbe,
+    EntryCallProbe,
+    EntryTokenProbe,
 )
 
 
--- a/src/balsamcleat/platform/__init__.py
+++ b/src/balsamcleat/platform/__init__.py
@@ -24,6 +24,7 @@
     read_marks,
     relayed_headers,
     request_id,
+    stamped_headers,
 )
 from balsamcleat.platform.orders import OrderOutcome, ReplicaControl
 from balsamcleat.platform.settings import PlatformSettings, load_platform_settings
@@ -71,5 +72,6 @@
     "relayed_headers",
     "request_id",
     "sample_body",
+    "stamped_headers",
     "stream_versions",
 ]
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -18,6 +18,7 @@
     "read_marks",
     "relayed_headers",
     "request_id",
+    "stamped_headers",
 ]
 
 # Each attempt of a caller has its own id, and targets repeat it in their answers.
@@ -119,6 +120,11 @@
     return headers
 
 
+def stamped_headers(headers: Headers) -> Headers:
+    """Return the headers of a stand-in target's answer to a request with these headers."""
+    return ((CORRELATION_HEADER, request_id(headers)), (STAMP, "stand-in"))
+
+
 def read_marks(status: int, headers: Headers) -> AnswerMarks:
     """Return what an answer's head means."""
     running, waiting = load_of(header(headers, LOAD))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -31,6 +31,7 @@
     "name",
     [
         "entry for callers, processor",
+        "entry on the platform, processor",
         "control, processor",
         "control, memory",
         "control, traffic",
