The client of the store keeps the store's rates: token buckets a VM, fewer after refusals

A VM takes up to eight times its even share (most VMs are nearly idle, the owner of steps is not) and, after each 429, half as much, down to the share; it comes back over seconds.

--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -113,7 +113,9 @@
             PoolLimits(connect_s=0.5, idle_s=TARGET_IDLE_S, idle_connections=TARGET_CONNECTIONS),
             CORRELATION_HEADER,
         )
-        self.straight = PlatformRowStore(settings.store, store_pool)
+        self.straight = PlatformRowStore(
+            settings.store, store_pool, lambda: len(self.presence.watch.seen)
+        )
         self.peer_pool = ClientPool(PoolLimits(connect_s=0.3, idle_connections=16))
         self.store = RelayedRowStore(self.straight, self.peer_pool, lambda: self.peers.reaching)
         self.directory = ReplicaDirectory()
@@ -325,7 +327,7 @@
     def apply(self, settings: PlatformSettings) -> None:
         """Put new settings into force; addresses to listen at need a new start."""
         self.settings = settings
-        self.straight.access = settings.store
+        self.straight.use(settings.store)
         self.lease.order_gap_s = settings.order_gap_s
 
     async def wait_for_stop(self) -> None:
--- a/src/balsamcleat/platform/settings.py
+++ b/src/balsamcleat/platform/settings.py
@@ -29,6 +29,8 @@
     address: str
     row_bytes: int = 65536
     history_s: float = 20.0
+    writes_per_s: float = 0.0
+    reads_per_s: float = 0.0
 
 
 class BoundFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -56,10 +58,19 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreAccess:
-    """Where the store is and what it takes."""
+    """Where the store is and what it takes.
+
+    Attributes:
+        address: ``IP:PORT``.
+        limits: Bounds of rows and commits.
+        writes_per_s: Writes of all VMs together; 0 where nothing is said.
+        reads_per_s: Reads of all VMs together; 0 where nothing is said.
+    """
 
     address: str
     limits: StoreLimits
+    writes_per_s: float = 0.0
+    reads_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +131,8 @@
         store=StoreAccess(
             address=store.address,
             limits=StoreLimits(row_bytes=store.row_bytes, history_s=store.history_s),
+            writes_per_s=store.writes_per_s,
+            reads_per_s=store.reads_per_s,
         ),
         grace_s=fields.bounds.grace_s,
         order_gap_s=fields.bounds.lease_ms / MS,
--- a/src/balsamcleat/platform/store.py
+++ b/src/balsamcleat/platform/store.py
@@ -1,12 +1,14 @@
 """The platform's store behind the row store port; one client for all its calls."""
 
 import base64
+from collections.abc import Callable
 from typing import TypeVar
 from urllib.parse import quote, urlencode
 
 import anyio
 import msgspec
 
+from balsamcleat.decisions.store_pace import StorePace
 from balsamcleat.decisions.store_path import CallTimeout
 from balsamcleat.errors import (
     AttemptFailedError,
@@ -32,6 +34,7 @@
 __all__ = ["PlatformRowStore"]
 
 MAX_PARTS = 1000
+TOO_MANY = 429
 
 
 class RowFields(msgspec.Struct, frozen=True):
@@ -105,16 +108,23 @@
     Args:
         access: Where it is and what it takes.
         pool: Connections of this process.
+        vms: Returns how many VMs share the store, as far as known.
     """
 
-    def __init__(self, access: StoreAccess, pool: ClientPool) -> None:
-        self.access = access
+    def __init__(self, access: StoreAccess, pool: ClientPool, vms: Callable[[], int]) -> None:
         self.pool = pool
-        self.limits = access.limits
+        self.vms = vms
+        self.use(access)
         self.timeout = CallTimeout()
         # When the store answered last, on the process's clock.
         self.answered_at_s = float("-inf")
 
+    def use(self, access: StoreAccess) -> None:
+        """Take where the store is and what it takes, also when the settings change."""
+        self.access = access
+        self.limits = access.limits
+        self.pace = StorePace(access.writes_per_s, access.reads_per_s)
+
     async def commit(self, commit: RowCommit) -> RowsCommitted | RowConflict:
         """Apply all writes or none."""
         body = msgspec.json.encode(encode_commit(commit))
@@ -168,6 +178,7 @@
 
     async def fetch(self, request: Request, wait_s: float) -> Response:
         """Make one call; ``wait_s`` is how long the store was asked to wait before it answers."""
+        await self.wait_turn(writes=request.method != "GET")
         began_s = anyio.current_time()
         timeout_s = wait_s + self.timeout.timeout_s
         try:
@@ -178,8 +189,18 @@
             raise
         if not wait_s:
             self.timeout.answered(anyio.current_time() - began_s)
+        if response.status == TOO_MANY:
+            self.pace.refused(anyio.current_time())
         return response
 
+    async def wait_turn(self, *, writes: bool) -> None:
+        """Wait until this VM's share of the store's rates allows one more call."""
+        while True:
+            wait_s = self.pace.wait_s(writes=writes, vms=self.vms(), now_s=anyio.current_time())
+            if not wait_s:
+                return
+            await anyio.sleep(wait_s)
+
     async def get(
         self, path: str, query: dict[str, str], kind: type[Fields], wait_s: float = 0.0
     ) -> Fields:
