--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -177,10 +177,14 @@
     async def reject(self, call: LiveCall, responder: Responder, rejected: Rejected) -> None:
         """Tell a caller whose call can't be answered in time when to come back."""
         reason = f"no place at {call.service} in time, {rejected.wait_s:.3f} s away"
-        final = FinalAnswer.NOT_RUN
-        generator = self.generator
-        after_s = rejected.retry_after_s
-        await refuse(call.request, responder, final, reason, generator, after_s)
+        await refuse(
+            call.request,
+            responder,
+            FinalAnswer.NOT_RUN,
+            reason,
+            self.generator,
+            rejected.retry_after_s,
+        )
 
     async def run(self, call: LiveCall) -> Result[Response, AttemptFailedError] | Rejected:
         """Wait for a place and ask targets, again where all of them turned the call away."""
--- a/src/balsamcleat/tasks/live_queues.py
+++ b/src/balsamcleat/tasks/live_queues.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 import anyio
-import structlog
 
 from balsamcleat.decisions.live_queue import (
     QUEUED_AT_TARGET,
@@ -23,8 +22,6 @@
 # While calls wait, what others have at the targets is looked at again this often.
 RECHECK_S = 0.02
 
-log = structlog.get_logger()
-
 
 @dataclass
 class ServiceState:
