Owners are judged by readings that could show them; a peer whose calls fail is no way to the store

After a loss of all VMs a VM took a step from another that had just taken it over: it judged that owner by a reading of the VMs' rows made before the owner had written its new start. Ruled out: the conditional write (it kept the step in one hand). In an outage for all, VMs took peers for a way to the store whose own last answer was younger than a second; four stepped back from the balancer for a second and calls were relayed in a circle. A peer now says whether its own calls fail, and then is none. Tests: test_step_ownership.py, test_relayed_store.py; each fails without its change.

--- a/src/balsamcleat/decisions/vm_watch.py
+++ b/src/balsamcleat/decisions/vm_watch.py
@@ -52,11 +52,23 @@
     def __init__(self) -> None:
         self.seen: dict[str, Sighting] = {}
         self.read_at_s: float | None = None
+        # Readings begun, and the number of the last one that was taken.
+        self.begun = 0
+        self.taken = 0
+
+    def begin_reading(self) -> None:
+        """Take note that a reading begins: it shows what was written before."""
+        self.begun += 1
+
+    def has_read_since(self, begun: int) -> bool:
+        """Return whether a reading was taken that began after so many had begun."""
+        return self.taken > begun
 
     def read(self, rows: list[VmRow], now_s: float) -> None:
         """Take a full reading."""
         passed_s = 0.0 if self.read_at_s is None else min(MAX_COUNTED_S, now_s - self.read_at_s)
         self.read_at_s = now_s
+        self.taken = self.begun
         seen = {}
         for row in rows:
             known = self.seen.get(row.vm)
--- a/src/balsamcleat/entry/node.py
+++ b/src/balsamcleat/entry/node.py
@@ -253,8 +253,8 @@
 
     def peer_state(self) -> PeerState:
         """Return what this VM says of itself to others."""
-        silence_s = min(NEVER_S, self.straight_view().silence_s)
-        return PeerState(self.boot, silence_s)
+        view = self.straight_view()
+        return PeerState(self.boot, min(NEVER_S, view.silence_s), view.failing)
 
     async def answer_ready(self, request: Request, responder: Responder) -> None:
         """Say whether the balancer should send callers here."""
--- a/src/balsamcleat/tasks/peers.py
+++ b/src/balsamcleat/tasks/peers.py
@@ -37,10 +37,17 @@
     Attributes:
         boot: The start of its process.
         store_silence_s: Time since the store's last answer to it, in seconds.
+        store_failing: Whether its last calls failed, however lately the store had answered.
     """
 
     boot: str
     store_silence_s: float
+    store_failing: bool = False
+
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store answers it without another's help."""
+        return not self.store_failing and self.store_silence_s < REACHES_WITHIN_S
 
 
 class PeerDesk:
@@ -125,7 +132,7 @@
         others.sort(key=lambda row: row.zone == self.zone)
         asked = await self.ask(others[:PEERS_ASKED])
         states = {answer.vm: answer.state for answer in asked if answer.state is not None}
-        reaching = {vm for vm, state in states.items() if state.store_silence_s < REACHES_WITHIN_S}
+        reaching = {vm for vm, state in states.items() if state.reaches_store}
         found = [row for row in others if row.vm in reaching]
         # Bytes between zones are dear; the rest is left to chance.
         self.reaching = sorted(found, key=lambda row: row.zone != self.zone)
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -30,10 +30,20 @@
 
 @dataclass(slots=True)
 class KnownStep:
-    """A step as the feed tells it; ``orphan_since_s`` is set once its owner was found dead."""
+    """A step as the feed tells it.
+
+    Attributes:
+        owner: Who runs it.
+        row_version: Version of the owner's row.
+        told_at_reading: How many readings of the VMs' rows had begun when its owner was told. An
+            owner that has just started may not be in any of them.
+        ended: Whether the trainer ended it.
+        orphan_since_s: When its owner was found dead.
+    """
 
     owner: OwnerRecord
     row_version: int
+    told_at_reading: int
     ended: bool = False
     orphan_since_s: float | None = None
 
@@ -102,7 +112,7 @@
         if owner is None or (known is not None and known.row_version >= row.version):
             return
         ended = step_id in self.ended_early or (known is not None and known.ended)
-        self.steps[step_id] = known = KnownStep(owner, row.version, ended)
+        self.steps[step_id] = known = KnownStep(owner, row.version, self.watch.begun, ended)
         log.info("step owner", step=step_id, owner=owner.vm, row_version=row.version)
         self.owner_changed(step_id, known)
 
@@ -142,7 +152,7 @@
         if (owner.vm, owner.boot) == (self.vm, self.boot):
             # Ours by a commit whose answer was lost, or ours and running.
             return not self.runs(step_id)
-        if owner.vm and not self.watch.is_dead(owner.vm, owner.boot):
+        if owner.vm and not self.is_owner_dead(known):
             known.orphan_since_s = None
             return False
         now_s = anyio.current_time()
@@ -157,6 +167,13 @@
             )
         return now_s - known.orphan_since_s >= self.turn(step_id) * TURN_S
 
+    def is_owner_dead(self, known: KnownStep) -> bool:
+        """Return whether a step's owner is dead by a reading that could show its start."""
+        owner = known.owner
+        if not self.watch.has_read_since(known.told_at_reading):
+            return False
+        return self.watch.is_dead(owner.vm, owner.boot)
+
     def matters(self, known: KnownStep) -> bool:
         """Return whether a step's results are still wanted."""
         return self.store_now_ms() - known.owner.accepted_ms < self.kept_s * 1000
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -113,6 +113,7 @@
 
     async def read(self) -> None:
         """Read all VMs' rows."""
+        self.watch.begin_reading()
         page = await self.store.read(VMS_TABLE, VM_PART)
         self.time.told(page.store_ms)
         self.watch.read([decode_vm(row) for row in page.rows], self.time.clock())
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -35,15 +35,18 @@
 WRITE = RowCommit((RowWrite(KEY, b"value"),), ((KEY, 0),))
 
 
+PEER = PeerState("boot", 0.1)
+
+
 @asynccontextmanager
 async def cut_off_vm(
-    relay_flaws: RowStoreFlaws,
+    relay_flaws: RowStoreFlaws, state: PeerState = PEER
 ) -> AsyncIterator[tuple[MemoryRowStore, RowStoreFlaws, RelayedRowStore]]:
     """Yield the store, the cut-off VM's flaws and its store, with a peer that reaches it."""
     store = MemoryRowStore()
     flaws = RowStoreFlaws(down=True)
     relay = StoreRelay(RowStoreView(store, relay_flaws))
-    desk = PeerDesk(lambda: PeerState("boot", 0.1), relay)
+    desk = PeerDesk(lambda: state, relay)
     listener = listen("127.0.0.1:0")
     host, port = listener.getsockname()
     server = HttpServer(listener, desk.answer, lambda: ServerLimits())
@@ -68,6 +71,15 @@
 pytestmark = pytest.mark.anyio
 
 
+async def test_a_peer_whose_own_calls_fail_is_no_way_to_the_store() -> None:
+    """In an outage for all, VMs relayed in a circle and four stepped back from the balancer."""
+    failing = PeerState("boot", 0.1, store_failing=True)
+    async with cut_off_vm(RowStoreFlaws(), failing) as (_, _, cut_off):
+        assert cut_off.relays() == []
+    async with cut_off_vm(RowStoreFlaws()) as (_, _, cut_off):
+        assert [row.vm for row in cut_off.relays()] == ["peer"]
+
+
 async def test_calls_go_by_way_of_a_peer_and_mean_the_same() -> None:
     async with cut_off_vm(RowStoreFlaws()) as (store, _, cut_off):
         assert isinstance(await cut_off.commit(WRITE), RowsCommitted)
--- a/tests/test_step_ownership.py
+++ b/tests/test_step_ownership.py
@@ -1,12 +1,14 @@
 """Steps at their owners, through races, lost answers, dead and leaving owners."""
 
 import anyio
+import msgspec
 import pytest
 
 import step_world as w
 from balsamcleat.model import StepId
+from balsamcleat.ports.rows import RowChange
 from balsamcleat.tasks.janitor import Janitor
-from balsamcleat.tasks.rollout_records import RolloutRecords
+from balsamcleat.tasks.rollout_records import RolloutRecords, owner_key
 from balsamcleat.tasks.sample_run import SampleEnd
 
 SAMPLES = 12
@@ -277,6 +279,28 @@
     play(test, events=lambda _: 120)
 
 
+def test_an_owner_that_has_just_started_is_not_judged_by_an_older_reading() -> None:
+    """After a loss of all VMs, one took a step from another that had just taken it over."""
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        await world.start("b", boot="before")
+        assert await vm.submit(w.submission(1, 2, 1)) == 202
+        await anyio.sleep(0.1)
+        known = vm.feed.steps[StepId("step-1")]
+        owner = known.owner.given_to("b", "after")
+        row = RowChange(owner_key(StepId("step-1")), msgspec.json.encode(owner), 999)
+        vm.feed.changed((row,), 999)
+        known = vm.feed.steps[StepId("step-1")]
+        assert not vm.feed.may_take(StepId("step-1"), known)
+        assert known.orphan_since_s is None
+        # Readings that still show the start before say that there is no such owner.
+        await anyio.sleep(2.0)
+        assert vm.feed.is_owner_dead(known)
+
+    play(test, events=lambda _: 200)
+
+
 def test_calls_that_need_a_store_known_to_be_away_are_refused_at_once() -> None:
     """They waited 0.7 s for the store's silence to be refused."""
 
