One loop asks the numbered questions of the probes of calls

The probes of the entry process had written the loop of the older call probes again. It stands once, in probes/base.py, and both call it.

--- a/src/balsamcleat/bench/probes/base.py
+++ b/src/balsamcleat/bench/probes/base.py
@@ -5,11 +5,24 @@
 import time
 import tracemalloc
 from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 from types import TracebackType
 
-__all__ = ["Cost", "CpuMeter", "MemoryMeter", "Point", "Probe", "Quantity", "SlopeFit", "fit"]
+import anyio
+
+__all__ = [
+    "Cost",
+    "CpuMeter",
+    "MemoryMeter",
+    "Point",
+    "Probe",
+    "Quantity",
+    "SlopeFit",
+    "fit",
+    "spend",
+]
 
 
 class Quantity(Enum):
@@ -148,6 +161,21 @@
         self.seconds = self.read() - self.started
 
 
+async def spend(ask: Callable[[int], Awaitable[None]], count: int, at_once: int) -> float:
+    """Return the processor seconds of ``count`` numbered questions, some of them at a time."""
+    numbers = iter(range(count))
+
+    async def work() -> None:
+        for number in numbers:
+            await ask(number)
+
+    with CpuMeter() as cpu:
+        async with anyio.create_task_group() as tasks:
+            for _ in range(at_once):
+                tasks.start_soon(work)
+    return cpu.seconds
+
+
 class MemoryMeter:
     """Bytes of the objects that were made inside the ``with`` block and are still held."""
 
--- a/src/balsamcleat/bench/probes/calls.py
+++ b/src/balsamcleat/bench/probes/calls.py
@@ -1,12 +1,13 @@
 """Probes of live calls and streamed tokens, each through a node and straight to the target."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 import httpx
 
 from balsamcleat.adapters.http_client import new_client
-from balsamcleat.bench.probes.base import CpuMeter, Probe, Quantity
+from balsamcleat.bench.probes.base import Probe, Quantity, spend
 from balsamcleat.standins.cluster import ClusterShape, LocalCluster
 from balsamcleat.standins.text import generation_length
 
@@ -27,21 +28,6 @@
 Ask = Callable[[httpx.AsyncClient, str, int], Awaitable[None]]
 
 
-async def spend(ask: Ask, client: httpx.AsyncClient, url: str, count: int) -> float:
-    """Return the processor seconds of ``count`` questions, some at a time."""
-    numbers = iter(range(count))
-
-    async def work() -> None:
-        for number in numbers:
-            await ask(client, url, number)
-
-    with CpuMeter() as cpu:
-        async with anyio.create_task_group() as group:
-            for _ in range(CONCURRENCY):
-                group.start_soon(work)
-    return cpu.seconds
-
-
 async def added(ask: Ask, node_path: str, target: str, target_path: str, count: int) -> float:
     """Return the processor seconds that the node adds to ``count`` questions.
 
@@ -59,8 +45,8 @@
         node_url = cluster.node_url(0) + node_path
         for url in (direct_url, node_url):
             await ask(client, url, 0)
-        direct_s = await spend(ask, client, direct_url, count)
-        node_s = await spend(ask, client, node_url, count)
+        direct_s = await spend(partial(ask, client, direct_url), count, CONCURRENCY)
+        node_s = await spend(partial(ask, client, node_url), count, CONCURRENCY)
         group.cancel_scope.cancel()
     return node_s - direct_s
 
--- a/src/balsamcleat/bench/probes/entry.py
+++ b/src/balsamcleat/bench/probes/entry.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -12,7 +13,7 @@
 import anyio.lowlevel
 import structlog
 
-from balsamcleat.bench.probes.base import CpuMeter, Probe, Quantity
+from balsamcleat.bench.probes.base import Probe, Quantity, spend
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_evidence import EvidenceBook
 from balsamcleat.http1 import (
@@ -119,30 +120,21 @@
         tasks.cancel_scope.cancel()
 
 
-async def spend(ask: Ask, address: str, count: int) -> float:
-    """Return the processor seconds of ``count`` questions, some at a time."""
+async def spend_at(ask: Ask, address: str, count: int) -> float:
+    """Return the processor seconds of ``count`` questions to an address."""
     pool = ClientPool(PoolLimits())
-    numbers = iter(range(count))
-
-    async def work() -> None:
-        for number in numbers:
-            await ask(pool, address, number)
-
-    with CpuMeter() as cpu:
-        async with anyio.create_task_group() as tasks:
-            for _ in range(CONCURRENCY):
-                tasks.start_soon(work)
+    seconds = await spend(partial(ask, pool, address), count, CONCURRENCY)
     pool.close()
-    return cpu.seconds
+    return seconds
 
 
 async def added(ask: Ask, kind: RouteKind, count: int) -> float:
     """Return the processor seconds that the entry adds to ``count`` questions."""
     async with entry_stage(kind) as stage:
         for address in (stage.target, stage.entry):
-            await spend(ask, address, CONCURRENCY)
-        direct_s = await spend(ask, stage.target, count)
-        through_s = await spend(ask, stage.entry, count)
+            await spend_at(ask, address, CONCURRENCY)
+        direct_s = await spend_at(ask, stage.target, count)
+        through_s = await spend_at(ask, stage.entry, count)
     return through_s - direct_s
 
 
