--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -23,11 +23,12 @@
 from balsamcleat.model.replicas import Replica, ReplicaState
 from balsamcleat.model.routing import Route, RouteKind, WeightedService
 from balsamcleat.platform import CORRELATION_HEADER
-from balsamcleat.standins.row_store import MemoryRowStore, RowStoreView
+from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
-from balsamcleat.tasks.shared_crash_history import SharedCrashHistory
+from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
+from balsamcleat.tasks.table_follower import TableFollower
 from raw_target import RawTarget, Script, raw_target
 
 SERVICE = ServiceName("service")
@@ -119,67 +120,113 @@
 
 
 @dataclass
-class LiveWorld:
-    """Running server, its targets and its callers."""
+class LiveVm:
+    """One VM's server and what its forwarder knows."""
 
     address: str
     server: HttpServer
-    targets: list[RawTarget]
+    directory: ReplicaDirectory
     pool: ConnectionPool
     crash_history: SharedCrashHistory
+    flaws: RowStoreFlaws
+
+
+@dataclass
+class LiveWorld:
+    """Running VMs, their common store, their targets and their callers."""
+
+    vms: list[LiveVm]
+    targets: list[RawTarget]
+    store: MemoryRowStore
     callers: list[Caller] = field(default_factory=list)
 
-    async def connect(self) -> Caller:
-        host, port = self.address.split(":")
+    @property
+    def address(self) -> str:
+        return self.vms[0].address
+
+    @property
+    def server(self) -> HttpServer:
+        return self.vms[0].server
+
+    @property
+    def pool(self) -> ConnectionPool:
+        return self.vms[0].pool
+
+    async def connect(self, vm: int = 0) -> Caller:
+        host, port = self.vms[vm].address.split(":")
         caller = Caller(await anyio.connect_tcp(host, int(port)))
         self.callers.append(caller)
         return caller
 
 
+def listed_replica(number: int, target: RawTarget, started_ms: int = 0) -> Replica:
+    """Return the entry of a target in the target list; a restart has a later start time."""
+    return Replica(
+        target_id=TargetId(f"t{number}"),
+        service=SERVICE,
+        address=target.address,
+        zone=ZoneName("a" if number == 0 else "b"),
+        state=ReplicaState.READY,
+        slots=6,
+        started_ms=started_ms,
+        entry_version=1 + started_ms,
+    )
+
+
+def start_live_vm(
+    group: anyio.abc.TaskGroup,
+    live_route: Route,
+    replicas: list[Replica],
+    store: MemoryRowStore,
+    limits: ServerLimits | None,
+) -> LiveVm:
+    """Start a VM that follows the crashes that other VMs write to the store."""
+    directory, flaws, generator = ReplicaDirectory(), RowStoreFlaws(), random.Random(1)
+    for replica in replicas:
+        directory.apply_entry(replica)
+    pool = ConnectionPool(PoolLimits(), CORRELATION_HEADER)
+    view = RowStoreView(store, flaws)
+    crash_history = SharedCrashHistory(view, group.start_soon)
+    stats_registry = ReplicaStatsRegistry()
+    queues = LiveQueues(directory, stats_registry, generator)
+    forwarder = LiveForwarder(
+        directory, stats_registry, pool, ZoneName("a"), generator, crash_history, queues
+    )
+    streams = StreamForwarder(forwarder)
+    follower = TableFollower(view, SUSPECTS_TABLE, crash_history, generator, single_part=False)
+
+    async def handle(request: Request, responder: Responder) -> None:
+        live_forwarder = streams if live_route.kind is RouteKind.STREAM else forwarder
+        await live_forwarder.answer(request, live_route, responder, 1)
+
+    listener = listen("127.0.0.1:0")
+    server = HttpServer(listener, handle, lambda: limits or ServerLimits())
+    for run in (queues.run, follower.run, server.run):
+        group.start_soon(run)
+    host, port = listener.getsockname()
+    return LiveVm(f"{host}:{port}", server, directory, pool, crash_history, flaws)
+
+
 @asynccontextmanager
 async def live_world(
-    scripts: list[Script], live_route: Route, limits: ServerLimits | None = None
+    scripts: list[Script],
+    live_route: Route,
+    limits: ServerLimits | None = None,
+    vm_count: int = 1,
 ) -> AsyncIterator[LiveWorld]:
-    directory = ReplicaDirectory()
     async with AsyncExitStack() as stack:
         targets = [await stack.enter_async_context(raw_target(script)) for script in scripts]
-        for number, target in enumerate(targets):
-            directory.apply_entry(
-                Replica(
-                    target_id=TargetId(f"t{number}"),
-                    service=SERVICE,
-                    address=target.address,
-                    zone=ZoneName("a" if number == 0 else "b"),
-                    state=ReplicaState.READY,
-                    slots=6,
-                    entry_version=1,
-                )
-            )
+        replicas = [listed_replica(number, target) for number, target in enumerate(targets)]
         group = await stack.enter_async_context(anyio.create_task_group())
-        pool = ConnectionPool(PoolLimits(), CORRELATION_HEADER)
-        crash_history = SharedCrashHistory(
-            RowStoreView(MemoryRowStore()), lambda task, key: group.start_soon(task, key)
-        )
-        stats_registry, generator = ReplicaStatsRegistry(), random.Random(1)
-        queues = LiveQueues(directory, stats_registry, generator)
-        forwarder = LiveForwarder(
-            directory, stats_registry, pool, ZoneName("a"), generator, crash_history, queues
-        )
-        group.start_soon(queues.run)
-        streams = StreamForwarder(forwarder)
-
-        async def handle(request: Request, responder: Responder) -> None:
-            live_forwarder = streams if live_route.kind is RouteKind.STREAM else forwarder
-            await live_forwarder.answer(request, live_route, responder, 1)
-
-        listener = listen("127.0.0.1:0")
-        server = HttpServer(listener, handle, lambda: limits or ServerLimits())
-        group.start_soon(server.run)
-        host, port = listener.getsockname()
-        world = LiveWorld(f"{host}:{port}", server, targets, pool, crash_history)
+        store = MemoryRowStore()
+        vms = [
+            start_live_vm(group, live_route, replicas, store, limits) for _ in range(vm_count)
+        ]
+        world = LiveWorld(vms, targets, store)
         yield world
-        server.stop_accepting()
-        pool.close()
+        for vm in vms:
+            vm.server.stop_accepting()
+            vm.pool.close()
         for caller in world.callers:
             await caller.stream.aclose()
         group.cancel_scope.cancel()
