Log the content, the known crashes and the cancelled attempts of live requests and samples

Cause of the gap: a caller's retry has another request id, and the line about a crash named only the request and the target, so the lines of one content could not be put together; attempts that were cancelled (another target answered, the deadline passed, the caller left) and crashes read from the store left no line at all.

Now: content and known_crashes in every line about an unfinished attempt, and the events attempt cancelled, crash read from the store, request blocked. No change of logic.

--- a/src/balsamcleat/decisions/crash_suspects.py
+++ b/src/balsamcleat/decisions/crash_suspects.py
@@ -41,6 +41,10 @@
         if len(self.crashes) > MAX_REQUESTS:
             del self.crashes[next(iter(self.crashes))]
 
+    def crash_count(self, digest: str) -> int:
+        """Return the number of known crashes under a request, also those that lapsed."""
+        return len(self.crashes.get(digest, ()))
+
     def is_blocked(self, digest: str, now_s: float) -> bool:
         """Return whether a request must not be sent any more."""
         crashed_at_s = self.crashes.get(digest)
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -32,6 +32,7 @@
     return LogEvent(name, meaning, tuple(fields.split()))
 
 
+CONTENT = "content known_crashes"
 ATTEMPT = "request route target candidates load load_age_s took_s"
 
 EVENTS = (
@@ -68,14 +69,23 @@
     event("caller gone", "The caller closed before its answer.", "request path took_s"),
     event("no route", "No route of the configuration takes it.", "request host path version"),
     event("attempt answered", "A target answered whole.", f"{ATTEMPT} status"),
-    event("attempt failed", "A target did not; the kind says how.", f"{ATTEMPT} kind reason"),
+    event(
+        "attempt failed", "A target did not; the kind says how.", f"{ATTEMPT} {CONTENT} kind reason"
+    ),
+    event(
+        "attempt cancelled",
+        "No response came, and nobody waits for one: another target answered, or time is up.",
+        f"request target {CONTENT} took_s left_s",
+    ),
     event(
         "stream attempt failed",
         "A stream broke off after this event.",
-        "request target last_event kind reason",
+        f"request target last_event kind reason {CONTENT}",
     ),
-    event("request cut off by its target", "It may have crashed it.", "request target"),
+    event("request cut off by its target", "It may have crashed it.", f"request target {CONTENT}"),
+    event("crash read from the store", "A VM saw it.", f"target {CONTENT} row_version"),
     event("crash not shared", "Other VMs were not told of it.", "content reason"),
+    event("request blocked", "Several targets crashed under it.", f"request {CONTENT}"),
     # Trainers' calls.
     event("step accepted", "The step is kept.", "step how"),
     event("step refused", "The submission can't be read.", "request reason"),
@@ -107,7 +117,7 @@
     event(
         "sample run ended",
         "A run at a target is over; load, pace and version are what was believed at its start.",
-        "step sample target end reason events resumed_at took_s load pace_ms version",
+        "step sample target end reason events resumed_at took_s load pace_ms version content",
     ),
     event("sample run failed by a fault", "A fault of this program.", "step sample exception"),
     event("sample moved", "It leaves a slow target.", "step sample source goal"),
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -166,6 +166,12 @@
             status, reason = FailureStatus.NOT_RUN, "the route has no service"
         elif self.is_blocked(call):
             status, reason = FailureStatus.CRASHES_TARGETS, "the request crashed several targets"
+            log.warning(
+                "request blocked",
+                request=call.attempt_id,
+                content=call.request_digest(),
+                known_crashes=self.crash_history.crash_count(call.request_digest()),
+            )
         else:
             return call
         await send_error_response(request, responder, status, reason, self.generator)
@@ -364,6 +370,9 @@
                 self.crash_history.record_crash(
                     call.request_digest(), replica.target_id, call.attempt_id
                 )
+        except anyio.get_cancelled_exc_class():
+            self.log_cancelled_attempt(call, replica, started_s)
+            raise
         finally:
             exchange.end()
             stats.in_flight -= 1
@@ -411,7 +420,28 @@
             log.info("attempt answered", status=outcome.ok_value.status, **fields)
         else:
             error = outcome.err_value
-            log.warning("attempt failed", kind=error.kind.value, reason=error.message, **fields)
+            content = call.request_digest()
+            log.warning(
+                "attempt failed",
+                kind=error.kind.value,
+                reason=error.message,
+                content=content,
+                known_crashes=self.crash_history.crash_count(content),
+                **fields,
+            )
+
+    def log_cancelled_attempt(self, call: LiveCall, replica: Replica, started_s: float) -> None:
+        """Log an attempt that ended without a response, because nobody waits for it any more."""
+        content = call.request_digest()
+        log.info(
+            "attempt cancelled",
+            request=call.attempt_id,
+            target=replica.target_id,
+            content=content,
+            known_crashes=self.crash_history.crash_count(content),
+            took_s=round(anyio.current_time() - started_s, 4),
+            left_s=round(call.remaining_s(), 3),
+        )
 
 
 def log_answered(call: LiveCall, status: int, version: int) -> None:
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -32,6 +32,7 @@
     SampleRunner,
     SampleRunOutcome,
     rejected_version,
+    sample_digest,
 )
 
 __all__ = ["RolloutRunner"]
@@ -281,6 +282,7 @@
             load=round(run.load, 1),
             pace_ms=round(run.event_interval_s * 1000, 1),
             version=run.version,
+            content=sample_digest(assignment) if outcome.end is SampleEnd.INTERRUPTED else None,
         )
         if progress.current_version is not None:
             self.view.record_version(
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 
+from balsamcleat.decisions.crash_suspects import request_digest
 from balsamcleat.decisions.replica_stats import ReplicaStats, ReplicaStatsRegistry
 from balsamcleat.decisions.sample_progress import SampleProgress
 from balsamcleat.errors import AttemptFailedError
@@ -19,7 +20,7 @@
     sample_request_headers,
 )
 
-__all__ = ["SampleEnd", "SampleRunOutcome", "SampleRunner"]
+__all__ = ["SampleEnd", "SampleRunOutcome", "SampleRunner", "sample_digest"]
 
 # A run is aborted if the target sends no data for this long. Loading weights while a sample is
 # running interrupts its stream for a shorter time.
@@ -216,6 +217,12 @@
             raise exchange.failure(f"invalid UTF-8: {error}", FailureKind.MALFORMED) from error
 
 
+def sample_digest(assignment: SampleAssignment) -> str:
+    """Return the digest of a sample's content, which is the same in a later step."""
+    sample = assignment.sample
+    return request_digest(assignment.host, "POST", sample.path, sample.body)
+
+
 def rejected_version(outcome: SampleRunOutcome) -> WeightVersion | None:
     """Return the weight version for which a target's response was rejected, or None.
 
--- a/src/balsamcleat/tasks/shared_crash_history.py
+++ b/src/balsamcleat/tasks/shared_crash_history.py
@@ -46,10 +46,20 @@
         """Return whether there is any suspect; if not, callers need not compute a digest."""
         return bool(self.history.crashes)
 
+    def crash_count(self, digest: str) -> int:
+        """Return the number of crashes under a request that this VM knows of."""
+        return self.history.crash_count(digest)
+
     def record_crash(self, digest: str, target_id: TargetId, request: str) -> None:
         """Record a crash that this VM saw, and publish it to the other VMs."""
         self.history.record_crash(digest, target_id, anyio.current_time())
-        log.warning("request cut off by its target", request=request, target=target_id)
+        log.warning(
+            "request cut off by its target",
+            request=request,
+            target=target_id,
+            content=digest,
+            known_crashes=self.crash_count(digest),
+        )
         self.start_task(self.publish_crash, RowKey(SUSPECTS_TABLE, digest, target_id))
 
     async def publish_crash(self, key: RowKey) -> None:
@@ -65,8 +75,16 @@
         """Record crashes that any VM wrote."""
         now_s = anyio.current_time()
         for row in rows:
-            if row.value is not None:
-                self.history.record_crash(row.key.part, TargetId(row.key.key), now_s)
+            if row.value is None:
+                continue
+            self.history.record_crash(row.key.part, TargetId(row.key.key), now_s)
+            log.info(
+                "crash read from the store",
+                content=row.key.part,
+                target=row.key.key,
+                known_crashes=self.crash_count(row.key.part),
+                row_version=row.version,
+            )
 
     def on_store_recovered(self) -> None:
         """Do nothing: the history does not depend on how long the store was unavailable."""
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -202,4 +202,6 @@
             last_event=relay.last_event,
             kind=failure.kind.value,
             reason=failure.message,
+            content=call.request_digest(),
+            known_crashes=self.forwarder.crash_history.crash_count(call.request_digest()),
         )
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -219,9 +219,7 @@
         replicas = [listed_replica(number, target) for number, target in enumerate(targets)]
         group = await stack.enter_async_context(anyio.create_task_group())
         store = MemoryRowStore()
-        vms = [
-            start_live_vm(group, live_route, replicas, store, limits) for _ in range(vm_count)
-        ]
+        vms = [start_live_vm(group, live_route, replicas, store, limits) for _ in range(vm_count)]
         world = LiveWorld(vms, targets, store)
         yield world
         for vm in vms:
