--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -152,6 +152,11 @@
     def pool(self) -> ConnectionPool:
         return self.vms[0].pool
 
+    def restart_target(self, number: int, started_ms: int) -> None:
+        """List a target again under its id, with a later start."""
+        for vm in self.vms:
+            vm.directory.apply_entry(listed_replica(number, self.targets[number], started_ms))
+
     async def connect(self, vm: int = 0) -> Caller:
         host, port = self.vms[vm].address.split(":")
         caller = Caller(await anyio.connect_tcp(host, int(port)))
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -1,7 +1,7 @@
 """Test target on a raw socket whose behaviour a script defines."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
 import anyio
@@ -18,6 +18,19 @@
     requests: list[bytes] = field(default_factory=list)
     closed: anyio.Event = field(default_factory=anyio.Event)
     request_received: anyio.Event = field(default_factory=anyio.Event)
+    next_request: anyio.Event = field(default_factory=anyio.Event)
+    listener: anyio.abc.Listener[anyio.abc.SocketStream] | None = None
+
+    async def serve(self) -> None:
+        """Accept connections until the listener is closed."""
+        assert self.listener is not None
+        with suppress(anyio.ClosedResourceError):
+            await self.listener.serve(self.handle)
+
+    async def wait_for_requests(self, count: int) -> None:
+        """Wait until the target has received this many requests."""
+        while len(self.requests) < count:
+            await self.next_request.wait()
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
         self.connections += 1
@@ -38,6 +51,8 @@
                     body += await stream.receive()
         self.requests.append(head + b"\r\n\r\n" + body)
         self.request_received.set()
+        self.next_request.set()
+        self.next_request = anyio.Event()
         return data
 
 
@@ -47,8 +62,9 @@
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     target.address = f"127.0.0.1:{port}"
+    target.listener = listener
     async with listener, anyio.create_task_group() as group:
-        group.start_soon(listener.serve, target.handle)
+        group.start_soon(target.serve)
         yield target
         group.cancel_scope.cancel()
 
@@ -57,6 +73,14 @@
     await target.read_request(stream)
 
 
+async def die_in_silence(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
+    """Read a request, then accept nothing any more and never close the connection."""
+    await target.read_request(stream)
+    assert target.listener is not None
+    await target.listener.aclose()
+    await stream.receive()
+
+
 async def never_answer(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
     await target.read_request(stream)
     await stream.receive()
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,262 @@
+"""A request that crashes each target that runs it is not sent to targets again and again.
+
+Its caller sends it again with the same path and body, with another request id and through any VM.
+"""
+
+import anyio
+import pytest
+
+import step_world
+from balsamcleat.decisions.crash_suspects import CRASHES_TO_BLOCK, request_digest
+from balsamcleat.model import TargetId
+from balsamcleat.model.routing import Route, RouteKind
+from balsamcleat.tasks.sample_run import SampleEnd
+from live_world import LiveWorld, attempt_id, live_world, response_bytes, route
+from raw_target import RawTarget, Script, die_in_silence, never_answer, read_and_close
+
+pytestmark = pytest.mark.anyio
+
+TARGETS = 12
+SENDS = 8
+RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 100\r\n\r\n"
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+
+
+async def close_in_head(target: RawTarget, stream) -> None:
+    await target.read_request(stream)
+    await stream.send(RESPONSE_HEAD[:20])
+
+
+async def close_after_head(target: RawTarget, stream) -> None:
+    await target.read_request(stream)
+    await stream.send(RESPONSE_HEAD)
+
+
+async def close_in_body(target: RawTarget, stream) -> None:
+    await target.read_request(stream)
+    await stream.send(RESPONSE_HEAD + b"some")
+
+
+async def close_stream_after_head(target: RawTarget, stream) -> None:
+    await target.read_request(stream)
+    await stream.send(STREAM_HEAD)
+
+
+def next_event(request: bytes) -> bytes:
+    """Return the chunk with the first event that a request for a stream asks for."""
+    number = 1
+    for line in request.decode().split("\r\n"):
+        if line.startswith("Last-Event-Id:"):
+            number = int(line.split(":")[1]) + 1
+    event = f"id: {number}\ndata: x\n\n".encode()
+    return f"{len(event):x}\r\n".encode() + event + b"\r\n"
+
+
+async def close_stream_after_event(target: RawTarget, stream) -> None:
+    await target.read_request(stream)
+    await stream.send(STREAM_HEAD + next_event(target.requests[-1]))
+
+
+async def die_in_silence_after_event(target: RawTarget, stream) -> None:
+    await target.read_request(stream)
+    await stream.send(STREAM_HEAD + next_event(target.requests[-1]))
+    await target.listener.aclose()
+    await stream.receive()
+
+
+CALL = route(timeout_s=0.4, objective_s=0.1)
+UNHEDGED_CALL = route(timeout_s=0.3, objective_s=5.0)
+CALL_AT_MOST_ONCE = route(RouteKind.AT_MOST_ONCE, timeout_s=0.3)
+STREAM = route(RouteKind.STREAM, timeout_s=0.3)
+RESUMED_STREAM = route(RouteKind.STREAM, timeout_s=0.3, resumable=True)
+
+WAYS = {
+    "call": (CALL, (read_and_close, close_in_head, close_after_head, close_in_body)),
+    "hedged_call": (CALL, (die_in_silence,)),
+    "unhedged_call": (UNHEDGED_CALL, (die_in_silence,)),
+    "call_at_most_once": (
+        CALL_AT_MOST_ONCE,
+        (read_and_close, close_after_head, close_in_body, die_in_silence),
+    ),
+    "stream": (
+        STREAM,
+        (read_and_close, close_stream_after_head, close_stream_after_event, die_in_silence),
+    ),
+    "resumed_stream": (
+        RESUMED_STREAM,
+        (
+            read_and_close,
+            close_stream_after_head,
+            close_stream_after_event,
+            die_in_silence,
+            die_in_silence_after_event,
+        ),
+    ),
+}
+CASES = [
+    pytest.param(way_route, script, id=f"{way}-{script.__name__}")
+    for way, (way_route, scripts) in WAYS.items()
+    for script in scripts
+]
+
+
+def run_count(world: LiveWorld) -> int:
+    """Return how often targets received a request."""
+    return sum(len(target.requests) for target in world.targets)
+
+
+async def send_poison(world: LiveWorld, number: int, vm: int = 0) -> int:
+    """Send the same content under another request id; return the status, 0 if cut off."""
+    caller = await world.connect(vm)
+    try:
+        with anyio.fail_after(6.0):
+            return (await caller.request(f"a{number}", body=b"poison"))[0]
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return 0
+
+
+@pytest.mark.parametrize(("way_route", "script"), CASES)
+async def test_resent_request_crashes_at_most_three_targets(
+    way_route: Route, script: Script
+) -> None:
+    async with live_world([script] * TARGETS, way_route) as world:
+        for number in range(SENDS):
+            await send_poison(world, number)
+        assert run_count(world) <= CRASHES_TO_BLOCK
+        assert await send_poison(world, SENDS) == 500
+
+
+@pytest.mark.parametrize("way_route", [CALL, RESUMED_STREAM], ids=["call", "resumed_stream"])
+async def test_target_that_hangs_is_no_crash(way_route: Route) -> None:
+    """A target that answers nothing in time but still accepts connections did not crash."""
+    async with live_world([never_answer] * TARGETS, way_route) as world:
+        for number in range(4):
+            assert await send_poison(world, number) == 504
+        assert run_count(world) > CRASHES_TO_BLOCK
+
+
+async def test_answer_clears_the_crashes_under_a_request() -> None:
+    """Two lost answers and one whole one, over and over: the request is not to blame."""
+
+    async def answer(target: RawTarget, stream) -> None:
+        await target.read_request(stream)
+        await stream.send(response_bytes(attempt_id(target.requests[-1]), b"fine"))
+
+    async with live_world([read_and_close, read_and_close, answer], route()) as world:
+        for number in range(SENDS):
+            assert await send_poison(world, number) == 200
+
+
+async def test_request_sent_through_several_vms_in_turn_crashes_three_targets() -> None:
+    async with live_world([read_and_close] * TARGETS, CALL, vm_count=4) as world:
+        await anyio.sleep(0.1)
+        for number in range(SENDS):
+            await send_poison(world, number, vm=number % 4)
+            await anyio.sleep(0.05)
+        assert run_count(world) <= CRASHES_TO_BLOCK
+
+
+async def test_request_sent_through_several_vms_at_once_is_sent_twice_by_each() -> None:
+    """The third run of a VM waits for the crashes that the other VMs have seen."""
+    async with live_world([read_and_close] * TARGETS, route(), vm_count=4) as world:
+        await anyio.sleep(0.1)
+        async with anyio.create_task_group() as group:
+            for number in range(4):
+                group.start_soon(send_poison, world, number, number)
+        assert run_count(world) <= 4 * (CRASHES_TO_BLOCK - 1)
+
+
+async def test_copies_sent_at_once_through_one_vm_are_not_sent_again() -> None:
+    """Only the runs that began before the third crash was known reach targets."""
+    async with live_world([read_and_close] * TARGETS, route()) as world:
+        async with anyio.create_task_group() as group:
+            for number in range(SENDS):
+                group.start_soon(send_poison, world, number)
+        assert run_count(world) <= SENDS + CRASHES_TO_BLOCK - 1
+
+
+async def test_crashes_seen_while_the_store_was_away_are_shared_when_it_is_back() -> None:
+    async with live_world([read_and_close] * TARGETS, CALL, vm_count=4) as world:
+        await anyio.sleep(0.1)
+        for vm in world.vms:
+            vm.flaws.down = True
+        await send_poison(world, 0, vm=0)
+        for vm in world.vms:
+            vm.flaws.down = False
+        await anyio.sleep(1.0)
+        for number in range(1, SENDS):
+            await send_poison(world, number, vm=number % 4)
+        assert run_count(world) <= CRASHES_TO_BLOCK
+
+
+async def test_target_that_restarts_under_its_id_counts_for_each_start() -> None:
+    async with live_world([read_and_close], CALL) as world:
+        for number in range(SENDS):
+            await send_poison(world, number)
+            world.restart_target(0, number + 1)
+        assert run_count(world) <= CRASHES_TO_BLOCK
+
+
+async def test_call_that_waits_in_the_queue_is_not_sent_after_the_third_crash() -> None:
+    release = anyio.Event()
+
+    async def answer_on_release(target: RawTarget, stream) -> None:
+        request = await target.read_request(stream)
+        await release.wait()
+        await stream.send(response_bytes(attempt_id(request), b"late"))
+
+    async with live_world([answer_on_release], route(attempts=1), vm_count=2) as world:
+        await anyio.sleep(0.1)
+        for number in range(6):
+            caller = await world.connect()
+            await caller.send_request(f"b{number}", body=b"%d" % number)
+        await world.targets[0].wait_for_requests(6)
+        waiting = await world.connect()
+        await waiting.send_request("poison", body=b"poison")
+        await anyio.sleep(0.1)
+        record_three_crashes(world, vm=1)
+        await anyio.sleep(0.1)
+        release.set()
+        assert (await waiting.read_response())[0] == 500
+        assert run_count(world) == 6
+
+
+def record_three_crashes(world: LiveWorld, vm: int) -> None:
+    """Record at one VM that the content of ``send_poison`` crashed three targets."""
+    digest = request_digest("127.0.0.1", "POST", "/path", b"poison")
+    for number in range(CRASHES_TO_BLOCK):
+        world.vms[vm].crash_history.record_crash(digest, TargetId(f"x{number}"), "other")
+
+
+async def test_target_that_ends_after_its_caller_left_counts_as_crashed() -> None:
+    """The connection is closed before the crash, so only the target list tells of it."""
+    async with live_world([never_answer], UNHEDGED_CALL) as world:
+        for number in range(CRASHES_TO_BLOCK):
+            caller = await world.connect()
+            await caller.send_request(f"a{number}", body=b"poison")
+            await world.targets[0].wait_for_requests(number + 1)
+            await caller.stream.aclose()
+            await anyio.sleep(0.1)
+            world.restart_target(0, number + 1)
+        assert await send_poison(world, CRASHES_TO_BLOCK) == 500
+        assert run_count(world) == CRASHES_TO_BLOCK
+
+
+def test_sample_that_crashes_its_engines_is_backed_off() -> None:
+    """An interrupted sample was run again at once, 121 times in the life of its step."""
+
+    async def scenario() -> None:
+        async with anyio.create_task_group() as tasks:
+            world = step_world.StepWorld(tasks, engines=6)
+            vm = await world.start("a")
+            vm.engines.scripted_ends["0-0"] = [SampleEnd.INTERRUPTED] * 1000
+            assert await vm.submit(step_world.make_submission(2, 4, 2)) == 202
+            await anyio.sleep(12.0)
+            # Three crashes, and one trial 4 s later.
+            assert vm.engines.runs.count("0-0") <= CRASHES_TO_BLOCK + 1
+            tasks.cancel_scope.cancel()
+
+    step_world.run_in_virtual_time(scenario)
