Check a live call against the known crashes before each of its runs

What targets saw: a call that was admitted before the third crash was known ran on: retried, hedged, or sent from the queue; eight copies at once ran 24 times. Cause: the only check was at admission. Ruled out: the store's delay; it happened on one VM, with all crashes known there. Fix: the check is where a target is chosen, for every run.

--- a/src/balsamcleat/tasks/crash_guard.py
+++ b/src/balsamcleat/tasks/crash_guard.py
@@ -1,8 +1,11 @@
 """Keeps live requests that crash targets from being sent to more targets."""
 
+from dataclasses import dataclass
+
+import anyio
 import structlog
 
-from balsamcleat.decisions.crash_suspects import RunVerdict
+from balsamcleat.decisions.crash_suspects import CRASHES_TO_BLOCK, RunVerdict
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.model.replicas import Replica
 from balsamcleat.tasks.live_call import LiveCall
@@ -10,11 +13,28 @@
 
 __all__ = ["CrashGuard"]
 
+# From this number of crashes on, the next run waits until the crashes that other VMs have seen are
+# known here, so that VMs that get a request at the same time don't each crash three targets.
+CRASHES_TO_WAIT = CRASHES_TO_BLOCK - 1
+
 log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectRun:
+    """Run of a request under which a target has crashed; there is one at a time on each VM.
+
+    Attributes:
+        call: Call that the run belongs to.
+        ended: Set when the run has ended.
+    """
+
+    call: LiveCall
+    ended: anyio.Event
+
+
 class CrashGuard:
-    """Checks live requests when they arrive, and records how the runs ended.
+    """Checks live requests before each run, and records how the runs ended.
 
     Args:
         history: Requests under which targets crashed.
@@ -22,6 +42,8 @@
 
     def __init__(self, history: SharedCrashHistory) -> None:
         self.history = history
+        # Current run of each suspect, by digest.
+        self.suspect_runs: dict[str, SuspectRun] = {}
 
     async def admit(self, call: LiveCall) -> bool:
         """Return whether a request that has arrived may be sent; a blocked one may be a trial."""
@@ -34,6 +56,52 @@
         self.log_blocked(call)
         return False
 
+    async def may_run(self, call: LiveCall, *, is_copy: bool) -> bool:
+        """Return whether a call may be sent to one more target now.
+
+        The crashes known at each single run decide: between the admission of a request and its
+        last run, other runs of the same content may have crashed their targets. An allowed run is
+        ended with ``end_run``.
+
+        Args:
+            call: Call that may be sent.
+            is_copy: Whether another target still runs the call.
+        """
+        if call.attempts.is_blocked:
+            return False
+        if call.is_trial or not self.crash_count(call):
+            return True
+        if is_copy or not await self.reserve_suspect_run(call):
+            return False
+        if self.crash_count(call) >= CRASHES_TO_WAIT:
+            await self.history.wait_until_shared(call.digest)
+        if self.verdict(call) is RunVerdict.ALLOWED:
+            return True
+        call.attempts.is_blocked = True
+        self.log_blocked(call)
+        self.end_run(call)
+        return False
+
+    async def reserve_suspect_run(self, call: LiveCall) -> bool:
+        """Wait until no other suspect with the call's content runs; return False at the deadline.
+
+        Copies of a suspect that ran at once would crash a target each.
+        """
+        with anyio.move_on_after(max(0.0, call.remaining_s())):
+            while (run := self.suspect_runs.get(call.digest)) is not None:
+                await run.ended.wait()
+        if call.digest in self.suspect_runs:
+            return False
+        self.suspect_runs[call.digest] = SuspectRun(call, anyio.Event())
+        return True
+
+    def end_run(self, call: LiveCall) -> None:
+        """Record that a run that was allowed has ended, or was not begun."""
+        run = self.suspect_runs.get(call.digest) if self.suspect_runs else None
+        if run is not None and run.call is call:
+            del self.suspect_runs[call.digest]
+            run.ended.set()
+
     def verdict(self, call: LiveCall) -> RunVerdict:
         """Return whether a request with the call's content may be sent."""
         if not self.history.has_suspects():
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -210,9 +210,8 @@
         running = 0
         async with anyio.create_task_group() as tasks:
             while True:
-                replica = self.choose_target(call)
+                replica = await self.begin_attempt(call, is_copy=running > 0)
                 if replica is not None:
-                    call.attempts.record_start(replica.target_id)
                     running += 1
                     tasks.start_soon(self.run_attempt, call, replica, send_stream.clone())
                 elif not running:
@@ -242,6 +241,24 @@
         """Return whether to try another target after a server error of the first one."""
         return response.status >= SERVER_ERROR_STATUS and call.attempts.repeatable
 
+    async def begin_attempt(self, call: LiveCall, *, is_copy: bool = False) -> Replica | None:
+        """Return the target of the next attempt, or None if no more targets may be tried.
+
+        The caller then makes the attempt and ends it with ``crash_guard.end_run``.
+
+        Args:
+            call: Call to be sent.
+            is_copy: Whether another target still runs the call.
+        """
+        if not await self.crash_guard.may_run(call, is_copy=is_copy):
+            return None
+        replica = self.choose_target(call)
+        if replica is None:
+            self.crash_guard.end_run(call)
+            return None
+        call.attempts.record_start(replica.target_id)
+        return replica
+
     def choose_target(self, call: LiveCall) -> Replica | None:
         """Return the best target for the call, or None if no more targets may be tried."""
         if not call.attempts.can_start() or call.remaining_s() <= 0.0:
@@ -320,6 +337,7 @@
         finally:
             exchange.end()
             stats.in_flight -= 1
+            self.crash_guard.end_run(call)
         self.log_attempt(call, replica, outcome, started_s)
         return outcome
 
