Count a call that is cut off after its response head as a crash

What targets saw: eight sends of a request under which targets end in the middle of the body ran 24 times, as each left no trace. Cause: only a connection that closed before any byte of a response was evidence; the first rule of its writer was that lost answers are no crash. Both look the same up to the head, so the head tells nothing; what tells them apart is that another target answers, which clears the request now.

--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -329,8 +329,7 @@
         except AttemptFailedError as error:
             stats.record_failure(anyio.current_time())
             outcome = Err(error)
-            if not exchange.status:
-                self.crash_guard.record_failure(call, replica, error)
+            self.crash_guard.record_failure(call, replica, error)
         except anyio.get_cancelled_exc_class():
             self.log_cancelled_attempt(call, replica, started_s)
             raise
