Count streams that are cut off as crashes, and check each run of a stream

What targets saw: a stream under which every target ends ran at a new target with each send, without a bound; one that may be resumed at three a send. Cause: streams had their own loop over targets, which recorded no crash and asked only at admission. Fix: streams begin their runs as calls do, with the same check, and tell the guard how each ended. A run that waits for others of its content gives its place back when its caller leaves; without that the new test of it fails. A stream that ends without a length may be whole or cut off, so it clears nothing.

--- a/src/balsamcleat/tasks/crash_guard.py
+++ b/src/balsamcleat/tasks/crash_guard.py
@@ -73,8 +73,13 @@
             return True
         if is_copy or not await self.reserve_suspect_run(call):
             return False
-        if self.crash_count(call) >= CRASHES_TO_WAIT:
-            await self.history.wait_until_shared(call.digest)
+        try:
+            if self.crash_count(call) >= CRASHES_TO_WAIT:
+                await self.history.wait_until_shared(call.digest)
+        except BaseException:
+            # The caller left.
+            self.end_run(call)
+            raise
         if self.verdict(call) is RunVerdict.ALLOWED:
             return True
         call.attempts.is_blocked = True
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -15,7 +15,12 @@
     parse_response_metadata,
 )
 from balsamcleat.tasks.live_call import LiveCall
-from balsamcleat.tasks.live_errors import no_target_error, rejection_error, send_error_response
+from balsamcleat.tasks.live_errors import (
+    blocked_error,
+    no_target_error,
+    rejection_error,
+    send_error_response,
+)
 from balsamcleat.tasks.live_forwarder import LiveForwarder, live_priority, log_answered
 
 __all__ = ["StreamForwarder"]
@@ -111,19 +116,22 @@
         relay = StreamRelay(call, responder)
         error = no_target_error(call.service)
         while not responder.has_finished:
-            replica = self.forwarder.choose_target(call)
+            replica = await self.forwarder.begin_attempt(call)
             if replica is None:
                 break
-            call.attempts.record_start(replica.target_id)
             try:
                 await self.relay_from_target(call, replica, relay)
             except AttemptFailedError as failure:
                 error = failure
                 call.attempts.record_failure(failure)
+                self.forwarder.crash_guard.record_failure(call, replica, failure)
                 self.log_failed_attempt(call, replica, relay, failure)
+        self.forwarder.crash_guard.record_answer(call)
         if responder.has_finished:
             log_answered(call, OK, version)
             return
+        if call.attempts.is_blocked:
+            error = blocked_error(call.service)
         if not responder.has_started:
             status = call.attempts.failure_status()
             await send_error_response(
@@ -157,6 +165,7 @@
                 await relay.relay_stream(exchange)
             else:
                 await self.relay_failure(exchange, relay)
+            call.has_whole_answer = exchange.has_explicit_framing
             stats.record_success()
         except AttemptFailedError as error:
             if error.perhaps_sent:
@@ -165,6 +174,7 @@
         finally:
             exchange.end()
             stats.in_flight -= 1
+            self.forwarder.crash_guard.end_run(call)
 
     async def start_exchange(self, call: LiveCall, exchange: Exchange) -> None:
         """Send the request and read the response head before the call's deadline."""
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import anyio
 
@@ -20,11 +21,16 @@
     UnfinishedRuns,
     request_digest,
 )
+from balsamcleat.decisions.live_attempts import AttemptTracker
+from balsamcleat.http1 import Request
 from balsamcleat.model import TargetId
 from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
+from balsamcleat.tasks.crash_guard import CrashGuard
+from balsamcleat.tasks.live_call import LiveCall
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.table_follower import TableFollower
+from live_world import SERVICE, route
 from step_world import run_in_virtual_time
 
 DIGEST = request_digest("10.0.0.9", "POST", "/x", b"poison")
@@ -313,3 +319,30 @@
         assert len(late) <= 3
 
     run_in_virtual_time(scenario)
+
+
+def test_caller_that_leaves_while_its_suspect_waits_holds_up_no_other() -> None:
+    """A suspect runs once at a time; one whose caller left would be taken to run for ever."""
+
+    async def scenario() -> None:
+        store = MemoryRowStore()
+        async with running_vms(1, store) as (vm,):
+            vm.flaws.down = True
+            guard = CrashGuard(vm.history)
+            call = live_call()
+            for number in range(CRASHES_TO_BLOCK - 1):
+                run = replace(run_at(number), digest=call.digest)
+                vm.history.record_crash(run, "cut off")
+            with anyio.move_on_after(0.1) as scope:
+                await guard.may_run(call, is_copy=False)
+            assert scope.cancelled_caught
+            assert await guard.may_run(live_call(), is_copy=False)
+
+    run_in_virtual_time(scenario)
+
+
+def live_call() -> LiveCall:
+    headers = (("Attempt-Id", "a"), ("Deadline-Ms", "2000"))
+    request = Request("POST", "/x", headers, b"poison", anyio.current_time())
+    attempts = AttemptTracker(repeatable=True, max_runs=3)
+    return LiveCall(request, route(), SERVICE, anyio.current_time() + 2.0, attempts)
