Find the crashes of targets that went silent or whose run was given up here

What targets saw: a request that kills its targets in silence was sent 24 times with copies for speed and 8 times without; runs that were cancelled (deadline, another target faster, caller gone) left no trace. Cause: only a failure that the socket reported was judged; a run that this side ends reports none. Ruled out: counting every silence. A target that hangs, and targets that a cut-off VM can't reach, would block requests that did nothing (a test for each). Fix: CrashDetector keeps runs that ended without a response for 8 s. They are crashes if the target's start leaves the list or is replaced in that time, unless it had announced its leaving; after a silence the target is probed by one connection, if this VM reaches the platform. A whole answer drops the runs of its content.

--- a/src/balsamcleat/bench/probes/entry.py
+++ b/src/balsamcleat/bench/probes/entry.py
@@ -31,6 +31,7 @@
 from balsamcleat.model.routing import Route, RouteKind, WeightedService
 from balsamcleat.platform import CORRELATION_HEADER, stand_in_response_headers
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreView
+from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
@@ -103,7 +104,8 @@
         directory.apply_entry(replica)
         generator = random.Random(1)
         queues = LiveQueues(directory, book, generator)
-        guard = CrashGuard(SharedCrashHistory(RowStoreView(MemoryRowStore()), lambda: 0))
+        history = SharedCrashHistory(RowStoreView(MemoryRowStore()), lambda: 0)
+        guard = CrashGuard(CrashDetector(history, lambda _: True, lambda: True))
         pool = ConnectionPool(PoolLimits(), CORRELATION_HEADER)
         forwarder = LiveForwarder(directory, book, pool, ZONE, generator, guard, queues)
         answerer = StreamForwarder(forwarder) if kind is RouteKind.STREAM else forwarder
--- a/src/balsamcleat/decisions/crash_suspects.py
+++ b/src/balsamcleat/decisions/crash_suspects.py
@@ -235,7 +235,8 @@
         ended = [
             run
             for run in self.runs
-            if run.start.target_id == target_id and run.start.started_ms != started_ms
+            if run.start.target_id == target_id
+            and (started_ms is None or run.start.started_ms < started_ms)
         ]
         crashed = [run for run in ended if now_s - self.runs[run] < UNFINISHED_LIFETIME_S]
         self.remove(ended)
--- a/src/balsamcleat/decisions/replica_directory.py
+++ b/src/balsamcleat/decisions/replica_directory.py
@@ -19,11 +19,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaChange:
-    """A change of a target's entry; ``replica`` is None if the target was removed."""
+    """A change of a target's entry.
+
+    Attributes:
+        target_id: Id of the target.
+        replica: Entry of the target, or None if the target was removed.
+        reason: What changed.
+        is_planned: Whether the target had announced that it would leave.
+    """
 
     target_id: TargetId
     replica: Replica | None
     reason: str
+    is_planned: bool = False
 
 
 class ReplicaDirectory:
@@ -78,8 +86,10 @@
             self.missing_until_s.setdefault(target_id, keep_until_s)
             return []
         self.missing_until_s.pop(target_id, None)
-        self.remove_ready(self.entries.pop(target_id))
-        return [ReplicaChange(target_id, None, "gone")]
+        removed = self.entries.pop(target_id)
+        self.remove_ready(removed)
+        is_planned = removed.state is ReplicaState.DRAINING
+        return [ReplicaChange(target_id, None, "gone", is_planned)]
 
     def remove_expired(self, now_s: float) -> list[ReplicaChange]:
         """Remove the entries that are still missing after the recovery grace of the store."""
@@ -88,6 +98,11 @@
         ]
         return [change for target_id in expired for change in self.apply_removal(target_id, now_s)]
 
+    def is_listed(self, target_id: TargetId, started_ms: int) -> bool:
+        """Return whether the list still has this start of a target."""
+        replica = self.entries.get(target_id)
+        return replica is not None and replica.started_ms <= started_ms
+
     def ready_replicas(self, service: ServiceName) -> list[Replica]:
         """Return the targets of a service that are ready for new work."""
         return list(self.ready_by_service.get(service, {}).values())
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -37,6 +37,7 @@
     ReplicaControl,
     load_platform_settings,
 )
+from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
@@ -132,7 +133,11 @@
         self.stats_registry = ReplicaStatsRegistry()
         self.routing_keeper = RoutingKeeper(self.wake_schedulers)
         self.replica_keeper = ReplicaKeeper(
-            self.replica_directory, self.stats_registry, self.target_pool, self.wake_schedulers
+            self.replica_directory,
+            self.stats_registry,
+            self.target_pool,
+            self.wake_schedulers,
+            lambda target_id, started_ms: self.crash_detector.on_target_end(target_id, started_ms),
         )
         self.store_clock = StoreClock()
         self.presence = VmPresence(
@@ -220,6 +225,11 @@
             settings.results_kept_s * 1000,
         )
         self.crash_history = SharedCrashHistory(self.store, self.store_clock.now_ms)
+        self.crash_detector = CrashDetector(
+            self.crash_history,
+            lambda start: self.replica_directory.is_listed(start.target_id, start.started_ms),
+            self.reaches_store,
+        )
         self.live_queues = LiveQueues(self.replica_directory, self.stats_registry, generator)
         forwarder = LiveForwarder(
             self.replica_directory,
@@ -227,7 +237,7 @@
             self.target_pool,
             settings.zone,
             generator,
-            CrashGuard(self.crash_history),
+            CrashGuard(self.crash_detector),
             self.live_queues,
         )
         self.dispatcher = RequestDispatcher(
@@ -282,6 +292,10 @@
         silence_s = max(0.0, anyio.current_time() - self.direct_store.answered_at_s)
         return StoreView(silence_s, is_failing=self.store.path.is_failing)
 
+    def reaches_store(self) -> bool:
+        """Return whether the store has answered this VM directly within the last moments."""
+        return not should_ask_peers(self.direct_store_view())
+
     def peer_state(self) -> PeerState:
         """Return the state that this VM reports to its peers."""
         view = self.direct_store_view()
@@ -320,6 +334,7 @@
                 self.replica_keeper.run,
                 self.live_queues.run,
                 self.crash_history.run,
+                self.crash_detector.run,
                 self.presence.run,
                 self.order_lease_keeper.run,
                 self.runner.run,
--- a/src/balsamcleat/tasks/crash_guard.py
+++ b/src/balsamcleat/tasks/crash_guard.py
@@ -8,8 +8,8 @@
 from balsamcleat.decisions.crash_suspects import CRASHES_TO_BLOCK, RunVerdict
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.model.replicas import Replica
+from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.live_call import LiveCall
-from balsamcleat.tasks.shared_crash_history import SharedCrashHistory
 
 __all__ = ["CrashGuard"]
 
@@ -37,11 +37,12 @@
     """Checks live requests before each run, and records how the runs ended.
 
     Args:
-        history: Requests under which targets crashed.
+        detector: Finds out which runs crashed their targets.
     """
 
-    def __init__(self, history: SharedCrashHistory) -> None:
-        self.history = history
+    def __init__(self, detector: CrashDetector) -> None:
+        self.detector = detector
+        self.history = detector.history
         # Current run of each suspect, by digest.
         self.suspect_runs: dict[str, SuspectRun] = {}
 
@@ -121,12 +122,19 @@
 
     def record_failure(self, call: LiveCall, replica: Replica, error: AttemptFailedError) -> None:
         """Record a run that failed at its target."""
-        self.history.record_failure(call.run_at(replica), error)
+        self.detector.record_failure(call.run_at(replica), error)
+
+    def record_cancellation(self, call: LiveCall, replica: Replica) -> None:
+        """Record a run without a response that was cancelled, at the deadline or before."""
+        if call.remaining_s() <= 0.0:
+            self.detector.record_silence(call.run_at(replica))
+        else:
+            self.detector.record_abandonment(call.run_at(replica))
 
     def record_answer(self, call: LiveCall) -> None:
         """Record whether a target answered completely; the request is then no suspect."""
-        if call.has_whole_answer and self.history.has_suspects():
-            self.history.record_answer(call.digest)
+        if call.has_whole_answer and self.detector.has_suspects():
+            self.detector.record_answer(call.digest)
 
     def log_blocked(self, call: LiveCall) -> None:
         """Log that a request is not sent, with the crashes that decided it."""
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -332,6 +332,7 @@
             self.crash_guard.record_failure(call, replica, error)
         except anyio.get_cancelled_exc_class():
             self.log_cancelled_attempt(call, replica, started_s)
+            self.crash_guard.record_cancellation(call, replica)
             raise
         finally:
             exchange.end()
--- a/src/balsamcleat/tasks/replica_keeper.py
+++ b/src/balsamcleat/tasks/replica_keeper.py
@@ -29,6 +29,8 @@
         stats_registry: Statistics of the targets.
         pool: Pool of connections to the targets.
         on_change: Called after each change of the directory.
+        on_target_end: Called when a target that had not announced it left the list, and when a
+            target started again; gets the target's id and the time of its new start, if any.
     """
 
     def __init__(
@@ -37,11 +39,13 @@
         stats_registry: ReplicaStatsRegistry,
         pool: ConnectionPool,
         on_change: Callable[[], None],
+        on_target_end: Callable[[TargetId, int | None], None],
     ) -> None:
         self.directory = directory
         self.stats_registry = stats_registry
         self.pool = pool
         self.on_change = on_change
+        self.on_target_end = on_target_end
 
     def on_snapshot(self, rows: tuple[RowChange, ...], version: int) -> None:
         """Replace the directory by a snapshot of the table."""
@@ -95,6 +99,9 @@
             )
             if change.replica is None or change.reason == "restarted":
                 self.stats_registry.remove(change.target_id)
+                if not change.is_planned:
+                    started_ms = change.replica.started_ms if change.replica else None
+                    self.on_target_end(change.target_id, started_ms)
             if change.replica is not None and change.reason in ("listed", "restarted"):
                 # The pooled connections may belong to another target that had the same address.
                 self.pool.close_idle_connections(change.replica.address)
--- a/src/balsamcleat/tasks/shared_crash_history.py
+++ b/src/balsamcleat/tasks/shared_crash_history.py
@@ -12,8 +12,8 @@
     TargetRun,
     TargetStart,
 )
-from balsamcleat.errors import AttemptFailedError, PlatformError
-from balsamcleat.model import FailureKind, TargetId
+from balsamcleat.errors import PlatformError
+from balsamcleat.model import TargetId
 from balsamcleat.ports.rows import (
     ABSENT_VERSION,
     RowChange,
@@ -138,11 +138,6 @@
             while any(key.part == digest for key in self.unread_keys):
                 await self.changed.wait()
 
-    def record_failure(self, run: TargetRun, error: AttemptFailedError) -> None:
-        """Record a run that failed; a connection that its target cut may mean a crash."""
-        if error.perhaps_sent and error.kind is FailureKind.CUT:
-            self.record_crash(run, "cut off")
-
     def record_crash(self, run: TargetRun, how: str) -> None:
         """Record a crash that this VM saw, and publish it to the other VMs."""
         if not self.history.record_crash(run.digest, run.start, anyio.current_time()):
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -126,6 +126,9 @@
                 call.attempts.record_failure(failure)
                 self.forwarder.crash_guard.record_failure(call, replica, failure)
                 self.log_failed_attempt(call, replica, relay, failure)
+            except anyio.get_cancelled_exc_class():
+                self.forwarder.crash_guard.record_cancellation(call, replica)
+                raise
         self.forwarder.crash_guard.record_answer(call)
         if responder.has_finished:
             log_answered(call, OK, version)
--- a/tests/burst_world.py
+++ b/tests/burst_world.py
@@ -15,6 +15,7 @@
 from balsamcleat.model.replicas import Replica, ReplicaState
 from balsamcleat.model.routing import Route, RouteKind, WeightedService
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreView
+from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
 from balsamcleat.tasks.live_call import LiveCall
 from balsamcleat.tasks.live_errors import rejection_error
@@ -151,7 +152,8 @@
             directory.apply_entry(target.replica)
         rng = random.Random(f"{self.seed}/vm{number}")
         queues = self.queues(directory, stats_registry, rng)
-        guard = CrashGuard(SharedCrashHistory(RowStoreView(MemoryRowStore()), lambda: 0))
+        history = SharedCrashHistory(RowStoreView(MemoryRowStore()), lambda: 0)
+        guard = CrashGuard(CrashDetector(history, lambda _: True, lambda: True))
         forwarder = SimulatedForwarder(
             directory, stats_registry, None, ZoneName("a"), rng, guard, queues
         )  # type: ignore[arg-type]
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -24,9 +24,11 @@
 from balsamcleat.model.routing import Route, RouteKind, WeightedService
 from balsamcleat.platform import CORRELATION_HEADER
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
+from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
+from balsamcleat.tasks.replica_keeper import ReplicaKeeper
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
 from balsamcleat.tasks.table_follower import TableFollower
@@ -130,6 +132,7 @@
     directory: ReplicaDirectory
     pool: ConnectionPool
     crash_history: SharedCrashHistory
+    keeper: ReplicaKeeper
     flaws: RowStoreFlaws
 
 
@@ -157,7 +160,8 @@
     def restart_target(self, number: int, started_ms: int) -> None:
         """List a target again under its id, with a later start."""
         for vm in self.vms:
-            vm.directory.apply_entry(listed_replica(number, self.targets[number], started_ms))
+            entry = listed_replica(number, self.targets[number], started_ms)
+            vm.keeper.apply_changes(vm.directory.apply_entry(entry), 0)
 
     async def connect(self, vm: int = 0) -> Caller:
         host, port = self.vms[vm].address.split(":")
@@ -195,10 +199,15 @@
     pool = ConnectionPool(PoolLimits(), CORRELATION_HEADER)
     view = RowStoreView(store, flaws)
     crash_history = SharedCrashHistory(view, store.now_ms)
+    detector = CrashDetector(
+        crash_history,
+        lambda start: directory.is_listed(start.target_id, start.started_ms),
+        lambda: not flaws.down,
+    )
     stats_registry = ReplicaStatsRegistry()
     queues = LiveQueues(directory, stats_registry, generator)
     forwarder = LiveForwarder(
-        directory, stats_registry, pool, ZoneName("a"), generator, CrashGuard(crash_history), queues
+        directory, stats_registry, pool, ZoneName("a"), generator, CrashGuard(detector), queues
     )
     streams = StreamForwarder(forwarder)
     follower = TableFollower(view, SUSPECTS_TABLE, crash_history, generator, single_part=False)
@@ -209,10 +218,11 @@
 
     listener = listen("127.0.0.1:0")
     server = HttpServer(listener, handle, lambda: limits or ServerLimits())
-    for run in (queues.run, follower.run, server.run, crash_history.run):
+    for run in (queues.run, follower.run, server.run, crash_history.run, detector.run):
         group.start_soon(run)
     host, port = listener.getsockname()
-    return LiveVm(f"{host}:{port}", server, directory, pool, crash_history, flaws)
+    keeper = ReplicaKeeper(directory, stats_registry, pool, lambda: None, detector.on_target_end)
+    return LiveVm(f"{host}:{port}", server, directory, pool, crash_history, keeper, flaws)
 
 
 @asynccontextmanager
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -22,16 +22,19 @@
     request_digest,
 )
 from balsamcleat.decisions.live_attempts import AttemptTracker
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.http1 import Request
 from balsamcleat.model import TargetId
+from balsamcleat.model.replicas import ReplicaState
 from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
+from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
 from balsamcleat.tasks.live_call import LiveCall
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.table_follower import TableFollower
 from live_world import SERVICE, route
-from step_world import run_in_virtual_time
+from step_world import make_engine, run_in_virtual_time
 
 DIGEST = request_digest("10.0.0.9", "POST", "/x", b"poison")
 
@@ -108,6 +111,16 @@
         assert not runs.pop_crashed(TargetId("t0"), 6, 2.0)
         assert not runs.pop_crashed(TargetId("t1"), None, 1.0 + UNFINISHED_LIFETIME_S)
 
+    def test_target_that_announced_its_leaving_has_not_crashed(self) -> None:
+        directory = ReplicaDirectory()
+        entry = make_engine(0)
+        directory.apply_entry(entry)
+        assert not directory.apply_removal(entry.target_id, 1.0)[0].is_planned
+        directory.apply_entry(entry)
+        draining = replace(entry, state=ReplicaState.DRAINING, entry_version=2)
+        directory.apply_entry(draining)
+        assert directory.apply_removal(entry.target_id, 2.0)[0].is_planned
+
 
 class Vm:
     """One VM's crash history, which follows the store."""
@@ -328,7 +341,7 @@
         store = MemoryRowStore()
         async with running_vms(1, store) as (vm,):
             vm.flaws.down = True
-            guard = CrashGuard(vm.history)
+            guard = CrashGuard(CrashDetector(vm.history, lambda _: True, lambda: True))
             call = live_call()
             for number in range(CRASHES_TO_BLOCK - 1):
                 run = replace(run_at(number), digest=call.digest)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -266,6 +266,15 @@
         assert run_count(world) == CRASHES_TO_BLOCK
 
 
+async def test_vm_that_does_not_reach_the_platform_does_not_judge_silent_targets() -> None:
+    """A VM that is cut off takes targets for dead that are well."""
+    async with live_world([die_in_silence] * TARGETS, UNHEDGED_CALL) as world:
+        world.vms[0].flaws.down = True
+        for number in range(CRASHES_TO_BLOCK + 1):
+            assert await send_poison(world, number) == 504
+        assert run_count(world) == CRASHES_TO_BLOCK + 1
+
+
 def test_sample_that_crashes_its_engines_is_backed_off() -> None:
     """An interrupted sample was run again at once, 121 times in the life of its step."""
 
