Soak: a caller whose requests crash the plain targets, through faults in series

Two contents, one repeatable and one at most once, are sent every 0.1 to 0.3 s under new ids through any VM; the target ends before its response, in its head, in its body or in silence and is back within half a second. The check is the operators' rule: not above three runs later than 3 s after the third crash, at times when no fault was active for 3 s. Left out on purpose: VMs that are out of touch, which the rule does not count.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -27,6 +27,7 @@
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from soak_faults import SoakFaults, SoakVm
 from soak_link import SoakLink
+from soak_poison import MAX_LATE_RUNS, PoisonCaller, late_runs
 from soak_stand import SoakTarget, StoreDoor, events_of, serve
 
 HOST = "soak.example"
@@ -277,7 +278,7 @@
         if made[0] < oldest:
             self.breaks("staleness", f"{result['id']} {made} under {oldest}")
 
-    async def faults(self) -> None:
+    async def faults(self) -> SoakFaults:
         """Do harm in series that overlap, then let all settle."""
         until_s = anyio.current_time() + self.seconds
         faults = SoakFaults(
@@ -293,6 +294,13 @@
             while anyio.current_time() < until_s:
                 harm.start_soon(faults.one)
                 await anyio.sleep(self.rng.expovariate(1.0))
+        return faults
+
+    def check_poison(self, faults: SoakFaults) -> None:
+        """Check that requests which crash targets were not sent again and again."""
+        for path, times in late_runs(self.plains, faults.is_calm).items():
+            if len(times) > MAX_LATE_RUNS:
+                self.breaks("a poisoned request is blocked", f"{path} ran at {times}")
 
     def check_targets(self) -> None:
         """Check what targets really ran against what callers were told."""
@@ -342,7 +350,9 @@
                     users.start_soon(self.call, number)
                 users.start_soon(self.train)
                 users.start_soon(self.probe)
-                await self.faults()
+                poison = PoisonCaller(self.seed, HOST, self.ask)
+                users.start_soon(poison.run)
+                faults = await self.faults()
                 before = (self.served, self.steps)
                 await anyio.sleep(SETTLE_S)
                 if self.served == before[0] or self.steps == before[1]:
@@ -351,6 +361,7 @@
                 users.cancel_scope.cancel()
             self.check_targets()
             self.check_leaving()
+            self.check_poison(faults)
         finally:
             for vm in self.vms:
                 vm.send(signal.SIGCONT)
@@ -379,7 +390,11 @@
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         soak = anyio.run(play_seed, seed, options.seconds, options.vms, folder)
         verdict = "BROKEN" if soak.broken else "kept"
-        print(f"seed {seed}: {verdict}; {soak.served} of {soak.asked} calls, {soak.steps} steps")
+        poison = sum(len(target.poison_runs) for target in soak.plains)
+        print(
+            f"seed {seed}: {verdict}; {soak.served} of {soak.asked} calls, {soak.steps} steps,"
+            f" {poison} runs of poison"
+        )
         for line in soak.broken[:8]:
             print(f"  {line}")
         if soak.broken:
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import anyio
@@ -15,6 +15,8 @@
 from soak_stand import SoakTarget, StoreDoor
 
 GRACE_S = 8.0
+# VMs are in touch again this long after a fault.
+CALM_S = 3.0
 
 
 @dataclass
@@ -60,6 +62,10 @@
     store: MemoryRowStore
     breaks: Callable[[str, str], None]
     change_configuration: Callable[[], None]
+    active: int = 0
+    # Times at which the first of several overlapping faults began and the last one ended.
+    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    began_s: float = 0.0
 
     async def one(self) -> None:
         """Do one harm, drawn at random, and mend it."""
@@ -88,7 +94,18 @@
             self.target_leaves,
             self.configuration_changes,
         )
-        await self.rng.choice(harms)()
+        harm = self.rng.choice(harms)
+        if not self.active:
+            self.began_s = anyio.current_time()
+        self.active += 1
+        await harm()
+        self.active -= 1
+        if not self.active:
+            self.disturbed.append((self.began_s, anyio.current_time()))
+
+    def is_calm(self, at_s: float) -> bool:
+        """Return whether no fault was active at a time, nor for a while before."""
+        return all(at_s < began_s or at_s > end_s + CALM_S for began_s, end_s in self.disturbed)
 
     def for_s(self) -> float:
         return self.rng.uniform(0.3, 5.0)
--- a/tests/soak_stand.py
+++ b/tests/soak_stand.py
@@ -32,6 +32,9 @@
 LOAD_S = 0.3
 # A leaving target gets no new work this long after it said so; no fault here lasts longer than 5 s.
 DRAINED_S = 9.0
+# A plain target that runs a request with such a body crashes.
+POISON = b"poison"
+CUT_RESPONSE = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 9\r\n\r\npart"
 LIMITS = ServerLimits(idle_timeout_s=60.0)
 
 
@@ -145,6 +148,7 @@
     draining_since_s: float | None = None
     ran: list[tuple[str, float]] = field(default_factory=list)
     late_after_drain: int = 0
+    poison_runs: list[tuple[str, float]] = field(default_factory=list)
     order_log: list[tuple[float, str, int]] = field(default_factory=list)
     named: Callable[[], int] = lambda: 1
     rng: random.Random = field(default_factory=random.Random)
@@ -242,6 +246,9 @@
 
     async def plain(self, request: Request, attempt: str, responder: Responder) -> None:
         self.note_run(attempt)
+        if request.body.startswith(POISON):
+            await self.crash_under(request, responder)
+            return
         await anyio.sleep(0.01 * self.slow)
         if self.rng.random() < self.lose_answers:
             responder.connection.stream.reset()
@@ -254,6 +261,24 @@
             extra = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
             await responder.connection.stream.send(extra)
 
+    async def crash_under(self, request: Request, responder: Responder) -> None:
+        """Crash before the response, in its head, in its body or in silence."""
+        self.poison_runs.append((request.path, anyio.current_time()))
+        end = self.rng.choice((b"", b"HTTP/1.1 200", CUT_RESPONSE, None))
+        if end:
+            await responder.connection.stream.send(end)
+        if self.up:
+            self.up = False
+            # Not a part of the request, which ends as soon as its caller leaves.
+            self.tasks.start_soon(self.crash_and_restart, end is None)
+        await anyio.sleep_forever()
+
+    async def crash_and_restart(self, silently: bool) -> None:
+        self.link.drops_answers = silently
+        await self.crash(self.rng.uniform(0.2, 0.5))
+        self.link.drops_answers = False
+        self.link.reset()
+
     async def generate(self, request: Request, attempt: str, responder: Responder) -> None:
         """Stream events whose data says by which version each was made."""
         if self.loading:
