Forget single crashes after 5 min, blocked requests after 2 h

Noticed in review: a call at most once that is cut off is never answered, so its row stayed for 2 h, and a VM that starts reads each with a call of its own. Now only blocked requests are kept for long.

--- a/src/balsamcleat/decisions/crash_suspects.py
+++ b/src/balsamcleat/decisions/crash_suspects.py
@@ -16,8 +16,9 @@
 from balsamcleat.model import TargetId
 
 __all__ = [
+    "BLOCK_LIFETIME_S",
     "CRASHES_TO_BLOCK",
-    "RECORD_LIFETIME_S",
+    "CRASH_WINDOW_S",
     "CrashHistory",
     "RunVerdict",
     "TargetRun",
@@ -27,16 +28,17 @@
 ]
 
 CRASHES_TO_BLOCK = 3
-# Crashes further apart than this are not counted together.
-CRASH_WINDOW_S = 600.0
+# Crashes further apart than this are not counted together, and are forgotten after it: each is a
+# row that a VM reads when it starts.
+CRASH_WINDOW_S = 300.0
 # A sample that waits for its trial is back at a target within the 5 s that its step allows.
 FIRST_TRIAL_DELAY_S = 4.0
 # The second trial comes after 64 s and the third after 17 min: a request that really crashes its
 # targets is sent less than three times in any quarter of an hour after it was blocked.
 TRIAL_DELAY_GROWTH = 16.0
 MAX_TRIAL_DELAY_S = 3600.0
-# A record is dropped when nothing happened to its request for this long.
-RECORD_LIFETIME_S = 7200.0
+# A blocked request is forgotten after this time without a crash or a trial.
+BLOCK_LIFETIME_S = 7200.0
 MAX_REQUESTS = 2000
 # A target's entry leaves the target list up to 4.4 s after the target crashed: three missed
 # heartbeats of 1.2 s and the delay of the list.
@@ -182,11 +184,12 @@
         return max(0.0, record.trial_due_s() - now_s)
 
     def expired_digests(self, now_s: float) -> list[str]:
-        """Return the digests of requests to which nothing happened for a record's lifetime."""
+        """Return the digests of requests to which nothing happened for long."""
         return [
             digest
             for digest, record in self.records.items()
-            if now_s - record.last_at_s > RECORD_LIFETIME_S
+            if now_s - record.last_at_s
+            > (BLOCK_LIFETIME_S if record.is_blocked else CRASH_WINDOW_S)
         ]
 
     def evict(self) -> None:
