Reject a copy of a suspect that runs for long at once, with a time to come back

Found in review of the one-at-a-time rule: a copy waited up to its whole deadline for a suspect that hangs, and was refused only then, though it had not run. It waits a quarter of the route's objective now.

--- a/src/balsamcleat/tasks/crash_guard.py
+++ b/src/balsamcleat/tasks/crash_guard.py
@@ -16,6 +16,8 @@
 # From this number of crashes on, the next run waits until the crashes that other VMs have seen are
 # known here, so that VMs that get a request at the same time don't each crash three targets.
 CRASHES_TO_WAIT = CRASHES_TO_BLOCK - 1
+# Longest wait for another run of the same suspect, as a share of the route's latency objective.
+SUSPECT_WAIT_OBJECTIVE_SHARE = 0.25
 
 log = structlog.get_logger()
 
@@ -89,11 +91,13 @@
         return False
 
     async def reserve_suspect_run(self, call: LiveCall) -> bool:
-        """Wait until no other suspect with the call's content runs; return False at the deadline.
+        """Return whether no other suspect with the call's content runs, after a short wait.
 
-        Copies of a suspect that ran at once would crash a target each.
+        Copies of a suspect that ran at once would crash a target each. A suspect that runs for
+        long must not hold up its copies: their callers are told at once to come back.
         """
-        with anyio.move_on_after(max(0.0, call.remaining_s())):
+        wait_s = min(call.remaining_s(), SUSPECT_WAIT_OBJECTIVE_SHARE * call.route.objective_s)
+        with anyio.move_on_after(max(0.0, wait_s)):
             while (run := self.suspect_runs.get(call.digest)) is not None:
                 await run.ended.wait()
         if call.digest in self.suspect_runs:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -196,6 +196,20 @@
         assert crash_count(world) <= CRASHES_TO_BLOCK
 
 
+async def test_copy_of_a_suspect_that_hangs_is_rejected_early() -> None:
+    async with live_world([never_answer], route(timeout_s=1.5, objective_s=0.4)) as world:
+        record_crashes(world, 1)
+        first = await world.connect()
+        await first.send_request("first", body=b"poison")
+        await world.targets[0].wait_for_requests(1)
+        second = await world.connect()
+        with anyio.fail_after(1.0):
+            status, headers, _ = await second.request("second", body=b"poison")
+        assert status == 503
+        assert float(headers["retry-after"]) > 0.0
+        assert run_count(world) == 1
+
+
 async def test_crashes_seen_while_the_store_was_away_are_shared_when_it_is_back() -> None:
     async with live_world([read_and_close] * TARGETS, CALL, vm_count=4) as world:
         await anyio.sleep(0.1)
@@ -236,17 +250,17 @@
         waiting = await world.connect()
         await waiting.send_request("poison", body=b"poison")
         await anyio.sleep(0.1)
-        record_three_crashes(world, vm=1)
+        record_crashes(world, CRASHES_TO_BLOCK, vm=1)
         await anyio.sleep(0.1)
         release.set()
         assert (await waiting.read_response())[0] == 500
         assert run_count(world) == capacity
 
 
-def record_three_crashes(world: LiveWorld, vm: int) -> None:
-    """Record at one VM that the content of ``send_poison`` crashed three targets."""
+def record_crashes(world: LiveWorld, count: int, vm: int = 0) -> None:
+    """Record at one VM that the content of ``send_poison`` crashed targets."""
     digest = request_digest("127.0.0.1", "POST", "/path", b"poison")
-    for number in range(CRASHES_TO_BLOCK):
+    for number in range(count):
         run = TargetRun("other", digest, TargetStart(TargetId(f"x{number}")), "10.0.0.1:80")
         world.vms[vm].crash_history.record_crash(run, "cut off")
 
