--- a/src/balsamcleat/api/callers.py
+++ b/src/balsamcleat/api/callers.py
@@ -13,7 +13,7 @@
 from balsamcleat.api.access import principal_of
 from balsamcleat.api.problems import problem_response
 from balsamcleat.commands.generate import Generate
-from balsamcleat.commands.run_call import CallFailed
+from balsamcleat.commands.run_call import CallFailure
 from balsamcleat.commands.run_once import RunOnce
 from balsamcleat.configuration import Service, ServiceKind
 from balsamcleat.decisions.access import Principal
@@ -127,7 +127,7 @@
                 deadline_s=self.deadline_s(request, service),
             )
         )
-        if isinstance(outcome, CallFailed):
+        if isinstance(outcome, CallFailure):
             return failure(outcome)
         return Response(outcome.body, outcome.status, media_type=outcome.content_type)
 
@@ -181,11 +181,11 @@
             rest = [frame async for frame in frames]
         except OverloadedError as error:
             return failure(
-                CallFailed(Certainty.NOT_RUN, error.message, error.retry_after_s, error.over_quota)
+                CallFailure(Certainty.NOT_RUN, error.message, error.retry_after_s, error.over_quota)
             )
         except AttemptFailedError as error:
             certainty = Certainty.OUTCOME_UNKNOWN if error.perhaps_sent else Certainty.NOT_RUN
-            return failure(CallFailed(certainty, error.message, ceil(error.retry_after_s or 1)))
+            return failure(CallFailure(certainty, error.message, ceil(error.retry_after_s or 1)))
         whole = TokenFrame(
             0,
             sum(frame.count for frame in (first, *rest)),
@@ -268,7 +268,7 @@
     return b"data: " + msgspec.json.encode(message) + b"\n\n"
 
 
-def failure(failed: CallFailed) -> Response:
+def failure(failed: CallFailure) -> Response:
     """Return the problem document of a call that failed."""
     not_run = failed.certainty is Certainty.NOT_RUN
     comes_back = failed.retry_after_s > 0 and (not_run or failed.resend_safe)
@@ -281,7 +281,7 @@
     )
 
 
-def failure_status(failed: CallFailed) -> int:
+def failure_status(failed: CallFailure) -> int:
     """Return the HTTP status of a call that failed."""
     if failed.key_reused:
         return 422
--- a/src/balsamcleat/api/operators.py
+++ b/src/balsamcleat/api/operators.py
@@ -122,7 +122,7 @@
         """Answer one numbered configuration."""
         version = request.path_params["version"]
         try:
-            record = await self.history.one(version)
+            record = await self.history.load_version(version)
         except (PlatformError, ProtocolError) as error:
             return unavailable_response(error)
         if record is None:
@@ -132,7 +132,9 @@
     async def get_history(self, request: Request) -> Response:
         """Answer the history."""
         try:
-            return reply(await self.history.lines(int(request.query_params.get("after", "0"))))
+            return reply(
+                await self.history.list_changes(int(request.query_params.get("after", "0")))
+            )
         except ValueError as error:
             return problem_response(400, "after must be a number", str(error))
         except (PlatformError, ProtocolError) as error:
@@ -155,7 +157,7 @@
         """Answer the audit trail, filtered by the query's parameters."""
         try:
             wanted = msgspec.convert(dict(request.query_params), AuditFilter, strict=False)
-            return reply(await self.history.audit(wanted))
+            return reply(await self.history.list_audit_rows(wanted))
         except msgspec.ValidationError as error:
             return problem_response(400, "a filter is not valid", str(error))
         except (PlatformError, ProtocolError) as error:
--- a/src/balsamcleat/commands/generate.py
+++ b/src/balsamcleat/commands/generate.py
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        gate: AdmissionController,
+        admission: AdmissionController,
         router: Router,
         connections: Connections,
         retries: RetryPolicy,
@@ -65,7 +65,7 @@
         canceller: Canceller | None = None,
         quarantine: QuarantineGuard | None = None,
     ) -> None:
-        self.gate = gate
+        self.gate = admission
         self.router = router
         self.connections = connections
         self.retries = retries
@@ -100,17 +100,19 @@
                 yield frame
 
     async def run(
-        self, request: GenerationRequest, deadline_s: float, entry: AdmissionPermit
+        self, request: GenerationRequest, deadline_s: float, permit: AdmissionPermit
     ) -> AsyncGenerator[TokenFrame, None]:
         """Stream the frames of an admitted generation."""
         tried: set[TargetId] = set()
         digests = prefix_blocks(request.prompt[:MAX_PREFIX_CHARACTERS])
         query = RouteQuery(ServiceName(request.model), digests, request.adapter)
-        sent = False
+        may_have_run = False
         attempt = 0
         while True:
             attempt += 1
-            placement = await self.place(request, query, tried, deadline_s, sent=sent)
+            placement = await self.choose_placement(
+                request, query, tried, deadline_s, may_have_run=may_have_run
+            )
             target = placement.target
             tried.add(target.target_id)
             request = replace(
@@ -119,13 +121,13 @@
                 remaining_s=deadline_s - self.clock.now_s(),
             )
             received: list[TokenFrame] = []
-            entry.record_attempt_start()
+            permit.record_attempt_start()
             try:
-                async with aclosing(self.attempt(request, target, deadline_s)) as frames:
+                async with aclosing(self.stream_attempt(request, target, deadline_s)) as frames:
                     async for frame in frames:
-                        if not sent:
-                            entry.record_first_byte()
-                        sent = True
+                        if not may_have_run:
+                            permit.record_first_byte()
+                        may_have_run = True
                         received.append(frame)
                         yield frame
                 self.retries.budget.record_success()
@@ -137,23 +139,25 @@
                 # Cancelled, or the reader left.
                 await self.quarantine.record_abandonment(placement)
                 raise
-            entry.record_attempt_end(failure.outcome)
-            sent = sent or failure.perhaps_sent
+            permit.record_attempt_end(failure.outcome)
+            may_have_run = may_have_run or failure.perhaps_sent
             await self.quarantine.record_failure(placement, failure)
             progressed = bool(received)
             if progressed:
-                request = after(request, received)
+                request = resume_request(request, received)
                 attempt, tried = 1, {target.target_id}
-            await self.recover(failure, attempt, deadline_s, sent=sent, progressed=progressed)
+            await self.wait_or_give_up(
+                failure, attempt, deadline_s, may_have_run=may_have_run, has_progress=progressed
+            )
 
-    async def place(
+    async def choose_placement(
         self,
         request: GenerationRequest,
         query: RouteQuery,
         tried: set[TargetId],
         deadline_s: float,
         *,
-        sent: bool,
+        may_have_run: bool,
     ) -> Placement:
         """Return where the next attempt runs.
 
@@ -165,26 +169,26 @@
         try:
             placement = await self.quarantine.place(digest, query, deadline_s)
         except AttemptFailedError as error:
-            error.perhaps_sent = sent
+            error.perhaps_sent = may_have_run
             raise
         if placement is None:
             raise AttemptFailedError(
                 "no target",
                 step="generate.route",
                 peer=request.model,
-                perhaps_sent=sent,
+                perhaps_sent=may_have_run,
                 kind=FailureKind.NO_TARGET,
             )
         return placement
 
-    async def recover(
+    async def wait_or_give_up(
         self,
         failure: AttemptFailedError,
         attempt: int,
         deadline_s: float,
         *,
-        sent: bool,
-        progressed: bool,
+        may_have_run: bool,
+        has_progress: bool,
     ) -> None:
         """Wait until the next attempt, or raise the failure when there should be none."""
         self.metrics.count(f"generate.attempt.{failure.kind.name.lower()}")
@@ -193,16 +197,16 @@
             attempt,
             idempotent=True,
             remaining_s=deadline_s - self.clock.now_s(),
-            has_progress=progressed,
+            has_progress=has_progress,
         )
         if isinstance(recovery, GiveUp):
-            failure.perhaps_sent = sent
+            failure.perhaps_sent = may_have_run
             failure.retry_after_s = recovery.retry_after_s
             raise failure
         self.metrics.count("generate.retry")
         await self.clock.sleep(recovery.delay_s)
 
-    async def attempt(
+    async def stream_attempt(
         self, request: GenerationRequest, target: TargetInfo, deadline_s: float
     ) -> AsyncGenerator[TokenFrame, None]:
         """Stream one attempt's frames up to the one with a finish reason.
@@ -256,12 +260,12 @@
             kind=kind,
         )
 
-    def check_offset(self, due: int, frame: TokenFrame, target_id: TargetId) -> None:
+    def check_offset(self, expected_offset: int, frame: TokenFrame, target_id: TargetId) -> None:
         """Refuse a frame that leaves a gap or repeats tokens."""
-        if frame.offset != due:
+        if frame.offset != expected_offset:
             self.metrics.count("generate.frame.gap")
             raise AttemptFailedError(
-                f"a frame at {frame.offset} came where {due} was due",
+                f"a frame at {frame.offset} came where {expected_offset} was due",
                 step="generate.stream",
                 peer=target_id,
                 perhaps_sent=True,
@@ -269,7 +273,7 @@
             )
 
 
-def after(request: GenerationRequest, received: list[TokenFrame]) -> GenerationRequest:
+def resume_request(request: GenerationRequest, received: list[TokenFrame]) -> GenerationRequest:
     """Return the request for the rest of a generation after its first frames."""
     last = received[-1]
     return replace(
--- a/src/balsamcleat/commands/roll_back.py
+++ b/src/balsamcleat/commands/roll_back.py
@@ -6,7 +6,7 @@
 
 from balsamcleat.commands.submit_patch import PatchAccepted, SubmitPatch
 from balsamcleat.configuration import Fault, PatchRejected, PatchRequest, RejectionReason
-from balsamcleat.queries.history import HistoryQuery, differences
+from balsamcleat.queries.history import HistoryQuery, diff_documents
 
 __all__ = ["RollBack", "RollBackRequest"]
 
@@ -53,8 +53,8 @@
             PlatformUnavailableError: The platform could not be read or did not take it.
             OutcomeUnknownError: Its fate could not be looked up in time.
         """
-        current = await self.history.one(request.base_version)
-        wanted = await self.history.one(request.to_version)
+        current = await self.history.load_version(request.base_version)
+        wanted = await self.history.load_version(request.to_version)
         if current is None or wanted is None:
             missing = request.base_version if current is None else request.to_version
             return PatchRejected(
@@ -66,7 +66,7 @@
             {"op": "remove", "path": line.path}
             if line.after is None
             else {"op": "add", "path": line.path, "value": msgspec.Raw(line.after.encode())}
-            for line in differences(current.document, wanted.document)
+            for line in diff_documents(current.document, wanted.document)
         ]
         return await self.submit(
             PatchRequest(
--- a/src/balsamcleat/commands/run_call.py
+++ b/src/balsamcleat/commands/run_call.py
@@ -14,11 +14,11 @@
 from balsamcleat.tasks.connections import Connections
 from balsamcleat.tasks.quarantine_guard import Placement, QuarantineGuard
 
-__all__ = ["CallFailed", "RunCall"]
+__all__ = ["CallFailure", "RunCall"]
 
 
 @dataclass(frozen=True, slots=True)
-class CallFailed:
+class CallFailure:
     """No whole answer.
 
     Attributes:
@@ -53,7 +53,7 @@
 
     def __init__(
         self,
-        gate: AdmissionController,
+        admission: AdmissionController,
         router: Router,
         connections: Connections,
         retries: RetryPolicy,
@@ -61,7 +61,7 @@
         metrics: Metrics,
         quarantine: QuarantineGuard | None = None,
     ) -> None:
-        self.gate = gate
+        self.gate = admission
         self.router = router
         self.connections = connections
         self.retries = retries
@@ -69,18 +69,18 @@
         self.metrics = metrics
         self.quarantine = quarantine or QuarantineGuard(Quarantine(), router, clock, metrics)
 
-    async def __call__(self, request: CallRequest) -> Answer | CallFailed:
+    async def __call__(self, request: CallRequest) -> Answer | CallFailure:
         """Run the call once it is admitted."""
         ask = AdmissionRequest(request.service, request.team, request.priority, request.deadline_s)
         try:
             async with self.gate.acquire(ask) as entry:
                 return await self.run(request, entry)
         except OverloadedError as error:
-            return CallFailed(
+            return CallFailure(
                 Certainty.NOT_RUN, error.message, error.retry_after_s, error.over_quota
             )
 
-    async def run(self, request: CallRequest, entry: AdmissionPermit) -> Answer | CallFailed:
+    async def run(self, request: CallRequest, permit: AdmissionPermit) -> Answer | CallFailure:
         """Run an admitted call."""
         digest = content_digest(request.service, request.method, request.path, request.body)
         tried: set[TargetId] = set()
@@ -88,13 +88,13 @@
         attempt = 0
         while True:
             attempt += 1
-            placement = await self.place(request, digest, tried)
-            if isinstance(placement, CallFailed):
+            placement = await self.choose_placement(request, digest, tried)
+            if isinstance(placement, CallFailure):
                 return replace(placement, certainty=certainty)
             tried.add(placement.target.target_id)
-            entry.record_attempt_start()
-            outcome = await self.attempt(request, placement)
-            entry.record_attempt_end(
+            permit.record_attempt_start()
+            outcome = await self.send_attempt(request, placement)
+            permit.record_attempt_end(
                 outcome.outcome if isinstance(outcome, AttemptFailedError) else None
             )
             if isinstance(outcome, Answer):
@@ -109,24 +109,24 @@
                 remaining_s=request.deadline_s - self.clock.now_s(),
             )
             if isinstance(recovery, GiveUp):
-                return CallFailed(certainty, outcome.message, ceil(recovery.retry_after_s))
+                return CallFailure(certainty, outcome.message, ceil(recovery.retry_after_s))
             self.metrics.count("call.retry")
             await self.clock.sleep(recovery.delay_s)
 
-    async def place(
+    async def choose_placement(
         self, request: CallRequest, digest: str, tried: set[TargetId]
-    ) -> Placement | CallFailed:
+    ) -> Placement | CallFailure:
         """Return where the next attempt runs, or why there is none."""
         if request.deadline_s <= self.clock.now_s():
-            return CallFailed(Certainty.NOT_RUN, "deadline passed")
+            return CallFailure(Certainty.NOT_RUN, "deadline passed")
         query = RouteQuery(request.service, exclude=frozenset(tried))
         try:
             placement = await self.quarantine.place(digest, query, request.deadline_s)
         except AttemptFailedError as error:
-            return CallFailed(Certainty.NOT_RUN, error.message, ceil(error.retry_after_s or 1))
-        return placement or CallFailed(Certainty.NOT_RUN, "no target")
+            return CallFailure(Certainty.NOT_RUN, error.message, ceil(error.retry_after_s or 1))
+        return placement or CallFailure(Certainty.NOT_RUN, "no target")
 
-    async def attempt(
+    async def send_attempt(
         self, request: CallRequest, placement: Placement
     ) -> Answer | AttemptFailedError:
         """Send the call once."""
--- a/src/balsamcleat/commands/run_once.py
+++ b/src/balsamcleat/commands/run_once.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from balsamcleat.commands.run_call import CallFailed, RunCall
+from balsamcleat.commands.run_call import CallFailure, RunCall
 from balsamcleat.configuration import OutagePolicy
 from balsamcleat.decisions.claims import (
     Claim,
@@ -25,25 +25,25 @@
 __all__ = ["RunOnce"]
 
 # Ended calls that this VM remembers, so that a resend needs no read and an outage no table.
-MAX_REMEMBERED = 4096
+MAX_REMEMBERED_RUNS = 4096
 STORE_RETRY_AFTER_S = 2
 STILL_RUNNING_RETRY_AFTER_S = 1
 
-Outcome = Answer | CallFailed
+Outcome = Answer | CallFailure
 
-KEY_REUSED = CallFailed(
+KEY_REUSED = CallFailure(
     Certainty.NOT_RUN, "the key was used for another request", 0, key_reused=True
 )
-LOST = CallFailed(
+LOST = CallFailure(
     Certainty.OUTCOME_UNKNOWN, "it was begun earlier and its outcome was lost; ask the target", 0
 )
-STILL_RUNNING = CallFailed(
+STILL_RUNNING = CallFailure(
     Certainty.OUTCOME_UNKNOWN,
     "an earlier send still runs; send it again with the same key",
     STILL_RUNNING_RETRY_AFTER_S,
     resend_safe=True,
 )
-STORE_DOWN = CallFailed(
+STORE_DOWN = CallFailure(
     Certainty.NOT_RUN, "its key can't be claimed while the table is out", STORE_RETRY_AFTER_S
 )
 
@@ -102,10 +102,10 @@
         )
         known = self.runs.get(claim.digest)
         if known is not None:
-            return await self.join(known, claim, request.deadline_s)
-        return await self.lead(request, claim)
+            return await self.wait_for_run(known, claim, request.deadline_s)
+        return await self.run_first_send(request, claim)
 
-    async def join(self, run: LocalRun, claim: Claim, deadline_s: float) -> Outcome:
+    async def wait_for_run(self, run: LocalRun, claim: Claim, deadline_s: float) -> Outcome:
         """Wait for the run of an earlier send on this VM."""
         if run.content != claim.record.content:
             return KEY_REUSED
@@ -114,25 +114,25 @@
             await run.done.wait()
         return run.outcome or STILL_RUNNING
 
-    async def lead(self, request: CallRequest, claim: Claim) -> Outcome:
+    async def run_first_send(self, request: CallRequest, claim: Claim) -> Outcome:
         """Handle the first send on this VM."""
         run = self.runs[claim.digest] = LocalRun(claim.record.content)
         try:
-            run.outcome = await self.claimed(request, claim)
+            run.outcome = await self.claim_and_run(request, claim)
         finally:
-            if not remembered(run.outcome):
+            if not is_remembered(run.outcome):
                 del self.runs[claim.digest]
             run.done.set()
-        self.forget_oldest()
+        self.evict_oldest()
         return run.outcome
 
-    async def claimed(self, request: CallRequest, claim: Claim) -> Outcome:
+    async def claim_and_run(self, request: CallRequest, claim: Claim) -> Outcome:
         """Take the key, then run the call or find what became of it."""
         verdict = await self.claims.claim_key(claim)
         self.metrics.count(f"claim.{type(verdict).__name__.lower()}")
         if isinstance(verdict, Running):
             found = await self.claims.wait_for_outcome(claim, request.deadline_s)
-            return await self.found(found)
+            return await self.outcome_of_earlier_send(found)
         if isinstance(verdict, Unavailable):
             if self.outage_policy(request.service) is OutagePolicy.REFUSE:
                 # The claim may have been written all the same; this frees the key again.
@@ -142,9 +142,9 @@
             return await self.run_and_record(request, claim, unclaimed=True)
         if isinstance(verdict, Owned):
             return await self.run_and_record(request, claim, unclaimed=False)
-        return await self.found(verdict)
+        return await self.outcome_of_earlier_send(verdict)
 
-    async def found(self, verdict: object) -> Outcome:
+    async def outcome_of_earlier_send(self, verdict: object) -> Outcome:
         """Return the outcome of an earlier send."""
         match verdict:
             case KeyReused():
@@ -172,21 +172,21 @@
             self.claims.record_outcome(claim, state, answer, needs_claim_row=unclaimed)
         return outcome
 
-    def forget_oldest(self) -> None:
+    def evict_oldest(self) -> None:
         """Keep the memory of ended calls within its bound."""
-        while len(self.runs) > MAX_REMEMBERED:
+        while len(self.runs) > MAX_REMEMBERED_RUNS:
             digest, run = next(iter(self.runs.items()))
             if not run.done.is_set():
                 break
             del self.runs[digest]
 
 
-def remembered(outcome: Outcome | None) -> bool:
+def is_remembered(outcome: Outcome | None) -> bool:
     """Return whether a later send must get the same outcome."""
     if outcome is None or outcome.__class__ is Answer:
         return outcome is not None
     return (
-        isinstance(outcome, CallFailed)
+        isinstance(outcome, CallFailure)
         and outcome not in (STILL_RUNNING, KEY_REUSED)
         and (outcome.certainty is Certainty.OUTCOME_UNKNOWN)
     )
--- a/src/balsamcleat/commands/submit_patch.py
+++ b/src/balsamcleat/commands/submit_patch.py
@@ -86,27 +86,31 @@
             outcome = await self.submit(request)
         except PlatformError as error:
             unknown = isinstance(error, OutcomeUnknownError)
-            self.note(request, "outcome unknown" if unknown else "not taken: the table is down")
+            self.record_in_audit_trail(
+                request, "outcome unknown" if unknown else "not taken: the table is down"
+            )
             raise
         if isinstance(outcome, PatchRejected):
             self.metrics.count(f"configuration.patch.{outcome.reason.replace(' ', '_')}")
             problems = "; ".join(f"{fault.path} {fault.problem}" for fault in outcome.faults)
-            self.note(request, f"refused: {outcome.reason}: {problems}")
+            self.record_in_audit_trail(request, f"refused: {outcome.reason}: {problems}")
         elif not outcome.dry_run:
             self.metrics.count("configuration.patch.accepted")
         return outcome
 
-    def refuse(self, request: PatchRequest, problem: str) -> PatchRejected:
+    def reject_unauthorized(self, request: PatchRequest, problem: str) -> PatchRejected:
         """Refuse a patch that its author may not make, and record the attempt."""
         self.metrics.count("configuration.patch.not_allowed")
-        self.note(request, f"refused: {RejectionReason.NOT_ALLOWED.value}: {problem}")
+        self.record_in_audit_trail(
+            request, f"refused: {RejectionReason.NOT_ALLOWED.value}: {problem}"
+        )
         return PatchRejected(
             RejectionReason.NOT_ALLOWED.value, (Fault("", problem),), self.keeper.current.version
         )
 
     async def submit(self, request: PatchRequest) -> PatchAccepted | PatchRejected:
         """Apply the patch to the newest configuration and write the result."""
-        earlier = await self.earlier(request)
+        earlier = await self.find_earlier_submission(request)
         if earlier is not None:
             return earlier
         row_version = await self.keeper.read_table()
@@ -120,9 +124,11 @@
             self.keeper.offer(made, "own patch")
             return PatchAccepted(made.version, made.digest)
         # The same submission may have won through another VM.
-        return await self.earlier(request) or await self.stale()
+        return await self.find_earlier_submission(request) or await self.stale_rejection()
 
-    async def earlier(self, request: PatchRequest) -> PatchAccepted | PatchRejected | None:
+    async def find_earlier_submission(
+        self, request: PatchRequest
+    ) -> PatchAccepted | PatchRejected | None:
         """Return what became of an earlier submission with this operation id."""
         found = await self.keeper.store.read_operation(request.operation_id)
         if found is None:
@@ -136,7 +142,7 @@
         self.metrics.count("configuration.patch.repeated")
         return PatchAccepted(found.version, found.digest, repeated=True)
 
-    async def stale(self) -> PatchRejected:
+    async def stale_rejection(self) -> PatchRejected:
         """Return the refusal of a patch that lost a race."""
         await self.keeper.read_table()
         version = self.keeper.current.version
@@ -144,42 +150,44 @@
         return PatchRejected(RejectionReason.STALE.value, (fault,), version)
 
     async def commit(
-        self, made: NumberedConfiguration, request: PatchRequest, head_row_version: int
+        self, record: NumberedConfiguration, request: PatchRequest, head_row_version: int
     ) -> bool:
         """Write the record as the next number; returns False when another was first."""
-        writes = await self.writes(made, request, head_row_version)
+        writes = await self.build_writes(record, request, head_row_version)
         try:
-            outcome = await self.table.commit(Transaction(made.operation_id, writes))
+            outcome = await self.table.commit(Transaction(record.operation_id, writes))
         except OutcomeUnknownError as error:
             self.metrics.count("configuration.commit.looked_up")
-            return await self.look_up(made, error)
+            return await self.resolve_lost_answer(record, error)
         return not isinstance(outcome, Conflicted)
 
-    async def writes(
-        self, made: NumberedConfiguration, request: PatchRequest, head_row_version: int
+    async def build_writes(
+        self, record: NumberedConfiguration, request: PatchRequest, head_row_version: int
     ) -> tuple[Write, ...]:
         """Return the rows that make a record the next number, its audit line among them."""
-        head = HeadRow(made.version, made.digest)
+        head = HeadRow(record.version, record.digest)
         operation = OperationRow(
-            made.version, made.digest, patch_digest(request.base_version, request.patch)
+            record.version, record.digest, patch_digest(request.base_version, request.patch)
         )
         audit = AuditRow(
-            at_s=made.at_s,
-            author=made.author,
+            at_s=record.at_s,
+            author=record.author,
             action=ACTION,
-            reason=made.reason,
+            reason=record.reason,
             result="accepted, forced" if request.force else "accepted",
-            version=made.version,
-            operation_id=made.operation_id,
+            version=record.version,
+            operation_id=record.operation_id,
         )
         return (
             Write(HEAD_KEY, msgspec.json.encode(head), head_row_version),
-            await self.keeper.store.prepare_change_write(made),
-            Write(operation_key(made.operation_id), msgspec.json.encode(operation), ABSENT),
-            Write(audit_key(made.at_s, made.digest), msgspec.json.encode(audit)),
+            await self.keeper.store.prepare_change_write(record),
+            Write(operation_key(record.operation_id), msgspec.json.encode(operation), ABSENT),
+            Write(audit_key(record.at_s, record.digest), msgspec.json.encode(audit)),
         )
 
-    async def look_up(self, made: NumberedConfiguration, lost: OutcomeUnknownError) -> bool:
+    async def resolve_lost_answer(
+        self, record: NumberedConfiguration, lost_answer: OutcomeUnknownError
+    ) -> bool:
         """Read back whether our record took its number.
 
         A write that is not there yet may still arrive, so only its presence, or another record
@@ -187,19 +195,19 @@
         """
         for _ in range(LOOK_UP_ATTEMPTS):
             try:
-                found = await self.keeper.store.read_operation(made.operation_id)
+                found = await self.keeper.store.read_operation(record.operation_id)
                 head, _ = await self.keeper.store.read_head()
             except PlatformError:
                 await self.clock.sleep(LOOK_UP_INTERVAL_S)
                 continue
             if found is not None:
-                return found.digest == made.digest
-            if head.version >= made.version:
+                return found.digest == record.digest
+            if head.version >= record.version:
                 return False
             await self.clock.sleep(LOOK_UP_INTERVAL_S)
-        raise lost
+        raise lost_answer
 
-    def note(self, request: PatchRequest, result: str) -> None:
+    def record_in_audit_trail(self, request: PatchRequest, result: str) -> None:
         """Add an attempt that made no version to the audit trail."""
         if not request.dry_run:
             self.audit.record(
--- a/src/balsamcleat/queries/history.py
+++ b/src/balsamcleat/queries/history.py
@@ -15,12 +15,12 @@
 from balsamcleat.model.audit import AuditRow, audit_key
 from balsamcleat.ports import ObjectStore, Table
 
-__all__ = ["AuditFilter", "DiffLine", "HistoryLine", "HistoryQuery", "differences"]
+__all__ = ["AuditFilter", "DiffLine", "HistoryLine", "HistoryQuery", "diff_documents"]
 
 MAX_LINES = 1000
 AUDIT_PREFIX = "audit/"
 AUDIT_OBJECTS = "audit/"
-MAX_SCANS = 50
+MAX_SCAN_PAGES = 50
 
 
 class HistoryLine(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,7 +71,7 @@
     result: str = ""
     limit: int = MAX_LINES
 
-    def fits(self, row: AuditRow) -> bool:
+    def matches(self, row: AuditRow) -> bool:
         """Return whether a line is asked for."""
         return (
             row.at_s >= self.since_s
@@ -96,17 +96,17 @@
         self.objects = objects
         self.store = ConfigurationStore(table, objects)
 
-    async def one(self, version: int) -> NumberedConfiguration | None:
+    async def load_version(self, version: int) -> NumberedConfiguration | None:
         """Return one numbered configuration, or None when there is none."""
         return await self.store.load_version(version)
 
-    async def lines(self, after: int = 0, limit: int = MAX_LINES) -> tuple[HistoryLine, ...]:
+    async def list_changes(self, after: int = 0, limit: int = MAX_LINES) -> tuple[HistoryLine, ...]:
         """Return the accepted configurations above ``after``, oldest first."""
         archived = await self.store.read_archived_changes(after, after + limit)
-        lines = [line_of(change) for change in archived]
+        lines = [history_line(change) for change in archived]
         start = lines[-1].version if lines else after
         for row in await self.store.read_change_rows(start, max(0, limit - len(lines))):
-            lines.append(line_of(await self.store.decode_change(row.value)))
+            lines.append(history_line(await self.store.decode_change(row.value)))
         return tuple(lines[:limit])
 
     async def diff(self, old: int, new: int) -> tuple[DiffLine, ...]:
@@ -117,26 +117,26 @@
         """
         documents: list[Document] = []
         for version in (old, new):
-            record = await self.one(version)
+            record = await self.load_version(version)
             if record is None:
                 raise InvalidInputError(f"there is no configuration {version}", step="diff")
             documents.append(record.document)
-        return differences(*documents)
+        return diff_documents(*documents)
 
-    async def audit(self, wanted: AuditFilter | None = None) -> tuple[AuditRow, ...]:
+    async def list_audit_rows(self, wanted: AuditFilter | None = None) -> tuple[AuditRow, ...]:
         """Return the newest audit lines that fit, oldest first."""
         wanted = wanted or AuditFilter()
-        found = [row for row in await self.archived_audit(wanted) if wanted.fits(row)]
+        found = [row for row in await self.list_archived_audit_rows(wanted) if wanted.matches(row)]
         after = audit_key(max(0.0, wanted.since_s), "") if wanted.since_s else AUDIT_PREFIX
-        for _ in range(MAX_SCANS):
+        for _ in range(MAX_SCAN_PAGES):
             rows = await self.table.scan(AUDIT_PREFIX, after, MAX_LINES)
-            found += [line for row in rows if wanted.fits(line := audit_of(row.value))]
+            found += [line for row in rows if wanted.matches(line := decode_audit_row(row.value))]
             if len(rows) < MAX_LINES:
                 break
             after = rows[-1].key
         return tuple(found[-wanted.limit :])
 
-    async def archived_audit(self, wanted: AuditFilter) -> list[AuditRow]:
+    async def list_archived_audit_rows(self, wanted: AuditFilter) -> list[AuditRow]:
         """Return audit lines of the archives that overlap the time asked for."""
         if self.objects is None:
             return []
@@ -147,11 +147,11 @@
             if last < since_ms or (until_ms and first >= until_ms):
                 continue
             body = await self.objects.get(key)
-            lines += [audit_of(line) for line in (body or b"").splitlines()]
+            lines += [decode_audit_row(line) for line in (body or b"").splitlines()]
         return lines
 
 
-def line_of(change: ChangeRecord) -> HistoryLine:
+def history_line(change: ChangeRecord) -> HistoryLine:
     """Return a change's line in the history."""
     raw_head = bytes(change.head)
     head = decode_record_head(raw_head)
@@ -167,7 +167,7 @@
     )
 
 
-def audit_of(value: bytes) -> AuditRow:
+def decode_audit_row(value: bytes) -> AuditRow:
     """Return a line of the audit trail; fields of later releases are ignored.
 
     Raises:
@@ -179,7 +179,7 @@
         raise ProtocolError(f"not an audit line: {error}", step="audit.read") from error
 
 
-def differences(old: Document, new: Document) -> tuple[DiffLine, ...]:
+def diff_documents(old: Document, new: Document) -> tuple[DiffLine, ...]:
     """Return the entries that differ, sorted by path."""
 
     def text(value: bytes | None) -> str | None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,7 +8,7 @@
 
 from balsamcleat.adapters.statsd_metrics import MemoryMetrics
 from balsamcleat.adapters.system import SeededRandomness, SystemClock
-from balsamcleat.commands.run_call import CallFailed
+from balsamcleat.commands.run_call import CallFailure
 from balsamcleat.commands.run_once import KEY_REUSED, LOST, STILL_RUNNING, STORE_DOWN, RunOnce
 from balsamcleat.configuration import OutagePolicy
 from balsamcleat.decisions.claims import CLAIM_TTL_S, CLOCK_MARGIN_S, claim_for_call
@@ -20,8 +20,8 @@
 from balsamcleat.tasks.claim_writer import ClaimWriter
 
 ANSWER = Answer(200, "text/plain", b"done")
-UNKNOWN = CallFailed(Certainty.OUTCOME_UNKNOWN, "cut")
-NOT_RUN = CallFailed(Certainty.NOT_RUN, "no target")
+UNKNOWN = CallFailure(Certainty.OUTCOME_UNKNOWN, "cut")
+NOT_RUN = CallFailure(Certainty.NOT_RUN, "no target")
 
 
 def call(key: str = "k", body: bytes = b"list", deadline_s: float = 10.0) -> CallRequest:
@@ -48,11 +48,11 @@
 class Target:
     """Target that records the calls that it runs and returns a fixed outcome."""
 
-    outcome: Answer | CallFailed = ANSWER
+    outcome: Answer | CallFailure = ANSWER
     delay_s: float = 0.5
     runs: list[bytes] = field(default_factory=list)
 
-    async def __call__(self, request: CallRequest) -> Answer | CallFailed:
+    async def __call__(self, request: CallRequest) -> Answer | CallFailure:
         if self.outcome != NOT_RUN:
             self.runs.append(request.body)
         await anyio.sleep(self.delay_s)
--- a/tests/test_configuration_keeper.py
+++ b/tests/test_configuration_keeper.py
@@ -159,12 +159,12 @@
         # The head, the snapshot, and for changes, submissions and audit rows: those that are kept
         # and those of one archive.
         assert rows <= 2 + 2 * 40 + 40
-        lines = await node.history.lines()
+        lines = await node.history.list_changes()
         assert [line.version for line in lines] == list(range(1, 121))
-        audit_rows = await node.history.audit()
+        audit_rows = await node.history.list_audit_rows()
         assert [row.version for row in audit_rows] == list(range(1, 121))
         for version in (1, 7, 55, 120):
-            record = await node.history.one(version)
+            record = await node.history.load_version(version)
             assert record is not None
             assert record.version == version
             assert len(record.body.zones) == version
@@ -191,9 +191,9 @@
         await archiver.archive_changes()
         # Restores the deleted rows, as if the process had stopped before the deletion.
         node.table.rows = saved
-        assert [line.version for line in await node.history.lines()] == list(range(1, 31))
+        assert [line.version for line in await node.history.list_changes()] == list(range(1, 31))
         await archiver.archive_changes()
-        assert [line.version for line in await node.history.lines()] == list(range(1, 31))
+        assert [line.version for line in await node.history.list_changes()] == list(range(1, 31))
         assert SNAPSHOT_KEY in node.table.rows
 
     run(scenario)
--- a/tests/test_control_rows.py
+++ b/tests/test_control_rows.py
@@ -22,7 +22,7 @@
 from balsamcleat.model import VmId
 from balsamcleat.model.audit import AuditRow
 from balsamcleat.ports import Row
-from balsamcleat.queries.history import audit_of
+from balsamcleat.queries.history import decode_audit_row
 from balsamcleat.standins.memory_store import MemoryObjects, MemoryTable
 from balsamcleat.tasks.lease_keeper import LeaseKeeper
 from balsamcleat.tasks.table_archiver import TableArchiver
@@ -75,9 +75,9 @@
             await leases.acquire("x")
         for operation in (
             new_node.keeper.read_table,
-            new_node.history.lines,
-            new_node.history.audit,
-            lambda: new_node.history.one(1),
+            new_node.history.list_changes,
+            new_node.history.list_audit_rows,
+            lambda: new_node.history.load_version(1),
             lambda: new_node.submit(patch(1, add_zone("a"), operation_id="op-1")),
             archiver.run_once,
         ):
@@ -97,8 +97,8 @@
         "a", 2, 1
     )
     old_row = b'{"at_s":1,"author":"a","action":"b","reason":"c","result":"d"}'
-    assert audit_of(old_row).subject == ""
-    assert audit_of(old_row[:-1] + b',"ticket":"T"}') == AuditRow(
+    assert decode_audit_row(old_row).subject == ""
+    assert decode_audit_row(old_row[:-1] + b',"ticket":"T"}') == AuditRow(
         at_s=1, author="a", action="b", reason="c", result="d"
     )
 
--- a/tests/test_control_stateful.py
+++ b/tests/test_control_stateful.py
@@ -170,7 +170,7 @@
     @invariant()
     def history_matches_the_answers(self) -> None:
         async def step() -> None:
-            lines = await self.nodes[0].history.lines()
+            lines = await self.nodes[0].history.list_changes()
             assert [line.version for line in lines] == list(range(1, len(lines) + 1))
             version_by_operation = {line.operation_id: line.version for line in lines}
             assert len(version_by_operation) == len(lines)
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -140,7 +140,7 @@
     await anyio.sleep(outage_s)
     system.table.down = False
     await anyio.sleep(15.0)
-    rows = await system.first.history.audit()
+    rows = await system.first.history.list_audit_rows()
     assert [row.result for row in rows if row.action == "test"] == ["kept"]
 
 
@@ -149,9 +149,9 @@
 ) -> None:
     await anyio.sleep(outage_s)
     with pytest.raises(PlatformUnavailableError):
-        await system.first.history.lines()
+        await system.first.history.list_changes()
     with pytest.raises(PlatformUnavailableError):
-        await system.first.history.audit()
+        await system.first.history.list_audit_rows()
 
 
 async def check_archiving_is_suspended(
--- a/tests/test_submit_patch.py
+++ b/tests/test_submit_patch.py
@@ -49,14 +49,14 @@
             for number, node in enumerate(some):
                 group.start_soon(operate, node, f"zone-{number}")
         assert sorted(numbers) == list(range(1, 21))
-        lines = await some[0].history.lines()
+        lines = await some[0].history.list_changes()
         assert [line.version for line in lines] == list(range(1, 21))
         await some[0].keeper.read_table()
         assert len(some[0].keeper.current.body.zones) == 20
         for node in some:
             while node.audit.pending_writes:
                 await node.audit.write_batch()
-        trail = await some[0].history.audit()
+        trail = await some[0].history.list_audit_rows()
         assert sum(row.result == "accepted" for row in trail) == 20
         refusals = sum(node.metrics.counters["configuration.patch.stale"] for node in some)
         assert sum(row.result.startswith("refused: stale") for row in trail) == refusals
@@ -113,7 +113,7 @@
             break
         table.deliver_late()
         assert isinstance(outcome, PatchAccepted), outcome
-        made = [line for line in await second.history.lines() if line.operation_id == "once"]
+        made = [line for line in await second.history.list_changes() if line.operation_id == "once"]
         assert [line.version for line in made] == [2] == [outcome.version]
 
     run(scenario)
@@ -142,7 +142,7 @@
             table.down = False
             await anyio.sleep(5)
             group.cancel_scope.cancel()
-        (row,) = await node.history.audit()
+        (row,) = await node.history.list_audit_rows()
         assert (row.author, row.reason) == ("ann", "because")
         assert row.result == "not taken: the table is down"
 
@@ -176,7 +176,9 @@
         assert isinstance(outcome, PatchAccepted)
         assert outcome.version == 3
         assert await node.history.diff(1, 3) == ()
-        (row,) = await node.history.audit(AuditFilter(result="accepted", since_s=0, limit=1))
+        (row,) = await node.history.list_audit_rows(
+            AuditFilter(result="accepted", since_s=0, limit=1)
+        )
         assert (row.version, row.reason) == (3, "roll back to 1")
 
     run(scenario)
