Reword commands/ and queries/: docstrings, comments and local names

Names and texts of the terms of the field; descriptions that can be read alone. Every figure and reason of a comment stands.

--- a/src/balsamcleat/commands/__init__.py
+++ b/src/balsamcleat/commands/__init__.py
@@ -1,1 +1,1 @@
-"""What changes something."""
+"""Commands, which change something."""
--- a/src/balsamcleat/commands/generate.py
+++ b/src/balsamcleat/commands/generate.py
@@ -1,4 +1,4 @@
-"""Run one generation to its end, going on elsewhere when an engine fails."""
+"""Runs a generation to its end and resumes it on another engine when one fails."""
 
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
@@ -33,24 +33,24 @@
 __all__ = ["Generate"]
 
 
-# Longer prompts are told apart by their beginning alone.
+# Only the beginning of a longer prompt counts for routing by prefix.
 MAX_PREFIX_CHARACTERS = 8_192
 ANY_TEAM = TeamName("")
 
 
 class Generate:
-    """Streams a generation; a resumed one goes on at the offset reached.
+    """Streams a generation, and resumes it at the offset that it had reached.
 
     Args:
-        gate: Admits requests.
-        router: The routing decisions.
-        connections: Connections to targets.
-        retries: The retry policy.
-        clock: The clock.
+        admission: Admits requests.
+        router: Chooses engines.
+        connections: Connections to engines.
+        retries: Retry policy.
+        clock: Source of time and of delays.
         randomness: Source of attempt ids.
-        metrics: Where counts go.
-        canceller: Stops attempts that nobody waits for.
-        quarantine: Places requests; one of its own by default.
+        metrics: Receiver of counters.
+        canceller: Cancels attempts at engines whose result is not needed any more.
+        quarantine: Places requests on engines; a new one by default.
     """
 
     def __init__(
@@ -65,7 +65,7 @@
         canceller: Canceller | None = None,
         quarantine: QuarantineGuard | None = None,
     ) -> None:
-        self.gate = admission
+        self.admission = admission
         self.router = router
         self.connections = connections
         self.retries = retries
@@ -78,23 +78,23 @@
     async def __call__(
         self, request: GenerationRequest, deadline_s: float, team: TeamName = ANY_TEAM
     ) -> AsyncGenerator[TokenFrame, None]:
-        """Stream frames without gap or overlap until one has a finish reason.
+        """Yield frames without gap or overlap until one has a finish reason.
 
         Args:
-            request: The generation.
-            deadline_s: On the monotonic clock, in seconds.
-            team: Whose share it counts against.
+            request: Generation to run.
+            deadline_s: Deadline on the monotonic clock, in seconds.
+            team: Team whose quota and share the generation consumes.
 
         Raises:
-            OverloadedError: It was not admitted, and not run.
-            AttemptFailedError: It could not be finished; ``perhaps_sent`` is False only when
-                no engine began it.
+            OverloadedError: The generation was not admitted and has not run.
+            AttemptFailedError: The generation could not be finished; ``perhaps_sent`` is False
+                only if no engine began it.
         """
         priority = Priority(request.priority)
-        ask = AdmissionRequest(ServiceName(request.model), team, priority, deadline_s)
+        admission_request = AdmissionRequest(ServiceName(request.model), team, priority, deadline_s)
         async with (
-            self.gate.acquire(ask) as entry,
-            aclosing(self.run(request, deadline_s, entry)) as frames,
+            self.admission.acquire(admission_request) as permit,
+            aclosing(self.run(request, deadline_s, permit)) as frames,
         ):
             async for frame in frames:
                 yield frame
@@ -102,7 +102,7 @@
     async def run(
         self, request: GenerationRequest, deadline_s: float, permit: AdmissionPermit
     ) -> AsyncGenerator[TokenFrame, None]:
-        """Stream the frames of an admitted generation."""
+        """Yield the frames of an admitted generation."""
         tried: set[TargetId] = set()
         digests = prefix_blocks(request.prompt[:MAX_PREFIX_CHARACTERS])
         query = RouteQuery(ServiceName(request.model), digests, request.adapter)
@@ -136,18 +136,18 @@
             except AttemptFailedError as error:
                 failure = error
             except BaseException:
-                # Cancelled, or the reader left.
+                # The generation was cancelled, or its reader disconnected.
                 await self.quarantine.record_abandonment(placement)
                 raise
             permit.record_attempt_end(failure.outcome)
             may_have_run = may_have_run or failure.perhaps_sent
             await self.quarantine.record_failure(placement, failure)
-            progressed = bool(received)
-            if progressed:
+            has_progress = bool(received)
+            if has_progress:
                 request = resume_request(request, received)
                 attempt, tried = 1, {target.target_id}
             await self.wait_or_give_up(
-                failure, attempt, deadline_s, may_have_run=may_have_run, has_progress=progressed
+                failure, attempt, deadline_s, may_have_run=may_have_run, has_progress=has_progress
             )
 
     async def choose_placement(
@@ -159,10 +159,10 @@
         *,
         may_have_run: bool,
     ) -> Placement:
-        """Return where the next attempt runs.
+        """Return the placement of the next attempt.
 
         Raises:
-            AttemptFailedError: There is no target, or the request is in quarantine.
+            AttemptFailedError: There is no engine, or the request is blocked.
         """
         digest = content_digest(request.model, request.adapter or "", request.prompt)
         query = replace(query, exclude=frozenset(tried))
@@ -190,7 +190,7 @@
         may_have_run: bool,
         has_progress: bool,
     ) -> None:
-        """Wait until the next attempt, or raise the failure when there should be none."""
+        """Wait until the next attempt, or raise the failure if no attempt should follow."""
         self.metrics.count(f"generate.attempt.{failure.kind.name.lower()}")
         recovery = self.retries.decide(
             failure,
@@ -209,42 +209,46 @@
     async def stream_attempt(
         self, request: GenerationRequest, target: TargetInfo, deadline_s: float
     ) -> AsyncGenerator[TokenFrame, None]:
-        """Stream one attempt's frames up to the one with a finish reason.
+        """Yield the frames of one attempt up to the one with a finish reason.
 
-        An attempt that ends in any other way is cancelled at its engine, which may still run it.
+        An attempt that ends in any other way is cancelled at its engine, which may still run the
+        attempt.
 
         Raises:
             AttemptFailedError: The stream ended without a finish reason.
         """
-        due, whole, begun = request.resume_tokens, False, True
-        began_s, outcome = self.clock.now_s(), AttemptOutcome.ABANDONED
+        next_offset, is_complete, may_have_run = request.resume_tokens, False, True
+        started_s, outcome = self.clock.now_s(), AttemptOutcome.ABANDONED
         self.router.record_start(target.target_id)
         try:
             async with aclosing(self.connections.engine(target).generate(request)) as frames:
-                while not whole:
+                while not is_complete:
                     frame = await self.next_frame(frames, target, deadline_s)
-                    if frame.offset + frame.count <= due and frame.finish_reason is None:
+                    if frame.offset + frame.count <= next_offset and frame.finish_reason is None:
                         self.metrics.count("generate.frame.late")
                         continue
-                    self.check_offset(due, frame, target.target_id)
-                    due, whole = frame.offset + frame.count, frame.finish_reason is not None
-                    if whole:
+                    self.check_offset(next_offset, frame, target.target_id)
+                    next_offset, is_complete = (
+                        frame.offset + frame.count,
+                        frame.finish_reason is not None,
+                    )
+                    if is_complete:
                         outcome = AttemptOutcome.SUCCEEDED
                     yield frame
         except AttemptFailedError as error:
-            begun, outcome = error.perhaps_sent, error.outcome
+            may_have_run, outcome = error.perhaps_sent, error.outcome
             raise
         finally:
-            self.router.record_end(target.target_id, outcome, self.clock.now_s() - began_s)
-            if begun and not whole and self.canceller is not None:
+            self.router.record_end(target.target_id, outcome, self.clock.now_s() - started_s)
+            if may_have_run and not is_complete and self.canceller is not None:
                 self.canceller.submit(target, request.request_id)
 
     async def next_frame(
         self, frames: AsyncGenerator[TokenFrame, None], target: TargetInfo, deadline_s: float
     ) -> TokenFrame:
-        """Return the next frame of a stream that must go on."""
+        """Return the next frame of a stream that has no finish reason yet."""
         kind = FailureKind.CUT
-        # A bare scope: this runs for each frame, and `fail_after` costs half as much again.
+        # Runs once a frame; `fail_after` would cost half as much again as a bare scope.
         with anyio.CancelScope(deadline=deadline_s) as scope:
             try:
                 return await anext(frames)
@@ -261,7 +265,7 @@
         )
 
     def check_offset(self, expected_offset: int, frame: TokenFrame, target_id: TargetId) -> None:
-        """Refuse a frame that leaves a gap or repeats tokens."""
+        """Raise an error for a frame that leaves a gap or repeats tokens."""
         if frame.offset != expected_offset:
             self.metrics.count("generate.frame.gap")
             raise AttemptFailedError(
@@ -274,7 +278,7 @@
 
 
 def resume_request(request: GenerationRequest, received: list[TokenFrame]) -> GenerationRequest:
-    """Return the request for the rest of a generation after its first frames."""
+    """Return the request for the rest of a generation after the frames received so far."""
     last = received[-1]
     return replace(
         request,
--- a/src/balsamcleat/commands/roll_back.py
+++ b/src/balsamcleat/commands/roll_back.py
@@ -1,4 +1,4 @@
-"""Roll back: submit, as a new version, what an earlier version said."""
+"""Submits the contents of an earlier configuration as a new version."""
 
 from dataclasses import dataclass
 
@@ -13,16 +13,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RollBackRequest:
-    """An operator's wish to have an earlier version's contents back.
+    """An operator's request to restore the contents of an earlier version.
 
     Attributes:
-        base_version: The version in force when it was wished for.
-        to_version: The version whose contents come back.
-        author: Who.
-        reason: Why.
-        operation_id: The submission's own id.
-        force: Whether dangers were acknowledged.
-        dry_run: Whether to say only what would become of it.
+        base_version: Version in force when the request was made.
+        to_version: Version whose contents are restored.
+        author: Author that the audit trail names.
+        reason: Reason that the audit trail names.
+        operation_id: Id of the submission; a retry has the same id.
+        force: Whether the author acknowledged the dangers of the change.
+        dry_run: Whether to check the change without writing it.
     """
 
     base_version: int
@@ -35,10 +35,10 @@
 
 
 class RollBack:
-    """Makes a patch of the difference to an earlier version and submits it.
+    """Makes a patch from the difference to an earlier version, and submits the patch.
 
     Args:
-        history: Reads earlier versions.
+        history: Loads earlier versions.
         submit: Submits patches.
     """
 
@@ -47,15 +47,15 @@
         self.submit = submit
 
     async def __call__(self, request: RollBackRequest) -> PatchAccepted | PatchRejected:
-        """Submit the rollback; it becomes the next number, or is refused as any patch.
+        """Submit the rollback; like any patch, it becomes the next version or is rejected.
 
         Raises:
-            PlatformUnavailableError: The platform could not be read or did not take it.
-            OutcomeUnknownError: Its fate could not be looked up in time.
+            PlatformUnavailableError: The platform could not be read or rejected the write.
+            OutcomeUnknownError: The outcome of the write could not be determined in time.
         """
         current = await self.history.load_version(request.base_version)
-        wanted = await self.history.load_version(request.to_version)
-        if current is None or wanted is None:
+        restored = await self.history.load_version(request.to_version)
+        if current is None or restored is None:
             missing = request.base_version if current is None else request.to_version
             return PatchRejected(
                 RejectionReason.INVALID.value,
@@ -66,7 +66,7 @@
             {"op": "remove", "path": line.path}
             if line.after is None
             else {"op": "add", "path": line.path, "value": msgspec.Raw(line.after.encode())}
-            for line in diff_documents(current.document, wanted.document)
+            for line in diff_documents(current.document, restored.document)
         ]
         return await self.submit(
             PatchRequest(
--- a/src/balsamcleat/commands/run_call.py
+++ b/src/balsamcleat/commands/run_call.py
@@ -1,4 +1,4 @@
-"""Run one call of a plain service, at most once where that was asked for."""
+"""Runs one call of a plain service, at most once if the caller requires it."""
 
 from dataclasses import dataclass, replace
 from math import ceil
@@ -19,15 +19,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFailure:
-    """No whole answer.
+    """A call without a complete answer.
 
     Attributes:
-        certainty: What is known of its execution.
-        reason: What went wrong last.
-        retry_after_s: When to come back, in seconds; 0 where coming back is no use.
-        over_quota: Whether a quota of the caller's was used up.
+        certainty: Whether the call may have run.
+        reason: Last failure, for the caller.
+        retry_after_s: Delay before a retry, in seconds; 0 if a retry is useless.
+        over_quota: Whether a quota of the caller's team is exhausted.
         key_reused: Whether the idempotency key was used for another request.
-        resend_safe: Whether a resend with the same key can't make it run again.
+        resend_safe: Whether a retry with the same key can't run the call again.
     """
 
     certainty: Certainty
@@ -39,16 +39,16 @@
 
 
 class RunCall:
-    """Routes, sends and, where it is safe, repeats a call.
+    """Routes and sends a call, and retries it where that is safe.
 
     Args:
-        gate: Admits requests.
-        router: The routing decisions.
+        admission: Admits requests.
+        router: Chooses targets.
         connections: Connections to targets.
-        retries: The retry policy.
-        clock: The clock.
-        metrics: Where counts go.
-        quarantine: Places requests; one of its own by default.
+        retries: Retry policy.
+        clock: Source of time and of delays.
+        metrics: Receiver of counters.
+        quarantine: Places requests on targets; a new one by default.
     """
 
     def __init__(
@@ -61,7 +61,7 @@
         metrics: Metrics,
         quarantine: QuarantineGuard | None = None,
     ) -> None:
-        self.gate = admission
+        self.admission = admission
         self.router = router
         self.connections = connections
         self.retries = retries
@@ -70,11 +70,13 @@
         self.quarantine = quarantine or QuarantineGuard(Quarantine(), router, clock, metrics)
 
     async def __call__(self, request: CallRequest) -> Answer | CallFailure:
-        """Run the call once it is admitted."""
-        ask = AdmissionRequest(request.service, request.team, request.priority, request.deadline_s)
+        """Run the call after its admission."""
+        admission_request = AdmissionRequest(
+            request.service, request.team, request.priority, request.deadline_s
+        )
         try:
-            async with self.gate.acquire(ask) as entry:
-                return await self.run(request, entry)
+            async with self.admission.acquire(admission_request) as permit:
+                return await self.run(request, permit)
         except OverloadedError as error:
             return CallFailure(
                 Certainty.NOT_RUN, error.message, error.retry_after_s, error.over_quota
@@ -116,7 +118,7 @@
     async def choose_placement(
         self, request: CallRequest, digest: str, tried: set[TargetId]
     ) -> Placement | CallFailure:
-        """Return where the next attempt runs, or why there is none."""
+        """Return the placement of the next attempt, or the failure if there is none."""
         if request.deadline_s <= self.clock.now_s():
             return CallFailure(Certainty.NOT_RUN, "deadline passed")
         query = RouteQuery(request.service, exclude=frozenset(tried))
@@ -129,11 +131,11 @@
     async def send_attempt(
         self, request: CallRequest, placement: Placement
     ) -> Answer | AttemptFailedError:
-        """Send the call once."""
+        """Send the call to one target."""
         target = placement.target
         timeout_s = request.deadline_s - self.clock.now_s()
         self.router.record_start(target.target_id)
-        began_s, outcome = self.clock.now_s(), AttemptOutcome.ABANDONED
+        started_s, outcome = self.clock.now_s(), AttemptOutcome.ABANDONED
         try:
             answer = await self.connections.service(target).call(request, timeout_s)
             outcome = AttemptOutcome.SUCCEEDED
@@ -146,6 +148,6 @@
             await self.quarantine.record_abandonment(placement)
             raise
         finally:
-            self.router.record_end(target.target_id, outcome, self.clock.now_s() - began_s)
+            self.router.record_end(target.target_id, outcome, self.clock.now_s() - started_s)
         await self.quarantine.record_survival(placement)
         return answer
--- a/src/balsamcleat/commands/run_once.py
+++ b/src/balsamcleat/commands/run_once.py
@@ -1,4 +1,4 @@
-"""Run a keyed call at most once, however often and through whichever VM it is sent."""
+"""Runs a call with an idempotency key at most once, through any number of VMs and retries."""
 
 from collections import OrderedDict
 from collections.abc import Callable
@@ -24,7 +24,7 @@
 
 __all__ = ["RunOnce"]
 
-# Ended calls that this VM remembers, so that a resend needs no read and an outage no table.
+# Ended calls kept in memory, so that a retry needs no read, also while the table is unavailable.
 MAX_REMEMBERED_RUNS = 4096
 STORE_RETRY_AFTER_S = 2
 STILL_RUNNING_RETRY_AFTER_S = 1
@@ -50,7 +50,7 @@
 
 @dataclass
 class LocalRun:
-    """A keyed call that this VM handles or handled."""
+    """A call with an idempotency key that this VM runs or has run."""
 
     content: str
     done: anyio.Event = field(default_factory=anyio.Event)
@@ -58,16 +58,16 @@
 
 
 class RunOnce:
-    """Runs calls; keyed ones that may not be repeated are claimed first.
+    """Runs calls; a call with a key that may not be repeated is claimed first.
 
     Args:
-        vm_id: This VM.
+        vm_id: Id of this VM.
         run_call: Runs a call without a claim.
         claims: Claims and outcomes in the table.
-        outage_policy: Tells what a service's keyed calls do without the table.
-        clock: The clock.
+        outage_policy: Returns what calls with keys to a service do while the table is unavailable.
+        clock: Source of time.
         randomness: Source of claim tokens.
-        metrics: Where counts go.
+        metrics: Receiver of counters.
     """
 
     def __init__(
@@ -90,7 +90,7 @@
         self.runs: OrderedDict[str, LocalRun] = OrderedDict()
 
     async def __call__(self, request: CallRequest) -> Outcome:
-        """Run the call."""
+        """Run the call, at most once if it has a key and is not idempotent."""
         if request.idempotent or request.idempotency_key is None:
             return await self.run_call(request)
         claim = claim_for_call(
@@ -100,13 +100,13 @@
             self.clock.wall_s(),
             request.deadline_s - self.clock.now_s(),
         )
-        known = self.runs.get(claim.digest)
-        if known is not None:
-            return await self.wait_for_run(known, claim, request.deadline_s)
+        earlier_run = self.runs.get(claim.digest)
+        if earlier_run is not None:
+            return await self.wait_for_run(earlier_run, claim, request.deadline_s)
         return await self.run_first_send(request, claim)
 
     async def wait_for_run(self, run: LocalRun, claim: Claim, deadline_s: float) -> Outcome:
-        """Wait for the run of an earlier send on this VM."""
+        """Wait for the outcome of an earlier send of the same call on this VM."""
         if run.content != claim.record.content:
             return KEY_REUSED
         self.metrics.count("claim.joined")
@@ -115,7 +115,7 @@
         return run.outcome or STILL_RUNNING
 
     async def run_first_send(self, request: CallRequest, claim: Claim) -> Outcome:
-        """Handle the first send on this VM."""
+        """Handle the first send of a call on this VM."""
         run = self.runs[claim.digest] = LocalRun(claim.record.content)
         try:
             run.outcome = await self.claim_and_run(request, claim)
@@ -127,26 +127,26 @@
         return run.outcome
 
     async def claim_and_run(self, request: CallRequest, claim: Claim) -> Outcome:
-        """Take the key, then run the call or find what became of it."""
-        verdict = await self.claims.claim_key(claim)
-        self.metrics.count(f"claim.{type(verdict).__name__.lower()}")
-        if isinstance(verdict, Running):
-            found = await self.claims.wait_for_outcome(claim, request.deadline_s)
-            return await self.outcome_of_earlier_send(found)
-        if isinstance(verdict, Unavailable):
+        """Claim the key, then run the call or return the outcome of an earlier send."""
+        claim_result = await self.claims.claim_key(claim)
+        self.metrics.count(f"claim.{type(claim_result).__name__.lower()}")
+        if isinstance(claim_result, Running):
+            later_result = await self.claims.wait_for_outcome(claim, request.deadline_s)
+            return await self.outcome_of_earlier_send(later_result)
+        if isinstance(claim_result, Unavailable):
             if self.outage_policy(request.service) is OutagePolicy.REFUSE:
-                # The claim may have been written all the same; this frees the key again.
+                # The claim may have been written nevertheless; recording "not run" frees the key.
                 self.claims.record_outcome(claim, RecordedState.NOT_RUN)
                 return STORE_DOWN
             self.metrics.count("claim.run_without")
-            return await self.run_and_record(request, claim, unclaimed=True)
-        if isinstance(verdict, Owned):
-            return await self.run_and_record(request, claim, unclaimed=False)
-        return await self.outcome_of_earlier_send(verdict)
-
-    async def outcome_of_earlier_send(self, verdict: object) -> Outcome:
-        """Return the outcome of an earlier send."""
-        match verdict:
+            return await self.run_and_record(request, claim, needs_claim_row=True)
+        if isinstance(claim_result, Owned):
+            return await self.run_and_record(request, claim, needs_claim_row=False)
+        return await self.outcome_of_earlier_send(claim_result)
+
+    async def outcome_of_earlier_send(self, claim_result: object) -> Outcome:
+        """Return the outcome of an earlier send as the claims have it."""
+        match claim_result:
             case KeyReused():
                 return KEY_REUSED
             case Lost():
@@ -158,9 +158,9 @@
         return STILL_RUNNING
 
     async def run_and_record(
-        self, request: CallRequest, claim: Claim, *, unclaimed: bool
+        self, request: CallRequest, claim: Claim, *, needs_claim_row: bool
     ) -> Outcome:
-        """Run the call; its outcome is recorded in the background."""
+        """Run the call, and record its outcome in the background."""
         state, answer = RecordedState.UNKNOWN, None
         try:
             outcome = await self.run_call(request)
@@ -169,11 +169,11 @@
             elif outcome.certainty is Certainty.NOT_RUN:
                 state = RecordedState.NOT_RUN
         finally:
-            self.claims.record_outcome(claim, state, answer, needs_claim_row=unclaimed)
+            self.claims.record_outcome(claim, state, answer, needs_claim_row=needs_claim_row)
         return outcome
 
     def evict_oldest(self) -> None:
-        """Keep the memory of ended calls within its bound."""
+        """Evict the oldest ended calls above the limit."""
         while len(self.runs) > MAX_REMEMBERED_RUNS:
             digest, run = next(iter(self.runs.items()))
             if not run.done.is_set():
@@ -182,7 +182,7 @@
 
 
 def is_remembered(outcome: Outcome | None) -> bool:
-    """Return whether a later send must get the same outcome."""
+    """Return whether a later send of the call must get the same outcome."""
     if outcome is None or outcome.__class__ is Answer:
         return outcome is not None
     return (
--- a/src/balsamcleat/commands/submit_patch.py
+++ b/src/balsamcleat/commands/submit_patch.py
@@ -1,4 +1,4 @@
-"""Submit a patch: it becomes the next numbered configuration or is refused."""
+"""Submits a patch, which becomes the next numbered configuration or is rejected."""
 
 from dataclasses import dataclass
 
@@ -34,11 +34,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PatchAccepted:
-    """The patch took effect, or would have in a dry run.
+    """The patch took effect, or would have taken effect without the dry run.
 
     Attributes:
-        version: The number that it became.
-        digest: That configuration's digest.
+        version: Number of the configuration that the patch made.
+        digest: Digest of that configuration.
         repeated: Whether an earlier submission with the same operation id had taken effect.
         dry_run: Whether nothing was written.
     """
@@ -50,14 +50,14 @@
 
 
 class SubmitPatch:
-    """Applies patches with compare-and-set on the head row.
+    """Applies patches with a compare-and-set on the head row.
 
     Args:
-        table: The platform's table.
-        keeper: The configuration in force on this node.
-        clock: The clock.
-        metrics: Where counts go.
-        audit: Where refused attempts are recorded.
+        table: Table service of the platform.
+        keeper: Configuration in force on this VM.
+        clock: Source of time and of delays.
+        metrics: Receiver of counters.
+        audit: Audit trail, which also records rejected patches.
     """
 
     def __init__(
@@ -78,9 +78,9 @@
         """Submit the patch.
 
         Raises:
-            PlatformUnavailableError: The table did not take it; nothing changed.
-            OutcomeUnknownError: Its fate could not be looked up in time; ask again with the
-                same operation id.
+            PlatformUnavailableError: The table rejected the write; nothing changed.
+            OutcomeUnknownError: The outcome of the write could not be determined in time; a retry
+                with the same operation id determines it.
         """
         try:
             outcome = await self.submit(request)
@@ -99,7 +99,7 @@
         return outcome
 
     def reject_unauthorized(self, request: PatchRequest, problem: str) -> PatchRejected:
-        """Refuse a patch that its author may not make, and record the attempt."""
+        """Reject a patch that its author may not make, and record the attempt."""
         self.metrics.count("configuration.patch.not_allowed")
         self.record_in_audit_trail(
             request, f"refused: {RejectionReason.NOT_ALLOWED.value}: {problem}"
@@ -110,40 +110,40 @@
 
     async def submit(self, request: PatchRequest) -> PatchAccepted | PatchRejected:
         """Apply the patch to the newest configuration and write the result."""
-        earlier = await self.find_earlier_submission(request)
-        if earlier is not None:
-            return earlier
+        earlier_outcome = await self.find_earlier_submission(request)
+        if earlier_outcome is not None:
+            return earlier_outcome
         row_version = await self.keeper.read_table()
-        base = self.keeper.current
-        made = apply_patch(base, request, self.clock.wall_s())
-        if isinstance(made, PatchRejected):
-            return made
+        current = self.keeper.current
+        record = apply_patch(current, request, self.clock.wall_s())
+        if isinstance(record, PatchRejected):
+            return record
         if request.dry_run:
-            return PatchAccepted(made.version, made.digest, dry_run=True)
-        if await self.commit(made, request, row_version):
-            self.keeper.offer(made, "own patch")
-            return PatchAccepted(made.version, made.digest)
-        # The same submission may have won through another VM.
+            return PatchAccepted(record.version, record.digest, dry_run=True)
+        if await self.commit(record, request, row_version):
+            self.keeper.offer(record, "own patch")
+            return PatchAccepted(record.version, record.digest)
+        # The same submission may have been committed through another VM.
         return await self.find_earlier_submission(request) or await self.stale_rejection()
 
     async def find_earlier_submission(
         self, request: PatchRequest
     ) -> PatchAccepted | PatchRejected | None:
-        """Return what became of an earlier submission with this operation id."""
-        found = await self.keeper.store.read_operation(request.operation_id)
-        if found is None:
+        """Return the outcome of an earlier submission with this operation id, or None."""
+        operation = await self.keeper.store.read_operation(request.operation_id)
+        if operation is None:
             return None
-        own = patch_digest(request.base_version, request.patch)
-        if found.patch_sha256 not in ("", own):
-            fault = Fault("", f"the operation id was used for configuration {found.version}")
+        digest = patch_digest(request.base_version, request.patch)
+        if operation.patch_sha256 not in ("", digest):
+            fault = Fault("", f"the operation id was used for configuration {operation.version}")
             return PatchRejected(
                 RejectionReason.INVALID.value, (fault,), self.keeper.current.version
             )
         self.metrics.count("configuration.patch.repeated")
-        return PatchAccepted(found.version, found.digest, repeated=True)
+        return PatchAccepted(operation.version, operation.digest, repeated=True)
 
     async def stale_rejection(self) -> PatchRejected:
-        """Return the refusal of a patch that lost a race."""
+        """Return the rejection of a patch because another patch was committed first."""
         await self.keeper.read_table()
         version = self.keeper.current.version
         fault = Fault("", f"another patch became {version} first")
@@ -152,7 +152,7 @@
     async def commit(
         self, record: NumberedConfiguration, request: PatchRequest, head_row_version: int
     ) -> bool:
-        """Write the record as the next number; returns False when another was first."""
+        """Write the record as the next version; return False if another patch was first."""
         writes = await self.build_writes(record, request, head_row_version)
         try:
             outcome = await self.table.commit(Transaction(record.operation_id, writes))
@@ -164,7 +164,7 @@
     async def build_writes(
         self, record: NumberedConfiguration, request: PatchRequest, head_row_version: int
     ) -> tuple[Write, ...]:
-        """Return the rows that make a record the next number, its audit line among them."""
+        """Return the rows that make a record the next version, including its audit row."""
         head = HeadRow(record.version, record.digest)
         operation = OperationRow(
             record.version, record.digest, patch_digest(request.base_version, request.patch)
@@ -188,27 +188,30 @@
     async def resolve_lost_answer(
         self, record: NumberedConfiguration, lost_answer: OutcomeUnknownError
     ) -> bool:
-        """Read back whether our record took its number.
+        """Return whether a commit whose answer was lost took effect, by reading it back.
 
-        A write that is not there yet may still arrive, so only its presence, or another record
-        in its place, settles the matter.
+        A write that is missing may still arrive, so only the record itself, or another record
+        under its version, decides.
+
+        Raises:
+            OutcomeUnknownError: Neither was found in time.
         """
         for _ in range(LOOK_UP_ATTEMPTS):
             try:
-                found = await self.keeper.store.read_operation(record.operation_id)
+                operation = await self.keeper.store.read_operation(record.operation_id)
                 head, _ = await self.keeper.store.read_head()
             except PlatformError:
                 await self.clock.sleep(LOOK_UP_INTERVAL_S)
                 continue
-            if found is not None:
-                return found.digest == record.digest
+            if operation is not None:
+                return operation.digest == record.digest
             if head.version >= record.version:
                 return False
             await self.clock.sleep(LOOK_UP_INTERVAL_S)
         raise lost_answer
 
     def record_in_audit_trail(self, request: PatchRequest, result: str) -> None:
-        """Add an attempt that made no version to the audit trail."""
+        """Record an attempt that made no version in the audit trail."""
         if not request.dry_run:
             self.audit.record(
                 author=request.author,
--- a/src/balsamcleat/queries/__init__.py
+++ b/src/balsamcleat/queries/__init__.py
@@ -1,1 +1,1 @@
-"""What only reads."""
+"""Queries, which only read."""
--- a/src/balsamcleat/queries/history.py
+++ b/src/balsamcleat/queries/history.py
@@ -1,4 +1,4 @@
-"""Read the history of configurations and the audit trail."""
+"""Queries of the configuration history and of the audit trail."""
 
 import hashlib
 
@@ -24,7 +24,7 @@
 
 
 class HistoryLine(msgspec.Struct, frozen=True, kw_only=True):
-    """One accepted configuration without its body."""
+    """An accepted configuration without its body."""
 
     version: int
     digest: str
@@ -41,8 +41,8 @@
 
     Attributes:
         path: JSON pointer of the entry.
-        before: Its JSON text in the first; None when it is not there.
-        after: Its JSON text in the second; None when it is not there.
+        before: JSON text of the entry in the first configuration, or None if it has none.
+        after: JSON text of the entry in the second configuration, or None if it has none.
     """
 
     path: str
@@ -51,16 +51,16 @@
 
 
 class AuditFilter(msgspec.Struct, frozen=True, kw_only=True):
-    """Which audit lines are asked for.
+    """Filter of audit rows; an empty text matches all rows.
 
     Attributes:
-        since_s: From this time, in seconds since the Unix epoch.
-        until_s: Before this time; 0 for no end.
-        author: By this author only.
-        action: Actions that begin with this.
-        subject: About this subject only.
-        result: Results that contain this.
-        limit: The most lines; the newest ones are returned.
+        since_s: Earliest time of a row, in seconds since the Unix epoch.
+        until_s: Time before which a row was written, likewise; 0 for no end.
+        author: Author of a row.
+        action: Beginning of a row's action.
+        subject: Subject of a row.
+        result: Text that a row's result contains.
+        limit: Maximum number of rows, of which the newest are returned.
     """
 
     since_s: float = 0.0
@@ -72,7 +72,7 @@
     limit: int = MAX_LINES
 
     def matches(self, row: AuditRow) -> bool:
-        """Return whether a line is asked for."""
+        """Return whether a row passes the filter."""
         return (
             row.at_s >= self.since_s
             and (not self.until_s or row.at_s < self.until_s)
@@ -87,8 +87,8 @@
     """Reads numbered configurations and audit rows.
 
     Args:
-        table: The platform's table.
-        objects: The object store, where what is old was moved.
+        table: Table service of the platform.
+        objects: Object store to which old rows were moved.
     """
 
     def __init__(self, table: Table, objects: ObjectStore | None = None) -> None:
@@ -97,11 +97,11 @@
         self.store = ConfigurationStore(table, objects)
 
     async def load_version(self, version: int) -> NumberedConfiguration | None:
-        """Return one numbered configuration, or None when there is none."""
+        """Return a numbered configuration, or None if there is none."""
         return await self.store.load_version(version)
 
     async def list_changes(self, after: int = 0, limit: int = MAX_LINES) -> tuple[HistoryLine, ...]:
-        """Return the accepted configurations above ``after``, oldest first."""
+        """Return the accepted configurations after version ``after``, oldest first."""
         archived = await self.store.read_archived_changes(after, after + limit)
         lines = [history_line(change) for change in archived]
         start = lines[-1].version if lines else after
@@ -113,7 +113,7 @@
         """Return the entries that differ between two configurations.
 
         Raises:
-            InvalidInputError: One of them does not exist.
+            InvalidInputError: One of the two configurations does not exist.
         """
         documents: list[Document] = []
         for version in (old, new):
@@ -123,36 +123,46 @@
             documents.append(record.document)
         return diff_documents(*documents)
 
-    async def list_audit_rows(self, wanted: AuditFilter | None = None) -> tuple[AuditRow, ...]:
-        """Return the newest audit lines that fit, oldest first."""
-        wanted = wanted or AuditFilter()
-        found = [row for row in await self.list_archived_audit_rows(wanted) if wanted.matches(row)]
-        after = audit_key(max(0.0, wanted.since_s), "") if wanted.since_s else AUDIT_PREFIX
+    async def list_audit_rows(
+        self, audit_filter: AuditFilter | None = None
+    ) -> tuple[AuditRow, ...]:
+        """Return the newest audit rows that match the filter, oldest first."""
+        audit_filter = audit_filter or AuditFilter()
+        matching = [
+            row
+            for row in await self.list_archived_audit_rows(audit_filter)
+            if audit_filter.matches(row)
+        ]
+        after = (
+            audit_key(max(0.0, audit_filter.since_s), "") if audit_filter.since_s else AUDIT_PREFIX
+        )
         for _ in range(MAX_SCAN_PAGES):
             rows = await self.table.scan(AUDIT_PREFIX, after, MAX_LINES)
-            found += [line for row in rows if wanted.matches(line := decode_audit_row(row.value))]
+            matching += [
+                line for row in rows if audit_filter.matches(line := decode_audit_row(row.value))
+            ]
             if len(rows) < MAX_LINES:
                 break
             after = rows[-1].key
-        return tuple(found[-wanted.limit :])
+        return tuple(matching[-audit_filter.limit :])
 
-    async def list_archived_audit_rows(self, wanted: AuditFilter) -> list[AuditRow]:
-        """Return audit lines of the archives that overlap the time asked for."""
+    async def list_archived_audit_rows(self, audit_filter: AuditFilter) -> list[AuditRow]:
+        """Return the audit rows of the archives that overlap the time of the filter."""
         if self.objects is None:
             return []
-        lines: list[AuditRow] = []
-        since_ms, until_ms = int(wanted.since_s * 1000), int(wanted.until_s * 1000)
+        audit_rows: list[AuditRow] = []
+        since_ms, until_ms = int(audit_filter.since_s * 1000), int(audit_filter.until_s * 1000)
         for key in await self.objects.keys(AUDIT_OBJECTS):
             first, last = parse_leading_numbers(key.removeprefix(AUDIT_OBJECTS), 2)
             if last < since_ms or (until_ms and first >= until_ms):
                 continue
             body = await self.objects.get(key)
-            lines += [decode_audit_row(line) for line in (body or b"").splitlines()]
-        return lines
+            audit_rows += [decode_audit_row(line) for line in (body or b"").splitlines()]
+        return audit_rows
 
 
 def history_line(change: ChangeRecord) -> HistoryLine:
-    """Return a change's line in the history."""
+    """Return the line of a change in the history."""
     raw_head = bytes(change.head)
     head = decode_record_head(raw_head)
     return HistoryLine(
@@ -168,10 +178,10 @@
 
 
 def decode_audit_row(value: bytes) -> AuditRow:
-    """Return a line of the audit trail; fields of later releases are ignored.
+    """Return the audit row in a value; fields of later releases are ignored.
 
     Raises:
-        ProtocolError: It is malformed.
+        ProtocolError: The value is malformed.
     """
     try:
         return msgspec.json.decode(value, type=AuditRow)
@@ -180,7 +190,7 @@
 
 
 def diff_documents(old: Document, new: Document) -> tuple[DiffLine, ...]:
-    """Return the entries that differ, sorted by path."""
+    """Return the entries that differ between two documents, sorted by path."""
 
     def text(value: bytes | None) -> str | None:
         return None if value is None else value.decode()
--- a/src/balsamcleat/queries/status.py
+++ b/src/balsamcleat/queries/status.py
@@ -1,4 +1,4 @@
-"""What a node believes: its configuration, its peers and its targets."""
+"""Query of a VM's status: its configuration, its peers and its targets."""
 
 import msgspec
 
@@ -10,7 +10,7 @@
 
 
 class PeerStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """A peer as this node sees it."""
+    """State of a peer, as known to this VM."""
 
     vm_id: str
     zone: str
@@ -20,7 +20,7 @@
 
 
 class TargetStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """A target as this node sees it."""
+    """State of a target, as known to this VM."""
 
     target_id: str
     service: str
@@ -30,7 +30,7 @@
 
 
 class NodeStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """Everything a node believes."""
+    """Status of a VM."""
 
     vm_id: str
     zone: str
@@ -42,12 +42,12 @@
 
 
 class StatusQuery:
-    """Gathers a node's status.
+    """Collects the status of this VM.
 
     Args:
-        link: The view of the peers.
-        watch: The view of the targets.
-        metrics: The counters.
+        link: Source of the configuration and of the peers' states.
+        watch: Source of the targets' states.
+        metrics: Source of the counters.
     """
 
     def __init__(self, link: PeerLink, watch: TargetWatch, metrics: MemoryMetrics) -> None:
@@ -56,7 +56,7 @@
         self.metrics = metrics
 
     def __call__(self) -> NodeStatus:
-        """Return the status."""
+        """Return the status of this VM."""
         router = self.watch.router
         return NodeStatus(
             vm_id=self.link.vm_id,
