Rename functions, parameters and attributes of api/; nothing but renames

Status codes, titles and details of problem documents, paths, headers and counters are untouched. Encoded fields (have, wait_s ...) keep their names.

--- a/src/balsamcleat/adapters/http_trainer_desk.py
+++ b/src/balsamcleat/adapters/http_trainer_desk.py
@@ -9,7 +9,7 @@
     PromptMessage,
     StepMessage,
     VersionReport,
-    batch_of,
+    decode_batch,
 )
 from balsamcleat.errors import OutcomeUnknownError, RefusedError
 from balsamcleat.model import DeploymentName, StepId, StepSpec, TrainerAck, WeightVersion
@@ -80,7 +80,7 @@
             return StepGone(response.text)
         if response.status_code == 409:
             return PullRejected(response.text)
-        return BatchReady(batch_of(msgspec.json.decode(response.content, type=BatchMessage)))
+        return BatchReady(decode_batch(msgspec.json.decode(response.content, type=BatchMessage)))
 
     async def report_version(self, deployment: DeploymentName, version: WeightVersion) -> None:
         """Report the trainer's weight version."""
--- a/src/balsamcleat/api/access.py
+++ b/src/balsamcleat/api/access.py
@@ -56,21 +56,21 @@
         self.access = access
         self.keeper = keeper
         self.metrics = metrics
-        self.configured = -1
+        self.configured_version = -1
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Check the request and hand it on."""
         if scope["type"] != "http":
             await self.app(scope, receive, send)
             return
-        refusal = self.check(scope)
-        await (refusal or self.app)(scope, receive, send)
+        rejection = self.authorize(scope)
+        await (rejection or self.app)(scope, receive, send)
 
-    def check(self, scope: Scope) -> Response | None:
+    def authorize(self, scope: Scope) -> Response | None:
         """Return the refusal, or None after noting who the request comes from."""
         self.follow_configuration()
         area = area_of(scope["method"], scope["path"])
-        principal = self.access.authenticate(authorization(scope))
+        principal = self.access.authenticate(authorization_header(scope))
         if principal is None and area is not Area.HEALTH:
             self.metrics.count("access.unknown")
             return problem_response(
@@ -93,12 +93,12 @@
     def follow_configuration(self) -> None:
         """Take the teams of the configuration in force, once for each version."""
         current = self.keeper.current
-        if current.version != self.configured:
+        if current.version != self.configured_version:
             self.access.configure(current.body)
-            self.configured = current.version
+            self.configured_version = current.version
 
 
-def authorization(scope: Scope) -> str | None:
+def authorization_header(scope: Scope) -> str | None:
     """Return the ``Authorization`` header."""
     for name, value in scope["headers"]:
         if name == b"authorization":
--- a/src/balsamcleat/api/callers.py
+++ b/src/balsamcleat/api/callers.py
@@ -67,11 +67,11 @@
         """Return the routes."""
         methods = ["GET", "POST", "PUT", "DELETE"]
         return [
-            Route("/v1/completions", self.completions, methods=["POST"]),
-            Route("/v1/services/{service}/{path:path}", self.plain, methods=methods),
+            Route("/v1/completions", self.complete, methods=["POST"]),
+            Route("/v1/services/{service}/{path:path}", self.call_plain_service, methods=methods),
         ]
 
-    async def body(self, request: Request) -> bytes | Response:
+    async def read_body(self, request: Request) -> bytes | Response:
         """Return the request's body, or the refusal of one that is too large."""
         limit = self.keeper.current.body.limits.max_body_bytes
         chunks: list[bytes] = []
@@ -96,7 +96,7 @@
             wait_s = service.deadline_s
         return self.clock.now_s() + min(wait_s, service.deadline_s)
 
-    async def plain(self, request: Request) -> Response:
+    async def call_plain_service(self, request: Request) -> Response:
         """Answer a call of a plain service."""
         name = request.path_params["service"]
         service = self.keeper.current.body.services.get(name)
@@ -106,11 +106,11 @@
             )
         principal = principal_of(request)
         if not principal.can_call(name):
-            return forbidden(principal, name)
-        body = await self.body(request)
+            return forbidden_response(principal, name)
+        body = await self.read_body(request)
         if isinstance(body, Response):
             return body
-        marked = request.headers.get(IDEMPOTENT_HEADER)
+        idempotent_header = request.headers.get(IDEMPOTENT_HEADER)
         key = request.headers.get("idempotency-key")
         by_default = service.idempotent and key is None
         outcome = await self.run_call(
@@ -122,18 +122,18 @@
                 path="/" + request.path_params["path"],
                 body=body,
                 content_type=request.headers.get("content-type", "application/octet-stream"),
-                idempotent=by_default if marked is None else marked == "true",
+                idempotent=by_default if idempotent_header is None else idempotent_header == "true",
                 idempotency_key=key,
                 deadline_s=self.deadline_s(request, service),
             )
         )
         if isinstance(outcome, CallFailure):
-            return failure(outcome)
+            return failure_response(outcome)
         return Response(outcome.body, outcome.status, media_type=outcome.content_type)
 
-    async def completions(self, request: Request) -> Response:
+    async def complete(self, request: Request) -> Response:
         """Answer a completion, whole or as a stream."""
-        body = await self.body(request)
+        body = await self.read_body(request)
         if isinstance(body, Response):
             return body
         try:
@@ -149,7 +149,7 @@
             )
         principal = principal_of(request)
         if not principal.can_call(message.model):
-            return forbidden(principal, message.model)
+            return forbidden_response(principal, message.model)
         generation = GenerationRequest(
             request_id=RequestId(self.randomness.fresh_id()),
             model=message.model,
@@ -160,11 +160,13 @@
             adapter=message.adapter,
         )
         frames = self.generate(generation, self.deadline_s(request, service), principal.team)
-        return await while_connected(
-            request, lambda: self.answer(generation, frames, stream=message.stream), frames
+        return await respond_while_connected(
+            request,
+            lambda: self.response_of_frames(generation, frames, stream=message.stream),
+            frames,
         )
 
-    async def answer(
+    async def response_of_frames(
         self,
         generation: GenerationRequest,
         frames: AsyncGenerator[TokenFrame, None],
@@ -176,16 +178,18 @@
             first = await anext(frames)
             if stream:
                 return StreamingResponse(
-                    self.events(generation, first, frames), media_type="text/event-stream"
+                    self.stream_events(generation, first, frames), media_type="text/event-stream"
                 )
             rest = [frame async for frame in frames]
         except OverloadedError as error:
-            return failure(
+            return failure_response(
                 CallFailure(Certainty.NOT_RUN, error.message, error.retry_after_s, error.over_quota)
             )
         except AttemptFailedError as error:
             certainty = Certainty.OUTCOME_UNKNOWN if error.perhaps_sent else Certainty.NOT_RUN
-            return failure(CallFailure(certainty, error.message, ceil(error.retry_after_s or 1)))
+            return failure_response(
+                CallFailure(certainty, error.message, ceil(error.retry_after_s or 1))
+            )
         whole = TokenFrame(
             0,
             sum(frame.count for frame in (first, *rest)),
@@ -194,20 +198,20 @@
             (first, *rest)[-1].finish_reason,
         )
         return Response(
-            msgspec.json.encode(completion(generation, whole)), media_type="application/json"
+            msgspec.json.encode(completion_frame(generation, whole)), media_type="application/json"
         )
 
-    async def events(
+    async def stream_events(
         self,
         generation: GenerationRequest,
         first: TokenFrame,
         rest: AsyncGenerator[TokenFrame, None],
     ) -> AsyncIterator[bytes]:
         """Yield server-sent events; ``[DONE]`` comes only after a whole answer."""
-        yield event(completion(generation, first))
+        yield server_sent_event(completion_frame(generation, first))
         try:
             async for frame in rest:
-                yield event(completion(generation, frame))
+                yield server_sent_event(completion_frame(generation, frame))
         except AttemptFailedError as error:
             problem = problem_response(
                 502, "the answer was cut", error.message, certainty=Certainty.OUTCOME_UNKNOWN
@@ -217,7 +221,7 @@
         yield b"data: [DONE]\n\n"
 
 
-def forbidden(principal: Principal, service: str) -> Response:
+def forbidden_response(principal: Principal, service: str) -> Response:
     """Return the refusal of a service that is not the team's."""
     return problem_response(
         403,
@@ -227,16 +231,16 @@
     )
 
 
-async def while_connected(
+async def respond_while_connected(
     request: Request,
-    answer: Callable[[], Awaitable[Response]],
+    make_response: Callable[[], Awaitable[Response]],
     frames: AsyncGenerator[TokenFrame, None],
 ) -> Response:
     """Return the answer, or give it up when the caller departs before it begins.
 
     Args:
         request: The caller's request, whose body has been read.
-        answer: Makes the answer.
+        make_response: Returns the response.
         frames: What the answer is made of; ended when the caller departs.
     """
     response = Response(status_code=CLIENT_CLOSED_STATUS)
@@ -248,14 +252,14 @@
 
     async with anyio.create_task_group() as group:
         group.start_soon(watch)
-        response = await answer()
+        response = await make_response()
         group.cancel_scope.cancel()
     if response.status_code == CLIENT_CLOSED_STATUS:
         await frames.aclose()
     return response
 
 
-def completion(generation: GenerationRequest, frame: TokenFrame) -> CompletionFrame:
+def completion_frame(generation: GenerationRequest, frame: TokenFrame) -> CompletionFrame:
     """Return the frame as callers get it."""
     choice = ChoiceMessage(frame.text, 0, frame.finish_reason)
     return CompletionFrame(
@@ -263,28 +267,28 @@
     )
 
 
-def event(message: CompletionFrame) -> bytes:
+def server_sent_event(message: CompletionFrame) -> bytes:
     """Return a server-sent event."""
     return b"data: " + msgspec.json.encode(message) + b"\n\n"
 
 
-def failure(failed: CallFailure) -> Response:
+def failure_response(failure: CallFailure) -> Response:
     """Return the problem document of a call that failed."""
-    not_run = failed.certainty is Certainty.NOT_RUN
-    comes_back = failed.retry_after_s > 0 and (not_run or failed.resend_safe)
+    not_run = failure.certainty is Certainty.NOT_RUN
+    may_retry = failure.retry_after_s > 0 and (not_run or failure.resend_safe)
     return problem_response(
-        failure_status(failed),
+        failure_status(failure),
         "the call was not run" if not_run else "the outcome is unknown",
-        failed.reason,
-        certainty=failed.certainty,
-        retry_after_s=failed.retry_after_s if comes_back else None,
+        failure.reason,
+        certainty=failure.certainty,
+        retry_after_s=failure.retry_after_s if may_retry else None,
     )
 
 
-def failure_status(failed: CallFailure) -> int:
+def failure_status(failure: CallFailure) -> int:
     """Return the HTTP status of a call that failed."""
-    if failed.key_reused:
+    if failure.key_reused:
         return 422
-    if failed.certainty is Certainty.OUTCOME_UNKNOWN:
+    if failure.certainty is Certainty.OUTCOME_UNKNOWN:
         return 502
-    return 429 if failed.over_quota else 503
+    return 429 if failure.over_quota else 503
--- a/src/balsamcleat/api/health.py
+++ b/src/balsamcleat/api/health.py
@@ -15,11 +15,11 @@
     """Answers the balancer, without a token.
 
     Args:
-        leaving: Returns whether this node leaves.
+        is_leaving: Returns whether this VM is leaving.
     """
 
-    def __init__(self, leaving: Callable[[], bool]) -> None:
-        self.leaving = leaving
+    def __init__(self, is_leaving: Callable[[], bool]) -> None:
+        self.is_leaving = is_leaving
 
     def routes(self) -> list[Route]:
         """Return the routes."""
@@ -27,6 +27,6 @@
 
     async def get_health(self, request: Request) -> Response:
         """Answer 200, or 503 once this node leaves."""
-        if self.leaving():
+        if self.is_leaving():
             return problem_response(503, "this node leaves", "send requests to another one")
         return Response(status_code=200)
--- a/src/balsamcleat/api/operator_messages.py
+++ b/src/balsamcleat/api/operator_messages.py
@@ -4,7 +4,7 @@
 
 from balsamcleat.configuration import Configuration, NumberedConfiguration
 
-__all__ = ["ConfigurationMessage", "PatchReply", "message_of_configuration"]
+__all__ = ["ConfigurationMessage", "PatchReply", "encode_configuration"]
 
 
 class ConfigurationMessage(msgspec.Struct, frozen=True, kw_only=True):
@@ -39,7 +39,7 @@
     dry_run: bool = False
 
 
-def message_of_configuration(record: NumberedConfiguration) -> ConfigurationMessage:
+def encode_configuration(record: NumberedConfiguration) -> ConfigurationMessage:
     """Return the message of a numbered configuration."""
     return ConfigurationMessage(
         version=record.version,
--- a/src/balsamcleat/api/operators.py
+++ b/src/balsamcleat/api/operators.py
@@ -7,7 +7,7 @@
 from starlette.routing import Route
 
 from balsamcleat.api.access import author_of
-from balsamcleat.api.operator_messages import PatchReply, message_of_configuration
+from balsamcleat.api.operator_messages import PatchReply, encode_configuration
 from balsamcleat.api.problems import problem_response
 from balsamcleat.commands.roll_back import RollBack, RollBackRequest
 from balsamcleat.commands.submit_patch import PatchAccepted, SubmitPatch
@@ -74,11 +74,11 @@
     async def get_configuration(self, request: Request) -> Response:
         """Answer the configuration in force."""
         current = self.keeper.current
-        return reply(message_of_configuration(current), etag=current.version)
+        return json_response(encode_configuration(current), etag=current.version)
 
     async def patch_configuration(self, request: Request) -> Response:
         """Take a JSON Patch against the version in ``If-Match``."""
-        base_version = base_version_of(request)
+        base_version = parse_base_version(request)
         if base_version is None:
             return problem_response(428, "If-Match must name the version the patch is against")
         patch = PatchRequest(
@@ -87,36 +87,36 @@
             author=author_of(request),
             reason=request.headers.get("x-reason", ""),
             operation_id=request.headers.get("x-operation-id") or self.randomness.fresh_id(),
-            force=flag_of(request, "x-force"),
-            dry_run=flag_of(request, "x-dry-run"),
+            force=is_header_true(request, "x-force"),
+            dry_run=is_header_true(request, "x-dry-run"),
         )
         try:
             return outcome_response(await self.submit_patch(patch), patch.operation_id)
         except (PlatformError, ProtocolError) as error:
-            return lost_response(error, patch.operation_id)
+            return unaccepted_patch_response(error, patch.operation_id)
 
     async def post_rollback(self, request: Request) -> Response:
         """Make an earlier version's contents the next version; ``to`` names it."""
-        base_version = base_version_of(request)
+        base_version = parse_base_version(request)
         if base_version is None:
             return problem_response(428, "If-Match must name the version to roll back from")
         try:
             to_version = int(request.query_params.get("to", ""))
         except ValueError as error:
             return problem_response(400, "to must name the version to roll back to", str(error))
-        wanted = RollBackRequest(
+        rollback = RollBackRequest(
             base_version=base_version,
             to_version=to_version,
             author=author_of(request),
             reason=request.headers.get("x-reason", ""),
             operation_id=request.headers.get("x-operation-id") or self.randomness.fresh_id(),
-            force=flag_of(request, "x-force"),
-            dry_run=flag_of(request, "x-dry-run"),
+            force=is_header_true(request, "x-force"),
+            dry_run=is_header_true(request, "x-dry-run"),
         )
         try:
-            return outcome_response(await self.roll_back(wanted), wanted.operation_id)
+            return outcome_response(await self.roll_back(rollback), rollback.operation_id)
         except (PlatformError, ProtocolError) as error:
-            return lost_response(error, wanted.operation_id)
+            return unaccepted_patch_response(error, rollback.operation_id)
 
     async def get_version(self, request: Request) -> Response:
         """Answer one numbered configuration."""
@@ -127,12 +127,12 @@
             return unavailable_response(error)
         if record is None:
             return problem_response(404, f"there is no configuration {version}")
-        return reply(message_of_configuration(record), etag=record.version)
+        return json_response(encode_configuration(record), etag=record.version)
 
     async def get_history(self, request: Request) -> Response:
         """Answer the history."""
         try:
-            return reply(
+            return json_response(
                 await self.history.list_changes(int(request.query_params.get("after", "0")))
             )
         except ValueError as error:
@@ -145,7 +145,7 @@
         try:
             old = int(request.query_params.get("from", ""))
             new = int(request.query_params.get("to", ""))
-            return reply(await self.history.diff(old, new))
+            return json_response(await self.history.diff(old, new))
         except ValueError as error:
             return problem_response(400, "from and to must be numbers", str(error))
         except InvalidInputError as error:
@@ -156,8 +156,8 @@
     async def get_audit(self, request: Request) -> Response:
         """Answer the audit trail, filtered by the query's parameters."""
         try:
-            wanted = msgspec.convert(dict(request.query_params), AuditFilter, strict=False)
-            return reply(await self.history.list_audit_rows(wanted))
+            audit_filter = msgspec.convert(dict(request.query_params), AuditFilter, strict=False)
+            return json_response(await self.history.list_audit_rows(audit_filter))
         except msgspec.ValidationError as error:
             return problem_response(400, "a filter is not valid", str(error))
         except (PlatformError, ProtocolError) as error:
@@ -165,7 +165,7 @@
 
     async def get_status(self, request: Request) -> Response:
         """Answer the node's status."""
-        return reply(self.status())
+        return json_response(self.status())
 
     async def post_drain(self, request: Request) -> Response:
         """Begin a graceful shutdown of this node."""
@@ -180,7 +180,7 @@
         return Response(status_code=202)
 
 
-def base_version_of(request: Request) -> int | None:
+def parse_base_version(request: Request) -> int | None:
     """Return the version that ``If-Match`` names."""
     try:
         return int(request.headers.get("if-match", "").strip('"'))
@@ -188,7 +188,7 @@
         return None
 
 
-def flag_of(request: Request, header: str) -> bool:
+def is_header_true(request: Request, header: str) -> bool:
     """Return whether a header says ``true``."""
     return request.headers.get(header) == "true"
 
@@ -209,10 +209,10 @@
         repeated=outcome.repeated,
         dry_run=outcome.dry_run,
     )
-    return reply(message, etag=outcome.version)
+    return json_response(message, etag=outcome.version)
 
 
-def lost_response(error: PlatformError | ProtocolError, operation_id: str) -> Response:
+def unaccepted_patch_response(error: PlatformError | ProtocolError, operation_id: str) -> Response:
     """Return the answer when a submission's fate is not known, or it was not taken."""
     if isinstance(error, OutcomeUnknownError):
         return problem_response(
@@ -228,7 +228,7 @@
     return problem_response(503, "try again", str(error), retry_after_s=RETRY_AFTER_S)
 
 
-def reply(message: object, etag: int | None = None) -> Response:
+def json_response(message: object, etag: int | None = None) -> Response:
     """Return a JSON response."""
     headers = {} if etag is None else {"etag": f'"{etag}"'}
     return Response(msgspec.json.encode(message), headers=headers, media_type="application/json")
--- a/src/balsamcleat/api/request_guard.py
+++ b/src/balsamcleat/api/request_guard.py
@@ -21,7 +21,7 @@
 BODY_TIMEOUT_S = 60.0
 SEND_TIMEOUT_S = 30.0
 # Plain services take whatever their callers send.
-PASSED_PREFIX = "/v1/services/"
+PLAIN_SERVICE_PREFIX = "/v1/services/"
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
 log = structlog.get_logger()
@@ -50,7 +50,7 @@
         self.send_timeout_s = send_timeout_s
 
 
-class RequestRefusedError(Exception):
+class RequestRejectedError(Exception):
     """Ends a request whose refusal is already decided."""
 
 
@@ -83,39 +83,39 @@
             await self.app(scope, receive, send)
             return
         exchange = Exchange(receive, send, self.bounds, self.leaving)
-        refusal = self.refusal_of_head(scope)
-        if refusal is None:
-            refusal = await self.serve(scope, exchange)
-        if refusal is not None:
-            self.metrics.count(f"request.refused.{refusal.status_code}")
+        rejection = self.reject_by_head(scope)
+        if rejection is None:
+            rejection = await self.serve(scope, exchange)
+        if rejection is not None:
+            self.metrics.count(f"request.refused.{rejection.status_code}")
             # What is left of the body is not read, so the connection can't be used again.
-            refusal.headers["connection"] = "close"
-            if not exchange.started:
-                await refusal(scope, receive, exchange.plain_send)
+            rejection.headers["connection"] = "close"
+            if not exchange.has_started:
+                await rejection(scope, receive, exchange.send_unbounded)
 
     async def serve(self, scope: Scope, exchange: "Exchange") -> Response | None:
         """Let the application answer; returns the refusal that cut it short, if any."""
         try:
-            with exchange.sending:
+            with exchange.send_scope:
                 await self.app(scope, exchange.receive, exchange.send)
         except ClientDisconnect:
             self.metrics.count("request.cut_by_client")
         except Exception as error:
-            if exchange.refusal is None and not exchange.sending.cancelled_caught:
+            if exchange.rejection is None and not exchange.send_scope.cancelled_caught:
                 self.metrics.count("request.failed")
                 log.error("request failed", path=scope["path"], exc_info=error)
-        if exchange.sending.cancelled_caught:
+        if exchange.send_scope.cancelled_caught:
             self.metrics.count("request.reader_too_slow")
-        return exchange.refusal
+        return exchange.rejection
 
-    def refusal_of_head(self, scope: Scope) -> Response | None:
+    def reject_by_head(self, scope: Scope) -> Response | None:
         """Return the refusal that a request's head already calls for."""
         headers = {name.lower(): value for name, value in scope["headers"]}
         length = headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > self.bounds.max_body_bytes:
-            return too_large(self.bounds.max_body_bytes)
+            return body_too_large_response(self.bounds.max_body_bytes)
         content_type = headers.get(b"content-type", b"").decode("latin1")
-        if scope["method"] not in BODY_METHODS or scope["path"].startswith(PASSED_PREFIX):
+        if scope["method"] not in BODY_METHODS or scope["path"].startswith(PLAIN_SERVICE_PREFIX):
             return None
         media_type = content_type.partition(";")[0].strip().lower()
         if media_type and media_type != "application/json" and not media_type.endswith("+json"):
@@ -148,26 +148,26 @@
     def __init__(
         self, receive: Receive, send: Send, bounds: RequestBounds, leaving: anyio.Event
     ) -> None:
-        self.plain_receive = receive
-        self.plain_send = send
+        self.receive_unbounded = receive
+        self.send_unbounded = send
         self.bounds = bounds
         self.leaving = leaving
-        self.refusal: Response | None = None
-        self.started = False
-        self.sending = anyio.CancelScope()
-        self.whole = False
-        self.size = 0
-        self.due_s = anyio.current_time() + bounds.body_timeout_s
+        self.rejection: Response | None = None
+        self.has_started = False
+        self.send_scope = anyio.CancelScope()
+        self.is_body_complete = False
+        self.body_bytes = 0
+        self.body_deadline_s = anyio.current_time() + bounds.body_timeout_s
 
     async def receive(self) -> Message:
         """Return the request's next part."""
-        if self.whole:
-            return await self.plain_receive()
-        left_s = min(self.bounds.chunk_timeout_s, self.due_s - anyio.current_time())
-        with anyio.move_on_after(left_s) as scope:
-            message = await self.plain_receive()
+        if self.is_body_complete:
+            return await self.receive_unbounded()
+        remaining_s = min(self.bounds.chunk_timeout_s, self.body_deadline_s - anyio.current_time())
+        with anyio.move_on_after(remaining_s) as scope:
+            message = await self.receive_unbounded()
         if scope.cancelled_caught:
-            self.refuse(
+            self.reject(
                 problem_response(
                     408,
                     "the body came too slowly",
@@ -176,38 +176,38 @@
                     certainty=Certainty.NOT_RUN,
                 )
             )
-        self.size += len(message.get("body", b""))
-        if self.size > self.bounds.max_body_bytes:
-            self.refuse(too_large(self.bounds.max_body_bytes))
-        self.whole = not message.get("more_body", False)
+        self.body_bytes += len(message.get("body", b""))
+        if self.body_bytes > self.bounds.max_body_bytes:
+            self.reject(body_too_large_response(self.bounds.max_body_bytes))
+        self.is_body_complete = not message.get("more_body", False)
         return message
 
-    def refuse(self, refusal: Response) -> None:
+    def reject(self, rejection: Response) -> None:
         """End the request with a refusal."""
-        self.refusal = refusal
-        raise RequestRefusedError
+        self.rejection = rejection
+        raise RequestRejectedError
 
     async def send(self, message: Message) -> None:
         """Send a part of the answer, unless the request was refused meanwhile."""
-        if self.refusal is not None:
+        if self.rejection is not None:
             return
         if message["type"] == "http.response.start":
-            self.started = True
+            self.has_started = True
             if self.leaving.is_set():
                 message["headers"] = [*message.get("headers", []), (b"connection", b"close")]
-        self.sending.deadline = anyio.current_time() + self.bounds.send_timeout_s
-        await self.plain_send(message)
-        self.sending.deadline = math.inf
+        self.send_scope.deadline = anyio.current_time() + self.bounds.send_timeout_s
+        await self.send_unbounded(message)
+        self.send_scope.deadline = math.inf
 
 
-def too_large(limit_bytes: int) -> Response:
+def body_too_large_response(limit_bytes: int) -> Response:
     """Return the refusal of a body that is too large."""
     return problem_response(
         413, "the body is too large", f"at most {limit_bytes} bytes", certainty=Certainty.NOT_RUN
     )
 
 
-async def http_problem(request: Request, error: Exception) -> Response:
+async def http_error_response(request: Request, error: Exception) -> Response:
     """Answer an unknown path or a wrong method with a problem document."""
     assert isinstance(error, HTTPException)
     response = problem_response(
@@ -222,7 +222,7 @@
     return response
 
 
-async def unexpected_problem(request: Request, error: Exception) -> Response:
+async def internal_error_response(request: Request, error: Exception) -> Response:
     """Answer a fault of our own honestly: nobody knows how far the request got."""
     return problem_response(
         500,
@@ -234,4 +234,4 @@
 
 def problem_handlers() -> dict[int | type[Exception], ExceptionHandler]:
     """Return the exception handlers that make every error a problem document."""
-    return {HTTPException: http_problem, Exception: unexpected_problem}
+    return {HTTPException: http_error_response, Exception: internal_error_response}
--- a/src/balsamcleat/api/trainer_messages.py
+++ b/src/balsamcleat/api/trainer_messages.py
@@ -26,9 +26,9 @@
     "PullRequest",
     "StepMessage",
     "VersionReport",
-    "batch_of",
-    "message_of_batch",
-    "spec_of",
+    "decode_batch",
+    "decode_step",
+    "encode_batch",
 ]
 
 
@@ -38,18 +38,18 @@
 MAX_DEADLINE_S = 86_400.0
 
 
-class Strict(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class StrictMessage(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Base of messages from trainers: unknown fields are refused."""
 
 
-class PromptMessage(Strict, frozen=True):
+class PromptMessage(StrictMessage, frozen=True):
     """One prompt and how many samples to draw from it."""
 
     prompt: str
     size: int
 
 
-class StepMessage(Strict, frozen=True):
+class StepMessage(StrictMessage, frozen=True):
     """The body of ``POST /v1/deployments/NAME/steps``."""
 
     step_id: str
@@ -64,13 +64,13 @@
     top_p: float = 1.0
 
 
-class VersionReport(Strict, frozen=True):
+class VersionReport(StrictMessage, frozen=True):
     """The body of ``POST /v1/deployments/NAME/version``."""
 
     weight_version: int
 
 
-class PullRequest(Strict, frozen=True):
+class PullRequest(StrictMessage, frozen=True):
     """A pull as forwarded between entry VMs."""
 
     deployment: str
@@ -114,14 +114,14 @@
     refused: str | None = None
 
 
-class CancelRequest(Strict, frozen=True):
+class CancelRequest(StrictMessage, frozen=True):
     """A cancellation as forwarded between entry VMs."""
 
     deployment: str
     step_id: str
 
 
-class ForwardedReport(Strict, frozen=True):
+class ForwardedReport(StrictMessage, frozen=True):
     """A version report as forwarded between entry VMs."""
 
     deployment: str
@@ -159,7 +159,7 @@
     judged_at: int = 0
 
 
-def spec_of(deployment: DeploymentName, message: StepMessage) -> StepSpec:
+def decode_step(deployment: DeploymentName, message: StepMessage) -> StepSpec:
     """Return the step that the message opens.
 
     Raises:
@@ -215,7 +215,7 @@
         ),
         ("scorer", message.scorer == "", "must name a service or be null"),
     )
-    faults = [f"{path}: {problem}" for path, wrong, problem in checks if wrong]
+    faults = [f"{path}: {problem}" for path, is_wrong, problem in checks if is_wrong]
     faults += [
         f"prompts[{number}].size: must be at least 1"
         for number, prompt in enumerate(message.prompts)
@@ -224,7 +224,7 @@
     return tuple(faults)
 
 
-def message_of_batch(batch: Batch) -> BatchMessage:
+def encode_batch(batch: Batch) -> BatchMessage:
     """Return the batch as its message."""
     return BatchMessage(
         batch.step_id,
@@ -247,7 +247,7 @@
     )
 
 
-def batch_of(message: BatchMessage) -> Batch:
+def decode_batch(message: BatchMessage) -> Batch:
     """Return the batch in the message."""
     return Batch(
         StepId(message.step_id),
--- a/src/balsamcleat/api/trainers.py
+++ b/src/balsamcleat/api/trainers.py
@@ -13,8 +13,8 @@
     PullRequest,
     StepMessage,
     VersionReport,
-    message_of_batch,
-    spec_of,
+    decode_step,
+    encode_batch,
 )
 from balsamcleat.errors import BalsamcleatError, InvalidInputError, RefusedError
 from balsamcleat.model import DeploymentName, StepId, WeightVersion
@@ -32,20 +32,22 @@
     """Answers trainers.
 
     Args:
-        desk: Takes steps and hands out batches.
+        trainer_service: Opens steps and returns their batches.
     """
 
-    def __init__(self, desk: TrainerService) -> None:
-        self.desk = desk
+    def __init__(self, trainer_service: TrainerService) -> None:
+        self.trainer_service = trainer_service
 
     def routes(self) -> list[Route]:
         """Return the routes."""
         base = "/v1/deployments/{deployment}"
         return [
-            Route(f"{base}/steps", own(self.open_step), methods=["POST"]),
-            Route(f"{base}/steps/{{step_id}}", own(self.cancel), methods=["DELETE"]),
-            Route(f"{base}/steps/{{step_id}}/batches", own(self.pull)),
-            Route(f"{base}/version", own(self.report_version), methods=["POST"]),
+            Route(f"{base}/steps", require_own_deployment(self.open_step), methods=["POST"]),
+            Route(
+                f"{base}/steps/{{step_id}}", require_own_deployment(self.cancel), methods=["DELETE"]
+            ),
+            Route(f"{base}/steps/{{step_id}}/batches", require_own_deployment(self.pull)),
+            Route(f"{base}/version", require_own_deployment(self.report_version), methods=["POST"]),
         ]
 
     async def open_step(self, request: Request) -> Response:
@@ -53,9 +55,9 @@
         deployment = DeploymentName(request.path_params["deployment"])
         try:
             message = msgspec.json.decode(await request.body(), type=StepMessage)
-            await self.desk.open_step(spec_of(deployment, message))
+            await self.trainer_service.open_step(decode_step(deployment, message))
         except (msgspec.DecodeError, InvalidInputError) as error:
-            return problem_response(400, "not a valid step", str(error), faults=faults_of(error))
+            return problem_response(400, "not a valid step", str(error), faults=error_faults(error))
         except RefusedError as error:
             return problem_response(404, "the step was refused", str(error))
         except BalsamcleatError as error:
@@ -65,18 +67,18 @@
     async def pull(self, request: Request) -> Response:
         """Answer the batch after the cursor, or 204 when there is none yet."""
         try:
-            pull = pull_of(request)
+            pull = parse_pull(request)
             ack = pull.ack()
         except (ValueError, InvalidInputError) as error:
-            return problem_response(400, "not a valid pull", str(error), faults=faults_of(error))
+            return problem_response(400, "not a valid pull", str(error), faults=error_faults(error))
         deployment, step_id = DeploymentName(pull.deployment), StepId(pull.step_id)
         try:
-            outcome = await self.desk.pull(deployment, step_id, ack, pull.wait_s)
+            outcome = await self.trainer_service.pull(deployment, step_id, ack, pull.wait_s)
         except BalsamcleatError as error:
             return problem_response(503, "try again", str(error), retry_after_s=1)
         match outcome:
             case BatchReady(batch=batch):
-                content = msgspec.json.encode(message_of_batch(batch))
+                content = msgspec.json.encode(encode_batch(batch))
                 return Response(content, media_type="application/json")
             case NoBatchYet():
                 return Response(status_code=204)
@@ -92,9 +94,13 @@
             message = msgspec.json.decode(await request.body(), type=VersionReport)
             if message.weight_version < 1:
                 raise InvalidInputError("weight_version: must be at least 1", step="version.report")
-            await self.desk.report_version(deployment, WeightVersion(message.weight_version))
+            await self.trainer_service.report_version(
+                deployment, WeightVersion(message.weight_version)
+            )
         except (msgspec.DecodeError, InvalidInputError) as error:
-            return problem_response(400, "not a valid report", str(error), faults=faults_of(error))
+            return problem_response(
+                400, "not a valid report", str(error), faults=error_faults(error)
+            )
         except BalsamcleatError as error:
             return problem_response(503, "try again", str(error), retry_after_s=1)
         return Response(status_code=204)
@@ -103,13 +109,13 @@
         """Cancel a step."""
         deployment = DeploymentName(request.path_params["deployment"])
         try:
-            await self.desk.cancel(deployment, StepId(request.path_params["step_id"]))
+            await self.trainer_service.cancel(deployment, StepId(request.path_params["step_id"]))
         except BalsamcleatError as error:
             return problem_response(503, "try again", str(error), retry_after_s=1)
         return Response(status_code=204)
 
 
-def pull_of(request: Request) -> PullRequest:
+def parse_pull(request: Request) -> PullRequest:
     """Return the pull in a request's path and query.
 
     Raises:
@@ -122,15 +128,15 @@
     return PullRequest(
         deployment=request.path_params["deployment"],
         step_id=request.path_params["step_id"],
-        cursor=number_of(query.get("cursor", "0"), "cursor"),
-        wait_s=min(MAX_WAIT_S, max(0.0, seconds_of(query.get("wait", "10")))),
-        epoch=number_of(query.get("epoch", "0"), "epoch"),
-        version=number_of(query.get("version", "0"), "version"),
+        cursor=parse_whole_number(query.get("cursor", "0"), "cursor"),
+        wait_s=min(MAX_WAIT_S, max(0.0, parse_wait_s(query.get("wait", "10")))),
+        epoch=parse_whole_number(query.get("epoch", "0"), "epoch"),
+        version=parse_whole_number(query.get("version", "0"), "version"),
         have=query.get("have"),
     )
 
 
-def number_of(text: str, name: str) -> int:
+def parse_whole_number(text: str, name: str) -> int:
     """Return a whole number."""
     try:
         return int(text)
@@ -138,7 +144,7 @@
         raise ValueError(f"{name}: must be a whole number") from error
 
 
-def seconds_of(text: str) -> float:
+def parse_wait_s(text: str) -> float:
     """Return a wait in seconds."""
     try:
         seconds = float(text)
@@ -149,13 +155,13 @@
     return seconds
 
 
-def faults_of(error: Exception) -> tuple[str, ...]:
+def error_faults(error: Exception) -> tuple[str, ...]:
     """Return the faults by field that an error's message lists."""
     message = error.message if isinstance(error, InvalidInputError) else str(error)
     return tuple(message.split("; "))
 
 
-def own(handler: Handler) -> Handler:
+def require_own_deployment(handler: Handler) -> Handler:
     """Return the handler behind a check that the deployment is the trainer's own."""
 
     async def handle(request: Request) -> Response:
--- a/src/balsamcleat/tasks/rollouts.py
+++ b/src/balsamcleat/tasks/rollouts.py
@@ -13,8 +13,8 @@
     PullReply,
     PullRequest,
     VersionReport,
-    batch_of,
-    message_of_batch,
+    decode_batch,
+    encode_batch,
 )
 from balsamcleat.errors import AttemptFailedError, PlatformError, RefusedError
 from balsamcleat.model import (
@@ -205,7 +205,7 @@
             return NoBatchYet()
         reply = msgspec.json.decode(payload, type=PullReply)
         if reply.batch is not None:
-            return BatchReady(batch_of(reply.batch))
+            return BatchReady(decode_batch(reply.batch))
         if reply.refused is not None:
             return PullRejected(reply.refused)
         return NoBatchYet() if reply.gone is None else StepGone(reply.gone)
@@ -237,7 +237,7 @@
         outcome = await self.pull_locally(owner, request.ack(), request.wait_s)
         match outcome:
             case BatchReady(batch=batch):
-                return msgspec.json.encode(PullReply(batch=message_of_batch(batch)))
+                return msgspec.json.encode(PullReply(batch=encode_batch(batch)))
             case StepGone(reason=reason):
                 return msgspec.json.encode(PullReply(gone=reason))
             case PullRejected(reason=reason):
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -8,7 +8,7 @@
 from starlette.responses import Response
 from starlette.types import Message
 
-from balsamcleat.api.callers import CLIENT_CLOSED_STATUS, while_connected
+from balsamcleat.api.callers import CLIENT_CLOSED_STATUS, respond_while_connected
 from balsamcleat.model import TokenFrame, WeightVersion
 
 pytestmark = pytest.mark.anyio
@@ -42,7 +42,7 @@
             return Response("".join([frame.text async for frame in frames]))
 
         request = Request({"type": "http"}, self.receive)
-        return await while_connected(request, collect, frames)
+        return await respond_while_connected(request, collect, frames)
 
 
 async def test_the_work_is_cancelled_when_the_caller_disconnects() -> None:
--- a/tests/test_trainer_api.py
+++ b/tests/test_trainer_api.py
@@ -33,7 +33,7 @@
 
 
 def ask(monkeypatch: pytest.MonkeyPatch, method: str, path: str, body: object = None) -> Any:
-    monkeypatch.setattr(trainers, "own", lambda handler: handler)
+    monkeypatch.setattr(trainers, "require_own_deployment", lambda handler: handler)
     desk: Any = Desk()
     app = Starlette(routes=TrainerApi(desk).routes())
 
