Reword api/: docstrings and comments

Descriptions that can be read alone, in the usual terms of HTTP servers. No name and no text that leaves the process changed in this commit; the reasons of comments stand (memory bound, one scope for all parts of a response, connections closed while leaving).

--- a/src/balsamcleat/api/access.py
+++ b/src/balsamcleat/api/access.py
@@ -1,4 +1,4 @@
-"""Let requests in by their bearer token, and tell handlers who they come from."""
+"""Authentication and authorization of requests by their bearer token."""
 
 from starlette.requests import Request
 from starlette.responses import Response
@@ -16,7 +16,7 @@
 
 
 def area_of(method: str, path: str) -> Area:
-    """Return the area that a request belongs to; what is not known is the operators'."""
+    """Return the area that a request belongs to; unknown paths belong to the operators."""
     if path.startswith(("/v1/completions", "/v1/services/")):
         return Area.CALLS
     if path.startswith("/v1/deployments/"):
@@ -27,26 +27,26 @@
 
 
 def principal_of(request: Request) -> Principal:
-    """Return who the request comes from."""
+    """Return the principal that sent the request."""
     principal: Principal = request.scope[STATE_KEY]
     return principal
 
 
 def author_of(request: Request) -> str:
-    """Return who is named in the audit trail: the team, and the person it names."""
+    """Return the author for the audit trail: the team, and the person that the request names."""
     team = principal_of(request).team
     person = request.headers.get("x-author", "")
     return f"{team}/{person}" if person else team
 
 
 class AccessGuard:
-    """Stands before the routes: 401 without a known token, 403 without the role.
+    """Rejects requests without a known token with 401, and those without the role with 403.
 
     Args:
-        app: The routes.
-        access: The decisions.
-        keeper: The configuration in force.
-        metrics: Where counts go.
+        app: Application that answers authorized requests.
+        access: Authenticates tokens and authorizes principals.
+        keeper: Configuration in force.
+        metrics: Receiver of counters.
     """
 
     def __init__(
@@ -59,7 +59,7 @@
         self.configured_version = -1
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Check the request and hand it on."""
+        """Authorize the request and pass it to the application."""
         if scope["type"] != "http":
             await self.app(scope, receive, send)
             return
@@ -67,7 +67,7 @@
         await (rejection or self.app)(scope, receive, send)
 
     def authorize(self, scope: Scope) -> Response | None:
-        """Return the refusal, or None after noting who the request comes from."""
+        """Return the error response, or None after storing the principal in the scope."""
         self.follow_configuration()
         area = area_of(scope["method"], scope["path"])
         principal = self.access.authenticate(authorization_header(scope))
@@ -91,7 +91,7 @@
         return None
 
     def follow_configuration(self) -> None:
-        """Take the teams of the configuration in force, once for each version."""
+        """Apply the teams of the configuration in force, once for each version."""
         current = self.keeper.current
         if current.version != self.configured_version:
             self.access.configure(current.body)
@@ -99,7 +99,7 @@
 
 
 def authorization_header(scope: Scope) -> str | None:
-    """Return the ``Authorization`` header."""
+    """Return the value of the ``Authorization`` header, or None if there is none."""
     for name, value in scope["headers"]:
         if name == b"authorization":
             return str(value, "latin-1")
--- a/src/balsamcleat/api/callers.py
+++ b/src/balsamcleat/api/callers.py
@@ -1,4 +1,4 @@
-"""The HTTP face for callers: completions and plain services."""
+"""HTTP interface for callers: completions and calls of plain services."""
 
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from math import ceil
@@ -34,18 +34,18 @@
 MAX_COMPLETION_TOKENS = 4096
 DEADLINE_HEADER = "x-deadline-s"
 IDEMPOTENT_HEADER = "x-idempotent"
-# Nobody reads it; it only ends the exchange.
+# Status of a response to a caller that has disconnected; it is never read.
 CLIENT_CLOSED_STATUS = 499
 
 
 class CallerApi:
-    """Answers callers.
+    """Answers the requests of callers.
 
     Args:
-        keeper: The configuration in force.
-        run_call: Runs plain calls.
+        keeper: Configuration in force.
+        run_call: Runs calls of plain services.
         generate: Runs generations.
-        clock: The clock.
+        clock: Source of time.
         randomness: Source of request ids.
     """
 
@@ -72,7 +72,7 @@
         ]
 
     async def read_body(self, request: Request) -> bytes | Response:
-        """Return the request's body, or the refusal of one that is too large."""
+        """Return the body of a request, or the error response if the body is too large."""
         limit = self.keeper.current.body.limits.max_body_bytes
         chunks: list[bytes] = []
         size = 0
@@ -89,7 +89,7 @@
         return b"".join(chunks)
 
     def deadline_s(self, request: Request, service: Service) -> float:
-        """Return the request's deadline on the monotonic clock."""
+        """Return the deadline of a request on the monotonic clock, in seconds."""
         try:
             wait_s = float(request.headers.get(DEADLINE_HEADER, service.deadline_s))
         except ValueError:
@@ -97,7 +97,7 @@
         return self.clock.now_s() + min(wait_s, service.deadline_s)
 
     async def call_plain_service(self, request: Request) -> Response:
-        """Answer a call of a plain service."""
+        """Answer a call of a plain service with the response of a target."""
         name = request.path_params["service"]
         service = self.keeper.current.body.services.get(name)
         if service is None or service.kind is ServiceKind.ENGINE:
@@ -132,7 +132,7 @@
         return Response(outcome.body, outcome.status, media_type=outcome.content_type)
 
     async def complete(self, request: Request) -> Response:
-        """Answer a completion, whole or as a stream."""
+        """Answer a completion request, as a whole or as an event stream."""
         body = await self.read_body(request)
         if isinstance(body, Response):
             return body
@@ -173,7 +173,7 @@
         *,
         stream: bool,
     ) -> Response:
-        """Answer with the frames; failures before the first one get a status of their own."""
+        """Return the response of a generation; a failure before its first frame sets the status."""
         try:
             first = await anext(frames)
             if stream:
@@ -207,7 +207,7 @@
         first: TokenFrame,
         rest: AsyncGenerator[TokenFrame, None],
     ) -> AsyncIterator[bytes]:
-        """Yield server-sent events; ``[DONE]`` comes only after a whole answer."""
+        """Yield server-sent events; ``[DONE]`` follows only a complete generation."""
         yield server_sent_event(completion_frame(generation, first))
         try:
             async for frame in rest:
@@ -222,7 +222,7 @@
 
 
 def forbidden_response(principal: Principal, service: str) -> Response:
-    """Return the refusal of a service that is not the team's."""
+    """Return the error response for a service that the team may not call."""
     return problem_response(
         403,
         f"team {principal.team!r} may not call {service!r}",
@@ -236,12 +236,12 @@
     make_response: Callable[[], Awaitable[Response]],
     frames: AsyncGenerator[TokenFrame, None],
 ) -> Response:
-    """Return the answer, or give it up when the caller departs before it begins.
+    """Return the response, or discard it if the caller disconnects before it begins.
 
     Args:
-        request: The caller's request, whose body has been read.
+        request: Request of the caller, whose body has been read.
         make_response: Returns the response.
-        frames: What the answer is made of; ended when the caller departs.
+        frames: Frames of the response; closed when the caller disconnects.
     """
     response = Response(status_code=CLIENT_CLOSED_STATUS)
 
@@ -260,7 +260,7 @@
 
 
 def completion_frame(generation: GenerationRequest, frame: TokenFrame) -> CompletionFrame:
-    """Return the frame as callers get it."""
+    """Return a frame of a generation as the message for callers."""
     choice = ChoiceMessage(frame.text, 0, frame.finish_reason)
     return CompletionFrame(
         generation.request_id, (choice,), frame.offset, frame.count, frame.weight_version
@@ -268,7 +268,7 @@
 
 
 def server_sent_event(message: CompletionFrame) -> bytes:
-    """Return a server-sent event."""
+    """Return the server-sent event that carries a message."""
     return b"data: " + msgspec.json.encode(message) + b"\n\n"
 
 
--- a/src/balsamcleat/api/health.py
+++ b/src/balsamcleat/api/health.py
@@ -1,4 +1,4 @@
-"""What the platform's balancer asks: whether this node takes new requests."""
+"""HTTP interface for the load balancer: whether this VM takes new requests."""
 
 from collections.abc import Callable
 
@@ -12,7 +12,7 @@
 
 
 class HealthApi:
-    """Answers the balancer, without a token.
+    """Answers the load balancer's health checks, which carry no token.
 
     Args:
         is_leaving: Returns whether this VM is leaving.
@@ -26,7 +26,7 @@
         return [Route("/v1/health", self.get_health)]
 
     async def get_health(self, request: Request) -> Response:
-        """Answer 200, or 503 once this node leaves."""
+        """Answer 200, or 503 once this VM is leaving."""
         if self.is_leaving():
             return problem_response(503, "this node leaves", "send requests to another one")
         return Response(status_code=200)
--- a/src/balsamcleat/api/operator_messages.py
+++ b/src/balsamcleat/api/operator_messages.py
@@ -1,4 +1,4 @@
-"""Messages between operators and the system."""
+"""JSON messages between operators and this system."""
 
 import msgspec
 
@@ -22,14 +22,14 @@
 
 
 class PatchReply(msgspec.Struct, frozen=True, kw_only=True):
-    """The answer to an accepted patch.
+    """Response to an accepted patch.
 
     Attributes:
-        version: The number that it became, or would have in a dry run.
-        digest: That configuration's digest.
+        version: Number of the configuration that the patch made, or would make without the dry run.
+        digest: Digest of that configuration.
         repeated: Whether an earlier submission with the same operation id had taken effect.
         dry_run: Whether nothing was written.
-        operation_id: The submission, for asking again after a lost answer.
+        operation_id: Id of the submission, for a retry after a lost response.
     """
 
     version: int
--- a/src/balsamcleat/api/operators.py
+++ b/src/balsamcleat/api/operators.py
@@ -1,4 +1,4 @@
-"""The HTTP face for operators: configuration, history, audit, status and drain."""
+"""HTTP interface for operators: configuration, history, audit trail, status and drain."""
 
 import anyio
 import msgspec
@@ -26,16 +26,16 @@
 
 
 class OperatorApi:
-    """Answers operators.
+    """Answers the requests of operators.
 
     Args:
-        keeper: The configuration in force.
+        keeper: Configuration in force.
         submit_patch: Submits patches.
-        history: Reads the history.
-        status: Reads the node's status.
-        drain: Set to begin a graceful shutdown of this node.
+        history: Reads the configuration history and the audit trail.
+        status: Collects the status of this VM.
+        drain: Event that begins a graceful shutdown of this VM when it is set.
         randomness: Source of operation ids.
-        audit: Where drains are recorded.
+        audit: Audit trail, which records drains.
     """
 
     def __init__(
@@ -72,12 +72,12 @@
         ]
 
     async def get_configuration(self, request: Request) -> Response:
-        """Answer the configuration in force."""
+        """Answer with the configuration in force."""
         current = self.keeper.current
         return json_response(encode_configuration(current), etag=current.version)
 
     async def patch_configuration(self, request: Request) -> Response:
-        """Take a JSON Patch against the version in ``If-Match``."""
+        """Submit a JSON Patch against the version in ``If-Match``."""
         base_version = parse_base_version(request)
         if base_version is None:
             return problem_response(428, "If-Match must name the version the patch is against")
@@ -96,7 +96,7 @@
             return unaccepted_patch_response(error, patch.operation_id)
 
     async def post_rollback(self, request: Request) -> Response:
-        """Make an earlier version's contents the next version; ``to`` names it."""
+        """Submit the contents of the earlier version ``to`` as the next version."""
         base_version = parse_base_version(request)
         if base_version is None:
             return problem_response(428, "If-Match must name the version to roll back from")
@@ -119,7 +119,7 @@
             return unaccepted_patch_response(error, rollback.operation_id)
 
     async def get_version(self, request: Request) -> Response:
-        """Answer one numbered configuration."""
+        """Answer with a numbered configuration."""
         version = request.path_params["version"]
         try:
             record = await self.history.load_version(version)
@@ -130,7 +130,7 @@
         return json_response(encode_configuration(record), etag=record.version)
 
     async def get_history(self, request: Request) -> Response:
-        """Answer the history."""
+        """Answer with the configuration history."""
         try:
             return json_response(
                 await self.history.list_changes(int(request.query_params.get("after", "0")))
@@ -141,7 +141,7 @@
             return unavailable_response(error)
 
     async def get_diff(self, request: Request) -> Response:
-        """Answer the entries that differ between the versions ``from`` and ``to``."""
+        """Answer with the entries that differ between the versions ``from`` and ``to``."""
         try:
             old = int(request.query_params.get("from", ""))
             new = int(request.query_params.get("to", ""))
@@ -154,7 +154,7 @@
             return unavailable_response(error)
 
     async def get_audit(self, request: Request) -> Response:
-        """Answer the audit trail, filtered by the query's parameters."""
+        """Answer with the audit rows that match the query's parameters."""
         try:
             audit_filter = msgspec.convert(dict(request.query_params), AuditFilter, strict=False)
             return json_response(await self.history.list_audit_rows(audit_filter))
@@ -164,11 +164,11 @@
             return unavailable_response(error)
 
     async def get_status(self, request: Request) -> Response:
-        """Answer the node's status."""
+        """Answer with the status of this VM."""
         return json_response(self.status())
 
     async def post_drain(self, request: Request) -> Response:
-        """Begin a graceful shutdown of this node."""
+        """Begin a graceful shutdown of this VM."""
         self.drain.set()
         self.audit.record(
             author=author_of(request),
@@ -181,7 +181,7 @@
 
 
 def parse_base_version(request: Request) -> int | None:
-    """Return the version that ``If-Match`` names."""
+    """Return the version in the ``If-Match`` header, or None if the header has none."""
     try:
         return int(request.headers.get("if-match", "").strip('"'))
     except ValueError:
@@ -189,12 +189,12 @@
 
 
 def is_header_true(request: Request, header: str) -> bool:
-    """Return whether a header says ``true``."""
+    """Return whether the value of a header is ``true``."""
     return request.headers.get(header) == "true"
 
 
 def outcome_response(outcome: PatchAccepted | PatchRejected, operation_id: str) -> Response:
-    """Return the answer to a submission."""
+    """Return the response to a submission that was accepted or rejected."""
     if isinstance(outcome, PatchRejected):
         return problem_response(
             REJECTION_STATUS[outcome.reason],
@@ -213,7 +213,7 @@
 
 
 def unaccepted_patch_response(error: PlatformError | ProtocolError, operation_id: str) -> Response:
-    """Return the answer when a submission's fate is not known, or it was not taken."""
+    """Return the response to a submission that was not committed, or whose outcome is unknown."""
     if isinstance(error, OutcomeUnknownError):
         return problem_response(
             502,
@@ -224,7 +224,7 @@
 
 
 def unavailable_response(error: PlatformError | ProtocolError) -> Response:
-    """Return the answer when the platform could not be read."""
+    """Return the response to a query if the platform could not be read."""
     return problem_response(503, "try again", str(error), retry_after_s=RETRY_AFTER_S)
 
 
--- a/src/balsamcleat/api/problems.py
+++ b/src/balsamcleat/api/problems.py
@@ -1,4 +1,4 @@
-"""Problem documents (RFC 9457): what every refusal looks like."""
+"""Problem documents (RFC 9457), the body of every error response."""
 
 import msgspec
 from starlette.responses import Response
@@ -9,14 +9,14 @@
 
 
 class Problem(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """A refusal or failure.
+    """Body of an error response.
 
     Attributes:
-        title: What happened, in a few words.
-        status: The HTTP status.
-        detail: What to do about it.
+        title: Short summary of the error.
+        status: HTTP status.
+        detail: Advice on what to do about the error.
         outcome: ``not run`` or ``outcome unknown`` for calls.
-        faults: What is wrong and where, for bad input.
+        faults: Path and problem of each invalid input.
     """
 
     title: str
@@ -35,15 +35,15 @@
     faults: tuple[str, ...] = (),
     retry_after_s: int | None = None,
 ) -> Response:
-    """Return a problem document.
+    """Return an error response with a problem document.
 
     Args:
-        status: The HTTP status.
-        title: What happened.
-        detail: What to do about it.
-        certainty: What is known of the request's execution.
-        faults: What is wrong and where.
-        retry_after_s: When to come back, in seconds.
+        status: HTTP status.
+        title: Short summary of the error.
+        detail: Advice on what to do about the error.
+        certainty: Whether the request may have run.
+        faults: Path and problem of each invalid input.
+        retry_after_s: Delay before a retry, in seconds.
     """
     problem = Problem(
         title=title,
--- a/src/balsamcleat/api/request_guard.py
+++ b/src/balsamcleat/api/request_guard.py
@@ -1,4 +1,4 @@
-"""Bounds that every request meets before it is understood: size, type and time."""
+"""Limits on the size, the type and the duration of every request."""
 
 import math
 
@@ -15,12 +15,12 @@
 
 __all__ = ["BODY_CHUNK_TIMEOUT_S", "RequestBounds", "RequestGuard", "problem_handlers"]
 
-# The configuration's own limit is usually lower; this one bounds memory whatever it says.
+# Bounds memory whatever limit the configuration sets; that limit is usually lower.
 MAX_BODY_BYTES = 32 * 1024 * 1024
 BODY_CHUNK_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 60.0
 SEND_TIMEOUT_S = 30.0
-# Plain services take whatever their callers send.
+# Requests to plain services may have any content type.
 PLAIN_SERVICE_PREFIX = "/v1/services/"
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
@@ -28,13 +28,13 @@
 
 
 class RequestBounds:
-    """How large a body may be and how long its parts may take.
+    """Limits on the body of a request and on the time that its parts take.
 
     Attributes:
-        max_body_bytes: The largest body.
-        chunk_timeout_s: The longest wait for a further part of a body, in seconds.
-        body_timeout_s: The longest that a whole body may take, in seconds.
-        send_timeout_s: The longest that a part of an answer may wait for its reader, in seconds.
+        max_body_bytes: Maximum size of a body.
+        chunk_timeout_s: Timeout for the next part of a body, in seconds.
+        body_timeout_s: Timeout for a complete body, in seconds.
+        send_timeout_s: Timeout for sending a part of a response, in seconds.
     """
 
     def __init__(
@@ -51,18 +51,18 @@
 
 
 class RequestRejectedError(Exception):
-    """Ends a request whose refusal is already decided."""
+    """The request was rejected; the error response is known."""
 
 
 class RequestGuard:
-    """Refuses bad requests with a problem document, before and while the application reads them.
+    """Rejects invalid requests with a problem document, also while the application reads them.
 
     Args:
-        app: The application behind it.
-        metrics: Where counts go.
-        leaving: Set when this process leaves; answers then end their connections, so that none
-            is reused while it is being closed.
-        bounds: The bounds.
+        app: Application that answers the requests.
+        metrics: Receiver of counters.
+        leaving: Set when this process leaves; each response then closes its connection, so that no
+            connection is reused while it is being closed.
+        bounds: Limits on the requests.
     """
 
     def __init__(
@@ -78,7 +78,7 @@
         self.bounds = bounds or RequestBounds()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serve one request."""
+        """Serve one request within the limits."""
         if scope["type"] != "http":
             await self.app(scope, receive, send)
             return
@@ -88,13 +88,13 @@
             rejection = await self.serve(scope, exchange)
         if rejection is not None:
             self.metrics.count(f"request.refused.{rejection.status_code}")
-            # What is left of the body is not read, so the connection can't be used again.
+            # The rest of the body is not read, so the connection can't be reused.
             rejection.headers["connection"] = "close"
             if not exchange.has_started:
                 await rejection(scope, receive, exchange.send_unbounded)
 
     async def serve(self, scope: Scope, exchange: "Exchange") -> Response | None:
-        """Let the application answer; returns the refusal that cut it short, if any."""
+        """Run the application; return the error response if the request was rejected meanwhile."""
         try:
             with exchange.send_scope:
                 await self.app(scope, exchange.receive, exchange.send)
@@ -109,7 +109,7 @@
         return exchange.rejection
 
     def reject_by_head(self, scope: Scope) -> Response | None:
-        """Return the refusal that a request's head already calls for."""
+        """Return the error response if the head of a request is invalid, else None."""
         headers = {name.lower(): value for name, value in scope["headers"]}
         length = headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > self.bounds.max_body_bytes:
@@ -129,20 +129,20 @@
 
 
 class Exchange:
-    """One request and its answer, within the bounds.
+    """One request and its response, within the limits.
 
     Args:
-        receive: Gives the request's parts.
-        send: Takes the answer's parts.
-        bounds: The bounds.
+        receive: Returns the next part of the request.
+        send: Sends a part of the response.
+        bounds: Limits on the request.
         leaving: Set when this process leaves.
 
     Attributes:
-        refusal: The refusal that cut the request short, if any.
-        started: Whether an answer has begun.
-        sending: Cancels the application when the reader of its answer is too slow; its deadline
-            is set only while a part is being sent. One scope for all parts, because entering and
-            leaving one for each frame of a stream costs more than passing the frame on.
+        refusal: Error response with which the request was rejected, if any.
+        started: Whether a response has begun.
+        sending: Cancels the application if the client reads the response too slowly. The
+            deadline is set only while a part is being sent. All parts share one scope, because
+            a scope for each frame of a stream costs more than forwarding the frame.
     """
 
     def __init__(
@@ -160,7 +160,7 @@
         self.body_deadline_s = anyio.current_time() + bounds.body_timeout_s
 
     async def receive(self) -> Message:
-        """Return the request's next part."""
+        """Return the next part of the request."""
         if self.is_body_complete:
             return await self.receive_unbounded()
         remaining_s = min(self.bounds.chunk_timeout_s, self.body_deadline_s - anyio.current_time())
@@ -183,12 +183,12 @@
         return message
 
     def reject(self, rejection: Response) -> None:
-        """End the request with a refusal."""
+        """Reject the request with an error response."""
         self.rejection = rejection
         raise RequestRejectedError
 
     async def send(self, message: Message) -> None:
-        """Send a part of the answer, unless the request was refused meanwhile."""
+        """Send a part of the response, unless the request was rejected meanwhile."""
         if self.rejection is not None:
             return
         if message["type"] == "http.response.start":
@@ -201,14 +201,14 @@
 
 
 def body_too_large_response(limit_bytes: int) -> Response:
-    """Return the refusal of a body that is too large."""
+    """Return the error response for a body that is too large."""
     return problem_response(
         413, "the body is too large", f"at most {limit_bytes} bytes", certainty=Certainty.NOT_RUN
     )
 
 
 async def http_error_response(request: Request, error: Exception) -> Response:
-    """Answer an unknown path or a wrong method with a problem document."""
+    """Return the error response for an unknown path or a wrong method."""
     assert isinstance(error, HTTPException)
     response = problem_response(
         error.status_code,
@@ -223,7 +223,7 @@
 
 
 async def internal_error_response(request: Request, error: Exception) -> Response:
-    """Answer a fault of our own honestly: nobody knows how far the request got."""
+    """Return the error response for an internal error, after which the outcome is unknown."""
     return problem_response(
         500,
         "this node failed on the request",
@@ -233,5 +233,5 @@
 
 
 def problem_handlers() -> dict[int | type[Exception], ExceptionHandler]:
-    """Return the exception handlers that make every error a problem document."""
+    """Return the exception handlers that turn every error into a problem document."""
     return {HTTPException: http_error_response, Exception: internal_error_response}
--- a/src/balsamcleat/api/trainer_messages.py
+++ b/src/balsamcleat/api/trainer_messages.py
@@ -1,4 +1,4 @@
-"""The JSON messages between trainers and entry VMs."""
+"""JSON messages between trainers and entry VMs."""
 
 import re
 
@@ -39,18 +39,18 @@
 
 
 class StrictMessage(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Base of messages from trainers: unknown fields are refused."""
+    """Base of messages from trainers, which rejects unknown fields."""
 
 
 class PromptMessage(StrictMessage, frozen=True):
-    """One prompt and how many samples to draw from it."""
+    """A prompt and the number of samples to generate from it."""
 
     prompt: str
     size: int
 
 
 class StepMessage(StrictMessage, frozen=True):
-    """The body of ``POST /v1/deployments/NAME/steps``."""
+    """Body of ``POST /v1/deployments/NAME/steps``."""
 
     step_id: str
     prompts: tuple[PromptMessage, ...]
@@ -65,13 +65,13 @@
 
 
 class VersionReport(StrictMessage, frozen=True):
-    """The body of ``POST /v1/deployments/NAME/version``."""
+    """Body of ``POST /v1/deployments/NAME/version``."""
 
     weight_version: int
 
 
 class PullRequest(StrictMessage, frozen=True):
-    """A pull as forwarded between entry VMs."""
+    """Request for a batch, as forwarded between entry VMs."""
 
     deployment: str
     step_id: str
@@ -82,10 +82,10 @@
     have: str | None = None
 
     def ack(self) -> TrainerAck:
-        """Return what the trainer says of itself.
+        """Return the trainer's acknowledgement that the request carries.
 
         Raises:
-            InvalidInputError: A field is out of range; the message names it.
+            InvalidInputError: A field is out of range; the message names the field.
         """
         faults = [
             f"{name}: must not be negative"
@@ -107,7 +107,7 @@
 
 
 class PullReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """The answer to a forwarded pull; all fields empty when there is no batch yet."""
+    """Response to a forwarded pull; all fields are empty if there is no batch yet."""
 
     batch: "BatchMessage | None" = None
     gone: str | None = None
@@ -115,21 +115,21 @@
 
 
 class CancelRequest(StrictMessage, frozen=True):
-    """A cancellation as forwarded between entry VMs."""
+    """Cancellation of a step, as forwarded between entry VMs."""
 
     deployment: str
     step_id: str
 
 
 class ForwardedReport(StrictMessage, frozen=True):
-    """A version report as forwarded between entry VMs."""
+    """Report of a weight version, as forwarded between entry VMs."""
 
     deployment: str
     weight_version: int
 
 
 class SpanMessage(msgspec.Struct, frozen=True):
-    """Tokens ``start`` to ``end`` (excluded) were made by ``version``."""
+    """Range of tokens from ``start`` up to ``end``, excluded, that ``version`` generated."""
 
     start: int
     end: int
@@ -137,7 +137,7 @@
 
 
 class SampleMessage(msgspec.Struct, frozen=True):
-    """A sample as the trainer gets it."""
+    """A sample as sent to the trainer."""
 
     group: int
     index: int
@@ -149,7 +149,7 @@
 
 
 class BatchMessage(msgspec.Struct, frozen=True):
-    """A numbered batch."""
+    """A numbered batch of samples."""
 
     step_id: str
     number: int
@@ -160,10 +160,10 @@
 
 
 def decode_step(deployment: DeploymentName, message: StepMessage) -> StepSpec:
-    """Return the step that the message opens.
+    """Return the step in a trainer's message.
 
     Raises:
-        InvalidInputError: A field is out of range; the message names it.
+        InvalidInputError: A field is out of range; the message names the field.
     """
     faults = step_faults(message)
     if faults:
@@ -188,7 +188,7 @@
 
 
 def step_faults(message: StepMessage) -> tuple[str, ...]:
-    """Return what is wrong with each field of a step, each as ``PATH: PROBLEM``."""
+    """Return the problem of each invalid field of a step, as ``PATH: PROBLEM``."""
     samples = sum(prompt.size for prompt in message.prompts)
     checks = (
         (
@@ -225,7 +225,7 @@
 
 
 def encode_batch(batch: Batch) -> BatchMessage:
-    """Return the batch as its message."""
+    """Return the message that carries a batch."""
     return BatchMessage(
         batch.step_id,
         batch.number,
@@ -248,7 +248,7 @@
 
 
 def decode_batch(message: BatchMessage) -> Batch:
-    """Return the batch in the message."""
+    """Return the batch that a message carries."""
     return Batch(
         StepId(message.step_id),
         message.number,
--- a/src/balsamcleat/api/trainers.py
+++ b/src/balsamcleat/api/trainers.py
@@ -1,4 +1,4 @@
-"""The HTTP face for trainers: steps in, batches out."""
+"""HTTP interface for trainers: steps, batches and weight versions."""
 
 from collections.abc import Awaitable, Callable
 
@@ -29,7 +29,7 @@
 
 
 class TrainerApi:
-    """Answers trainers.
+    """Answers the requests of trainers.
 
     Args:
         trainer_service: Opens steps and returns their batches.
@@ -51,7 +51,7 @@
         ]
 
     async def open_step(self, request: Request) -> Response:
-        """Open a step."""
+        """Open a step with the samples that the request asks for."""
         deployment = DeploymentName(request.path_params["deployment"])
         try:
             message = msgspec.json.decode(await request.body(), type=StepMessage)
@@ -65,7 +65,7 @@
         return Response(status_code=201)
 
     async def pull(self, request: Request) -> Response:
-        """Answer the batch after the cursor, or 204 when there is none yet."""
+        """Answer with the batch after the cursor, or with 204 if there is none yet."""
         try:
             pull = parse_pull(request)
             ack = pull.ack()
@@ -88,7 +88,7 @@
         return problem_response(410, "the step is gone", outcome.reason)
 
     async def report_version(self, request: Request) -> Response:
-        """Take note of the trainer's weight version."""
+        """Record the weight version that the trainer reports."""
         deployment = DeploymentName(request.path_params["deployment"])
         try:
             message = msgspec.json.decode(await request.body(), type=VersionReport)
@@ -116,10 +116,10 @@
 
 
 def parse_pull(request: Request) -> PullRequest:
-    """Return the pull in a request's path and query.
+    """Return the pull in the path and the query of a request.
 
     Raises:
-        ValueError: A field is not of its type; the message names it.
+        ValueError: A field is unknown or has the wrong type; the message names the field.
     """
     query = request.query_params
     unknown = set(query) - PULL_FIELDS
@@ -137,7 +137,7 @@
 
 
 def parse_whole_number(text: str, name: str) -> int:
-    """Return a whole number."""
+    """Return the whole number in the text of a field."""
     try:
         return int(text)
     except ValueError as error:
@@ -145,7 +145,7 @@
 
 
 def parse_wait_s(text: str) -> float:
-    """Return a wait in seconds."""
+    """Return the wait in the text of the field ``wait``, in seconds."""
     try:
         seconds = float(text)
     except ValueError as error:
@@ -156,13 +156,13 @@
 
 
 def error_faults(error: Exception) -> tuple[str, ...]:
-    """Return the faults by field that an error's message lists."""
+    """Return the problems that the message of an error lists, one a field."""
     message = error.message if isinstance(error, InvalidInputError) else str(error)
     return tuple(message.split("; "))
 
 
 def require_own_deployment(handler: Handler) -> Handler:
-    """Return the handler behind a check that the deployment is the trainer's own."""
+    """Return the handler behind a check that the deployment belongs to the trainer's team."""
 
     async def handle(request: Request) -> Response:
         principal = principal_of(request)
