--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,4 +1,4 @@
-"""Bad input on the HTTP faces: a problem document, bounded memory, no effect on others."""
+"""Invalid HTTP input gets a problem document, takes bounded memory and affects no other request."""
 
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -34,7 +34,7 @@
 
 
 def with_node(check: Check) -> None:
-    """Run a check against a node; afterwards others must be served as ever."""
+    """Run a check against a node, then check that the node still serves other requests."""
 
     async def run() -> None:
         async with (
@@ -63,7 +63,7 @@
 async def answer_to(
     url: str, request: bytes, *, half_close: bool = False, until: bytes | None = None
 ) -> bytes:
-    """Send raw bytes and read until the node closes the connection, or ``until`` has come."""
+    """Send raw bytes and read until the node closes the connection or has sent ``until``."""
     answer = b""
     with anyio.fail_after(10):
         async with raw(url) as stream:
@@ -108,7 +108,7 @@
     with_node(check)
 
 
-def test_wrong_content_types_are_refused_where_json_is_meant() -> None:
+def test_content_types_other_than_json_are_rejected_where_json_is_required() -> None:
     async def check(cluster: LocalCluster, client: httpx.AsyncClient, url: str) -> None:
         response = await client.post(f"{url}/v1/completions", data={"model": "model"})
         assert response.status_code == 415
@@ -121,7 +121,7 @@
     with_node(check)
 
 
-def test_oversized_bodies_are_refused_by_their_length_and_while_they_come() -> None:
+def test_oversized_bodies_are_rejected_by_their_length_and_while_they_arrive() -> None:
     async def endless() -> AsyncIterator[bytes]:
         for _ in range(BIG // 50_000):
             yield b"x" * 50_000
@@ -149,7 +149,7 @@
     with_node(check)
 
 
-def test_a_half_closed_connection_gets_its_answer_and_half_a_body_never_runs() -> None:
+def test_half_closed_connection_gets_its_response_and_a_truncated_body_does_not_run() -> None:
     async def check(cluster: LocalCluster, client: httpx.AsyncClient, url: str) -> None:
         head = b"POST /v1/services/board/push HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\n"
         answer = await answer_to(url, head + b"half", half_close=True, until=b'"half"}')
@@ -165,7 +165,7 @@
     metrics = MemoryMetrics()
     guard = RequestGuard(app, metrics, anyio.Event(), BOUNDS)
     bound = bind("127.0.0.1", 0, unread_timeout_ms=5_000)
-    # Small buffers, so that a reader that takes nothing is noticed soon.
+    # Small buffers, so that a client that reads nothing is detected soon.
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     url = f"http://127.0.0.1:{bound.getsockname()[1]}"
     async with anyio.create_task_group() as group:
@@ -199,7 +199,7 @@
     anyio.run(run)
 
 
-def test_a_reader_that_takes_nothing_loses_its_answer_and_frees_its_handler() -> None:
+def test_client_that_reads_nothing_loses_its_response_and_frees_the_handler() -> None:
     ended = anyio.Event()
 
     async def endless(scope, receive, send) -> None:  # type: ignore[no-untyped-def]
@@ -223,7 +223,7 @@
     anyio.run(run)
 
 
-def test_answers_of_a_leaving_node_end_their_connections() -> None:
+def test_responses_of_a_leaving_node_close_their_connections() -> None:
     async def run() -> None:
         leaving = anyio.Event()
         bound = bind("127.0.0.1", 0)
--- a/tests/test_submit_patch.py
+++ b/tests/test_submit_patch.py
@@ -1,4 +1,4 @@
-"""Submissions: races, lost answers, repeats through other VMs, outages, rollbacks."""
+"""Patches under races, lost answers, retries through other VMs and outages; rollbacks."""
 
 import contextlib
 
@@ -15,22 +15,22 @@
 from control_fakes import ControlNode, add, add_zone, base_operations, patch, remove, run
 
 
-def nodes(count: int) -> tuple[MemoryTable, list[ControlNode]]:
+def make_nodes(count: int) -> tuple[MemoryTable, list[ControlNode]]:
     table, objects = MemoryTable(), MemoryObjects()
     return table, [ControlNode(table, objects, seed, SystemClock()) for seed in range(count)]
 
 
-async def accepted(node: ControlNode, request: PatchRequest) -> PatchAccepted:
+async def submit_accepted(node: ControlNode, request: PatchRequest) -> PatchAccepted:
     outcome = await node.submit(request)
     assert isinstance(outcome, PatchAccepted), outcome
     return outcome
 
 
-def test_twenty_operators_racing_lose_nothing() -> None:
+def test_no_patch_of_twenty_racing_operators_is_lost() -> None:
     async def scenario() -> None:
-        table, some = nodes(20)
+        table, racing = make_nodes(20)
         table.delay_s = 0.01
-        numbers: dict[int, str] = {}
+        authors: dict[int, str] = {}
 
         async def operate(node: ControlNode, name: str) -> None:
             for attempt in range(60):
@@ -40,26 +40,26 @@
                     patch(base, add_zone(name), operation_id=f"{name}-{attempt}")
                 )
                 if isinstance(outcome, PatchAccepted):
-                    assert numbers.setdefault(outcome.version, name) == name
+                    assert authors.setdefault(outcome.version, name) == name
                     return
                 assert outcome.reason == "stale"
-            raise AssertionError(f"{name} never got through")
+            raise AssertionError(f"no patch of {name} was accepted")
 
         async with anyio.create_task_group() as group:
-            for number, node in enumerate(some):
+            for number, node in enumerate(racing):
                 group.start_soon(operate, node, f"zone-{number}")
-        assert sorted(numbers) == list(range(1, 21))
-        lines = await some[0].history.list_changes()
+        assert sorted(authors) == list(range(1, 21))
+        lines = await racing[0].history.list_changes()
         assert [line.version for line in lines] == list(range(1, 21))
-        await some[0].keeper.read_table()
-        assert len(some[0].keeper.current.body.zones) == 20
-        for node in some:
+        await racing[0].keeper.read_table()
+        assert len(racing[0].keeper.current.body.zones) == 20
+        for node in racing:
             while node.audit.pending_writes:
                 await node.audit.write_batch()
-        trail = await some[0].history.list_audit_rows()
+        trail = await racing[0].history.list_audit_rows()
         assert sum(row.result == "accepted" for row in trail) == 20
-        refusals = sum(node.metrics.counters["configuration.patch.stale"] for node in some)
-        assert sum(row.result.startswith("refused: stale") for row in trail) == refusals
+        rejections = sum(node.metrics.counters["configuration.patch.stale"] for node in racing)
+        assert sum(row.result.startswith("refused: stale") for row in trail) == rejections
 
     run(scenario)
 
@@ -67,20 +67,20 @@
 @pytest.mark.parametrize(
     "flaw", [CommitFlaw.LOST_APPLIED, CommitFlaw.LOST_DROPPED, CommitFlaw.LOST_LATE]
 )
-def test_a_patch_with_a_lost_answer_is_never_applied_twice(flaw: CommitFlaw) -> None:
+def test_patch_whose_answer_is_lost_is_applied_once(flaw: CommitFlaw) -> None:
     async def scenario() -> None:
-        table, (first, second) = nodes(2)
-        await accepted(first, patch(0, *base_operations(), operation_id="base"))
+        table, (first, second) = make_nodes(2)
+        await submit_accepted(first, patch(0, *base_operations(), operation_id="base"))
         table.flaws.append(flaw)
         request = patch(1, add_zone("new"), operation_id="once")
         try:
             await first.submit(request)
         except OutcomeUnknownError:
             assert flaw is not CommitFlaw.LOST_APPLIED
-        # The operator sends it again through another VM, and the lost write arrives after that.
-        again = await accepted(second, request)
+        # The operator retries through another VM, and the lost write arrives afterwards.
+        again = await submit_accepted(second, request)
         table.deliver_late()
-        third = await accepted(first, request)
+        third = await submit_accepted(first, request)
         assert (again.version, third.version) == (2, 2)
         assert third.repeated
         await second.keeper.read_table()
@@ -92,17 +92,17 @@
 @pytest.mark.parametrize("second_flaw", list(CommitFlaw))
 @pytest.mark.parametrize("first_flaw", list(CommitFlaw))
 @pytest.mark.parametrize("cut", [False, True])
-def test_two_failures_at_once_neither_lose_nor_double_a_patch(
+def test_two_consecutive_failures_neither_lose_nor_repeat_a_patch(
     first_flaw: CommitFlaw, second_flaw: CommitFlaw, cut: bool
 ) -> None:
     async def scenario() -> None:
-        table, (first, second) = nodes(2)
-        await accepted(first, patch(0, *base_operations(), operation_id="base"))
+        table, (first, second) = make_nodes(2)
+        await submit_accepted(first, patch(0, *base_operations(), operation_id="base"))
         table.flaws.extend([first_flaw, second_flaw])
         request = patch(1, add_zone("new"), operation_id="once")
         with contextlib.suppress(PlatformError):
             await first.submit(request)
-        # The first VM dies here; perhaps the table is away while the operator asks another one.
+        # The first VM dies. In one case the table is unavailable when the operator retries.
         table.down = cut
         for _ in range(6):
             try:
@@ -119,10 +119,10 @@
     run(scenario)
 
 
-def test_an_operation_id_used_for_another_patch_is_refused() -> None:
+def test_operation_id_of_another_patch_is_rejected() -> None:
     async def scenario() -> None:
-        _, (node,) = nodes(1)
-        await accepted(node, patch(0, add_zone("a")))
+        _, (node,) = make_nodes(1)
+        await submit_accepted(node, patch(0, add_zone("a")))
         outcome = await node.submit(patch(1, add_zone("b")))
         assert isinstance(outcome, PatchRejected)
         assert "was used" in outcome.faults[0].problem
@@ -130,9 +130,9 @@
     run(scenario)
 
 
-def test_a_refused_attempt_while_the_table_is_down_is_written_later() -> None:
+def test_attempt_during_a_table_outage_is_audited_after_the_outage() -> None:
     async def scenario() -> None:
-        table, (node,) = nodes(1)
+        table, (node,) = make_nodes(1)
         async with anyio.create_task_group() as group:
             group.start_soon(node.audit.run)
             table.down = True
@@ -149,24 +149,24 @@
     run(scenario)
 
 
-def test_a_dry_run_writes_nothing() -> None:
+def test_dry_run_writes_nothing() -> None:
     async def scenario() -> None:
-        table, (node,) = nodes(1)
-        outcome = await accepted(node, patch(0, add_zone("a"), dry_run=True))
+        table, (node,) = make_nodes(1)
+        outcome = await submit_accepted(node, patch(0, add_zone("a"), dry_run=True))
         assert (outcome.version, outcome.dry_run) == (1, True)
-        refused = await node.submit(patch(0, add("/targets/t", {}), dry_run=True))
-        assert isinstance(refused, PatchRejected)
+        rejected = await node.submit(patch(0, add("/targets/t", {}), dry_run=True))
+        assert isinstance(rejected, PatchRejected)
         assert not table.rows
         assert not node.audit.pending_writes
 
     run(scenario)
 
 
-def test_a_rollback_is_a_new_version_with_the_old_contents() -> None:
+def test_rollback_makes_a_new_version_with_the_old_contents() -> None:
     async def scenario() -> None:
-        _, (node,) = nodes(1)
-        await accepted(node, patch(0, *base_operations(), operation_id="1"))
-        await accepted(
+        _, (node,) = make_nodes(1)
+        await submit_accepted(node, patch(0, *base_operations(), operation_id="1"))
+        await submit_accepted(
             node,
             patch(1, remove("/targets/t0"), add("/zones/z/region", "q"), operation_id="2"),
         )
@@ -184,10 +184,10 @@
     run(scenario)
 
 
-def test_a_large_change_goes_to_the_object_store() -> None:
+def test_large_change_is_stored_in_the_object_store() -> None:
     async def scenario() -> None:
-        table, (first, second) = nodes(2)
-        await accepted(first, patch(0, *base_operations(2_000), operation_id="1"))
+        table, (first, second) = make_nodes(2)
+        await submit_accepted(first, patch(0, *base_operations(2_000), operation_id="1"))
         assert max(len(row.value) for row in table.rows.values()) <= 64 * 1024
         await second.keeper.read_table()
         assert second.keeper.current == first.keeper.current
@@ -195,11 +195,11 @@
     run(scenario)
 
 
-def test_a_patch_while_the_object_store_is_down_is_taken_when_it_is_small() -> None:
+def test_only_small_patches_are_accepted_during_an_object_store_outage() -> None:
     async def scenario() -> None:
-        _, (node,) = nodes(1)
+        _, (node,) = make_nodes(1)
         node.objects.down = True
-        await accepted(node, patch(0, *base_operations(), operation_id="1"))
+        await submit_accepted(node, patch(0, *base_operations(), operation_id="1"))
         with pytest.raises(PlatformError):
             await node.submit(patch(1, *base_operations(2_000), operation_id="2"))
 
--- a/tests/test_trainer_api.py
+++ b/tests/test_trainer_api.py
@@ -1,4 +1,4 @@
-"""Bad input of trainers is refused by field; nothing reaches the desk."""
+"""Invalid input of trainers is rejected with the field's name and does not reach the service."""
 
 from typing import Any
 
@@ -12,11 +12,11 @@
 from balsamcleat.api.trainers import TrainerApi
 from balsamcleat.ports import NoBatchYet
 
-GOOD = {"step_id": "s", "prompts": [{"prompt": "p", "size": 2}], "trainer_version": 1}
+VALID_STEP = {"step_id": "s", "prompts": [{"prompt": "p", "size": 2}], "trainer_version": 1}
 
 
-class Desk:
-    """Counts what reaches it."""
+class StubTrainerService:
+    """Stub of the trainer service that counts its calls."""
 
     def __init__(self) -> None:
         self.calls = 0
@@ -32,10 +32,12 @@
         self.calls += 1
 
 
-def ask(monkeypatch: pytest.MonkeyPatch, method: str, path: str, body: object = None) -> Any:
+def send_request(
+    monkeypatch: pytest.MonkeyPatch, method: str, path: str, body: object = None
+) -> Any:
     monkeypatch.setattr(trainers, "require_own_deployment", lambda handler: handler)
-    desk: Any = Desk()
-    app = Starlette(routes=TrainerApi(desk).routes())
+    service: Any = StubTrainerService()
+    app = Starlette(routes=TrainerApi(service).routes())
 
     async def send() -> httpx.Response:
         transport = httpx.ASGITransport(app=app)
@@ -43,7 +45,7 @@
             content = msgspec.json.encode(body)
             return await client.request(method, f"/v1/deployments/d{path}", content=content)
 
-    return anyio.run(send), desk
+    return anyio.run(send), service
 
 
 @pytest.mark.parametrize(
@@ -65,32 +67,36 @@
         ({"max_tokens": "many"}, "max_tokens"),
     ],
 )
-def test_a_bad_step_is_refused_by_field(
+def test_invalid_step_is_rejected_with_the_name_of_the_field(
     monkeypatch: pytest.MonkeyPatch, change: dict[str, object], field: str
 ) -> None:
-    response, desk = ask(monkeypatch, "POST", "/steps", GOOD | change)
+    response, service = send_request(monkeypatch, "POST", "/steps", VALID_STEP | change)
     assert response.status_code == 400
     assert field in response.json()["faults"][0]
-    assert desk.calls == 0
+    assert service.calls == 0
 
 
 @pytest.mark.parametrize(
     "query", ["cursor=x", "cursor=-1", "wait=soon", "wait=nan", "have=xyz", "epoch=-2", "other=1"]
 )
-def test_a_bad_pull_is_refused_by_field(monkeypatch: pytest.MonkeyPatch, query: str) -> None:
-    response, desk = ask(monkeypatch, "GET", f"/steps/s/batches?{query}")
+def test_invalid_pull_is_rejected_with_the_name_of_the_field(
+    monkeypatch: pytest.MonkeyPatch, query: str
+) -> None:
+    response, service = send_request(monkeypatch, "GET", f"/steps/s/batches?{query}")
     assert response.status_code == 400
     assert response.json()["faults"][0].startswith(query.split("=")[0])
-    assert desk.calls == 0
+    assert service.calls == 0
 
 
-def test_a_bad_version_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
-    response, desk = ask(monkeypatch, "POST", "/version", {"weight_version": 0})
-    assert response.status_code == 400 and desk.calls == 0
+def test_invalid_version_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
+    response, service = send_request(monkeypatch, "POST", "/version", {"weight_version": 0})
+    assert response.status_code == 400 and service.calls == 0
 
 
-def test_good_input_reaches_the_desk(monkeypatch: pytest.MonkeyPatch) -> None:
-    response, desk = ask(monkeypatch, "POST", "/steps", GOOD)
-    assert response.status_code == 201 and desk.calls == 1
-    response, desk = ask(monkeypatch, "GET", "/steps/s/batches?cursor=0&wait=0&have=0&epoch=1")
-    assert response.status_code == 204 and desk.calls == 1
+def test_valid_input_reaches_the_service(monkeypatch: pytest.MonkeyPatch) -> None:
+    response, service = send_request(monkeypatch, "POST", "/steps", VALID_STEP)
+    assert response.status_code == 201 and service.calls == 1
+    response, service = send_request(
+        monkeypatch, "GET", "/steps/s/batches?cursor=0&wait=0&have=0&epoch=1"
+    )
+    assert response.status_code == 204 and service.calls == 1
