Rename functions, attributes and a module of adapters/; nothing but renames

http_trainer_desk.py is http_trainer_service.py now. Counters, headers, encoded fields and log events keep their names.

--- a/src/balsamcleat/adapters/frame_parser.py
+++ b/src/balsamcleat/adapters/frame_parser.py
@@ -24,8 +24,8 @@
     """
 
     frames: tuple[TokenFrame, ...]
-    foreign: int
-    ended: bool
+    foreign_count: int
+    has_ended: bool
 
 
 class FrameParser:
@@ -39,7 +39,7 @@
 
     def __init__(self, attempt_id: str) -> None:
         self.attempt_id = attempt_id
-        self.rest = b""
+        self.buffer = b""
 
     def feed(self, chunk: bytes) -> ParsedFrames:
         """Take a chunk of the stream.
@@ -47,26 +47,26 @@
         Raises:
             ProtocolError: An event is malformed or too long.
         """
-        lines = (self.rest + chunk).split(b"\n")
-        self.rest = lines.pop()
-        if len(self.rest) > MAX_EVENT_BYTES:
+        lines = (self.buffer + chunk).split(b"\n")
+        self.buffer = lines.pop()
+        if len(self.buffer) > MAX_EVENT_BYTES:
             raise ProtocolError("an event is too long", step="engine.frame")
         frames: list[TokenFrame] = []
-        foreign = 0
+        foreign_count = 0
         for line in lines:
             if not line.startswith(EVENT_PREFIX):
                 continue
             data = line[len(EVENT_PREFIX) :].rstrip()
             if data == END_OF_STREAM:
-                return ParsedFrames(merged(frames), foreign, True)
-            frame = self.frame(data)
+                return ParsedFrames(merge_adjacent_frames(frames), foreign_count, True)
+            frame = self.decode_frame(data)
             if frame is None:
-                foreign += 1
+                foreign_count += 1
             else:
                 frames.append(frame)
-        return ParsedFrames(merged(frames), foreign, False)
+        return ParsedFrames(merge_adjacent_frames(frames), foreign_count, False)
 
-    def frame(self, data: bytes) -> TokenFrame | None:
+    def decode_frame(self, data: bytes) -> TokenFrame | None:
         """Return the frame in one event, or None when it is another attempt's."""
         try:
             message = FRAME_DECODER.decode(data)
@@ -84,26 +84,26 @@
         )
 
 
-def merged(frames: list[TokenFrame]) -> tuple[TokenFrame, ...]:
+def merge_adjacent_frames(frames: list[TokenFrame]) -> tuple[TokenFrame, ...]:
     """Return the frames with adjoining ones of one weight version made one."""
     if len(frames) < 2:
         return tuple(frames)
     runs: list[list[TokenFrame]] = [[frames[0]]]
     for frame in frames[1:]:
         last = runs[-1][-1]
-        joins = (
+        is_adjacent = (
             frame.offset == last.offset + last.count
             and frame.weight_version == last.weight_version
             and last.finish_reason is None
         )
-        if joins:
+        if is_adjacent:
             runs[-1].append(frame)
         else:
             runs.append([frame])
-    return tuple(joined(run) for run in runs)
+    return tuple(join_frames(run) for run in runs)
 
 
-def joined(run: list[TokenFrame]) -> TokenFrame:
+def join_frames(run: list[TokenFrame]) -> TokenFrame:
     """Return one frame for a run of adjoining ones."""
     if len(run) == 1:
         return run[0]
--- a/src/balsamcleat/adapters/http_client.py
+++ b/src/balsamcleat/adapters/http_client.py
@@ -11,25 +11,25 @@
 
 __all__ = [
     "DEADLINE_HEADER",
-    "REFUSAL_STATUSES",
+    "REJECTION_STATUSES",
     "AttemptTrace",
     "new_client",
-    "refusal",
-    "send_whole",
+    "send_request",
+    "status_failure",
 ]
 
 CONNECT_TIMEOUT_S = 1.0
 # Time left until the caller stops waiting, in seconds; told to targets.
 DEADLINE_HEADER = "x-deadline-s"
 # Set by a target that refuses because it goes away.
-REFUSAL_HEADER = "x-refusal"
-LEAVING_REFUSAL = "leaving"
+REJECTION_HEADER = "x-refusal"
+LEAVING_REJECTION = "leaving"
 MAX_CONNECTIONS = 1000
 MAX_IDLE_CONNECTIONS = 200
 IDLE_EXPIRY_S = 4.0
 
 FIRST_BYTE_EVENT = "http11.send_request_headers.started"
-REFUSAL_STATUSES = (429, 503)
+REJECTION_STATUSES = (429, 503)
 NO_BODY_STATUSES = (204, 304)
 
 
@@ -81,7 +81,7 @@
         if name == FIRST_BYTE_EVENT:
             self.phase = AttemptPhase.PERHAPS_SENT
 
-    def answered(self) -> None:
+    def record_answer(self) -> None:
         """Take note that a whole answer was read."""
         self.phase = AttemptPhase.ANSWERED
 
@@ -94,43 +94,43 @@
             error: What went wrong.
             kind: Its class, if it is not to be told from the error.
         """
-        sent = self.phase is not AttemptPhase.NOT_SENT
+        may_have_left = self.phase is not AttemptPhase.NOT_SENT
         message = error if isinstance(error, str) else f"{type(error).__name__}: {error}"
         return AttemptFailedError(
             message,
             step=self.step,
             peer=self.peer,
-            perhaps_sent=sent,
-            kind=kind or kind_of(error, sent),
+            perhaps_sent=may_have_left,
+            kind=kind or failure_kind(error, may_have_left),
         )
 
 
-def refusal_outcome(response: httpx.Response) -> AttemptOutcome:
+def rejection_outcome(response: httpx.Response) -> AttemptOutcome:
     """Return what a target's refusal before execution says about it."""
-    leaving = response.headers.get(REFUSAL_HEADER) == LEAVING_REFUSAL
+    leaving = response.headers.get(REJECTION_HEADER) == LEAVING_REJECTION
     return AttemptOutcome.LEAVING if leaving else AttemptOutcome.BUSY
 
 
-def kind_of(error: Exception | str, sent: bool) -> FailureKind:
+def failure_kind(error: Exception | str, may_have_left: bool) -> FailureKind:
     """Return the class of a transport's failure."""
-    if not sent:
+    if not may_have_left:
         return FailureKind.UNREACHED
     if isinstance(error, httpx.TimeoutException | TimeoutError):
         return FailureKind.SILENT
     return FailureKind.CUT
 
 
-def refusal(response: httpx.Response, step: str, peer: str) -> AttemptFailedError:
+def status_failure(response: httpx.Response, step: str, peer: str) -> AttemptFailedError:
     """Return the failure that an unwelcome status stands for; 429 and 503 ran nothing."""
-    refused = response.status_code in REFUSAL_STATUSES
+    is_rejection = response.status_code in REJECTION_STATUSES
     return AttemptFailedError(
         f"answered {response.status_code}",
         step=step,
         peer=peer,
-        perhaps_sent=not refused,
-        outcome=refusal_outcome(response) if refused else AttemptOutcome.FAILED,
-        kind=FailureKind.REFUSED if refused else FailureKind.FAULT,
-        retry_after_s=retry_after_s(response) if refused else None,
+        perhaps_sent=not is_rejection,
+        outcome=rejection_outcome(response) if is_rejection else AttemptOutcome.FAILED,
+        kind=FailureKind.REFUSED if is_rejection else FailureKind.FAULT,
+        retry_after_s=retry_after_s(response) if is_rejection else None,
     )
 
 
@@ -142,7 +142,7 @@
         return None
 
 
-def end_is_marked(response: httpx.Response) -> bool:
+def has_explicit_end(response: httpx.Response) -> bool:
     """Return whether the body says where it ends, so that a cut can't look like its end."""
     headers = response.headers
     return (
@@ -153,7 +153,7 @@
     )
 
 
-async def send_whole(
+async def send_request(
     client: httpx.AsyncClient,
     trace: AttemptTrace,
     method: str,
@@ -189,7 +189,7 @@
             )
     except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
         raise trace.failure(error) from error
-    if not end_is_marked(response):
+    if not has_explicit_end(response):
         raise trace.failure("the end of the answer is not marked", FailureKind.CUT)
-    trace.answered()
+    trace.record_answer()
     return response
--- a/src/balsamcleat/adapters/http_engine.py
+++ b/src/balsamcleat/adapters/http_engine.py
@@ -21,8 +21,8 @@
     CONNECT_TIMEOUT_S,
     DEADLINE_HEADER,
     AttemptTrace,
-    refusal,
-    send_whole,
+    send_request,
+    status_failure,
 )
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import (
@@ -90,20 +90,20 @@
                 "POST",
                 f"{self.base_url}/v1/completions",
                 content=body,
-                headers=self.headers(request),
+                headers=self.deadline_headers(request),
                 extensions=trace.extensions,
                 timeout=httpx.Timeout(FRAME_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
             ) as response:
                 if response.status_code != 200:
                     await response.aread()
-                    raise refusal(response, step, self.address)
+                    raise status_failure(response, step, self.address)
                 async for chunk in response.aiter_raw():
                     parsed = parser.feed(chunk)
-                    if parsed.foreign and self.metrics is not None:
-                        self.metrics.count("engine.frame.foreign", parsed.foreign)
+                    if parsed.foreign_count and self.metrics is not None:
+                        self.metrics.count("engine.frame.foreign", parsed.foreign_count)
                     for frame in parsed.frames:
                         yield frame
-                    if parsed.ended:
+                    if parsed.has_ended:
                         return
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             raise trace.failure(error) from error
@@ -111,18 +111,18 @@
             raise trace.failure(error.message, FailureKind.MALFORMED) from error
         raise trace.failure("the stream ended without its end mark", FailureKind.CUT)
 
-    def headers(self, request: GenerationRequest) -> dict[str, str]:
+    def deadline_headers(self, request: GenerationRequest) -> dict[str, str]:
         """Return the headers that tell the engine how much time is left."""
         if request.remaining_s is None:
             return {}
         return {DEADLINE_HEADER: f"{request.remaining_s:.3f}"}
 
-    async def control(
+    async def send_control_request(
         self, step: str, method: str, path: str, reply: type[Message], body: bytes = b""
     ) -> Message:
         """Make one control request and decode its answer."""
         trace = AttemptTrace(step, self.address)
-        response = await send_whole(
+        response = await send_request(
             self.client,
             trace,
             method,
@@ -131,7 +131,7 @@
             timeout_s=CONTROL_TIMEOUT_S,
         )
         if response.status_code != 200:
-            raise refusal(response, step, self.address)
+            raise status_failure(response, step, self.address)
         try:
             return msgspec.json.decode(response.content, type=reply)
         except msgspec.DecodeError as error:
@@ -139,11 +139,13 @@
 
     async def cancel(self, request_id: RequestId) -> None:
         """Stop the generation."""
-        await self.control("engine.cancel", "DELETE", f"/v1/requests/{request_id}", OrderReply)
+        await self.send_control_request(
+            "engine.cancel", "DELETE", f"/v1/requests/{request_id}", OrderReply
+        )
 
     async def load_report(self) -> LoadReport:
         """Return the load report."""
-        message = await self.control("engine.load", "GET", "/v1/load", LoadMessage)
+        message = await self.send_control_request("engine.load", "GET", "/v1/load", LoadMessage)
         return LoadReport(
             message.running,
             message.waiting,
@@ -154,7 +156,7 @@
 
     async def state(self) -> EngineState:
         """Return what is loaded."""
-        message = await self.control("engine.state", "GET", "/v1/state", StateMessage)
+        message = await self.send_control_request("engine.state", "GET", "/v1/state", StateMessage)
         loading = None if message.loading is None else WeightVersion(message.loading)
         return EngineState(
             WeightVersion(message.weight_version),
@@ -167,7 +169,7 @@
 
     async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
         """Return cache events numbered above ``after``."""
-        message = await self.control(
+        message = await self.send_control_request(
             "engine.cache_events", "GET", f"/v1/cache-events?after={after}", CacheEventsMessage
         )
         return tuple(
@@ -179,21 +181,21 @@
     ) -> OrderAccepted | OrderRejected:
         """Order a load."""
         body = msgspec.json.encode(LoadOrderMessage(version, adapters, fence.epoch))
-        return await self.order("engine.order_load", "/v1/orders/load", body)
+        return await self.send_order("engine.order_load", "/v1/orders/load", body)
 
     async def order_role(self, role: Role, fence: Fence) -> OrderAccepted | OrderRejected:
         """Order a change of role."""
         body = msgspec.json.encode(RoleOrderMessage(role, fence.epoch))
-        return await self.order("engine.order_role", "/v1/orders/role", body)
+        return await self.send_order("engine.order_role", "/v1/orders/role", body)
 
-    async def order(self, step: str, path: str, body: bytes) -> OrderAccepted | OrderRejected:
+    async def send_order(self, step: str, path: str, body: bytes) -> OrderAccepted | OrderRejected:
         """Send an order and read whether it was taken."""
-        reply = await self.control(step, "POST", path, OrderReply, body)
+        reply = await self.send_control_request(step, "POST", path, OrderReply, body)
         return OrderAccepted() if reply.accepted else OrderRejected(reply.reason, reply.fence)
 
     async def export_kv(self, request_id: RequestId) -> str | None:
         """Export a generation's KV cache."""
-        message = await self.control(
+        message = await self.send_control_request(
             "engine.export_kv", "POST", f"/v1/requests/{request_id}/kv", KvExportMessage
         )
         return message.handle
--- a/src/balsamcleat/adapters/http_platform.py
+++ b/src/balsamcleat/adapters/http_platform.py
@@ -161,7 +161,7 @@
         response = await self.http.read("table.get", "/rows/" + key)
         if response.status_code == 404:
             return None
-        return to_row(msgspec.json.decode(response.content, type=RowMessage))
+        return decode_row(msgspec.json.decode(response.content, type=RowMessage))
 
     async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> tuple[Row, ...]:
         """Return rows in order of their keys."""
@@ -169,7 +169,7 @@
             "table.scan", "/scan", prefix=prefix, after=after, limit=limit
         )
         rows = msgspec.json.decode(response.content, type=RowsMessage).rows
-        return tuple(to_row(row) for row in rows)
+        return tuple(decode_row(row) for row in rows)
 
     async def commit(self, transaction: Transaction) -> Committed | Conflicted:
         """Commit the transaction."""
@@ -191,7 +191,7 @@
         return Conflicted(reply.conflicts) if reply.conflicts else Committed()
 
 
-def to_row(message: RowMessage) -> Row:
+def decode_row(message: RowMessage) -> Row:
     """Return the row in the message."""
     return Row(message.key, base64.b64decode(message.value), message.version)
 
--- a/src/balsamcleat/adapters/http_problems.py
+++ b/src/balsamcleat/adapters/http_problems.py
@@ -5,7 +5,7 @@
 import msgspec
 from hypercorn.protocol.h11 import H11Protocol
 
-__all__ = ["install"]
+__all__ = ["install_problem_protocol"]
 
 TITLES = {
     400: "the request is not well-formed HTTP",
@@ -32,6 +32,6 @@
         await self._send_h11_event(h11.EndOfMessage())
 
 
-def install() -> None:
+def install_problem_protocol() -> None:
     """Make hypercorn use it; hypercorn has no setting for this, so the class is put in place."""
     vars(hypercorn.protocol)["H11Protocol"] = ProblemProtocol
--- a/src/balsamcleat/adapters/http_server.py
+++ b/src/balsamcleat/adapters/http_server.py
@@ -27,7 +27,7 @@
 # Above this, connections are closed at once, so that their number can't exhaust memory.
 MAX_CONNECTIONS = 8192
 
-http_problems.install()
+http_problems.install_problem_protocol()
 
 
 class BoundSocket(socket.socket):
@@ -47,7 +47,7 @@
         self.connections.add(connection)
         return connection, address
 
-    def cut(self) -> None:
+    def close_connections(self) -> None:
         """Cut every connection; what was not sent yet never is."""
         for connection in list(self.connections):
             with suppress(OSError):
@@ -95,7 +95,7 @@
     config = new_config(tls, drain_timeout_s)
     sockets = Sockets([], [bound], []) if tls is None else Sockets([bound], [], [])
     asyncio.get_running_loop().set_exception_handler(ignore_cancelled_connections)
-    ended = anyio.Event()
+    has_ended = anyio.Event()
 
     async def run() -> None:
         # hypercorn does not end cleanly when cancelled, so it is shielded and told to stop.
@@ -106,14 +106,14 @@
                 sockets=sockets,
                 shutdown_trigger=stop.wait,
             )
-        ended.set()
+        has_ended.set()
 
     async with anyio.create_task_group() as group:
         group.start_soon(run)
         try:
-            await ended.wait()
+            await has_ended.wait()
         except anyio.get_cancelled_exc_class():
-            bound.cut()
+            bound.close_connections()
             config.graceful_timeout = 0.0
             stop.set()
             raise
--- a/src/balsamcleat/adapters/http_service.py
+++ b/src/balsamcleat/adapters/http_service.py
@@ -5,10 +5,10 @@
 
 from balsamcleat.adapters.http_client import (
     DEADLINE_HEADER,
-    REFUSAL_STATUSES,
+    REJECTION_STATUSES,
     AttemptTrace,
-    refusal,
-    send_whole,
+    send_request,
+    status_failure,
 )
 from balsamcleat.model import Answer, CallRequest, FailureKind, Sample
 from balsamcleat.ports import PlainService, Scorer
@@ -40,7 +40,7 @@
         if request.idempotency_key is not None:
             headers["idempotency-key"] = request.idempotency_key
         step = "service.call"
-        response = await send_whole(
+        response = await send_request(
             self.client,
             AttemptTrace(step, self.address),
             request.method,
@@ -49,8 +49,8 @@
             headers=headers,
             timeout_s=timeout_s,
         )
-        if response.status_code in REFUSAL_STATUSES:
-            raise refusal(response, step, self.address)
+        if response.status_code in REJECTION_STATUSES:
+            raise status_failure(response, step, self.address)
         content_type = response.headers.get("content-type", "application/octet-stream")
         return Answer(response.status_code, content_type, response.content)
 
@@ -83,7 +83,7 @@
     async def score(self, prompt: str, sample: Sample, timeout_s: float) -> float:
         """Return the sample's score."""
         trace = AttemptTrace("scorer.score", self.address)
-        response = await send_whole(
+        response = await send_request(
             self.client,
             trace,
             "POST",
@@ -92,7 +92,7 @@
             timeout_s=timeout_s,
         )
         if response.status_code != 200:
-            raise refusal(response, trace.step, self.address)
+            raise status_failure(response, trace.step, self.address)
         try:
             return msgspec.json.decode(response.content, type=ScoreReply).score
         except msgspec.DecodeError as error:
--- a/src/balsamcleat/adapters/http_trainer_desk.py
+++ b/src/balsamcleat/adapters/http_trainer_service.py
@@ -22,7 +22,7 @@
     TrainerService,
 )
 
-__all__ = ["HttpTrainerDesk"]
+__all__ = ["HttpTrainerService"]
 
 RETRY_INTERVAL_S = 0.2
 READ_MARGIN_S = 10.0
@@ -31,7 +31,7 @@
 OUTCOME_STATUSES = (409, 410)
 
 
-class HttpTrainerDesk(TrainerService):
+class HttpTrainerService(TrainerService):
     """Asks one entry VM, the next one when it fails; every request here may be repeated.
 
     Args:
@@ -44,7 +44,7 @@
         self.urls = urls
         self.client = client
         self.headers = {"authorization": f"Bearer {token}"} if token else {}
-        self.turn = 0
+        self.url_index = 0
         self.failovers = 0
 
     async def open_step(self, spec: StepSpec) -> None:
@@ -61,7 +61,7 @@
             deadline_s=spec.deadline_s,
             scorer=spec.scorer,
         )
-        await self.ask("POST", spec.deployment, "/steps", msgspec.json.encode(message))
+        await self.send_request("POST", spec.deployment, "/steps", msgspec.json.encode(message))
 
     async def pull(
         self, deployment: DeploymentName, step_id: StepId, ack: TrainerAck, wait_s: float
@@ -73,7 +73,7 @@
         )
         if ack.have is not None:
             path += f"&have={ack.have:x}"
-        response = await self.ask("GET", deployment, path, wait_s=wait_s)
+        response = await self.send_request("GET", deployment, path, wait_s=wait_s)
         if response.status_code == 204:
             return NoBatchYet()
         if response.status_code == 410:
@@ -85,13 +85,13 @@
     async def report_version(self, deployment: DeploymentName, version: WeightVersion) -> None:
         """Report the trainer's weight version."""
         body = msgspec.json.encode(VersionReport(weight_version=version))
-        await self.ask("POST", deployment, "/version", body)
+        await self.send_request("POST", deployment, "/version", body)
 
     async def cancel(self, deployment: DeploymentName, step_id: StepId) -> None:
         """Cancel the step."""
-        await self.ask("DELETE", deployment, f"/steps/{step_id}")
+        await self.send_request("DELETE", deployment, f"/steps/{step_id}")
 
-    async def ask(
+    async def send_request(
         self,
         method: str,
         deployment: DeploymentName,
@@ -107,7 +107,7 @@
         """
         step = f"trainer.{method.lower()}"
         for _ in range(MAX_TRIES):
-            url = f"{self.urls[self.turn % len(self.urls)]}/v1/deployments/{deployment}{path}"
+            url = f"{self.urls[self.url_index % len(self.urls)]}/v1/deployments/{deployment}{path}"
             try:
                 response = await self.client.request(
                     method,
@@ -122,7 +122,7 @@
                     raise RefusedError(response.text, step=step, peer=url)
             except httpx.HTTPError:
                 pass
-            self.turn += 1
+            self.url_index += 1
             self.failovers += 1
             await anyio.sleep(RETRY_INTERVAL_S)
         raise OutcomeUnknownError("no entry VM answers", step=step, peer=", ".join(self.urls))
--- a/src/balsamcleat/adapters/key_ring.py
+++ b/src/balsamcleat/adapters/key_ring.py
@@ -51,7 +51,7 @@
     def __init__(self, keys: dict[int, bytes], path: Path | None = None) -> None:
         self.keys = keys
         self.path = path
-        self.seen_mtime_ns = 0
+        self.loaded_mtime_ns = 0
 
     @classmethod
     def from_file(cls, path: Path) -> "KeyRing":
@@ -64,7 +64,7 @@
         ring.reload()
         return ring
 
-    def signing(self) -> tuple[int, bytes]:
+    def signing_key(self) -> tuple[int, bytes]:
         """Return id and secret of the key that signs."""
         return next(iter(self.keys.items()))
 
@@ -82,7 +82,7 @@
             return False
         try:
             mtime_ns = self.path.stat().st_mtime_ns
-            if mtime_ns == self.seen_mtime_ns:
+            if mtime_ns == self.loaded_mtime_ns:
                 return False
             document = msgspec.json.decode(self.path.read_bytes(), type=KeyFile)
         except OSError as error:
@@ -94,7 +94,7 @@
         self.keys = {key.key_id: decode_secret(key) for key in document.keys}
         if not self.keys:
             raise InvalidInputError(f"{self.path} holds no key", step="keys.check")
-        self.seen_mtime_ns = mtime_ns
+        self.loaded_mtime_ns = mtime_ns
         return True
 
     async def run(self) -> None:
--- a/src/balsamcleat/adapters/operator_client.py
+++ b/src/balsamcleat/adapters/operator_client.py
@@ -21,7 +21,7 @@
 from balsamcleat.queries.history import AuditFilter, DiffLine, HistoryLine
 from balsamcleat.queries.status import NodeStatus
 
-__all__ = ["OperatorClient", "PatchOrder"]
+__all__ = ["OperatorClient", "PatchSubmission"]
 
 TIMEOUT_S = 15.0
 CONNECT_TIMEOUT_S = 3.0
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PatchOrder:
+class PatchSubmission:
     """A patch to submit.
 
     Attributes:
@@ -104,20 +104,20 @@
         path = f"/v1/configuration/diff?from={old}&to={new}"
         return self.read("configuration.diff", path, tuple[DiffLine, ...])
 
-    def audit(self, wanted: AuditFilter) -> tuple[AuditRow, ...]:
+    def audit(self, audit_filter: AuditFilter) -> tuple[AuditRow, ...]:
         """Return the lines of the audit trail that are asked for, oldest first."""
-        query = str(httpx.QueryParams(msgspec.to_builtins(wanted)))
+        query = str(httpx.QueryParams(msgspec.to_builtins(audit_filter)))
         return self.read("audit.read", f"/v1/audit?{query}", tuple[AuditRow, ...])
 
-    def patch(self, order: PatchOrder) -> PatchReply:
+    def patch(self, order: PatchSubmission) -> PatchReply:
         """Submit a patch and return the number that it became."""
         return self.submit("PATCH", "/v1/configuration", order)
 
-    def roll_back(self, version: int, order: PatchOrder) -> PatchReply:
+    def roll_back(self, version: int, order: PatchSubmission) -> PatchReply:
         """Make an earlier number's contents the next number; the order's patch plays no part."""
         return self.submit("POST", f"/v1/configuration/rollback?to={version}", order)
 
-    def submit(self, method: str, path: str, order: PatchOrder) -> PatchReply:
+    def submit(self, method: str, path: str, order: PatchSubmission) -> PatchReply:
         """Send a change with what it is against, who, why and how."""
         headers = {
             "content-type": "application/json-patch+json",
@@ -129,7 +129,7 @@
             "x-dry-run": "true" if order.dry_run else "false",
         }
         response = self.send("configuration.patch", method, path, order.patch, headers)
-        return decode(response, PatchReply, "configuration.patch", self.url)
+        return decode_response(response, PatchReply, "configuration.patch", self.url)
 
     def drain(self, author: str, reason: str) -> None:
         """Begin the node's graceful shutdown; who and why go into the audit trail."""
@@ -138,7 +138,7 @@
 
     def read(self, step: str, path: str, message: type[Message]) -> Message:
         """Read and decode."""
-        return decode(self.send(step, "GET", path, b"", {}), message, step, self.url)
+        return decode_response(self.send(step, "GET", path, b"", {}), message, step, self.url)
 
     def send(
         self, step: str, method: str, path: str, content: bytes, headers: dict[str, str]
@@ -166,11 +166,13 @@
                 peer=self.url,
             ) from error
         if response.status_code >= 400:
-            raise failure(response, step, self.url)
+            raise operator_error(response, step, self.url)
         return response
 
 
-def decode(response: httpx.Response, message: type[Message], step: str, url: str) -> Message:
+def decode_response(
+    response: httpx.Response, message: type[Message], step: str, url: str
+) -> Message:
     """Return the answer's message."""
     try:
         return msgspec.json.decode(response.content, type=message)
@@ -182,7 +184,7 @@
         ) from error
 
 
-def failure(response: httpx.Response, step: str, url: str) -> Exception:
+def operator_error(response: httpx.Response, step: str, url: str) -> Exception:
     """Return the error that a refusal means for the operator."""
     status = response.status_code
     try:
--- a/src/balsamcleat/adapters/peer_codec.py
+++ b/src/balsamcleat/adapters/peer_codec.py
@@ -58,9 +58,9 @@
     """Fill the envelope's union."""
     match body:
         case Heartbeat():
-            write_cargo(union.init("heartbeat"), body)
+            write_heartbeat(union.init("heartbeat"), body)
         case HeartbeatAck():
-            write_cargo(union.init("heartbeatAck"), body)
+            write_heartbeat(union.init("heartbeatAck"), body)
         case IndirectProbe(probe=probe, probed_vm_id=target):
             indirect = union.init("indirectProbe")
             indirect.probe = probe
@@ -70,12 +70,12 @@
         case SyncReply(members=members):
             write_members(union.init("syncReply", len(members)), members)
         case Notice(kind=kind, payload=payload):
-            write_call(union.init("notice"), kind, payload)
+            write_kind_and_payload(union.init("notice"), kind, payload)
         case _:
-            write_work(union, body)
+            write_request_or_reply(union, body)
 
 
-def write_work(union: Any, body: PeerBody) -> None:
+def write_request_or_reply(union: Any, body: PeerBody) -> None:
     """Fill the envelope's union with a request or its reply."""
     match body:
         case ConfigurationRequest(after=after):
@@ -86,20 +86,20 @@
                 row.version = item.version
                 row.record = item.record
         case ForwardRequest(kind=kind, payload=payload):
-            write_call(union.init("forwardRequest"), kind, payload)
+            write_kind_and_payload(union.init("forwardRequest"), kind, payload)
         case ForwardReply(payload=payload, error=error):
             reply = union.init("forwardReply")
             reply.payload = payload
             reply.error = error
 
 
-def write_call(target: Any, kind: str, payload: bytes) -> None:
+def write_kind_and_payload(target: Any, kind: str, payload: bytes) -> None:
     """Fill a message that names its handler."""
     target.kind = kind
     target.payload = payload
 
 
-def write_cargo(target: Any, body: Heartbeat | HeartbeatAck) -> None:
+def write_heartbeat(target: Any, body: Heartbeat | HeartbeatAck) -> None:
     """Fill what heartbeats and their answers carry."""
     target.probe = body.probe
     target.configuration.version = body.configuration.version
--- a/src/balsamcleat/adapters/peer_seal.py
+++ b/src/balsamcleat/adapters/peer_seal.py
@@ -65,9 +65,9 @@
 
     def seal(self, data: bytes, context: bytes = b"") -> bytes:
         """Return header, code and message."""
-        key_id, secret = self.keys.signing()
+        key_id, secret = self.keys.signing_key()
         header = HEADER.pack(SEAL_FORMAT, key_id, int(self.clock.wall_s() * 1000))
-        return header + self.code(secret, header, context, data) + data
+        return header + self.authentication_code(secret, header, context, data) + data
 
     def open(self, sealed: bytes, context: bytes = b"") -> bytes:
         """Check the code and the time, and return the message."""
@@ -79,13 +79,15 @@
         secret = self.keys.secret(key_id)
         if seal_format != SEAL_FORMAT or secret is None:
             raise ProtocolError(f"key {key_id} is not known", step="peer.open")
-        if not hmac.compare_digest(code, self.code(secret, header, context, data)):
+        if not hmac.compare_digest(code, self.authentication_code(secret, header, context, data)):
             raise ProtocolError("the code does not fit the message", step="peer.open")
         if abs(self.clock.wall_s() - sealed_at_ms / 1000) > MAX_CLOCK_DIFFERENCE_S:
             raise ProtocolError("the message is from another time", step="peer.open")
         return data
 
-    def code(self, secret: bytes, header: bytes, context: bytes, data: bytes) -> bytes:
+    def authentication_code(
+        self, secret: bytes, header: bytes, context: bytes, data: bytes
+    ) -> bytes:
         """Return the authentication code."""
         material = header + struct.pack(">I", len(context)) + context + data
         return hmac.digest(secret, material, hashlib.sha256)[:MAC_BYTES]
@@ -97,7 +99,7 @@
     def __init__(self) -> None:
         self.windows: dict[VmId, tuple[int, int, int]] = {}
 
-    def fresh(self, message: PeerMessage) -> bool:
+    def record_if_new(self, message: PeerMessage) -> bool:
         """Return whether the message is new, and remember it."""
         incarnation, highest, seen = self.windows.get(message.sender, (-1, 0, 0))
         if message.incarnation < incarnation:
--- a/src/balsamcleat/adapters/socket_peers.py
+++ b/src/balsamcleat/adapters/socket_peers.py
@@ -21,7 +21,7 @@
 REQUEST_READ_TIMEOUT_S = 10.0
 
 # What a connection that ends early raises.
-CUT = (
+CONNECTION_ERRORS = (
     OSError,
     TimeoutError,
     anyio.EndOfStream,
@@ -107,22 +107,22 @@
     async def request(self, address: str, message: PeerMessage, timeout_s: float) -> PeerMessage:
         """Send a request on a connection of its own and read the reply."""
         host, port = split_address(address)
-        sent = False
+        may_have_left = False
         try:
             with anyio.fail_after(timeout_s):
                 async with await anyio.connect_tcp(host, port) as stream:
-                    sent = True
+                    may_have_left = True
                     sealed = self.seal.seal(peer_codec.encode(message))
                     await send_framed(stream, sealed)
                     # The reply is sealed for this request, so that an old one can't pass for it.
-                    reply = self.seal.open(await receive_framed(stream), binding(sealed))
+                    reply = self.seal.open(await receive_framed(stream), request_digest(sealed))
                     return peer_codec.decode(reply)
-        except CUT as error:
+        except CONNECTION_ERRORS as error:
             raise AttemptFailedError(
                 f"{type(error).__name__}: {error}",
                 step="peer.request",
                 peer=address,
-                perhaps_sent=sent,
+                perhaps_sent=may_have_left,
             ) from error
         except ProtocolError as error:
             raise AttemptFailedError(
@@ -150,7 +150,7 @@
             except ProtocolError:
                 self.metrics.count("peer.datagram.refused")
                 continue
-            if not self.replays.fresh(message):
+            if not self.replays.record_if_new(message):
                 self.metrics.count("peer.datagram.replayed")
                 continue
             await on_datagram(message, f"{host}:{port}")
@@ -161,18 +161,20 @@
             with anyio.fail_after(REQUEST_READ_TIMEOUT_S):
                 sealed = await receive_framed(stream)
             message = peer_codec.decode(self.seal.open(sealed))
-            if not self.replays.fresh(message):
+            if not self.replays.record_if_new(message):
                 self.metrics.count("peer.request.replayed")
                 return
             reply = await on_request(message)
-            await send_framed(stream, self.seal.seal(peer_codec.encode(reply), binding(sealed)))
+            await send_framed(
+                stream, self.seal.seal(peer_codec.encode(reply), request_digest(sealed))
+            )
         except ProtocolError:
             self.metrics.count("peer.request.refused")
-        except CUT:
+        except CONNECTION_ERRORS:
             self.metrics.count("peer.request.cut")
 
 
-def binding(sealed: bytes) -> bytes:
+def request_digest(sealed: bytes) -> bytes:
     """Return what ties a reply to the sealed request."""
     return hashlib.sha256(sealed).digest()
 
--- a/src/balsamcleat/adapters/text_metrics.py
+++ b/src/balsamcleat/adapters/text_metrics.py
@@ -13,7 +13,7 @@
 NOT_IN_NAMES = re.compile(r"[^a-zA-Z0-9_]+")
 # Latencies are kept in tenths of a millisecond, from one of them to two minutes.
 UNITS_PER_MS = 10
-LONGEST_UNITS = 2 * 60 * 1000 * UNITS_PER_MS
+MAX_UNITS = 2 * 60 * 1000 * UNITS_PER_MS
 SIGNIFICANT_FIGURES = 2
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 # Names come from routes and events, which are few; beyond this they are counted together.
@@ -47,9 +47,9 @@
         if histogram is None:
             if len(self.timings) >= MAX_NAMES:
                 return
-            histogram = HdrHistogram(1, LONGEST_UNITS, SIGNIFICANT_FIGURES)
+            histogram = HdrHistogram(1, MAX_UNITS, SIGNIFICANT_FIGURES)
             self.timings[name] = histogram
-        units = min(LONGEST_UNITS, max(1, int(milliseconds * UNITS_PER_MS)))
+        units = min(MAX_UNITS, max(1, int(milliseconds * UNITS_PER_MS)))
         histogram.record_value(units)
         self.sums[name] += units
 
@@ -63,10 +63,10 @@
             metric = metric_name(name)
             lines += [f"# TYPE {metric} gauge", f"{metric} {reading:g}"]
         for name, histogram in sorted(self.timings.items()):
-            lines += self.summary(name, histogram)
+            lines += self.summary_lines(name, histogram)
         return ("\n".join(lines) + "\n").encode()
 
-    def summary(self, name: str, histogram: HdrHistogram) -> list[str]:
+    def summary_lines(self, name: str, histogram: HdrHistogram) -> list[str]:
         """Return the lines of one latency."""
         metric = metric_name(name) + "_seconds"
         per_second = 1000.0 * UNITS_PER_MS
--- a/src/balsamcleat/adapters/tls.py
+++ b/src/balsamcleat/adapters/tls.py
@@ -31,7 +31,7 @@
     key: Path
     client_ca: Path | None = None
 
-    def stamp(self) -> tuple[int, int]:
+    def modification_times(self) -> tuple[int, int]:
         """Return when the files were written last."""
         return self.certificate.stat().st_mtime_ns, self.key.stat().st_mtime_ns
 
@@ -54,7 +54,7 @@
         if files.client_ca is not None:
             self.context.load_verify_locations(files.client_ca)
             self.context.verify_mode = ssl.CERT_REQUIRED
-        self.loaded: tuple[int, int] = (0, 0)
+        self.loaded_times: tuple[int, int] = (0, 0)
         self.reload()
 
     def reload(self) -> bool:
@@ -64,8 +64,8 @@
             InvalidInputError: They can't be used; the old ones stay.
         """
         try:
-            stamp = self.files.stamp()
-            if stamp == self.loaded:
+            stamp = self.files.modification_times()
+            if stamp == self.loaded_times:
                 return False
             # A scratch context first: a key that does not fit must not reach the one in use.
             ssl.create_default_context().load_cert_chain(self.files.certificate, self.files.key)
@@ -74,7 +74,7 @@
             raise InvalidInputError(
                 f"can't use certificate {self.files.certificate}: {error}", step="tls.load"
             ) from error
-        self.loaded = stamp
+        self.loaded_times = stamp
         return True
 
     async def run(self) -> None:
--- a/src/balsamcleat/cli_operators.py
+++ b/src/balsamcleat/cli_operators.py
@@ -9,7 +9,7 @@
 import msgspec
 from cyclopts import App, Parameter
 
-from balsamcleat.adapters.operator_client import OperatorClient, PatchOrder
+from balsamcleat.adapters.operator_client import OperatorClient, PatchSubmission
 from balsamcleat.api.operator_messages import PatchReply
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.printing import layout, wall_time
@@ -118,7 +118,7 @@
         operation_id: Names the submission, so that sending it again is safe.
         node: Which node to ask, and as whom.
     """
-    order = PatchOrder(
+    order = PatchSubmission(
         base_version=base,
         patch=patch_document(file, sets, remove),
         author=author or getpass.getuser(),
@@ -167,7 +167,7 @@
         node: Which node to ask, and as whom.
     """
     who = author or getpass.getuser()
-    order = PatchOrder(base, b"[]", who, reason, force, dry_run, operation_id)
+    order = PatchSubmission(base, b"[]", who, reason, force, dry_run, operation_id)
     with node.client() as client:
         show_reply(client.roll_back(to, order), node)
 
@@ -340,7 +340,7 @@
             )
         name = target.replace("~", "~0").replace("/", "~1")
         document = patch_document(None, (f"/targets/{name}/draining=true",), ())
-        order = PatchOrder(current.version, document, getpass.getuser(), reason, force)
+        order = PatchSubmission(current.version, document, getpass.getuser(), reason, force)
         reply = client.patch(order)
     print(f"{target} drains by configuration {reply.version}")
 
--- a/src/balsamcleat/standins/trainer.py
+++ b/src/balsamcleat/standins/trainer.py
@@ -5,7 +5,7 @@
 import anyio
 import httpx
 
-from balsamcleat.adapters.http_trainer_desk import HttpTrainerDesk
+from balsamcleat.adapters.http_trainer_service import HttpTrainerService
 from balsamcleat.model import (
     Batch,
     DeploymentName,
@@ -88,10 +88,10 @@
     staleness_bound: int = 1
     max_tokens: int = 256
     train_s: float = 0.0
-    desk: HttpTrainerDesk = field(init=False)
+    desk: HttpTrainerService = field(init=False)
 
     def __post_init__(self) -> None:
-        self.desk = HttpTrainerDesk(self.urls, self.client, self.token)
+        self.desk = HttpTrainerService(self.urls, self.client, self.token)
 
     def spec(self, step_id: str, prompts: list[str], size: int) -> StepSpec:
         """Return the step to open."""
--- a/tests/test_operator_client.py
+++ b/tests/test_operator_client.py
@@ -4,7 +4,7 @@
 import anyio.to_thread
 import pytest
 
-from balsamcleat.adapters.operator_client import OperatorClient, PatchOrder
+from balsamcleat.adapters.operator_client import OperatorClient, PatchSubmission
 from balsamcleat.cli_operators import NodeOptions, audit, diff, drain, history, show, status
 from balsamcleat.errors import InvalidInputError, PlatformUnavailableError, RefusedError
 from balsamcleat.queries.history import AuditFilter
@@ -22,9 +22,9 @@
 )
 
 
-def order(base: int, path: str, value: str, *, dry_run: bool = False) -> PatchOrder:
+def order(base: int, path: str, value: str, *, dry_run: bool = False) -> PatchSubmission:
     patch = f'[{{"op":"add","path":"{path}","value":{value}}}]'.encode()
-    return PatchOrder(base, patch, "ann", "because", dry_run=dry_run)
+    return PatchSubmission(base, patch, "ann", "because", dry_run=dry_run)
 
 
 def use_client(url: str) -> None:
--- a/tests/test_peer_security.py
+++ b/tests/test_peer_security.py
@@ -106,13 +106,13 @@
     key = {"key_id": 1, "secret": base64.b64encode(OLD).decode()}
     path.write_text(json.dumps({"keys": [key]}))
     ring = KeyRing.from_file(path)
-    assert ring.signing() == (1, OLD)
+    assert ring.signing_key() == (1, OLD)
     path.write_text(json.dumps({"keys": [{"key_id": 2, "secret": "c2hvcnQ="}]}))
     os.utime(path, ns=(1, 1))
     with pytest.raises(InvalidInputError) as caught:
         ring.reload()
     assert "c2hvcnQ" not in str(caught.value)
-    assert ring.signing() == (1, OLD)
+    assert ring.signing_key() == (1, OLD)
 
 
 def message(sequence: int, incarnation: int = 1) -> PeerMessage:
@@ -122,12 +122,12 @@
 def test_a_replayed_message_is_refused_in_any_order() -> None:
     guard = ReplayGuard()
     for sequence in (5, 3, 4, 9, 8):
-        assert guard.fresh(message(sequence))
-        assert not guard.fresh(message(sequence))
-    assert guard.fresh(message(9 + 1024))
-    assert not guard.fresh(message(7))
-    assert guard.fresh(message(1, incarnation=2))
-    assert not guard.fresh(message(2000, incarnation=1))
+        assert guard.record_if_new(message(sequence))
+        assert not guard.record_if_new(message(sequence))
+    assert guard.record_if_new(message(9 + 1024))
+    assert not guard.record_if_new(message(7))
+    assert guard.record_if_new(message(1, incarnation=2))
+    assert not guard.record_if_new(message(2000, incarnation=1))
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
