--- a/src/balsamcleat/adapters/__init__.py
+++ b/src/balsamcleat/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Implementations of the ports: HTTP, peer sockets, statsd and the machine itself."""
+"""Implementations of the ports: HTTP, peer sockets, metrics, clock and randomness."""
--- a/src/balsamcleat/adapters/engine_dialect.py
+++ b/src/balsamcleat/adapters/engine_dialect.py
@@ -1,4 +1,4 @@
-"""The messages of the engines' HTTP protocol: OpenAI-style completions and orders."""
+"""Messages of the engines' HTTP protocol: OpenAI-style completions, reports and orders."""
 
 import msgspec
 import xxhash
@@ -22,12 +22,12 @@
 ]
 
 BLOCK_CHARACTERS = 64
-# The version that an engine names while a load that failed partway has left its weights mixed.
+# Version that an engine reports after a failed load left it with weights of two versions.
 MIXED_WEIGHTS = 0
 
 
 class CompletionMessage(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """The body of ``POST /v1/completions``."""
+    """Body of ``POST /v1/completions``."""
 
     model: str
     prompt: str
@@ -44,7 +44,7 @@
 
 
 class ChoiceMessage(msgspec.Struct, frozen=True):
-    """The text of a frame."""
+    """Text of a frame."""
 
     text: str
     index: int = 0
@@ -52,7 +52,7 @@
 
 
 class CompletionFrame(msgspec.Struct, frozen=True):
-    """One server-sent event: a run of tokens made by one weight version."""
+    """Server-sent event with consecutive tokens that one weight version generated."""
 
     id: str
     choices: tuple[ChoiceMessage, ...]
@@ -62,7 +62,7 @@
 
 
 class LoadMessage(msgspec.Struct, frozen=True):
-    """The answer to ``GET /v1/load``."""
+    """Response to ``GET /v1/load``."""
 
     running: int
     waiting: int
@@ -72,7 +72,7 @@
 
 
 class StateMessage(msgspec.Struct, frozen=True):
-    """The answer to ``GET /v1/state``."""
+    """Response to ``GET /v1/state``."""
 
     weight_version: int
     loading: int | None
@@ -83,7 +83,7 @@
 
 
 class CacheEventMessage(msgspec.Struct, frozen=True):
-    """One cache event."""
+    """Addition or removal of a block in an engine's cache."""
 
     number: int
     block: int
@@ -91,13 +91,13 @@
 
 
 class CacheEventsMessage(msgspec.Struct, frozen=True):
-    """The answer to ``GET /v1/cache-events``."""
+    """Response to ``GET /v1/cache-events``."""
 
     events: tuple[CacheEventMessage, ...]
 
 
 class LoadOrderMessage(msgspec.Struct, frozen=True):
-    """The body of ``POST /v1/orders/load``."""
+    """Body of ``POST /v1/orders/load``."""
 
     weight_version: int
     adapters: tuple[str, ...]
@@ -105,14 +105,14 @@
 
 
 class RoleOrderMessage(msgspec.Struct, frozen=True):
-    """The body of ``POST /v1/orders/role``."""
+    """Body of ``POST /v1/orders/role``."""
 
     role: Role
     fence: int
 
 
 class OrderReply(msgspec.Struct, frozen=True):
-    """The answer to an order."""
+    """Response to an order."""
 
     accepted: bool
     reason: str = ""
@@ -120,19 +120,19 @@
 
 
 class KvExportMessage(msgspec.Struct, frozen=True):
-    """The answer to ``POST /v1/requests/ID/kv``."""
+    """Response to ``POST /v1/requests/ID/kv``."""
 
     handle: str | None
 
 
 def prefix_blocks(prompt: str) -> tuple[int, ...]:
-    """Return the digests of a prompt's leading blocks, as cache events name them, longest last.
+    """Return the digests of the prefixes of a prompt, as cache events have them, longest last.
 
-    Each digest covers the prompt from its start to the end of its block, so equal digests mean
-    equal prefixes. A last block that is not full has none, as engines cache only full blocks.
+    Each digest covers the prompt from its start to the end of a block, so equal digests mean
+    equal prefixes. An incomplete last block has no digest, as engines cache only full blocks.
 
     Args:
-        prompt: The prompt's text.
+        prompt: Text of the prompt.
     """
     digest = xxhash.xxh64()
     blocks: list[int] = []
--- a/src/balsamcleat/adapters/frame_parser.py
+++ b/src/balsamcleat/adapters/frame_parser.py
@@ -1,4 +1,4 @@
-"""Take token frames out of an engine's event stream, a chunk at a time."""
+"""Incremental parser of the token frames in an engine's event stream."""
 
 import msgspec
 
@@ -15,12 +15,12 @@
 
 
 class ParsedFrames(msgspec.Struct, frozen=True):
-    """What one chunk held.
+    """Frames in a chunk of the stream.
 
     Attributes:
-        frames: The frames, adjoining ones of one weight version merged.
-        foreign: Frames that belong to another attempt; they are dropped.
-        ended: Whether the end of the stream was marked.
+        frames: Frames of the attempt; adjacent frames of one weight version are merged.
+        foreign_count: Number of dropped frames, which belong to another attempt.
+        has_ended: Whether the chunk contains the end mark of the stream.
     """
 
     frames: tuple[TokenFrame, ...]
@@ -29,12 +29,13 @@
 
 
 class FrameParser:
-    """Splits the stream into events and merges the frames that came together.
+    """Splits the stream into events and merges the frames of a chunk.
 
-    Merging keeps the work per chunk rather than per token: a slow node gets larger frames.
+    After merging, the cost depends on the number of chunks rather than of tokens: a slow VM
+    receives larger frames.
 
     Args:
-        attempt_id: The id that the frames of this attempt carry.
+        attempt_id: Id that the frames of this attempt carry.
     """
 
     def __init__(self, attempt_id: str) -> None:
@@ -42,7 +43,7 @@
         self.buffer = b""
 
     def feed(self, chunk: bytes) -> ParsedFrames:
-        """Take a chunk of the stream.
+        """Return the frames that a chunk of the stream completes.
 
         Raises:
             ProtocolError: An event is malformed or too long.
@@ -67,7 +68,7 @@
         return ParsedFrames(merge_adjacent_frames(frames), foreign_count, False)
 
     def decode_frame(self, data: bytes) -> TokenFrame | None:
-        """Return the frame in one event, or None when it is another attempt's."""
+        """Return the frame in an event, or None if it belongs to another attempt."""
         try:
             message = FRAME_DECODER.decode(data)
             choice = message.choices[0]
@@ -85,7 +86,7 @@
 
 
 def merge_adjacent_frames(frames: list[TokenFrame]) -> tuple[TokenFrame, ...]:
-    """Return the frames with adjoining ones of one weight version made one."""
+    """Return the frames, with adjacent frames of one weight version merged."""
     if len(frames) < 2:
         return tuple(frames)
     runs: list[list[TokenFrame]] = [[frames[0]]]
@@ -104,7 +105,7 @@
 
 
 def join_frames(run: list[TokenFrame]) -> TokenFrame:
-    """Return one frame for a run of adjoining ones."""
+    """Return one frame in place of adjacent frames."""
     if len(run) == 1:
         return run[0]
     return TokenFrame(
--- a/src/balsamcleat/adapters/http_client.py
+++ b/src/balsamcleat/adapters/http_client.py
@@ -1,4 +1,4 @@
-"""One way of making HTTP attempts that keeps track of whether a request may have left."""
+"""HTTP attempts that record whether the request may have been sent."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -19,9 +19,9 @@
 ]
 
 CONNECT_TIMEOUT_S = 1.0
-# Time left until the caller stops waiting, in seconds; told to targets.
+# Header with the remaining time of the caller, in seconds.
 DEADLINE_HEADER = "x-deadline-s"
-# Set by a target that refuses because it goes away.
+# Header with the reason of a rejection; a leaving target sets it.
 REJECTION_HEADER = "x-refusal"
 LEAVING_REJECTION = "leaving"
 MAX_CONNECTIONS = 1000
@@ -34,12 +34,12 @@
 
 
 def new_client(*, reuse: bool = True) -> httpx.AsyncClient:
-    """Return a client that never retries, follows no redirect and reads no environment.
+    """Return a client that never retries, follows no redirects and ignores the environment.
 
-    Idle connections are dropped before the usual five seconds at which servers close them.
+    Idle connections are closed earlier than servers do, which is usually after five seconds.
 
     Args:
-        reuse: Whether connections are kept for later requests.
+        reuse: Whether connections are reused for later requests.
     """
     limits = httpx.Limits(
         max_connections=MAX_CONNECTIONS,
@@ -56,14 +56,14 @@
 
 
 class AttemptTrace:
-    """The phase of one attempt, told by the transport itself.
+    """Phase of an attempt, as reported by the transport.
 
-    The transport reports when it is about to write the request's first byte. Exception classes
-    can't tell: the same one is raised before and after that moment.
+    The transport reports that it is about to write the first byte of the request. The class of an
+    exception doesn't show the phase: the same one is raised before and after that moment.
 
     Args:
-        step: The step of the attempt.
-        peer: The target.
+        step: Step of the work that the attempt belongs to, for errors.
+        peer: Address of the target, for errors.
     """
 
     def __init__(self, step: str, peer: str) -> None:
@@ -73,26 +73,26 @@
 
     @property
     def extensions(self) -> dict[str, Any]:
-        """The request extensions that make the transport report to this trace."""
+        """Request extensions by which the transport reports its events to this trace."""
         return {"trace": self.on_event}
 
     async def on_event(self, name: str, info: Mapping[str, object]) -> None:
-        """Take note of a transport event."""
+        """Record an event of the transport."""
         if name == FIRST_BYTE_EVENT:
             self.phase = AttemptPhase.PERHAPS_SENT
 
     def record_answer(self) -> None:
-        """Take note that a whole answer was read."""
+        """Record that the complete response was read."""
         self.phase = AttemptPhase.ANSWERED
 
     def failure(
         self, error: Exception | str, kind: FailureKind | None = None
     ) -> AttemptFailedError:
-        """Return the attempt's failure.
+        """Return the failure of the attempt.
 
         Args:
-            error: What went wrong.
-            kind: Its class, if it is not to be told from the error.
+            error: Exception or message that describes the failure.
+            kind: Kind of the failure; derived from ``error`` if it is None.
         """
         may_have_left = self.phase is not AttemptPhase.NOT_SENT
         message = error if isinstance(error, str) else f"{type(error).__name__}: {error}"
@@ -106,13 +106,13 @@
 
 
 def rejection_outcome(response: httpx.Response) -> AttemptOutcome:
-    """Return what a target's refusal before execution says about it."""
+    """Return what a rejection says about the state of its target."""
     leaving = response.headers.get(REJECTION_HEADER) == LEAVING_REJECTION
     return AttemptOutcome.LEAVING if leaving else AttemptOutcome.BUSY
 
 
 def failure_kind(error: Exception | str, may_have_left: bool) -> FailureKind:
-    """Return the class of a transport's failure."""
+    """Return the kind of a failure of the transport."""
     if not may_have_left:
         return FailureKind.UNREACHED
     if isinstance(error, httpx.TimeoutException | TimeoutError):
@@ -121,7 +121,7 @@
 
 
 def status_failure(response: httpx.Response, step: str, peer: str) -> AttemptFailedError:
-    """Return the failure that an unwelcome status stands for; 429 and 503 ran nothing."""
+    """Return the failure for an error status; after 429 and 503 the request has not run."""
     is_rejection = response.status_code in REJECTION_STATUSES
     return AttemptFailedError(
         f"answered {response.status_code}",
@@ -135,7 +135,7 @@
 
 
 def retry_after_s(response: httpx.Response) -> float | None:
-    """Return the seconds in the ``Retry-After`` header; dates are not understood."""
+    """Return the delay in the ``Retry-After`` header, in seconds; None for a date."""
     try:
         return max(0.0, float(response.headers["retry-after"]))
     except (KeyError, ValueError):
@@ -143,7 +143,7 @@
 
 
 def has_explicit_end(response: httpx.Response) -> bool:
-    """Return whether the body says where it ends, so that a cut can't look like its end."""
+    """Return whether the body has an explicit end, so that a cut can't look like the end."""
     headers = response.headers
     return (
         "content-length" in headers
@@ -163,19 +163,19 @@
     content: bytes = b"",
     headers: Mapping[str, str] | None = None,
 ) -> httpx.Response:
-    """Send a request once and return its whole answer.
+    """Send a request once and return its complete response.
 
     Args:
-        client: The HTTP client.
-        trace: Keeps the attempt's phase.
-        method: The HTTP method.
-        url: The URL.
-        timeout_s: Bounds the attempt from connecting to the last byte, in seconds.
-        content: The body.
-        headers: Further headers.
+        client: HTTP client.
+        trace: Records the phase of the attempt.
+        method: HTTP method.
+        url: URL of the request.
+        timeout_s: Timeout from connecting to the last byte of the response, in seconds.
+        content: Body of the request.
+        headers: Additional headers.
 
     Raises:
-        AttemptFailedError: No whole answer came.
+        AttemptFailedError: No complete response was received.
     """
     try:
         with anyio.fail_after(timeout_s):
--- a/src/balsamcleat/adapters/http_engine.py
+++ b/src/balsamcleat/adapters/http_engine.py
@@ -1,4 +1,4 @@
-"""A model engine over HTTP."""
+"""Client of a model engine over HTTP."""
 
 from collections.abc import AsyncGenerator
 from typing import TypeVar
@@ -41,19 +41,19 @@
 __all__ = ["HttpEngine"]
 
 CONTROL_TIMEOUT_S = 2.0
-# Longest silence inside a stream before it is given up.
+# Timeout for the next data of a stream.
 FRAME_TIMEOUT_S = 30.0
 
 Message = TypeVar("Message")
 
 
 class HttpEngine(Engine):
-    """Talks to one engine.
+    """Client of one engine.
 
     Args:
-        client: The HTTP client.
-        address: The engine's host and port.
-        metrics: Where counts go; None for nowhere.
+        client: HTTP client.
+        address: Host and port of the engine.
+        metrics: Receiver of counters, if any.
     """
 
     def __init__(
@@ -65,7 +65,7 @@
         self.base_url = f"http://{address}"
 
     async def generate(self, request: GenerationRequest) -> AsyncGenerator[TokenFrame, None]:
-        """Stream the generation's frames."""
+        """Yield the frames of a generation."""
         step = "engine.generate"
         body = msgspec.json.encode(
             CompletionMessage(
@@ -112,7 +112,7 @@
         raise trace.failure("the stream ended without its end mark", FailureKind.CUT)
 
     def deadline_headers(self, request: GenerationRequest) -> dict[str, str]:
-        """Return the headers that tell the engine how much time is left."""
+        """Return the header with the remaining time, if the request has a deadline."""
         if request.remaining_s is None:
             return {}
         return {DEADLINE_HEADER: f"{request.remaining_s:.3f}"}
@@ -120,7 +120,7 @@
     async def send_control_request(
         self, step: str, method: str, path: str, reply: type[Message], body: bytes = b""
     ) -> Message:
-        """Make one control request and decode its answer."""
+        """Send a control request and return its decoded response."""
         trace = AttemptTrace(step, self.address)
         response = await send_request(
             self.client,
@@ -138,13 +138,13 @@
             raise trace.failure(error, FailureKind.MALFORMED) from error
 
     async def cancel(self, request_id: RequestId) -> None:
-        """Stop the generation."""
+        """Cancel a generation."""
         await self.send_control_request(
             "engine.cancel", "DELETE", f"/v1/requests/{request_id}", OrderReply
         )
 
     async def load_report(self) -> LoadReport:
-        """Return the load report."""
+        """Return the engine's report of its load."""
         message = await self.send_control_request("engine.load", "GET", "/v1/load", LoadMessage)
         return LoadReport(
             message.running,
@@ -155,7 +155,7 @@
         )
 
     async def state(self) -> EngineState:
-        """Return what is loaded."""
+        """Return the weights, adapters and role of the engine."""
         message = await self.send_control_request("engine.state", "GET", "/v1/state", StateMessage)
         loading = None if message.loading is None else WeightVersion(message.loading)
         return EngineState(
@@ -168,7 +168,7 @@
         )
 
     async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
-        """Return cache events numbered above ``after``."""
+        """Return the cache events with numbers above ``after``."""
         message = await self.send_control_request(
             "engine.cache_events", "GET", f"/v1/cache-events?after={after}", CacheEventsMessage
         )
@@ -179,22 +179,22 @@
     async def order_load(
         self, version: WeightVersion, adapters: tuple[str, ...], fence: Fence
     ) -> OrderAccepted | OrderRejected:
-        """Order a load."""
+        """Order the engine to load a weight version."""
         body = msgspec.json.encode(LoadOrderMessage(version, adapters, fence.epoch))
         return await self.send_order("engine.order_load", "/v1/orders/load", body)
 
     async def order_role(self, role: Role, fence: Fence) -> OrderAccepted | OrderRejected:
-        """Order a change of role."""
+        """Order the engine to change its role."""
         body = msgspec.json.encode(RoleOrderMessage(role, fence.epoch))
         return await self.send_order("engine.order_role", "/v1/orders/role", body)
 
     async def send_order(self, step: str, path: str, body: bytes) -> OrderAccepted | OrderRejected:
-        """Send an order and read whether it was taken."""
+        """Send an order and return whether the engine accepted it."""
         reply = await self.send_control_request(step, "POST", path, OrderReply, body)
         return OrderAccepted() if reply.accepted else OrderRejected(reply.reason, reply.fence)
 
     async def export_kv(self, request_id: RequestId) -> str | None:
-        """Export a generation's KV cache."""
+        """Export the KV cache of a generation; return its handle, or None."""
         message = await self.send_control_request(
             "engine.export_kv", "POST", f"/v1/requests/{request_id}/kv", KvExportMessage
         )
--- a/src/balsamcleat/adapters/http_platform.py
+++ b/src/balsamcleat/adapters/http_platform.py
@@ -1,4 +1,4 @@
-"""The platform's services over HTTP: table, objects, VM list and weight store."""
+"""Clients of the platform's services over HTTP: table, objects, VM list and weight store."""
 
 import base64
 
@@ -26,7 +26,7 @@
 
 
 class RowMessage(msgspec.Struct, frozen=True):
-    """A row as the table service sends it; values are base64."""
+    """Row of the table service; the value is encoded in base64."""
 
     key: str
     value: str
@@ -34,13 +34,13 @@
 
 
 class RowsMessage(msgspec.Struct, frozen=True):
-    """The answer to a scan."""
+    """Response to a scan."""
 
     rows: tuple[RowMessage, ...]
 
 
 class WriteMessage(msgspec.Struct, frozen=True):
-    """A write as the table service takes it."""
+    """Write of a transaction of the table service."""
 
     key: str
     value: str | None
@@ -48,20 +48,20 @@
 
 
 class CommitMessage(msgspec.Struct, frozen=True):
-    """A transaction as the table service takes it."""
+    """Transaction of the table service."""
 
     operation_id: str
     writes: tuple[WriteMessage, ...]
 
 
 class CommitReply(msgspec.Struct, frozen=True):
-    """The answer to a commit; ``conflicts`` is empty when it took effect."""
+    """Response to a commit; ``conflicts`` is empty if the commit took effect."""
 
     conflicts: tuple[str, ...] = ()
 
 
 class VmMessage(msgspec.Struct, frozen=True):
-    """A line of the VM list."""
+    """Entry of the VM list."""
 
     vm_id: str
     kind: VmKind
@@ -73,13 +73,13 @@
 
 
 class VmsMessage(msgspec.Struct, frozen=True):
-    """The VM list."""
+    """Response with the VM list."""
 
     vms: tuple[VmMessage, ...]
 
 
 class WeightMessage(msgspec.Struct, frozen=True):
-    """A weight version of the weight store."""
+    """Weight version in the weight store."""
 
     service: str
     version: int
@@ -87,17 +87,17 @@
 
 
 class LimitMessage(msgspec.Struct, frozen=True):
-    """The weight store's limit of concurrent fetches."""
+    """Limit of concurrent fetches from the weight store."""
 
     concurrent_fetches: int
 
 
 class PlatformHttp:
-    """Requests to one platform service, with its failures classified.
+    """Sends requests to one platform service and classifies their failures.
 
     Args:
-        client: The HTTP client.
-        base_url: The service's base URL.
+        client: HTTP client.
+        base_url: Base URL of the service.
     """
 
     def __init__(self, client: httpx.AsyncClient, base_url: str) -> None:
@@ -105,7 +105,7 @@
         self.base_url = base_url.rstrip("/")
 
     async def read(self, step: str, path: str, **params: str | int) -> httpx.Response:
-        """Send a GET; reads have no effect, so any failure means unavailable."""
+        """Send a GET request; any failure means unavailable, because reads have no effect."""
         try:
             response = await self.client.get(
                 self.base_url + path, params=params, timeout=READ_TIMEOUT_S
@@ -121,7 +121,7 @@
         return response
 
     async def write(self, step: str, method: str, path: str, body: bytes) -> httpx.Response:
-        """Send a write and tell "not taken" from "outcome unknown"."""
+        """Send a write; a failure is either a rejection or leaves the outcome unknown."""
         try:
             response = await self.client.request(
                 method, self.base_url + path, content=body, timeout=WRITE_TIMEOUT_S
@@ -134,7 +134,7 @@
             raise OutcomeUnknownError(
                 f"{type(error).__name__}: {error}", step=step, peer=self.base_url
             ) from error
-        # 503 and 429 are the service's own word that it did nothing.
+        # With 503 and 429 the service states that it did nothing.
         if response.status_code in (429, 503):
             raise PlatformUnavailableError(
                 f"answered {response.status_code}", step=step, peer=self.base_url
@@ -147,24 +147,24 @@
 
 
 class HttpTable(Table):
-    """The table service's HTTP dialect.
+    """Client of the table service.
 
     Args:
-        http: Requests to it.
+        http: Sends the requests to the service.
     """
 
     def __init__(self, http: PlatformHttp) -> None:
         self.http = http
 
     async def get(self, key: str) -> Row | None:
-        """Return the row, or None."""
+        """Return a row, or None if it does not exist."""
         response = await self.http.read("table.get", "/rows/" + key)
         if response.status_code == 404:
             return None
         return decode_row(msgspec.json.decode(response.content, type=RowMessage))
 
     async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> tuple[Row, ...]:
-        """Return rows in order of their keys."""
+        """Return the rows with a prefix, ordered by their keys."""
         response = await self.http.read(
             "table.scan", "/scan", prefix=prefix, after=after, limit=limit
         )
@@ -172,7 +172,7 @@
         return tuple(decode_row(row) for row in rows)
 
     async def commit(self, transaction: Transaction) -> Committed | Conflicted:
-        """Commit the transaction."""
+        """Commit a transaction."""
         message = CommitMessage(
             transaction.operation_id,
             tuple(
@@ -192,44 +192,44 @@
 
 
 def decode_row(message: RowMessage) -> Row:
-    """Return the row in the message."""
+    """Return the row that a message carries."""
     return Row(message.key, base64.b64decode(message.value), message.version)
 
 
 class HttpObjectStore(ObjectStore):
-    """The object store's HTTP dialect.
+    """Client of the object store.
 
     Args:
-        http: Requests to it.
+        http: Sends the requests to the service.
     """
 
     def __init__(self, http: PlatformHttp) -> None:
         self.http = http
 
     async def put(self, key: str, body: bytes) -> None:
-        """Store the body."""
+        """Store an object."""
         await self.http.write("objects.put", "PUT", "/objects/" + key, body)
 
     async def get(self, key: str) -> bytes | None:
-        """Return the body, or None."""
+        """Return the body of an object, or None if it does not exist."""
         response = await self.http.read("objects.get", "/objects/" + key)
         return None if response.status_code == 404 else response.content
 
     async def delete(self, key: str) -> None:
-        """Remove the object."""
+        """Delete an object."""
         await self.http.write("objects.delete", "DELETE", "/objects/" + key, b"")
 
     async def keys(self, prefix: str) -> tuple[str, ...]:
-        """Return the keys with ``prefix``."""
+        """Return the keys that begin with ``prefix``."""
         response = await self.http.read("objects.keys", "/objects", prefix=prefix)
         return msgspec.json.decode(response.content, type=tuple[str, ...])
 
 
 class HttpVmList(VmList):
-    """The VM list's HTTP dialect.
+    """Client of the VM list.
 
     Args:
-        http: Requests to it.
+        http: Sends the requests to the service.
     """
 
     def __init__(self, http: PlatformHttp) -> None:
@@ -238,7 +238,7 @@
     async def records(
         self, zone: ZoneName | None = None, kind: VmKind | None = None
     ) -> tuple[VmRecord, ...]:
-        """Return the list, or the part of it that is asked for."""
+        """Return the VMs of the list, optionally of one zone and kind."""
         params: dict[str, str | int] = {}
         if zone is not None:
             params["zone"] = zone
@@ -260,17 +260,17 @@
 
 
 class HttpWeightStore(WeightStore):
-    """The weight store's HTTP dialect.
+    """Client of the weight store.
 
     Args:
-        http: Requests to it.
+        http: Sends the requests to the service.
     """
 
     def __init__(self, http: PlatformHttp) -> None:
         self.http = http
 
     async def describe(self, service: str, version: WeightVersion) -> WeightRecord | None:
-        """Return the version's record, or None."""
+        """Return the record of a weight version, or None if it does not exist."""
         response = await self.http.read("weights.describe", f"/weights/{service}/{version}")
         if response.status_code == 404:
             return None
@@ -278,6 +278,6 @@
         return WeightRecord(message.service, WeightVersion(message.version), message.size_bytes)
 
     async def fetch_limit(self) -> int:
-        """Return the limit of concurrent fetches."""
+        """Return the maximum number of concurrent fetches."""
         response = await self.http.read("weights.limit", "/limits")
         return msgspec.json.decode(response.content, type=LimitMessage).concurrent_fetches
--- a/src/balsamcleat/adapters/http_problems.py
+++ b/src/balsamcleat/adapters/http_problems.py
@@ -1,4 +1,4 @@
-"""Problem documents for requests that are too malformed to reach an application."""
+"""Problem documents for malformed requests, which hypercorn rejects itself."""
 
 import h11
 import hypercorn.protocol
@@ -15,7 +15,7 @@
 
 
 class ProblemProtocol(H11Protocol):
-    """hypercorn's HTTP/1.1, with a body in its own refusals."""
+    """hypercorn's HTTP/1.1 protocol, with a problem document as the body of its rejections."""
 
     async def _send_error_response(self, status_code: int) -> None:
         title = TITLES.get(status_code, TITLES[400])
@@ -33,5 +33,5 @@
 
 
 def install_problem_protocol() -> None:
-    """Make hypercorn use it; hypercorn has no setting for this, so the class is put in place."""
+    """Replace hypercorn's protocol class, because hypercorn has no setting for it."""
     vars(hypercorn.protocol)["H11Protocol"] = ProblemProtocol
--- a/src/balsamcleat/adapters/http_server.py
+++ b/src/balsamcleat/adapters/http_server.py
@@ -1,4 +1,4 @@
-"""Serve an ASGI application with hypercorn on a socket that is already bound."""
+"""Serves an ASGI application with hypercorn on a socket that is already bound."""
 
 import asyncio
 import socket
@@ -20,53 +20,54 @@
 
 KEEP_ALIVE_TIMEOUT_S = 75
 BACKLOG = 512
-# A client that takes nothing of what was sent for this long loses its connection. The kernel
-# counts it, also while the application has nothing left to write and hypercorn waits.
+# A client that acknowledges no sent data for this long is disconnected. The kernel measures the
+# time, also while the application has nothing left to write and hypercorn waits.
 UNREAD_TIMEOUT_MS = 30_000
 MAX_HEADER_BYTES = 16 * 1024
-# Above this, connections are closed at once, so that their number can't exhaust memory.
+# Connections above this number are closed at once, which bounds the memory that they use.
 MAX_CONNECTIONS = 8192
 
 http_problems.install_problem_protocol()
 
 
 class BoundSocket(socket.socket):
-    """A listening socket that knows its connections, so that a kill can cut them."""
+    """Listening socket that tracks its connections, so that a kill can close them."""
 
     def __init__(self, *args: Any, **more: Any) -> None:
         super().__init__(*args, **more)
         self.connections: weakref.WeakSet[socket.socket] = weakref.WeakSet()
 
     def accept(self) -> tuple[socket.socket, Any]:
-        """Accept a connection and remember it for as long as it lives."""
+        """Accept a connection and track it until it is closed."""
         connection, address = super().accept()
         if len(self.connections) >= MAX_CONNECTIONS:
             connection.close()
-            # What the event loop takes for "nothing more to accept now".
+            # For the event loop this means that there is no connection to accept now.
             raise BlockingIOError
         self.connections.add(connection)
         return connection, address
 
     def close_connections(self) -> None:
-        """Cut every connection; what was not sent yet never is."""
+        """Close every connection; data that was not sent yet is lost."""
         for connection in list(self.connections):
             with suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
 
 
 def bind(host: str, port: int, unread_timeout_ms: int = UNREAD_TIMEOUT_MS) -> BoundSocket:
-    """Return a listening TCP socket; port 0 takes any free one.
+    """Return a listening TCP socket.
 
     Args:
-        host: The host.
-        port: The port.
-        unread_timeout_ms: How long a client may leave all that was sent unread.
+        host: Address to listen on.
+        port: Port to listen on; 0 for any free port.
+        unread_timeout_ms: Time after which a client that acknowledges no sent data is
+            disconnected, in milliseconds.
     """
-    # Named outright, because asyncio turns Nagle's algorithm off only where the protocol is TCP by
-    # name; with it on, an answer written in two parts waits 40 ms for a delayed acknowledgement.
+    # The protocol is explicit, because asyncio disables Nagle's algorithm only for IPPROTO_TCP.
+    # With it, a response written in two parts waits 40 ms for a delayed acknowledgement.
     bound = BoundSocket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Accepted connections inherit it.
+    # Accepted connections inherit this option.
     bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unread_timeout_ms)
     bound.bind((host, port))
     bound.listen(BACKLOG)
@@ -81,16 +82,16 @@
     drain_timeout_s: float,
     tls: TlsServer | None = None,
 ) -> None:
-    """Serve until ``stop`` is set, then finish what is in flight.
+    """Serve until ``stop`` is set, then finish the requests in flight.
 
-    Cancelling it is a kill: every connection is cut without an answer.
+    Cancellation is a kill: every connection is closed without a response.
 
     Args:
-        app: The application.
-        bound: The listening socket; closed afterwards.
-        stop: Set to begin a graceful shutdown.
-        drain_timeout_s: The longest the shutdown may take, in seconds.
-        tls: The TLS side, or None for plain HTTP.
+        app: Application to serve.
+        bound: Listening socket, which is closed at the end.
+        stop: Event that begins a graceful shutdown when it is set.
+        drain_timeout_s: Maximum duration of the shutdown, in seconds.
+        tls: TLS context, or None for plain HTTP.
     """
     config = new_config(tls, drain_timeout_s)
     sockets = Sockets([], [bound], []) if tls is None else Sockets([bound], [], [])
@@ -98,7 +99,7 @@
     has_ended = anyio.Event()
 
     async def run() -> None:
-        # hypercorn does not end cleanly when cancelled, so it is shielded and told to stop.
+        # hypercorn does not end cleanly when cancelled, so it is shielded and stopped by the event.
         with anyio.CancelScope(shield=True):
             await worker_serve(
                 ASGIWrapper(cast(ASGIFramework, app)),
@@ -120,7 +121,7 @@
 
 
 def new_config(tls: TlsServer | None, drain_timeout_s: float) -> Config:
-    """Return hypercorn's settings, with its own logs off: what happens is counted."""
+    """Return hypercorn's settings; its logs are off, because requests are counted elsewhere."""
     config = Config() if tls is None else TlsConfig(tls)
     config.graceful_timeout = drain_timeout_s
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
@@ -131,7 +132,7 @@
 
 
 def ignore_cancelled_connections(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-    """Drop the event loop's report of connections that we cancelled ourselves.
+    """Ignore the event loop's report of connections that this process cancelled.
 
     Python 3.11's stream protocol asks a cancelled connection task for its exception, which
     raises; later versions check first.
--- a/src/balsamcleat/adapters/http_service.py
+++ b/src/balsamcleat/adapters/http_service.py
@@ -1,4 +1,4 @@
-"""Plain services and scorers over HTTP."""
+"""Clients of plain services and of scorers over HTTP."""
 
 import httpx
 import msgspec
@@ -17,13 +17,13 @@
 
 
 class HttpPlainService(PlainService):
-    """Talks to one replica of a plain service.
+    """Client of one replica of a plain service.
 
     Args:
-        client: An HTTP client that keeps no connections. On a kept one a second answer to an
-            earlier call would be read as the answer to the next, and it may close just as a
-            request is written, which would be an unknown outcome.
-        address: The replica's host and port.
+        client: HTTP client that reuses no connections. On a reused connection a second response
+            to an earlier call would be read as the response to the next call, and the replica
+            may close the connection while a request is written, which leaves its outcome unknown.
+        address: Host and port of the replica.
     """
 
     def __init__(self, client: httpx.AsyncClient, address: str) -> None:
@@ -31,7 +31,7 @@
         self.address = address
 
     async def call(self, request: CallRequest, timeout_s: float) -> Answer:
-        """Send the request once."""
+        """Send a call once and return its response."""
         headers = {
             "content-type": request.content_type,
             "x-request-id": request.request_id,
@@ -56,24 +56,24 @@
 
 
 class ScoreMessage(msgspec.Struct, frozen=True):
-    """The body of ``POST /v1/score``."""
+    """Body of ``POST /v1/score``."""
 
     prompt: str
     text: str
 
 
 class ScoreReply(msgspec.Struct, frozen=True):
-    """The answer to it."""
+    """Response to ``POST /v1/score``."""
 
     score: float
 
 
 class HttpScorer(Scorer):
-    """Talks to one replica of a scoring service.
+    """Client of one replica of a scoring service.
 
     Args:
-        client: The HTTP client.
-        address: The replica's host and port.
+        client: HTTP client.
+        address: Host and port of the replica.
     """
 
     def __init__(self, client: httpx.AsyncClient, address: str) -> None:
@@ -81,7 +81,7 @@
         self.address = address
 
     async def score(self, prompt: str, sample: Sample, timeout_s: float) -> float:
-        """Return the sample's score."""
+        """Return the score of a sample."""
         trace = AttemptTrace("scorer.score", self.address)
         response = await send_request(
             self.client,
--- a/src/balsamcleat/adapters/http_trainer_service.py
+++ b/src/balsamcleat/adapters/http_trainer_service.py
@@ -1,4 +1,4 @@
-"""The trainer's side of the system over HTTP, through any of several entry VMs."""
+"""Trainer's client of this system over HTTP, through any of several entry VMs."""
 
 import anyio
 import httpx
@@ -27,17 +27,17 @@
 RETRY_INTERVAL_S = 0.2
 READ_MARGIN_S = 10.0
 MAX_TRIES = 50
-# Refusals that are themselves answers to a pull.
+# Error statuses that are regular outcomes of a pull.
 OUTCOME_STATUSES = (409, 410)
 
 
 class HttpTrainerService(TrainerService):
-    """Asks one entry VM, the next one when it fails; every request here may be repeated.
+    """Sends requests to one entry VM, and to the next one if it fails; all are idempotent.
 
     Args:
         urls: Base URLs of entry VMs.
-        client: The HTTP client.
-        token: The trainer's bearer token, or empty where none is asked for.
+        client: HTTP client.
+        token: Bearer token of the trainer, or empty if none is required.
     """
 
     def __init__(self, urls: list[str], client: httpx.AsyncClient, token: str = "") -> None:
@@ -48,7 +48,7 @@
         self.failovers = 0
 
     async def open_step(self, spec: StepSpec) -> None:
-        """Open the step."""
+        """Open a step."""
         message = StepMessage(
             step_id=spec.step_id,
             prompts=tuple(
@@ -66,7 +66,7 @@
     async def pull(
         self, deployment: DeploymentName, step_id: StepId, ack: TrainerAck, wait_s: float
     ) -> PullOutcome:
-        """Return the batch after the cursor."""
+        """Return the batch after the cursor, or why there is none."""
         path = (
             f"/steps/{step_id}/batches?cursor={ack.cursor}&wait={wait_s}"
             f"&epoch={ack.epoch}&version={ack.version}"
@@ -88,7 +88,7 @@
         await self.send_request("POST", deployment, "/version", body)
 
     async def cancel(self, deployment: DeploymentName, step_id: StepId) -> None:
-        """Cancel the step."""
+        """Cancel a step."""
         await self.send_request("DELETE", deployment, f"/steps/{step_id}")
 
     async def send_request(
@@ -99,11 +99,11 @@
         body: bytes = b"",
         wait_s: float = 0.0,
     ) -> httpx.Response:
-        """Send a request, to the next entry VM when one fails.
+        """Send a request; if an entry VM fails, send it to the next one.
 
         Raises:
-            RefusedError: An entry VM refused it for good.
-            OutcomeUnknownError: None of them answered.
+            RefusedError: An entry VM rejected the request permanently.
+            OutcomeUnknownError: No entry VM answered.
         """
         step = f"trainer.{method.lower()}"
         for _ in range(MAX_TRIES):
--- a/src/balsamcleat/adapters/key_ring.py
+++ b/src/balsamcleat/adapters/key_ring.py
@@ -1,4 +1,4 @@
-"""Shared keys of the peers, read again when their file changes."""
+"""Shared keys of the peers, reloaded when their file changes."""
 
 import base64
 import binascii
@@ -20,11 +20,11 @@
 
 
 class PeerKey(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One key.
+    """A shared key.
 
     Attributes:
-        key_id: Number that names the key in messages, 0 to 2**32 - 1.
-        secret: The key, base64 of 32 bytes.
+        key_id: Id of the key in messages, from 0 to 2**32 - 1.
+        secret: Secret of 32 bytes, encoded in base64.
     """
 
     key_id: int
@@ -35,17 +35,17 @@
 
 
 class KeyFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The key file; the first key signs, all are accepted."""
+    """Contents of the key file; the first key signs, and all are accepted."""
 
     keys: tuple[PeerKey, ...]
 
 
 class KeyRing:
-    """The keys in force; a rotation adds the new key everywhere, then moves it to the front.
+    """Keys in force; a rotation adds a key on all VMs and then moves it to the front.
 
     Args:
         keys: Secrets by key id, the signing key first.
-        path: The file to read again, or None.
+        path: File from which the keys are reloaded, or None.
     """
 
     def __init__(self, keys: dict[int, bytes], path: Path | None = None) -> None:
@@ -55,7 +55,7 @@
 
     @classmethod
     def from_file(cls, path: Path) -> "KeyRing":
-        """Read the ring.
+        """Return the key ring in a file.
 
         Raises:
             InvalidInputError: The file can't be read or holds no valid key.
@@ -65,18 +65,18 @@
         return ring
 
     def signing_key(self) -> tuple[int, bytes]:
-        """Return id and secret of the key that signs."""
+        """Return the id and the secret of the key that signs."""
         return next(iter(self.keys.items()))
 
     def secret(self, key_id: int) -> bytes | None:
-        """Return a key's secret, or None when the ring does not hold it."""
+        """Return the secret of a key, or None if the key is unknown."""
         return self.keys.get(key_id)
 
     def reload(self) -> bool:
-        """Read the file again if it changed; returns whether it did.
+        """Reload the file if it changed; return whether it did.
 
         Raises:
-            InvalidInputError: The file can't be read or holds no valid key; the ring stays.
+            InvalidInputError: The file can't be read or has no valid key; the old keys stay.
         """
         if self.path is None:
             return False
@@ -98,7 +98,7 @@
         return True
 
     async def run(self) -> None:
-        """Look for a changed file until cancelled."""
+        """Reload a changed file at intervals until cancelled."""
         while True:
             await anyio.sleep(RELOAD_INTERVAL_S)
             try:
@@ -109,10 +109,10 @@
 
 
 def decode_secret(key: PeerKey) -> bytes:
-    """Return the key's bytes.
+    """Return the secret of a key.
 
     Raises:
-        InvalidInputError: They are not base64 of 32 bytes; the message holds no secret.
+        InvalidInputError: The secret is not 32 bytes in base64; the message does not contain it.
     """
     try:
         secret = base64.b64decode(key.secret, validate=True)
--- a/src/balsamcleat/adapters/operator_client.py
+++ b/src/balsamcleat/adapters/operator_client.py
@@ -1,4 +1,4 @@
-"""An operator's requests to a node, over HTTP."""
+"""Operator's client of a VM over HTTP."""
 
 import ssl
 import uuid
@@ -34,13 +34,13 @@
     """A patch to submit.
 
     Attributes:
-        base_version: The configuration's number that it is against.
+        base_version: Version of the configuration that the patch applies to.
         patch: JSON Patch (RFC 6902), encoded.
-        author: Who submits it.
-        reason: Why.
-        force: Also take it when it is dangerous.
-        dry_run: Check it and write nothing.
-        operation_id: Names the submission; sending it again under the same name is safe.
+        author: Author that the audit trail names.
+        reason: Reason that the audit trail names.
+        force: Whether the author acknowledges the dangers of the patch.
+        dry_run: Whether the patch is checked and not written.
+        operation_id: Id of the submission; a retry with the same id is safe.
     """
 
     base_version: int
@@ -53,12 +53,12 @@
 
 
 class OperatorClient:
-    """Asks one node.
+    """Sends an operator's requests to one VM.
 
     Args:
-        url: The node's base URL.
-        token: The operator's bearer token, or empty where the node asks for none.
-        ca_file: Certificate authority of the node's certificate, or empty for the system's own.
+        url: Base URL of the VM.
+        token: Bearer token of the operator, or empty if none is required.
+        ca_file: Certificate authority of the VM's certificate, or empty for the system's own.
     """
 
     def __init__(self, url: str, token: str = "", ca_file: str = "") -> None:
@@ -86,39 +86,39 @@
         self.client.close()
 
     def status(self) -> NodeStatus:
-        """Return what the node believes."""
+        """Return the status of the VM."""
         return self.read("status.read", "/v1/status", NodeStatus)
 
     def configuration(self, version: int | None = None) -> ConfigurationMessage:
-        """Return a numbered configuration, or the one in force at the node."""
+        """Return a numbered configuration, or the one in force on the VM."""
         path = "/v1/configuration" + ("" if version is None else f"/{version}")
         return self.read("configuration.read", path, ConfigurationMessage)
 
     def history(self, after: int = 0) -> tuple[HistoryLine, ...]:
-        """Return the accepted configurations above ``after``, oldest first."""
+        """Return the accepted configurations after version ``after``, oldest first."""
         path = f"/v1/configuration/history?after={after}"
         return self.read("history.read", path, tuple[HistoryLine, ...])
 
     def diff(self, old: int, new: int) -> tuple[DiffLine, ...]:
-        """Return the entries that differ between two numbers."""
+        """Return the entries that differ between two configurations."""
         path = f"/v1/configuration/diff?from={old}&to={new}"
         return self.read("configuration.diff", path, tuple[DiffLine, ...])
 
     def audit(self, audit_filter: AuditFilter) -> tuple[AuditRow, ...]:
-        """Return the lines of the audit trail that are asked for, oldest first."""
+        """Return the audit rows that match a filter, oldest first."""
         query = str(httpx.QueryParams(msgspec.to_builtins(audit_filter)))
         return self.read("audit.read", f"/v1/audit?{query}", tuple[AuditRow, ...])
 
     def patch(self, order: PatchSubmission) -> PatchReply:
-        """Submit a patch and return the number that it became."""
+        """Submit a patch and return the version that it made."""
         return self.submit("PATCH", "/v1/configuration", order)
 
     def roll_back(self, version: int, order: PatchSubmission) -> PatchReply:
-        """Make an earlier number's contents the next number; the order's patch plays no part."""
+        """Restore the contents of an earlier version; the patch of the submission is not used."""
         return self.submit("POST", f"/v1/configuration/rollback?to={version}", order)
 
     def submit(self, method: str, path: str, order: PatchSubmission) -> PatchReply:
-        """Send a change with what it is against, who, why and how."""
+        """Send a change with its base version, author, reason and options."""
         headers = {
             "content-type": "application/json-patch+json",
             "if-match": f'"{order.base_version}"',
@@ -132,18 +132,18 @@
         return decode_response(response, PatchReply, "configuration.patch", self.url)
 
     def drain(self, author: str, reason: str) -> None:
-        """Begin the node's graceful shutdown; who and why go into the audit trail."""
+        """Begin a graceful shutdown of the VM; the audit trail names the author and the reason."""
         headers = {"x-author": author, "x-reason": reason}
         self.send("node.drain", "POST", "/v1/drain", b"", headers)
 
     def read(self, step: str, path: str, message: type[Message]) -> Message:
-        """Read and decode."""
+        """Send a GET request and return its decoded response."""
         return decode_response(self.send(step, "GET", path, b"", {}), message, step, self.url)
 
     def send(
         self, step: str, method: str, path: str, content: bytes, headers: dict[str, str]
     ) -> httpx.Response:
-        """Send one request and sort its failures by what the operator can do next."""
+        """Send a request; classify a failure by what the operator can do next."""
         try:
             response = self.client.request(
                 method, self.url + path, content=content or None, headers=headers
@@ -173,7 +173,7 @@
 def decode_response(
     response: httpx.Response, message: type[Message], step: str, url: str
 ) -> Message:
-    """Return the answer's message."""
+    """Return the message in a response."""
     try:
         return msgspec.json.decode(response.content, type=message)
     except msgspec.DecodeError as error:
@@ -185,7 +185,7 @@
 
 
 def operator_error(response: httpx.Response, step: str, url: str) -> Exception:
-    """Return the error that a refusal means for the operator."""
+    """Return the error for the operator that an error response stands for."""
     status = response.status_code
     try:
         problem = msgspec.json.decode(response.content, type=Problem)
--- a/src/balsamcleat/adapters/peer_codec.py
+++ b/src/balsamcleat/adapters/peer_codec.py
@@ -1,4 +1,4 @@
-"""Encode and decode peer messages with Cap'n Proto (serialisation only)."""
+"""Encodes and decodes peer messages with Cap'n Proto (serialisation only)."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -32,17 +32,17 @@
 
 FORMAT = 1
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-# Cap'n Proto counts words read, to stop messages that point at themselves.
+# Limit of the words read from a message, because a message may contain cyclic pointers.
 TRAVERSAL_LIMIT_WORDS = MAX_MESSAGE_BYTES // 8
 
 SCHEMA = capnp.load(str(Path(balsamcleat.wire.__file__).parent / "peer.capnp"))
 
 
 def encode(message: PeerMessage) -> bytes:
-    """Return the message's bytes.
+    """Return an encoded message.
 
     Args:
-        message: What to send.
+        message: Message to encode.
     """
     envelope = SCHEMA.Envelope.new_message(
         format=FORMAT,
@@ -55,7 +55,7 @@
 
 
 def write_body(union: Any, body: PeerBody) -> None:
-    """Fill the envelope's union."""
+    """Write the body of a message into the union of its envelope."""
     match body:
         case Heartbeat():
             write_heartbeat(union.init("heartbeat"), body)
@@ -76,7 +76,7 @@
 
 
 def write_request_or_reply(union: Any, body: PeerBody) -> None:
-    """Fill the envelope's union with a request or its reply."""
+    """Write a request or a reply into the union of an envelope."""
     match body:
         case ConfigurationRequest(after=after):
             union.configurationAsk = after
@@ -94,13 +94,13 @@
 
 
 def write_kind_and_payload(target: Any, kind: str, payload: bytes) -> None:
-    """Fill a message that names its handler."""
+    """Write the kind, which selects the handler, and the payload of a message."""
     target.kind = kind
     target.payload = payload
 
 
 def write_heartbeat(target: Any, body: Heartbeat | HeartbeatAck) -> None:
-    """Fill what heartbeats and their answers carry."""
+    """Write a heartbeat or its acknowledgement."""
     target.probe = body.probe
     target.configuration.version = body.configuration.version
     target.configuration.digest = body.configuration.digest
@@ -114,7 +114,7 @@
 
 
 def write_members(rows: Any, members: tuple[Member, ...]) -> None:
-    """Fill a list of members."""
+    """Write a list of members."""
     for row, member in zip(rows, members, strict=True):
         row.vmId = member.vm_id
         row.zone = member.zone
@@ -125,7 +125,7 @@
 
 
 def decode(data: bytes) -> PeerMessage:
-    """Return the message in ``data``.
+    """Return a decoded message.
 
     Raises:
         ProtocolError: The bytes are not a message of a format known here.
@@ -151,7 +151,7 @@
 
 
 def read_body(union: Any) -> PeerBody:
-    """Read the envelope's union."""
+    """Return the body in the union of an envelope."""
     which = str(union.which())
     reader = READERS.get(which)
     if reader is None:
@@ -160,7 +160,7 @@
 
 
 def read_heartbeat(source: Any) -> Heartbeat:
-    """Read a heartbeat."""
+    """Return a heartbeat."""
     return Heartbeat(
         source.probe,
         read_members(source.members),
@@ -170,7 +170,7 @@
 
 
 def read_ack(source: Any) -> HeartbeatAck:
-    """Read the answer to a heartbeat."""
+    """Return the acknowledgement of a heartbeat."""
     return HeartbeatAck(
         source.probe,
         read_members(source.members),
@@ -180,19 +180,19 @@
 
 
 def read_digest(source: Any) -> ConfigurationDigest:
-    """Read a configuration digest."""
+    """Return a configuration digest."""
     return ConfigurationDigest(ConfigurationVersion(source.version), source.digest)
 
 
 def read_zones(rows: Any) -> tuple[ZoneSummary, ...]:
-    """Read zone summaries."""
+    """Return zone summaries."""
     return tuple(
         ZoneSummary(ZoneName(row.zone), row.ageMs, row.alive, bytes(row.payload)) for row in rows
     )
 
 
 def read_members(rows: Any) -> tuple[Member, ...]:
-    """Read a list of members."""
+    """Return a list of members."""
     return tuple(
         Member(
             vm_id=VmId(row.vmId),
@@ -207,7 +207,7 @@
 
 
 def read_bodies(rows: Any) -> ConfigurationBodies:
-    """Read numbered configurations."""
+    """Return the bodies of numbered configurations."""
     return ConfigurationBodies(
         tuple(
             ConfigurationBody(ConfigurationVersion(row.version), bytes(row.record)) for row in rows
--- a/src/balsamcleat/adapters/peer_seal.py
+++ b/src/balsamcleat/adapters/peer_seal.py
@@ -1,4 +1,4 @@
-"""Seal peer messages: authenticate them and refuse replays."""
+"""Authentication of peer messages and rejection of replayed ones."""
 
 import hashlib
 import hmac
@@ -17,30 +17,30 @@
 # Format, key id, time of sealing in milliseconds since the Unix epoch.
 HEADER = struct.Struct(">BIQ")
 SEAL_FORMAT = 1
-# Sealed messages older or newer than this are refused; bounds what a restarted VM, which
-# remembers no sequence numbers, could be made to believe.
+# Sealed messages older or newer than this are rejected. A restarted VM knows no sequence numbers,
+# so this limits the messages that can be replayed to it.
 MAX_CLOCK_DIFFERENCE_S = 300.0
 REPLAY_WINDOW = 1024
 
 
 class Seal(ABC):
-    """Turns encoded messages into sealed ones and back."""
+    """Seals encoded messages, and opens sealed ones."""
 
     @abstractmethod
     def seal(self, data: bytes, context: bytes = b"") -> bytes:
-        """Return the sealed message; ``context`` ties a reply to its request."""
+        """Return the sealed message; ``context`` binds a reply to its request."""
 
     @abstractmethod
     def open(self, sealed: bytes, context: bytes = b"") -> bytes:
-        """Return the message.
+        """Return the message in a sealed one.
 
         Raises:
-            ProtocolError: It was not sealed by a peer, for this context, at about this time.
+            ProtocolError: The message was not sealed by a peer for this context, or not recently.
         """
 
 
 class NoSeal(Seal):
-    """Leaves messages as they are, for loopback and tests."""
+    """Leaves messages unchanged, for loopback and tests."""
 
     def seal(self, data: bytes, context: bytes = b"") -> bytes:
         """Return the message itself."""
@@ -52,11 +52,11 @@
 
 
 class HmacSeal(Seal):
-    """Authenticates with a shared key (HMAC-SHA-256, cut to 16 bytes).
+    """Authenticates messages with a shared key (HMAC-SHA-256, truncated to 16 bytes).
 
     Args:
-        keys: The keys.
-        clock: The clock; wall time is compared with a wide margin.
+        keys: Shared keys.
+        clock: Source of wall-clock time, which is compared with a wide margin.
     """
 
     def __init__(self, keys: KeyRing, clock: Clock) -> None:
@@ -64,13 +64,13 @@
         self.clock = clock
 
     def seal(self, data: bytes, context: bytes = b"") -> bytes:
-        """Return header, code and message."""
+        """Return the header, the authentication code and the message."""
         key_id, secret = self.keys.signing_key()
         header = HEADER.pack(SEAL_FORMAT, key_id, int(self.clock.wall_s() * 1000))
         return header + self.authentication_code(secret, header, context, data) + data
 
     def open(self, sealed: bytes, context: bytes = b"") -> bytes:
-        """Check the code and the time, and return the message."""
+        """Check the authentication code and the time, and return the message."""
         start = HEADER.size + MAC_BYTES
         if len(sealed) < start:
             raise ProtocolError("the sealed message is too short", step="peer.open")
@@ -88,19 +88,19 @@
     def authentication_code(
         self, secret: bytes, header: bytes, context: bytes, data: bytes
     ) -> bytes:
-        """Return the authentication code."""
+        """Return the authentication code of a message."""
         material = header + struct.pack(">I", len(context)) + context + data
         return hmac.digest(secret, material, hashlib.sha256)[:MAC_BYTES]
 
 
 class ReplayGuard:
-    """Refuses messages that came before, by the sender's incarnation and sequence numbers."""
+    """Rejects replayed messages, by the sender's incarnation and sequence numbers."""
 
     def __init__(self) -> None:
         self.windows: dict[VmId, tuple[int, int, int]] = {}
 
     def record_if_new(self, message: PeerMessage) -> bool:
-        """Return whether the message is new, and remember it."""
+        """Return whether a message is new, and record it."""
         incarnation, highest, seen = self.windows.get(message.sender, (-1, 0, 0))
         if message.incarnation < incarnation:
             return False
@@ -109,7 +109,7 @@
             return True
         ahead = message.sequence - highest
         if ahead > 0:
-            # Bit 0 stands for the highest number seen, bit n for the one n below it.
+            # Bit 0 is the highest sequence number received, bit n the number n below it.
             kept = (seen << min(ahead, REPLAY_WINDOW)) & ((1 << REPLAY_WINDOW) - 1)
             self.windows[message.sender] = (incarnation, message.sequence, kept | 1)
             return True
--- a/src/balsamcleat/adapters/socket_peers.py
+++ b/src/balsamcleat/adapters/socket_peers.py
@@ -1,4 +1,4 @@
-"""Peer messages over anyio's UDP and TCP sockets."""
+"""Transport of peer messages over UDP and TCP sockets."""
 
 import hashlib
 import struct
@@ -20,7 +20,7 @@
 OUTBOX_DATAGRAMS = 256
 REQUEST_READ_TIMEOUT_S = 10.0
 
-# What a connection that ends early raises.
+# Errors of a connection that ends early.
 CONNECTION_ERRORS = (
     OSError,
     TimeoutError,
@@ -32,18 +32,18 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``host:port``."""
+    """Return the host and the port of ``host:port``."""
     host, _, port = address.rpartition(":")
     return host, int(port)
 
 
 class SocketPeers(PeerTransport):
-    """Owns the sockets that peers talk to.
+    """Owns the sockets for messages between peers.
 
     Args:
-        udp: The bound UDP socket.
-        listener: The bound TCP listener.
-        metrics: Where counts go.
+        udp: Bound UDP socket.
+        listener: Bound TCP listener.
+        metrics: Receiver of counters.
         seal: Authenticates messages.
     """
 
@@ -68,8 +68,8 @@
         """Bind both sockets to one address.
 
         Args:
-            address: Host and port; port 0 takes a free one.
-            metrics: Where counts go.
+            address: Host and port; 0 for any free port.
+            metrics: Receiver of counters.
             seal: Authenticates messages; none by default.
         """
         host, port = split_address(address)
@@ -80,11 +80,11 @@
 
     @property
     def address(self) -> str:
-        """Host and port that the sockets are bound to."""
+        """Host and port of the sockets."""
         return "{}:{}".format(*self.udp.extra(anyio.abc.SocketAttribute.local_address))
 
     async def send(self, address: str, message: PeerMessage) -> None:
-        """Queue one datagram; a full queue counts as loss."""
+        """Queue a datagram, or drop and count it if the queue is full."""
         data = self.seal.seal(peer_codec.encode(message))
         if len(data) > MAX_DATAGRAM_BYTES:
             self.metrics.count("peer.datagram.oversized")
@@ -94,7 +94,7 @@
             self.metrics.count("peer.datagram.dropped")
 
     async def send_queued(self) -> None:
-        """Send what is queued; the UDP socket takes one sender at a time."""
+        """Send the queued datagrams; only one task may send on the UDP socket."""
         async for data, address in self.outbox:
             host, port = split_address(address)
             try:
@@ -105,7 +105,7 @@
                 self.metrics.count("peer.bytes_sent", len(data))
 
     async def request(self, address: str, message: PeerMessage, timeout_s: float) -> PeerMessage:
-        """Send a request on a connection of its own and read the reply."""
+        """Send a request on a new connection and return its reply."""
         host, port = split_address(address)
         may_have_left = False
         try:
@@ -114,7 +114,7 @@
                     may_have_left = True
                     sealed = self.seal.seal(peer_codec.encode(message))
                     await send_framed(stream, sealed)
-                    # The reply is sealed for this request, so that an old one can't pass for it.
+                    # The reply is bound to this request, so an old reply can't be replayed.
                     reply = self.seal.open(await receive_framed(stream), request_digest(sealed))
                     return peer_codec.decode(reply)
         except CONNECTION_ERRORS as error:
@@ -142,7 +142,7 @@
             await self.receive_datagrams(on_datagram)
 
     async def receive_datagrams(self, on_datagram: DatagramHandler) -> None:
-        """Hand each well-formed datagram to the handler."""
+        """Pass each valid datagram to the handler."""
         async for data, (host, port) in self.udp:
             self.metrics.count("peer.bytes_received", len(data))
             try:
@@ -156,7 +156,7 @@
             await on_datagram(message, f"{host}:{port}")
 
     async def serve_request(self, stream: anyio.abc.ByteStream, on_request: RequestHandler) -> None:
-        """Answer one request."""
+        """Read a request and send its reply."""
         try:
             with anyio.fail_after(REQUEST_READ_TIMEOUT_S):
                 sealed = await receive_framed(stream)
@@ -175,17 +175,17 @@
 
 
 def request_digest(sealed: bytes) -> bytes:
-    """Return what ties a reply to the sealed request."""
+    """Return the digest that binds a reply to its sealed request."""
     return hashlib.sha256(sealed).digest()
 
 
 async def send_framed(stream: anyio.abc.ByteSendStream, data: bytes) -> None:
-    """Send the length, then the message."""
+    """Send a message, preceded by its length."""
     await stream.send(LENGTH.pack(len(data)) + data)
 
 
 async def receive_framed(stream: anyio.abc.ByteReceiveStream) -> bytes:
-    """Receive one message.
+    """Receive a message that is preceded by its length.
 
     Raises:
         ProtocolError: The announced length is above the limit.
--- a/src/balsamcleat/adapters/statsd_metrics.py
+++ b/src/balsamcleat/adapters/statsd_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics sent to a statsd daemon, or kept in memory."""
+"""Metrics that are sent to a statsd daemon or kept in memory."""
 
 from collections import Counter
 
@@ -10,7 +10,7 @@
 
 
 class MemoryMetrics(Metrics):
-    """Keeps counters and gauges, for status pages and tests."""
+    """Keeps counters and gauges in memory, for status pages and tests."""
 
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
@@ -25,16 +25,16 @@
         self.gauges[name] = value
 
     def timing(self, name: str, milliseconds: float) -> None:
-        """Count the measurement; durations themselves go only to statsd."""
+        """Count the measurement; the duration is sent only to statsd."""
         self.counters[name] += 1
 
 
 class StatsdMetrics(MemoryMetrics):
-    """Also sends every measurement to statsd over UDP.
+    """Also sends every measurement to a statsd daemon over UDP.
 
     Args:
-        host: The daemon's host.
-        port: Its UDP port.
+        host: Host of the daemon.
+        port: UDP port of the daemon.
     """
 
     def __init__(self, host: str, port: int) -> None:
--- a/src/balsamcleat/adapters/system.py
+++ b/src/balsamcleat/adapters/system.py
@@ -1,4 +1,4 @@
-"""The machine's own clock and randomness."""
+"""Clock and randomness of this process."""
 
 import random
 import time
@@ -12,14 +12,14 @@
 
 
 class SystemClock(Clock):
-    """Reads the event loop's clock, so that a test may run it in virtual time."""
+    """Clock of the event loop, which tests may run in virtual time."""
 
     def now_s(self) -> float:
-        """Return the event loop's monotonic seconds."""
+        """Return the monotonic time of the event loop, in seconds."""
         return anyio.current_time()
 
     def wall_s(self) -> float:
-        """Return seconds since the Unix epoch."""
+        """Return the time since the Unix epoch, in seconds."""
         return time.time()
 
     async def sleep(self, seconds: float) -> None:
@@ -28,10 +28,10 @@
 
 
 class SystemRandomness(Randomness):
-    """Draws from the operating system."""
+    """Randomness seeded by the operating system."""
 
     def generator(self, name: str) -> random.Random:
-        """Return a fresh generator; ``name`` plays no part."""
+        """Return a new generator, independent of ``name``."""
         return random.Random()
 
     def fresh_id(self) -> str:
@@ -40,10 +40,10 @@
 
 
 class SeededRandomness(Randomness):
-    """Draws the same values in every run with the same seed.
+    """Randomness that is the same in every run with the same seed.
 
     Args:
-        seed: The seed.
+        seed: Seed of all generators and ids.
     """
 
     def __init__(self, seed: int) -> None:
@@ -51,9 +51,9 @@
         self.ids = random.Random(f"{seed}:ids")
 
     def generator(self, name: str) -> random.Random:
-        """Return the generator that belongs to ``name``."""
+        """Return a generator whose values depend on the seed and on ``name``."""
         return random.Random(f"{self.seed}:{name}")
 
     def fresh_id(self) -> str:
-        """Return the next id of the seed."""
+        """Return the next id that the seed determines."""
         return f"{self.ids.getrandbits(128):032x}"
--- a/src/balsamcleat/adapters/text_metrics.py
+++ b/src/balsamcleat/adapters/text_metrics.py
@@ -11,18 +11,18 @@
 
 PREFIX = "balsamcleat_"
 NOT_IN_NAMES = re.compile(r"[^a-zA-Z0-9_]+")
-# Latencies are kept in tenths of a millisecond, from one of them to two minutes.
+# Latencies are recorded in units of 0.1 ms, from one unit to two minutes.
 UNITS_PER_MS = 10
 MAX_UNITS = 2 * 60 * 1000 * UNITS_PER_MS
 SIGNIFICANT_FIGURES = 2
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
-# Names come from routes and events, which are few; beyond this they are counted together.
+# Names come from routes and events, which are few; further names are counted together.
 MAX_NAMES = 400
 OTHER = "other"
 
 
 class TextMetrics(Metrics):
-    """Keeps metrics in memory; names are those that statsd would get."""
+    """Keeps metrics in memory, under the names that statsd would receive."""
 
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
@@ -67,7 +67,7 @@
         return ("\n".join(lines) + "\n").encode()
 
     def summary_lines(self, name: str, histogram: HdrHistogram) -> list[str]:
-        """Return the lines of one latency."""
+        """Return the lines of one latency in the text format."""
         metric = metric_name(name) + "_seconds"
         per_second = 1000.0 * UNITS_PER_MS
         lines = [f"# TYPE {metric} summary"]
@@ -80,5 +80,5 @@
 
 
 def metric_name(name: str) -> str:
-    """Return a name that the text format allows."""
+    """Return the name of a metric in the text format."""
     return PREFIX + NOT_IN_NAMES.sub("_", name)
--- a/src/balsamcleat/adapters/tls.py
+++ b/src/balsamcleat/adapters/tls.py
@@ -1,4 +1,4 @@
-"""TLS for the HTTP face, with certificates that change without a restart."""
+"""TLS for the HTTP interface, with certificates that are reloaded without a restart."""
 
 import ssl
 from dataclasses import dataclass
@@ -19,12 +19,12 @@
 
 @dataclass(frozen=True, slots=True)
 class TlsFiles:
-    """Where certificate and key are.
+    """Paths of the certificate and of the key.
 
     Attributes:
         certificate: PEM certificate chain.
         key: PEM private key.
-        client_ca: Certificate authority that clients' certificates must come from, or None.
+        client_ca: Certificate authority that must have issued the clients' certificates, or None.
     """
 
     certificate: Path
@@ -32,18 +32,18 @@
     client_ca: Path | None = None
 
     def modification_times(self) -> tuple[int, int]:
-        """Return when the files were written last."""
+        """Return the modification times of the certificate and the key, in nanoseconds."""
         return self.certificate.stat().st_mtime_ns, self.key.stat().st_mtime_ns
 
 
 class TlsServer:
-    """One TLS context; loading new files into it changes what new connections get.
+    """TLS context whose certificate is replaced in place, for new connections.
 
     Args:
-        files: The files.
+        files: Paths of the certificate and of the key.
 
     Raises:
-        InvalidInputError: They can't be used.
+        InvalidInputError: The files can't be used.
     """
 
     def __init__(self, files: TlsFiles) -> None:
@@ -58,16 +58,16 @@
         self.reload()
 
     def reload(self) -> bool:
-        """Load the files if they changed; returns whether they did.
+        """Load the files if they changed; return whether they did.
 
         Raises:
-            InvalidInputError: They can't be used; the old ones stay.
+            InvalidInputError: The files can't be used; the old certificate stays in use.
         """
         try:
             stamp = self.files.modification_times()
             if stamp == self.loaded_times:
                 return False
-            # A scratch context first: a key that does not fit must not reach the one in use.
+            # Loaded into a temporary context first: a wrong key must not reach the one in use.
             ssl.create_default_context().load_cert_chain(self.files.certificate, self.files.key)
             self.context.load_cert_chain(self.files.certificate, self.files.key)
         except (OSError, ssl.SSLError) as error:
@@ -78,7 +78,7 @@
         return True
 
     async def run(self) -> None:
-        """Look for changed files until cancelled."""
+        """Reload changed files at intervals until cancelled."""
         while True:
             await anyio.sleep(RELOAD_INTERVAL_S)
             try:
@@ -89,10 +89,10 @@
 
 
 class TlsConfig(Config):
-    """hypercorn's settings with a TLS context that is made elsewhere.
+    """hypercorn's settings with a given TLS context.
 
     Args:
-        tls: The TLS side.
+        tls: TLS context to serve with.
     """
 
     def __init__(self, tls: TlsServer) -> None:
@@ -101,7 +101,7 @@
 
     @property
     def ssl_enabled(self) -> bool:
-        """TLS is always on."""
+        """Whether TLS is enabled, which it always is here."""
         return True
 
     def create_ssl_context(self) -> ssl.SSLContext:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,4 +1,4 @@
-"""Attempts against raw sockets: the words "not run" and "outcome unknown" come from the wire."""
+"""Attempts against raw sockets: whether a request may have run follows from the sent bytes."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -58,19 +58,21 @@
         return caught.value, len(target.requests)
 
 
-async def test_a_whole_answer_is_taken() -> None:
+async def test_complete_response_is_returned() -> None:
     async with raw_target(send_raw_response(OK)) as target, clients() as client:
         result = await plain(client, target.address).call(CALL, 1.0)
     assert result == Answer(200, "text/plain", b"whole")
 
 
-async def test_a_target_that_reads_and_closes_leaves_the_outcome_unknown_and_gets_it_once() -> None:
+async def test_target_that_closes_after_the_request_leaves_the_outcome_unknown_and_runs_once() -> (
+    None
+):
     error, requests = await outcome_of(read_and_close)
     assert (error.phase, error.kind) == (AttemptPhase.PERHAPS_SENT, FailureKind.CUT)
     assert requests == 1
 
 
-async def test_a_target_that_refuses_connections_did_not_run_it() -> None:
+async def test_request_to_a_target_that_refuses_connections_has_not_run() -> None:
     async with clients() as client:
         with pytest.raises(AttemptFailedError) as caught:
             await plain(client, f"127.0.0.1:{free_port()}").call(CALL, 1.0)
@@ -80,13 +82,13 @@
     )
 
 
-async def test_a_target_that_never_answers_leaves_the_outcome_unknown() -> None:
+async def test_target_that_never_answers_leaves_the_outcome_unknown() -> None:
     error, requests = await outcome_of(never_answer, timeout_s=0.05)
     assert (error.phase, error.kind) == (AttemptPhase.PERHAPS_SENT, FailureKind.SILENT)
     assert requests == 1
 
 
-async def test_a_target_that_drips_its_answer_is_held_to_the_deadline() -> None:
+async def test_deadline_bounds_a_response_that_arrives_byte_by_byte() -> None:
     async def drip(target, stream) -> None:  # type: ignore[no-untyped-def]
         await target.read_request(stream)
         await stream.send(b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n")
@@ -111,28 +113,30 @@
         pytest.param(b"nonsense\r\n\r\n", id="no HTTP"),
     ],
 )
-async def test_a_cut_body_is_never_presented_as_complete(cut: bytes) -> None:
+async def test_truncated_body_is_never_returned_as_complete(cut: bytes) -> None:
     error, requests = await outcome_of(send_raw_response(cut))
     assert error.phase is AttemptPhase.PERHAPS_SENT
     assert requests == 1
 
 
 @pytest.mark.parametrize("status", [b"503 Busy", b"429 Busy"])
-async def test_a_targets_own_refusal_is_not_run_and_says_when_to_come_back(status: bytes) -> None:
+async def test_request_that_the_target_rejected_has_not_run_and_has_a_retry_delay(
+    status: bytes,
+) -> None:
     raw = b"HTTP/1.1 " + status + b"\r\ncontent-length: 0\r\nretry-after: 7\r\n\r\n"
     error, _ = await outcome_of(send_raw_response(raw))
     assert (error.phase, error.kind) == (AttemptPhase.NOT_SENT, FailureKind.REFUSED)
     assert error.retry_after_s == 7.0
 
 
-async def test_a_refusal_that_is_itself_cut_is_not_believed() -> None:
+async def test_truncated_rejection_leaves_the_outcome_unknown() -> None:
     error, _ = await outcome_of(
         send_raw_response(b"HTTP/1.1 503 Busy\r\ncontent-length: 9\r\n\r\nha")
     )
     assert error.phase is AttemptPhase.PERHAPS_SENT
 
 
-async def test_a_call_that_may_be_repeated_never_meets_an_idle_connection_either() -> None:
+async def test_idempotent_call_uses_no_idle_connection() -> None:
     repeatable = replace(CALL, idempotent=True)
     async with raw_target(send_raw_response_then_close(OK)) as target, clients() as client:
         service = plain(client, target.address)
@@ -141,7 +145,7 @@
     assert (target.connections, len(target.requests)) == (3, 3)
 
 
-async def test_a_call_that_may_not_be_repeated_never_meets_an_idle_connection() -> None:
+async def test_call_that_is_not_idempotent_uses_no_idle_connection() -> None:
     async with raw_target(send_raw_response_then_close(OK)) as target, clients() as client:
         service = plain(client, target.address)
         for _ in range(3):
@@ -149,7 +153,7 @@
     assert (target.connections, len(target.requests)) == (3, 3)
 
 
-async def test_a_connection_in_use_by_a_cut_call_is_not_used_again() -> None:
+async def test_connection_of_a_cancelled_call_is_not_reused() -> None:
     async with raw_target(never_answer) as target, clients() as client:
         service = plain(client, target.address)
         for _ in range(2):
@@ -159,7 +163,7 @@
 
 
 async def answer_twice(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
-    """Answer each request on a kept connection twice, the second time before the next request."""
+    """Send each response twice on a reused connection, the second time before the next request."""
     while True:
         request = await target.read_request(stream)
         body = request.split(b" ")[1]
@@ -167,8 +171,8 @@
         await stream.send((head + body) * 2)
 
 
-async def test_an_answer_that_is_sent_twice_reaches_no_other_caller() -> None:
-    """On kept connections every other caller got the answer of the one before."""
+async def test_repeated_response_reaches_no_other_caller() -> None:
+    """On reused connections every other caller received the response to the previous one."""
     async with raw_target(answer_twice) as target, clients() as client:
         for number in range(10):
             call = replace(CALL, path=f"/{number}", idempotent=True)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,4 +1,4 @@
-"""The HTTP server's sockets."""
+"""Socket options of the HTTP server."""
 
 import socket
 
@@ -12,7 +12,7 @@
 from balsamcleat.adapters.http_server import bind, serve_app
 
 
-def test_an_answer_in_two_parts_does_not_wait_for_an_acknowledgement() -> None:
+def test_response_in_two_parts_does_not_wait_for_an_acknowledgement() -> None:
     async def hello(request: Request) -> Response:
         return PlainTextResponse("hello")
 
--- a/tests/test_operator_client.py
+++ b/tests/test_operator_client.py
@@ -1,4 +1,4 @@
-"""The operators' client and commands against a running node."""
+"""Operator client and its commands against a running node."""
 
 import anyio
 import anyio.to_thread
@@ -56,7 +56,7 @@
     drain(node=node)
 
 
-def test_an_operator_reads_patches_and_drains(capsys: pytest.CaptureFixture[str]) -> None:
+def test_operator_reads_patches_and_drains(capsys: pytest.CaptureFixture[str]) -> None:
     async def run() -> None:
         async with anyio.create_task_group() as group:
             cluster = LocalCluster(SHAPE, group)
@@ -77,7 +77,7 @@
     )
 
 
-def test_an_absent_node_is_told_from_one_that_refuses() -> None:
+def test_unreachable_node_and_rejection_have_different_errors() -> None:
     with (
         OperatorClient(f"http://127.0.0.1:{free_port()}") as client,
         pytest.raises(PlatformUnavailableError, match="--url"),
--- a/tests/test_peer_security.py
+++ b/tests/test_peer_security.py
@@ -1,4 +1,4 @@
-"""Peers' messages: authenticated, tied to their request, refused when replayed or malformed."""
+"""Peer messages are authenticated, bound to their request, and rejected if replayed or invalid."""
 
 import base64
 import contextlib
@@ -45,7 +45,7 @@
 
 
 class ShiftedClock(SystemClock):
-    """A wall clock that can be set."""
+    """Wall clock that the test sets."""
 
     shift_s = 0.0
 
@@ -58,19 +58,19 @@
 
 
 @pytest.mark.parametrize("body", BODIES)
-def test_every_message_survives_the_wire(body: object) -> None:
+def test_every_message_is_decoded_as_it_was_encoded(body: object) -> None:
     message = PeerMessage(VmId("a"), 1, 2, body)  # type: ignore[arg-type]
     assert peer_codec.decode(peer_codec.encode(message)) == message
 
 
-def test_a_message_without_the_key_is_refused() -> None:
+def test_message_without_the_key_is_rejected() -> None:
     with pytest.raises(ProtocolError):
         seal({1: OLD}).open(seal({1: NEW}).seal(b"data"))
     with pytest.raises(ProtocolError):
         seal({1: OLD}).open(b"data")
 
 
-def test_a_changed_message_is_refused() -> None:
+def test_changed_message_is_rejected() -> None:
     sealed = bytearray(seal({1: OLD}).seal(b"data"))
     for position in range(len(sealed)):
         changed = bytearray(sealed)
@@ -79,14 +79,14 @@
             seal({1: OLD}).open(bytes(changed))
 
 
-def test_a_reply_to_another_request_is_refused() -> None:
+def test_reply_to_another_request_is_rejected() -> None:
     sealed = seal({1: OLD}).seal(b"reply", b"request 1")
     assert seal({1: OLD}).open(sealed, b"request 1") == b"reply"
     with pytest.raises(ProtocolError):
         seal({1: OLD}).open(sealed, b"request 2")
 
 
-def test_a_message_from_another_time_is_refused() -> None:
+def test_message_sealed_at_another_time_is_rejected() -> None:
     receiver = seal({1: OLD})
     sealed = seal({1: OLD}).seal(b"data")
     receiver.clock.shift_s = 301.0  # type: ignore[attr-defined]
@@ -94,14 +94,14 @@
         receiver.open(sealed)
 
 
-def test_keys_rotate_without_a_moment_of_deafness() -> None:
+def test_key_rotation_rejects_no_message() -> None:
     before, both, after = {1: OLD}, {2: NEW, 1: OLD}, {2: NEW}
     also = {1: OLD, 2: NEW}
     for sender, receiver in [(before, also), (also, before), (also, both), (both, after)]:
         assert seal(receiver).open(seal(sender).seal(b"data")) == b"data"
 
 
-def test_the_key_file_is_read_again_and_a_broken_one_changes_nothing(tmp_path: Path) -> None:
+def test_key_file_is_reloaded_and_an_invalid_one_changes_nothing(tmp_path: Path) -> None:
     path = tmp_path / "keys.json"
     key = {"key_id": 1, "secret": base64.b64encode(OLD).decode()}
     path.write_text(json.dumps({"keys": [key]}))
@@ -119,7 +119,7 @@
     return PeerMessage(VmId("a"), incarnation, sequence, IndirectProbe(1, "b"))
 
 
-def test_a_replayed_message_is_refused_in_any_order() -> None:
+def test_replayed_message_is_rejected_in_any_order() -> None:
     guard = ReplayGuard()
     for sequence in (5, 3, 4, 9, 8):
         assert guard.record_if_new(message(sequence))
@@ -132,7 +132,7 @@
 
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.binary(max_size=400))
-def test_no_bytes_crash_the_decoder(data: bytes) -> None:
+def test_decoder_raises_only_protocol_errors(data: bytes) -> None:
     with pytest.raises(ProtocolError):
         peer_codec.decode(data)
 
@@ -143,7 +143,7 @@
     st.lists(st.tuples(st.integers(0, 10_000), st.integers(0, 255)), min_size=1, max_size=4),
     st.integers(0, 64),
 )
-def test_no_damaged_message_crashes_the_decoder(
+def test_decoder_of_damaged_messages_raises_only_protocol_errors(
     body: object, changes: list[tuple[int, int]], cut: int
 ) -> None:
     data = bytearray(peer_codec.encode(PeerMessage(VmId("a"), 1, 2, body)))  # type: ignore[arg-type]
--- a/tests/test_text_metrics.py
+++ b/tests/test_text_metrics.py
@@ -1,9 +1,9 @@
-"""Metrics as text: counters, gauges and latencies in seconds, bounded in names."""
+"""Metrics as text: counters, gauges and latencies in seconds, with a bounded number of names."""
 
 from balsamcleat.adapters.text_metrics import MAX_NAMES, TextMetrics
 
 
-def test_names_and_units_are_those_of_the_text_format() -> None:
+def test_names_and_units_follow_the_text_format() -> None:
     metrics = TextMetrics()
     metrics.count("events.step accepted", 2)
     metrics.gauge("steps.owned", 3)
@@ -17,7 +17,7 @@
     assert "balsamcleat_took_request_answered_seconds_count 100" in text
 
 
-def test_names_are_bounded() -> None:
+def test_number_of_names_is_bounded() -> None:
     metrics = TextMetrics()
     for number in range(MAX_NAMES + 50):
         metrics.count(f"name.{number}")
