Rename functions, attributes and a module of composition/; nothing but renames

face.py is http_api.py now. The keywords of log calls and the names of random generators are as before.

--- a/src/balsamcleat/composition/base.py
+++ b/src/balsamcleat/composition/base.py
@@ -25,11 +25,11 @@
 from balsamcleat.tasks.platform_client import PlatformObjects, PlatformTable
 from balsamcleat.tasks.resilience_pipeline import ResiliencePipeline
 
-__all__ = ["Base", "compose_base"]
+__all__ = ["NodeFoundation", "compose_foundation"]
 
 
 @dataclass(frozen=True, slots=True)
-class Base:
+class NodeFoundation:
     """What every part of a node is built on.
 
     Attributes:
@@ -40,7 +40,7 @@
         randomness: Where draws and ids come from.
         metrics: Where counts go.
         client: The HTTP client.
-        fresh_client: One that keeps no connections, for calls that may not be repeated.
+        unpooled_client: One that keeps no connections, for calls that may not be repeated.
         budget: The allowance of retries that all layers share.
         platform: The platform's table and object store, and the audit trail.
         connections: Connections to targets.
@@ -53,19 +53,19 @@
     randomness: Randomness
     metrics: MemoryMetrics
     client: httpx.AsyncClient
-    fresh_client: httpx.AsyncClient
+    unpooled_client: httpx.AsyncClient
     budget: RetryBudget
     platform: PlatformParts
     connections: Connections
 
 
-def compose_base(settings: Settings, randomness: Randomness) -> Base:
+def compose_foundation(settings: Settings, randomness: Randomness) -> NodeFoundation:
     """Build what every part is built on; the adapters of targets are chosen here."""
     clock = SystemClock()
     metrics = make_metrics(settings)
-    client, fresh_client = new_client(), new_client(reuse=False)
+    client, unpooled_client = new_client(), new_client(reuse=False)
     budget = RetryBudget()
-    return Base(
+    return NodeFoundation(
         settings=settings,
         vm_id=VmId(settings.vm_id),
         zone=ZoneName(settings.availability_zone),
@@ -73,12 +73,12 @@
         randomness=randomness,
         metrics=metrics,
         client=client,
-        fresh_client=fresh_client,
+        unpooled_client=unpooled_client,
         budget=budget,
         platform=compose_platform(settings, client, clock, randomness, budget, metrics),
         connections=Connections(
             lambda address: HttpEngine(client, address, metrics),
-            lambda address: HttpPlainService(fresh_client, address),
+            lambda address: HttpPlainService(unpooled_client, address),
             lambda address: HttpScorer(client, address),
         ),
     )
@@ -94,15 +94,19 @@
 ) -> PlatformParts:
     """Build the client of the platform's table and object store."""
 
-    def gate(name: str) -> ResiliencePipeline:
+    def make_pipeline(name: str) -> ResiliencePipeline:
         return ResiliencePipeline(name, clock, budget, randomness.generator(name), metrics)
 
     urls = settings.platform
     table = PlatformTable(
-        HttpTable(PlatformHttp(client, urls.table_url)), gate("table"), clock, randomness, metrics
+        HttpTable(PlatformHttp(client, urls.table_url)),
+        make_pipeline("table"),
+        clock,
+        randomness,
+        metrics,
     )
     objects = PlatformObjects(
-        HttpObjectStore(PlatformHttp(client, urls.objects_url)), gate("objects")
+        HttpObjectStore(PlatformHttp(client, urls.objects_url)), make_pipeline("objects")
     )
     return PlatformParts(table, objects, AuditTrail(table, clock, randomness, metrics))
 
--- a/src/balsamcleat/composition/face.py
+++ b/src/balsamcleat/composition/http_api.py
@@ -14,7 +14,7 @@
 from balsamcleat.api.request_guard import RequestGuard, problem_handlers
 from balsamcleat.api.trainers import TrainerApi
 from balsamcleat.commands.submit_patch import SubmitPatch
-from balsamcleat.composition.base import Base
+from balsamcleat.composition.base import NodeFoundation
 from balsamcleat.composition.live import LiveParts
 from balsamcleat.composition.peers import PeerParts
 from balsamcleat.decisions.access import AccessControl
@@ -25,11 +25,11 @@
 from balsamcleat.tasks.graceful_shutdown import DrainMiddleware
 from balsamcleat.tasks.rollouts import Rollouts
 
-__all__ = ["compose_face", "make_tls"]
+__all__ = ["compose_http_api", "make_tls"]
 
 
-def compose_face(
-    base: Base, peers: PeerParts, live: LiveParts, rollouts: Rollouts, drain: anyio.Event
+def compose_http_api(
+    base: NodeFoundation, peers: PeerParts, live: LiveParts, rollouts: Rollouts, drain: anyio.Event
 ) -> DrainMiddleware:
     """Build the HTTP face behind its guards."""
     settings, metrics, platform = base.settings, base.metrics, base.platform
--- a/src/balsamcleat/composition/live.py
+++ b/src/balsamcleat/composition/live.py
@@ -5,7 +5,7 @@
 from balsamcleat.commands.generate import Generate
 from balsamcleat.commands.run_call import RunCall
 from balsamcleat.commands.run_once import RunOnce
-from balsamcleat.composition.base import Base
+from balsamcleat.composition.base import NodeFoundation
 from balsamcleat.composition.node import PlatformParts
 from balsamcleat.composition.peers import PeerParts, alive_vms
 from balsamcleat.configuration import OutagePolicy
@@ -48,17 +48,17 @@
     canceller: Canceller
 
 
-def compose_live(base: Base, peers: PeerParts) -> LiveParts:
+def compose_live(base: NodeFoundation, peers: PeerParts) -> LiveParts:
     """Build what stands between callers and targets."""
     clock, randomness, metrics = base.clock, base.randomness, base.metrics
     keeper, link, connections = peers.keeper, peers.link, base.connections
     router = Router(base.zone, randomness.generator("router"))
-    gate = AdmissionController(Admission(randomness.generator("admission")), clock, metrics)
+    admission = AdmissionController(Admission(randomness.generator("admission")), clock, metrics)
     watch = TargetWatch(
         keeper,
         peers.vm_list,
         router,
-        gate,
+        admission,
         connections,
         link,
         clock,
@@ -70,13 +70,13 @@
     quarantine = QuarantineGuard(Quarantine(), router, clock, metrics)
     quarantine.notify_zone = link.broadcast_to_zone
     link.notice_handlers[SUSPECT_NOTICE] = quarantine.handle_notice
-    claims = make_claims(link, base.platform, clock, randomness, metrics)
+    claims = make_claim_keeper(link, base.platform, clock, randomness, metrics)
     generate = Generate(
-        gate, router, connections, retries, clock, randomness, metrics, canceller, quarantine
+        admission, router, connections, retries, clock, randomness, metrics, canceller, quarantine
     )
     run_once = RunOnce(
         base.vm_id,
-        RunCall(gate, router, connections, retries, clock, metrics, quarantine),
+        RunCall(admission, router, connections, retries, clock, metrics, quarantine),
         claims,
         lambda service: outage_policy(keeper, service),
         clock,
@@ -86,7 +86,7 @@
     return LiveParts(router, watch, generate, run_once, claims, canceller)
 
 
-def make_claims(
+def make_claim_keeper(
     link: PeerLink,
     platform: PlatformParts,
     clock: Clock,
--- a/src/balsamcleat/composition/node.py
+++ b/src/balsamcleat/composition/node.py
@@ -32,7 +32,7 @@
 __all__ = ["Node", "PlatformParts"]
 
 # What a shutdown may take for its last writes, even when its bound is used up.
-LAST_WRITES_S = 2.0
+LAST_WRITES_TIMEOUT_S = 2.0
 
 log = structlog.get_logger()
 
@@ -70,7 +70,7 @@
 
     settings: Settings
     client: httpx.AsyncClient
-    fresh_client: httpx.AsyncClient
+    unpooled_client: httpx.AsyncClient
     metrics: MemoryMetrics
     keeper: ConfigurationKeeper
     vm_list: SharedVmList
@@ -84,7 +84,7 @@
     drain: anyio.Event
     keys: KeyRing | None
     platform: PlatformParts
-    archivist: TableArchiver
+    archiver: TableArchiver
     claims: ClaimKeeper
     canceller: Canceller
 
@@ -100,7 +100,7 @@
         bound = bind(host, port)
         async with (
             self.client,
-            self.fresh_client,
+            self.unpooled_client,
             # The platform outlives the others, which still write while they stop.
             self.platform.running(),
             anyio.create_task_group() as group,
@@ -114,7 +114,7 @@
             group.start_soon(self.weight_orders.run)
             if self.tls is not None:
                 group.start_soon(self.tls.run)
-            group.start_soon(self.archivist.run)
+            group.start_soon(self.archiver.run)
             group.start_soon(self.claims.writer.run)
             group.start_soon(self.claims.run)
             group.start_soon(self.claims.run_sweeps)
@@ -131,6 +131,8 @@
         """Serve HTTP until drained, then write what is due and give the leases up."""
         guard = self.guard
         await serve_until_drained(guard, bound, self.drain, self.link.leave, self.tls)
-        with anyio.move_on_after(max(LAST_WRITES_S, guard.drain.remaining_s(guard.clock.now_s()))):
+        with anyio.move_on_after(
+            max(LAST_WRITES_TIMEOUT_S, guard.drain.remaining_s(guard.clock.now_s()))
+        ):
             await self.claims.flush()
             await self.leases.release_all()
--- a/src/balsamcleat/composition/peers.py
+++ b/src/balsamcleat/composition/peers.py
@@ -10,7 +10,7 @@
 from balsamcleat.adapters.key_ring import KeyRing
 from balsamcleat.adapters.peer_seal import HmacSeal, NoSeal, Seal
 from balsamcleat.adapters.socket_peers import SocketPeers
-from balsamcleat.composition.base import Base
+from balsamcleat.composition.base import NodeFoundation
 from balsamcleat.decisions.membership import Membership
 from balsamcleat.decisions.shared_list import VmListCache
 from balsamcleat.errors import InvalidInputError
@@ -41,7 +41,7 @@
     keys: KeyRing | None
 
 
-async def compose_peers(base: Base) -> PeerParts:
+async def compose_peers(base: NodeFoundation) -> PeerParts:
     """Build a node's side towards its peers; binds the sockets."""
     settings, clock, metrics = base.settings, base.clock, base.metrics
     generator = base.randomness.generator
--- a/src/balsamcleat/composition/rollouts.py
+++ b/src/balsamcleat/composition/rollouts.py
@@ -4,7 +4,7 @@
     HttpWeightStore,
     PlatformHttp,
 )
-from balsamcleat.composition.base import Base
+from balsamcleat.composition.base import NodeFoundation
 from balsamcleat.composition.live import LiveParts
 from balsamcleat.composition.peers import PeerParts, alive_vms
 from balsamcleat.decisions.stragglers import LengthEstimator
@@ -19,15 +19,15 @@
 __all__ = ["compose_leases", "compose_rollouts", "compose_weight_orders"]
 
 
-def compose_rollouts(base: Base, peers: PeerParts, live: LiveParts) -> Rollouts:
+def compose_rollouts(base: NodeFoundation, peers: PeerParts, live: LiveParts) -> Rollouts:
     """Build the rollouts of a node."""
     clock, randomness, metrics = base.clock, base.randomness, base.metrics
-    gate = FairShareLimiter(metrics)
-    maker = SampleGenerator(
+    limiter = FairShareLimiter(metrics)
+    sample_generator = SampleGenerator(
         live.generate,
         live.router,
         base.connections,
-        gate,
+        limiter,
         LengthEstimator(),
         clock,
         randomness.generator("samples"),
@@ -38,12 +38,12 @@
         base.vm_id,
         peers.keeper,
         peers.link,
-        OwnerDependencies(maker, store, gate, clock, metrics),
+        OwnerDependencies(sample_generator, store, limiter, clock, metrics),
         randomness.generator("rollouts"),
     )
 
 
-def compose_leases(base: Base, peers: PeerParts) -> LeaseKeeper:
+def compose_leases(base: NodeFoundation, peers: PeerParts) -> LeaseKeeper:
     """Build the leases of a node."""
     leases = LeaseKeeper(
         base.vm_id,
@@ -59,7 +59,7 @@
 
 
 def compose_weight_orders(
-    base: Base, peers: PeerParts, leases: LeaseKeeper
+    base: NodeFoundation, peers: PeerParts, leases: LeaseKeeper
 ) -> WeightLoadController:
     """Build the weight orders of a node."""
     return WeightLoadController(
--- a/src/balsamcleat/composition/root.py
+++ b/src/balsamcleat/composition/root.py
@@ -4,8 +4,8 @@
 import anyio.abc
 
 from balsamcleat.adapters.system import SystemRandomness
-from balsamcleat.composition.base import compose_base
-from balsamcleat.composition.face import compose_face, make_tls
+from balsamcleat.composition.base import compose_foundation
+from balsamcleat.composition.http_api import compose_http_api, make_tls
 from balsamcleat.composition.live import compose_live
 from balsamcleat.composition.node import Node
 from balsamcleat.composition.peers import compose_peers
@@ -28,7 +28,7 @@
         settings: The node's settings.
         randomness: Where draws and ids come from; the operating system by default.
     """
-    base = compose_base(settings, randomness or SystemRandomness())
+    base = compose_foundation(settings, randomness or SystemRandomness())
     peers = await compose_peers(base)
     live = compose_live(base, peers)
     rollouts = compose_rollouts(base, peers, live)
@@ -37,7 +37,7 @@
     return Node(
         settings=settings,
         client=base.client,
-        fresh_client=base.fresh_client,
+        unpooled_client=base.unpooled_client,
         metrics=base.metrics,
         keeper=peers.keeper,
         vm_list=peers.vm_list,
@@ -46,14 +46,14 @@
         leases=leases,
         rollouts=rollouts,
         weight_orders=compose_weight_orders(base, peers, leases),
-        guard=compose_face(base, peers, live, rollouts, drain),
+        guard=compose_http_api(base, peers, live, rollouts, drain),
         tls=make_tls(settings),
         drain=drain,
         keys=peers.keys,
         platform=base.platform,
         claims=live.claims,
         canceller=live.canceller,
-        archivist=TableArchiver(
+        archiver=TableArchiver(
             base.platform.table,
             base.platform.objects,
             peers.keeper,
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -37,7 +37,7 @@
         self.leases = LeaseKeeper(
             VmId("vm-1"), table, self.clock, SeededRandomness(1), MemoryMetrics()
         )
-        self.archivist = TableArchiver(
+        self.archiver = TableArchiver(
             table,
             objects,
             self.first.keeper,
@@ -157,7 +157,7 @@
 async def check_archiving_is_suspended(
     system: ControlSystem, group: anyio.abc.TaskGroup, outage_s: float
 ) -> None:
-    group.start_soon(system.archivist.run)
+    group.start_soon(system.archiver.run)
     rows = dict(system.table.rows)
     await anyio.sleep(outage_s + 20.0)
     assert system.table.rows == rows
