--- a/src/balsamcleat/composition/__init__.py
+++ b/src/balsamcleat/composition/__init__.py
@@ -1,4 +1,4 @@
-"""The composition root: builds the parts of one node and wires them."""
+"""Composition root: builds the parts of a node and connects them."""
 
 from balsamcleat.composition.node import Node
 from balsamcleat.composition.root import compose
--- a/src/balsamcleat/composition/base.py
+++ b/src/balsamcleat/composition/base.py
@@ -1,4 +1,4 @@
-"""What every part of a node is built on: clients, clock, platform, targets."""
+"""Builds what all parts of a node share: clients, clock, platform and connections to targets."""
 
 from dataclasses import dataclass
 
@@ -30,19 +30,19 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeFoundation:
-    """What every part of a node is built on.
+    """Objects that all parts of a node share.
 
     Attributes:
-        settings: The node's settings.
-        vm_id: This VM.
-        zone: Its availability zone.
-        clock: The clock.
-        randomness: Where draws and ids come from.
-        metrics: Where counts go.
-        client: The HTTP client.
-        unpooled_client: One that keeps no connections, for calls that may not be repeated.
-        budget: The allowance of retries that all layers share.
-        platform: The platform's table and object store, and the audit trail.
+        settings: Settings of the node.
+        vm_id: Id of this VM.
+        zone: Availability zone of this VM.
+        clock: Source of time and of delays.
+        randomness: Source of random generators and ids.
+        metrics: Receiver of counters.
+        client: HTTP client.
+        unpooled_client: HTTP client that reuses no connections, for calls of plain services.
+        budget: Retry budget that all layers share.
+        platform: Clients of the platform's table and object store, and the audit trail.
         connections: Connections to targets.
     """
 
@@ -60,7 +60,7 @@
 
 
 def compose_foundation(settings: Settings, randomness: Randomness) -> NodeFoundation:
-    """Build what every part is built on; the adapters of targets are chosen here."""
+    """Build the objects that all parts share, including the adapters of targets."""
     clock = SystemClock()
     metrics = make_metrics(settings)
     client, unpooled_client = new_client(), new_client(reuse=False)
@@ -92,7 +92,7 @@
     budget: RetryBudget,
     metrics: Metrics,
 ) -> PlatformParts:
-    """Build the client of the platform's table and object store."""
+    """Build the clients of the platform's table and object store, and the audit trail."""
 
     def make_pipeline(name: str) -> ResiliencePipeline:
         return ResiliencePipeline(name, clock, budget, randomness.generator(name), metrics)
@@ -112,7 +112,7 @@
 
 
 def make_metrics(settings: Settings) -> MemoryMetrics:
-    """Return the metrics that the settings ask for."""
+    """Return the metrics that the settings select."""
     if settings.statsd_address is None:
         return MemoryMetrics()
     return StatsdMetrics(*split_address(settings.statsd_address))
--- a/src/balsamcleat/composition/http_api.py
+++ b/src/balsamcleat/composition/http_api.py
@@ -1,4 +1,4 @@
-"""The HTTP face of a node."""
+"""Builds the HTTP interface of a node."""
 
 from pathlib import Path
 
@@ -31,7 +31,7 @@
 def compose_http_api(
     base: NodeFoundation, peers: PeerParts, live: LiveParts, rollouts: Rollouts, drain: anyio.Event
 ) -> DrainMiddleware:
-    """Build the HTTP face behind its guards."""
+    """Build the HTTP interface with its limits, its access control and its draining."""
     settings, metrics, platform = base.settings, base.metrics, base.platform
     callers = CallerApi(peers.keeper, live.run_once, live.generate, base.clock, base.randomness)
     operators = OperatorApi(
@@ -56,7 +56,7 @@
 
 
 def make_tls(settings: Settings) -> TlsServer | None:
-    """Return the TLS side of the HTTP face, if the settings ask for one."""
+    """Return the TLS context of the HTTP interface, or None for plain HTTP."""
     security = settings.security
     if security.tls_certificate_file is None or security.tls_key_file is None:
         return None
--- a/src/balsamcleat/composition/live.py
+++ b/src/balsamcleat/composition/live.py
@@ -1,4 +1,4 @@
-"""The part of a node between callers and targets."""
+"""Builds the part of a node that serves live calls."""
 
 from dataclasses import dataclass
 
@@ -29,14 +29,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LiveParts:
-    """What stands between callers and targets.
+    """Objects that serve live calls.
 
     Attributes:
         router: Chooses targets.
-        watch: Knows targets.
+        watch: Keeps the list of targets up to date.
         generate: Runs generations.
-        run_once: Runs plain calls.
-        claims: Claims of keyed calls.
+        run_once: Runs calls of plain services.
+        claims: Claims of calls with idempotency keys.
         canceller: Cancels abandoned generations at their engines.
     """
 
@@ -49,7 +49,7 @@
 
 
 def compose_live(base: NodeFoundation, peers: PeerParts) -> LiveParts:
-    """Build what stands between callers and targets."""
+    """Build the objects that serve live calls."""
     clock, randomness, metrics = base.clock, base.randomness, base.metrics
     keeper, link, connections = peers.keeper, peers.link, base.connections
     router = Router(base.zone, randomness.generator("router"))
@@ -93,7 +93,7 @@
     randomness: Randomness,
     metrics: Metrics,
 ) -> ClaimKeeper:
-    """Build the claims of keyed calls, committed through the zone's committer."""
+    """Build the claims of calls with keys, which one VM of the zone commits for all."""
 
     def zone_vms() -> tuple[VmId, ...]:
         return alive_vms(link, zone_only=True)
@@ -108,6 +108,6 @@
 
 
 def outage_policy(keeper: ConfigurationKeeper, service: str) -> OutagePolicy:
-    """Return what the service's keyed calls do while the table is out."""
+    """Return what calls with keys to a service do while the table is unavailable."""
     configured = keeper.current.body.services.get(service)
     return OutagePolicy.REFUSE if configured is None else configured.outage_policy
--- a/src/balsamcleat/composition/node.py
+++ b/src/balsamcleat/composition/node.py
@@ -1,4 +1,4 @@
-"""One node, wired and ready to run."""
+"""The process of one entry VM, as built by the composition root."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -31,7 +31,7 @@
 
 __all__ = ["Node", "PlatformParts"]
 
-# What a shutdown may take for its last writes, even when its bound is used up.
+# Timeout for the last writes of a shutdown, which applies even if its time limit is exceeded.
 LAST_WRITES_TIMEOUT_S = 2.0
 
 log = structlog.get_logger()
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformParts:
-    """The client of the platform's services, and the audit trail that writes through it."""
+    """Clients of the platform's services, and the audit trail that writes through them."""
 
     table: PlatformTable
     objects: PlatformObjects
@@ -47,7 +47,7 @@
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
-        """Run the client; on leaving, the audit trail is written before the table stops."""
+        """Run the clients; at the end the audit trail is written before the table client stops."""
         async with anyio.create_task_group() as outer:
             outer.start_soon(self.table.run)
             async with anyio.create_task_group() as inner:
@@ -61,11 +61,11 @@
 
 @dataclass
 class Node:
-    """One entry VM's process, wired and ready to run.
+    """Process of one entry VM with all its parts.
 
     Attributes:
-        settings: Its settings.
-        drain: Set to begin a graceful shutdown.
+        settings: Settings of the node.
+        drain: Event that begins a graceful shutdown when it is set.
     """
 
     settings: Settings
@@ -94,14 +94,14 @@
         """Run until drained.
 
         Args:
-            task_status: Told once the node listens.
+            task_status: Notified once the node listens.
         """
         host, port = split_address(self.settings.http_address)
         bound = bind(host, port)
         async with (
             self.client,
             self.unpooled_client,
-            # The platform outlives the others, which still write while they stop.
+            # The platform clients stop last, because the other parts still write while they stop.
             self.platform.running(),
             anyio.create_task_group() as group,
         ):
@@ -128,7 +128,7 @@
         log.info("node stopped", vm=self.settings.vm_id)
 
     async def serve(self, bound: BoundSocket) -> None:
-        """Serve HTTP until drained, then write what is due and give the leases up."""
+        """Serve HTTP until drained, then write pending outcomes and release the leases."""
         guard = self.guard
         await serve_until_drained(guard, bound, self.drain, self.link.leave, self.tls)
         with anyio.move_on_after(
--- a/src/balsamcleat/composition/peers.py
+++ b/src/balsamcleat/composition/peers.py
@@ -1,4 +1,4 @@
-"""The part of a node that talks to its peers."""
+"""Builds the part of a node that communicates with its peers."""
 
 from dataclasses import dataclass
 from pathlib import Path
@@ -26,13 +26,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerParts:
-    """What a node knows of its peers and shares with them.
+    """Objects that communicate with the peers.
 
     Attributes:
-        vm_list: The platform's VM list, read in turns with the zone.
-        keeper: The configuration in force.
-        link: Membership and messages.
-        keys: The peers' keys, if messages are sealed.
+        vm_list: VM list of the platform, which the VMs of the zone read in turns.
+        keeper: Configuration in force.
+        link: Membership and messages between peers.
+        keys: Shared keys of the peers, if messages are sealed.
     """
 
     vm_list: SharedVmList
@@ -42,7 +42,7 @@
 
 
 async def compose_peers(base: NodeFoundation) -> PeerParts:
-    """Build a node's side towards its peers; binds the sockets."""
+    """Build the objects that communicate with the peers, and bind their sockets."""
     settings, clock, metrics = base.settings, base.clock, base.metrics
     generator = base.randomness.generator
     vm_list = SharedVmList(
@@ -84,10 +84,10 @@
 
 
 def make_seal(settings: Settings, clock: Clock) -> tuple[Seal, KeyRing | None]:
-    """Return the seal of peer messages, with the keys to keep fresh.
+    """Return the seal of peer messages and the keys that it uses, if any.
 
     Raises:
-        InvalidInputError: No keys are named, or their file can't be used.
+        InvalidInputError: The settings name no key file, or the file can't be used.
     """
     if settings.security.peer_keys_file is not None:
         keys = KeyRing.from_file(Path(settings.security.peer_keys_file))
@@ -101,6 +101,6 @@
 
 
 def alive_vms(link: PeerLink, *, zone_only: bool = False) -> tuple[VmId, ...]:
-    """Return the entry VMs that this node believes to be alive, itself included."""
+    """Return the entry VMs that are alive as far as this node knows, including itself."""
     others = (member.vm_id for member in link.membership.alive_peers(zone_only=zone_only))
     return (link.vm_id, *others)
--- a/src/balsamcleat/composition/rollouts.py
+++ b/src/balsamcleat/composition/rollouts.py
@@ -1,4 +1,4 @@
-"""The part of a node that produces samples and orders weights."""
+"""Builds the part of a node that generates samples and orders weight loads."""
 
 from balsamcleat.adapters.http_platform import (
     HttpWeightStore,
@@ -20,7 +20,7 @@
 
 
 def compose_rollouts(base: NodeFoundation, peers: PeerParts, live: LiveParts) -> Rollouts:
-    """Build the rollouts of a node."""
+    """Build the objects that run the steps of trainers."""
     clock, randomness, metrics = base.clock, base.randomness, base.metrics
     limiter = FairShareLimiter(metrics)
     sample_generator = SampleGenerator(
@@ -44,7 +44,7 @@
 
 
 def compose_leases(base: NodeFoundation, peers: PeerParts) -> LeaseKeeper:
-    """Build the leases of a node."""
+    """Build the leases that this node acquires."""
     leases = LeaseKeeper(
         base.vm_id,
         base.platform.table,
@@ -61,7 +61,7 @@
 def compose_weight_orders(
     base: NodeFoundation, peers: PeerParts, leases: LeaseKeeper
 ) -> WeightLoadController:
-    """Build the weight orders of a node."""
+    """Build the controller of weight loads."""
     return WeightLoadController(
         peers.keeper,
         leases,
--- a/src/balsamcleat/composition/root.py
+++ b/src/balsamcleat/composition/root.py
@@ -1,4 +1,4 @@
-"""Build one node from its settings."""
+"""Builds one node from its settings."""
 
 import anyio
 import anyio.abc
@@ -22,11 +22,11 @@
 
 
 async def compose(settings: Settings, randomness: Randomness | None = None) -> Node:
-    """Build a node from its settings; binds the peers' sockets.
+    """Build a node from its settings, and bind the sockets for its peers.
 
     Args:
-        settings: The node's settings.
-        randomness: Where draws and ids come from; the operating system by default.
+        settings: Settings of the node.
+        randomness: Source of random generators and ids; the operating system by default.
     """
     base = compose_foundation(settings, randomness or SystemRandomness())
     peers = await compose_peers(base)
