A row of a crash that the store rejects for good ends no process and holds up no other

Found in review of the new queue: the store's client raises InvalidInputError for 400, 403 and 413, which is no platform error; it would have ended the queue's task, and with it the process, and a row written again for ever would have held up all others. The code before had the same hole in its own task. Now such rows are logged, kept at this VM and dropped from the queue. The new test fails before (the error reaches the task group) and passes after. The digest of a live call is computed once, as bodies may be large.

--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -91,6 +91,7 @@
         "The store did not take it; it is written until the store does. Once an outage.",
         "content reason",
     ),
+    event("crash rejected by the store", "It is known to this VM only.", "content reason"),
     event("request cleared", "A target answered it whole; it is no suspect any more.", CONTENT),
     event("trial not claimed", "The store failed; it stays blocked.", "content reason"),
     event("request blocked", "Several targets crashed under it.", f"request {CONTENT}"),
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -29,6 +29,7 @@
             is not sticky.
         is_trial: Whether the request is blocked and tried once more.
         has_whole_answer: Whether a target answered completely, so that it did not crash.
+        computed_digest: Digest of the request once it was needed; bodies may be large.
     """
 
     request: Request
@@ -39,12 +40,17 @@
     prompt_ids: tuple[str, ...] = ()
     is_trial: bool = False
     has_whole_answer: bool = False
+    computed_digest: str = ""
 
     @property
     def digest(self) -> str:
         """Digest that identifies the request when a caller sends it again."""
-        request = self.request
-        return request_digest(request.client_address, request.method, request.target, request.body)
+        if not self.computed_digest:
+            request = self.request
+            self.computed_digest = request_digest(
+                request.client_address, request.method, request.target, request.body
+            )
+        return self.computed_digest
 
     def run_at(self, replica: Replica) -> TargetRun:
         """Return the run of the request at a target."""
--- a/src/balsamcleat/tasks/shared_crash_history.py
+++ b/src/balsamcleat/tasks/shared_crash_history.py
@@ -12,7 +12,7 @@
     TargetRun,
     TargetStart,
 )
-from balsamcleat.errors import PlatformError
+from balsamcleat.errors import InvalidInputError, PlatformError
 from balsamcleat.model import TargetId
 from balsamcleat.ports.rows import (
     ABSENT_VERSION,
@@ -76,7 +76,7 @@
                 await anyio.sleep(PUBLISH_RETRY_S)
 
     async def publish_next(self) -> bool:
-        """Write the queued rows of one request; return whether the store took them."""
+        """Write the queued rows of one request; return False if they must be written again."""
         digest = next(iter(self.pending)).part
         writes = tuple(
             RowWrite(key, value) for key, value in self.pending.items() if key.part == digest
@@ -88,6 +88,9 @@
                 log.warning("crash not shared", content=digest, reason=str(error))
             self.is_failing = True
             return False
+        except InvalidInputError as error:
+            # Written again, these rows would be rejected again and hold up all others.
+            log.error("crash rejected by the store", content=digest, reason=str(error))
         self.is_failing = False
         for write in writes:
             if self.pending.get(write.key, b"") == write.value:
@@ -122,7 +125,7 @@
         commit = RowCommit((RowWrite(key, self.encode_now()),), ((key, ABSENT_VERSION),))
         try:
             outcome = await self.store.commit(commit)
-        except PlatformError as error:
+        except (PlatformError, InvalidInputError) as error:
             log.warning("trial not claimed", content=digest, reason=str(error))
             return False
         self.history.record_trial(digest, number, anyio.current_time())
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -23,10 +23,11 @@
 )
 from balsamcleat.decisions.live_attempts import AttemptTracker
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.errors import InvalidInputError
 from balsamcleat.http1 import Request
 from balsamcleat.model import TargetId
 from balsamcleat.model.replicas import ReplicaState
-from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
+from balsamcleat.ports.rows import RowCommit, RowConflict, RowKey, RowsCommitted, RowWrite
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
@@ -303,6 +304,29 @@
 
         run_in_virtual_time(scenario)
 
+    def test_row_that_the_store_rejects_holds_up_no_other(self) -> None:
+        """A rejected write ended the task, and with it the process."""
+
+        async def scenario() -> None:
+            store = MemoryRowStore()
+            async with running_vms(1, store) as (vm,):
+                commit = vm.history.store.commit
+
+                async def reject_t0(wanted: RowCommit) -> RowsCommitted | RowConflict:
+                    if any(write.key.key.startswith("crash/t0/") for write in wanted.writes):
+                        raise InvalidInputError("the key is too long", step="test")
+                    return await commit(wanted)
+
+                vm.history.store.commit = reject_t0  # type: ignore[method-assign]
+                vm.history.record_crash(run_at(0), "cut off")
+                await anyio.sleep(0.1)
+                vm.history.record_crash(run_at(1), "cut off")
+                await anyio.sleep(0.1)
+                assert suspect_rows(store) == ["crash/t1/0"]
+                assert vm.history.crash_count(DIGEST) == 2
+
+        run_in_virtual_time(scenario)
+
     def test_first_crash_under_a_sample_is_kept_here(self) -> None:
         async def scenario() -> None:
             store = MemoryRowStore()
