Score samples: send each complete text to its scorer, list it only with its score

A complete text that needs a score is neither listed nor placed again; its scoring request is a background call of the live forwarder, which queues it behind callers of the same rank, chooses the target, hedges, and keeps the guard against requests that crash targets. Complete texts are saved as complete, so that a new owner scores them without generating them again. The score is stored with the result. A scorer that answers 500 often enough gives the sample up. After a pause nothing is sent before the store has confirmed the step.

Ruled out: a second path for scoring requests beside the forwarder (queue, retries and guards would stand twice); scoring by the VM that reads the results (positions are committed by the owner).

--- a/src/balsamcleat/decisions/live_attempts.py
+++ b/src/balsamcleat/decisions/live_attempts.py
@@ -51,6 +51,7 @@
         has_timed_out: Whether an attempt ended without any response in time.
         round_count: Number of rounds over the targets, with a wait between two rounds.
         retry_after_s: Retry delay of the last target that sent one, in seconds.
+        server_error_count: Number of responses with status 500.
         is_blocked: Whether the request must not be sent any more, because it crashes targets.
     """
 
@@ -62,6 +63,7 @@
     has_timed_out: bool = False
     round_count: int = 1
     retry_after_s: float | None = None
+    server_error_count: int = 0
     is_blocked: bool = False
 
     def record_start(self, target_id: TargetId) -> None:
--- a/src/balsamcleat/decisions/live_queue.py
+++ b/src/balsamcleat/decisions/live_queue.py
@@ -17,7 +17,16 @@
 from bisect import insort
 from dataclasses import dataclass, field
 
-__all__ = ["Admitted", "Decision", "LiveQueue", "Rejected", "SlotEstimate", "Ticket", "new_ticket"]
+__all__ = [
+    "Admitted",
+    "Decision",
+    "LiveQueue",
+    "Rejected",
+    "SlotEstimate",
+    "Ticket",
+    "background_ticket",
+    "new_ticket",
+]
 
 # Number of requests sent to a target beyond its slots, so that a slot that becomes free is used
 # at once.
@@ -119,6 +128,15 @@
     )
 
 
+def background_ticket(rank: int, deadline_s: float) -> Ticket:
+    """Return the ticket of a call of this VM's own, for which no caller waits.
+
+    It yields to the callers of the same rank, who have a latency objective, and is not rejected
+    before its deadline, a time on the process's clock.
+    """
+    return Ticket(rank + 1, deadline_s, deadline_s)
+
+
 Decision = Admitted | Rejected
 
 
--- a/src/balsamcleat/decisions/sample_progress.py
+++ b/src/balsamcleat/decisions/sample_progress.py
@@ -136,14 +136,20 @@
         """Return the data of all events, separated by line feeds."""
         return "\n".join(self.events)
 
-    def slice_from(self, start: int) -> ProgressSlice:
-        """Return the events from index ``start`` on as a slice to be saved."""
+    def slice_from(self, start: int, *, complete: bool = False) -> ProgressSlice:
+        """Return the events from index ``start`` on as a slice to be saved.
+
+        Args:
+            start: Index of the first event of the slice.
+            complete: Whether the last event ends the sample.
+        """
         return ProgressSlice(
             generation=self.generation,
             start=start,
             first_event=self.first_event,
             events=tuple(self.events[start:]),
             versions=tuple(sorted(self.versions)),
+            complete=complete,
         )
 
     @classmethod
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -55,6 +55,7 @@
 from balsamcleat.tasks.row_garbage_collector import RowGarbageCollector
 from balsamcleat.tasks.sample_guard import SampleGuard
 from balsamcleat.tasks.sample_run import SampleRunner
+from balsamcleat.tasks.sample_scorer import SampleScorer
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.step_transfer import StepTransfer
@@ -168,12 +169,23 @@
             lambda start: self.replica_directory.is_listed(start.target_id, start.started_ms),
             self.reaches_store,
         )
+        self.live_queues = LiveQueues(self.replica_directory, self.stats_registry, generator)
+        forwarder = LiveForwarder(
+            self.replica_directory,
+            self.stats_registry,
+            self.target_pool,
+            settings.zone,
+            generator,
+            CrashGuard(self.crash_detector),
+            self.live_queues,
+        )
         self.runner = RolloutRunner(
             self.records,
             self.replica_directory,
             self.stats_registry,
             SampleRunner(self.target_pool, self.stats_registry),
             SampleGuard(self.crash_detector),
+            SampleScorer(forwarder, lambda: self.routing_keeper.table, generator),
             settings.zone,
             lambda: self.routing_keeper.table,
             self.load_controller.loading_models,
@@ -232,16 +244,6 @@
             self.store_clock.now_ms,
             settings.results_kept_s * 1000,
         )
-        self.live_queues = LiveQueues(self.replica_directory, self.stats_registry, generator)
-        forwarder = LiveForwarder(
-            self.replica_directory,
-            self.stats_registry,
-            self.target_pool,
-            settings.zone,
-            generator,
-            CrashGuard(self.crash_detector),
-            self.live_queues,
-        )
         self.dispatcher = RequestDispatcher(
             lambda: self.routing_keeper.table,
             forwarder,
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -135,6 +135,13 @@
     event("results not listed yet", "The store failed.", "step position results reason"),
     # What is believed.
     event("configuration in force", "A newer one.", "version before row_version routes"),
+    event(
+        "scorer called",
+        "A complete text was sent to be scored; without a status no target answered.",
+        "sample request service status runs failures took_s",
+    ),
+    event("sample has no scorer", "No route takes the request; it is tried again.", "sample host"),
+    event("sample not scored", "Its scorer failed too often; it is given up.", "step sample"),
     event("document refused", "It can't be read.", "key reason"),
     event("version named", "A trainer named a weight version.", "model version"),
     *(
--- a/src/balsamcleat/model/rollout.py
+++ b/src/balsamcleat/model/rollout.py
@@ -11,6 +11,7 @@
     "SampleResult",
     "SampleState",
     "SampleTask",
+    "ScoringRequest",
 ]
 
 
@@ -29,6 +30,23 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ScoringRequest:
+    """Request whose answer scores a sample; it is sent once the sample's text is complete.
+
+    Attributes:
+        request_id: Id of the request, the same for each time it is sent.
+        host: Host whose routes the request is matched against.
+        path: Request path.
+        body: Request body.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class SampleTask:
     """A sample to generate.
@@ -45,6 +63,7 @@
         max_tokens: Maximum number of output tokens.
         expected_tokens: The trainer's estimate of the number of output tokens, which is reliable
             only at the median.
+        scoring: Request that scores the sample; None if the sample has no score.
     """
 
     sample_id: str
@@ -56,6 +75,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     expected_tokens: float | None = None
+    scoring: ScoringRequest | None = None
 
     @property
     def prompt_id(self) -> str:
@@ -93,9 +113,11 @@
         state: How the sample ended.
         text: Data of all stream events of the sample, joined by line feeds.
         versions: Weight versions that generated the events, in ascending order.
+        score: Score of the sample; empty if the sample has none.
     """
 
     sample_id: str
     state: SampleState
     text: str = ""
     versions: tuple[WeightVersion, ...] = ()
+    score: str = ""
--- a/src/balsamcleat/platform/__init__.py
+++ b/src/balsamcleat/platform/__init__.py
@@ -39,6 +39,7 @@
     sample_body,
     sample_request_headers,
 )
+    scoring_request,
 from balsamcleat.platform.store import PlatformRowStore
 
 __all__ = [
@@ -75,3 +76,4 @@
     "sample_request_headers",
     "stand_in_response_headers",
 ]
+    "scoring_request",
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -57,7 +57,8 @@
 
     Attributes:
         is_not_run: Whether the target states that it did not run the request.
-        has_target_stamp: Whether a target, rather than an intermediary, produced the body.
+        target_stamp: Digest with which the target signs its response; None if the response comes
+            from an intermediary.
         running_count: Number of requests that the target is running; None if it is not stated.
         waiting_count: Number of requests in the target's queue.
         weight_version: Weight version of the model at the start of the response.
@@ -65,7 +66,7 @@
     """
 
     is_not_run: bool
-    has_target_stamp: bool
+    target_stamp: str | None
     running_count: int | None = None
     waiting_count: int = 0
     weight_version: WeightVersion | None = None
@@ -73,6 +74,11 @@
 
 
 def request_id(headers: Headers) -> str:
+    @property
+    def has_target_stamp(self) -> bool:
+        """Whether a target, rather than an intermediary, produced the body."""
+        return self.target_stamp is not None
+
     """Return the id of the caller's attempt, or an empty string if it has none."""
     return header_value(headers, CORRELATION_HEADER) or ""
 
@@ -140,7 +146,7 @@
     return ResponseMetadata(
         is_not_run=status == MISDIRECTED_STATUS
         or header_value(headers, NOT_RUN_HEADER) is not None,
-        has_target_stamp=header_value(headers, STAMP_HEADER) is not None,
+        target_stamp=header_value(headers, STAMP_HEADER),
         running_count=running,
         waiting_count=waiting,
         weight_version=None if version is None else WeightVersion(int(version)),
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -15,6 +15,7 @@
     SampleResult,
     SampleState,
     SampleTask,
+    ScoringRequest,
 )
 from balsamcleat.platform.headers import (
     CORRELATION_HEADER,
@@ -39,6 +40,7 @@
     "parse_weight_version",
     "sample_body",
     "sample_request_headers",
+    "scoring_request",
 ]
 
 RESULTS_PREFIX = "/lots/"
@@ -51,6 +53,15 @@
 WIRE_STATES = {SampleState.COMPLETE: "complete", SampleState.GIVEN_UP: "lost"}
 
 
+class ScorerFields(msgspec.Struct, frozen=True):
+    """Request that scores a sample; ``body`` is encoded in base64 on the wire."""
+
+    id: str
+    host: str
+    path: str
+    body: bytes = b""
+
+
 class ItemFields(msgspec.Struct, frozen=True):
     """Sample of a submission; ``body`` is encoded in base64 on the wire."""
 
@@ -61,6 +72,8 @@
     # Number of tokens of the prompt and the output together.
     tokens: int = 0
     group: str = ""
+    # Despite its name on the wire, a whole request rather than a URL.
+    scorer: ScorerFields | None = msgspec.field(name="scorerUrl", default=None)
 
 
 class SubmissionFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -80,6 +93,7 @@
     state: str
     text: str | None = None
     versions: list[int] | None = None
+    score: str = ""
 
 
 class ResultsFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -190,9 +204,17 @@
         prompt_tokens=prompt_tokens or sum(part.tokens for part in prompt),
         max_tokens=max_tokens or fields.tokens,
         expected_tokens=parse_number(header_value(headers, LENGTH_HINT_HEADER)),
+        scoring=decode_scoring(fields.scorer),
     )
 
 
+def decode_scoring(fields: ScorerFields | None) -> ScoringRequest | None:
+    """Return the request that scores a sample, or None if the sample has no score."""
+    if fields is None:
+        return None
+    return ScoringRequest(fields.id, fields.host.lower(), fields.path, fields.body)
+
+
 def parse_prompt_parts(value: str) -> tuple[PromptPart, ...]:
     """Return the parts of a prompt from comma-separated ID:TOKENS entries."""
     parts = []
@@ -260,6 +282,17 @@
     return (*headers, (LAST_EVENT_HEADER, str(last_event)))
 
 
+def scoring_request(scoring: ScoringRequest, now_s: float) -> Request:
+    """Return the request that scores a sample.
+
+    Args:
+        scoring: Request as the trainer submitted it.
+        now_s: Time of the event loop's clock, in seconds.
+    """
+    headers = (("Host", scoring.host), (CORRELATION_HEADER, scoring.request_id))
+    return Request("POST", scoring.path, headers, scoring.body, now_s)
+
+
 def parse_weight_version(event: StreamEvent) -> WeightVersion | None:
     """Return the weight version that generates from this event on, or None if it is unchanged."""
     for name, value in event.fields:
@@ -282,6 +315,7 @@
             state=WIRE_STATES[result.state],
             text=result.text,
             versions=list(result.versions),
+            score=result.score,
         )
         for result in results
     ]
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -1,11 +1,13 @@
 """A live request that is being forwarded."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
 
 from balsamcleat.decisions.crash_suspects import TargetRun, TargetStart, request_digest
 from balsamcleat.decisions.live_attempts import AttemptTracker
+from balsamcleat.decisions.live_queue import Ticket, background_ticket, new_ticket
 from balsamcleat.http1 import Request
 from balsamcleat.model import ServiceName
 from balsamcleat.model.replicas import Replica
@@ -29,6 +31,8 @@
             is not sticky.
         is_trial: Whether the request is blocked and tried once more.
         has_whole_answer: Whether a target answered completely, so that it did not crash.
+        is_background: Whether this VM itself makes the call and no caller waits for it.
+        is_wanted: Returns whether the call may still be sent; asked before each attempt.
         computed_digest: Digest of the request once it was needed; bodies may be large.
     """
 
@@ -40,6 +44,8 @@
     prompt_ids: tuple[str, ...] = ()
     is_trial: bool = False
     has_whole_answer: bool = False
+    is_background: bool = False
+    is_wanted: Callable[[], bool] = lambda: True
     computed_digest: str = ""
 
     @property
@@ -52,6 +58,12 @@
             )
         return self.computed_digest
 
+    def ticket(self, now_s: float) -> Ticket:
+        """Return the ticket with which the call waits for a slot from now on."""
+        if self.is_background:
+            return background_ticket(self.route.rank, self.deadline_s)
+        return new_ticket(self.route.rank, self.deadline_s, now_s, self.route.objective_s)
+
     def run_at(self, replica: Replica) -> TargetRun:
         """Return the run of the request at a target."""
         return TargetRun(
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from balsamcleat.decisions.live_attempts import AttemptTracker, FailureStatus, hedge_delay_s
-from balsamcleat.decisions.live_queue import Rejected, new_ticket
+from balsamcleat.decisions.live_queue import Rejected
 from balsamcleat.decisions.replica_choice import choose_replica, choose_service
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
@@ -167,8 +167,7 @@
         """Wait for a slot and try targets; queue the call again if all targets rejected it."""
         while True:
             queued_s = anyio.current_time()
-            ticket = new_ticket(call.route.rank, call.deadline_s, queued_s, call.route.objective_s)
-            rejection = await self.queues.acquire(call.service, ticket)
+            rejection = await self.queues.acquire(call.service, call.ticket(queued_s))
             if rejection is not None:
                 return rejection
             admitted_s = anyio.current_time()
@@ -258,7 +257,7 @@
         """
         if not await self.crash_guard.may_run(call, is_copy=is_copy):
             return None
-        replica = self.choose_target(call)
+        replica = self.choose_target(call) if call.is_wanted() else None
         if replica is None:
             self.crash_guard.end_run(call)
             return None
@@ -317,6 +316,8 @@
         """Send the request to one target and return the complete response or the failure."""
         stats = self.stats_registry.for_target(replica.target_id)
         stats.in_flight += 1
+            elif outcome.ok_value.status == SERVER_ERROR_STATUS:
+                call.attempts.server_error_count += 1
         started_s = anyio.current_time()
         headers = forwarded_request_headers(
             call.request.headers,
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -57,6 +57,8 @@
         finished: Finished results that are not stored in the row store yet.
         progress: Text generated so far of each unfinished sample, by sample id.
         running: Current run of each running sample, by sample id.
+        unscored: Ids of the samples whose text is complete and whose score is missing.
+        scoring: Cancel scopes of the scoring of unscored samples, by sample id.
         failure_counts: Number of runs that a target answered with an error, by sample id.
         retry_not_before_s: Earliest time of a sample's next run, on the process clock, by sample
             id.
@@ -70,6 +72,7 @@
         ended_at_s: Time at which the trainer ended the step, on the process clock, in seconds.
         changed: Event that is set and replaced at each change of the state.
         saved_positions: Generation and number of the events saved in the row store, by sample id.
+        saved_as_complete: Ids of the samples whose text is saved in the row store as complete.
         ranks: Placement order of the samples, by sample id.
         samples: Samples of the step, by sample id.
     """
@@ -82,6 +85,8 @@
     finished: deque[SampleResult] = field(default_factory=deque)
     progress: dict[str, SampleProgress] = field(default_factory=dict)
     running: dict[str, SampleRun] = field(default_factory=dict)
+    unscored: set[str] = field(default_factory=set)
+    scoring: dict[str, anyio.CancelScope] = field(default_factory=dict)
     failure_counts: dict[str, int] = field(default_factory=dict)
     retry_not_before_s: dict[str, float] = field(default_factory=dict)
     carried_groups: set[str] = field(default_factory=set)
@@ -93,6 +98,7 @@
     ended_at_s: float = 0.0
     changed: anyio.Event = field(default_factory=anyio.Event)
     saved_positions: dict[str, tuple[int, int]] = field(default_factory=dict)
+    saved_as_complete: set[str] = field(default_factory=set)
     ranks: dict[str, SampleRank] = field(default_factory=dict)
     samples: dict[str, SampleTask] = field(default_factory=dict)
 
@@ -152,11 +158,7 @@
                 continue
             self.progress[sample_id] = progress
             if saved.complete:
-                self.add_result(
-                    SampleResult(
-                        sample_id, SampleState.COMPLETE, progress.joined_events(), saved.versions
-                    )
-                )
+                self.add_complete_text(sample_id)
 
     def update_ranks(self, tokens_per_event: float) -> None:
         """Recompute the placement order of the samples.
@@ -181,15 +183,33 @@
             sample
             for sample_id, sample in self.samples.items()
             if sample_id not in self.done
+            and sample_id not in self.unscored
             and sample_id not in self.running
             and self.retry_not_before_s.get(sample_id, 0.0) <= now_s
         ]
 
+    def add_complete_text(self, sample_id: str) -> None:
+        """Record that a sample's text is complete; the sample ends here unless it needs a score."""
+        if self.samples[sample_id].scoring is None:
+            self.add_result(self.complete_result(sample_id))
+        else:
+            self.unscored.add(sample_id)
+            self.notify()
+
+    def complete_result(self, sample_id: str, score: str = "") -> SampleResult:
+        """Return the result of a sample whose text is complete."""
+        progress = self.progress[sample_id]
+        versions = tuple(sorted(progress.versions))
+        return SampleResult(
+            sample_id, SampleState.COMPLETE, progress.joined_events(), versions, score
+        )
+
     def add_result(self, result: SampleResult) -> None:
         """Record a sample's result; ignore it if the sample already has one."""
         if result.sample_id in self.done:
             return
         self.done.add(result.sample_id)
+        self.unscored.discard(result.sample_id)
         self.finished.append(result)
         self.notify()
 
@@ -208,9 +228,11 @@
         self.changed = anyio.Event()
 
     def cancel_runs(self) -> None:
-        """Cancel all runs of the step's samples."""
+        """Cancel all runs of the step's samples and their scoring."""
         for run in list(self.running.values()):
             run.scope.cancel()
+        for scope in list(self.scoring.values()):
+            scope.cancel()
 
     def carryover_slices(self) -> dict[str, ProgressSlice]:
         """Return the text of incomplete groups, by sample id, for the trainer's next step."""
@@ -219,7 +241,7 @@
             sample.group for sample_id, sample in self.samples.items() if sample_id not in listed
         }
         slices = {
-            sample_id: progress.slice_from(0)
+            sample_id: progress.slice_from(0, complete=sample_id in self.unscored)
             for sample_id, progress in self.progress.items()
             if progress.events and sample_id not in self.done
         }
@@ -242,8 +264,12 @@
         for sample_id, progress in self.progress.items():
             generation, count = self.saved_positions.get(sample_id, (progress.generation, 0))
             start = count if generation == progress.generation else 0
-            if sample_id not in self.done and len(progress.events) - start >= min_events:
-                slices[sample_id] = progress.slice_from(start)
+            if sample_id in self.done:
+                continue
+            complete = sample_id in self.unscored
+            is_end_unsaved = complete and sample_id not in self.saved_as_complete
+            if is_end_unsaved or len(progress.events) - start >= min_events:
+                slices[sample_id] = progress.slice_from(start, complete=complete)
         return slices
 
     def mark_saved(self, slices: dict[str, ProgressSlice]) -> None:
@@ -253,3 +279,5 @@
                 progress_slice.generation,
                 progress_slice.start + len(progress_slice.events),
             )
+            if progress_slice.complete:
+                self.saved_as_complete.add(sample_id)
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -93,6 +93,7 @@
     state: SampleState
     text: str
     versions: tuple[WeightVersion, ...]
+    score: str = ""
 
 
 def is_owner_key(key: RowKey) -> bool:
@@ -221,7 +222,9 @@
         """Store results from a position on if the owner row is unchanged and the position free."""
         writes: list[RowWrite] = []
         for offset, result in enumerate(results):
-            stored = StoredResult(result.sample_id, result.state, result.text, result.versions)
+            stored = StoredResult(
+                result.sample_id, result.state, result.text, result.versions, result.score
+            )
             name = result_key(position + offset)
             writes += self.chunk_writes(RESULTS_TABLE, step_id, name, encode_value(stored))
         expected = ((owner_key(step_id), owner_version), (writes[0].key, ABSENT_VERSION))
@@ -254,7 +257,9 @@
                 )
             stored = decode_value(values[name], StoredResult)
             results.append(
-                SampleResult(stored.sample_id, stored.state, stored.text, stored.versions)
+                SampleResult(
+                    stored.sample_id, stored.state, stored.text, stored.versions, stored.score
+                )
             )
         return tuple(results)
 
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -35,6 +35,8 @@
     rejected_version,
     sample_digest,
 )
+from balsamcleat.tasks.sample_scorer import SampleScorer
+from balsamcleat.tasks.step_scorer import StepScorer
 
 __all__ = ["RolloutRunner"]
 
@@ -65,6 +67,7 @@
         stats_registry: Observed load, pace and failures of each target.
         sample_runner: Runs one sample on one target.
         sample_guard: Holds back samples that crash targets.
+        scorer: Obtains the scores of samples.
         zone: Availability zone of this VM.
         table: Returns the routing table in force, or None before there is one.
         loading: Returns the models whose weights a target is believed to be loading.
@@ -79,6 +82,7 @@
         stats_registry: ReplicaStatsRegistry,
         sample_runner: SampleRunner,
         sample_guard: SampleGuard,
+        scorer: SampleScorer,
         zone: ZoneName,
         table: Callable[[], RoutingTable | None],
         loading: Callable[[TargetId], frozenset[str]],
@@ -90,6 +94,7 @@
         self.stats_registry = stats_registry
         self.sample_runner = sample_runner
         self.sample_guard = sample_guard
+        self.step_scorer = StepScorer(scorer, table, self.may_score)
         self.table = table
         self.view = PlacementView(directory, stats_registry, zone, loading)
         self.pause_guard = pause_guard
@@ -116,6 +121,7 @@
         step.update_ranks(TOKENS_PER_EVENT)
         self.start_task(self.result_writer.write_results, step)
         self.start_task(self.result_writer.save_progress, step)
+        self.start_task(self.step_scorer.score_step, step)
         self.wake()
 
     def remove_step(self, step: OwnedStep) -> None:
@@ -308,13 +314,10 @@
     ) -> None:
         """Record a sample's result, or schedule its retry, after the end of a run."""
         sample_id = assignment.sample.sample_id
-        progress = step.progress[sample_id]
         now_s = anyio.current_time()
         if outcome.end is SampleEnd.COMPLETE:
-            versions = tuple(sorted(progress.versions))
-            step.add_result(
-                SampleResult(sample_id, SampleState.COMPLETE, progress.joined_events(), versions)
-            )
+            step.add_complete_text(sample_id)
+            self.start_task(self.step_scorer.score_step, step)
         elif outcome.end is SampleEnd.UNPROCESSABLE:
             step.add_result(SampleResult(sample_id, SampleState.GIVEN_UP))
         elif outcome.end is SampleEnd.FAILED:
@@ -337,6 +340,12 @@
                 "target is behind", target=assignment.replica.target_id, version=target_version
             )
 
+    def may_score(self, step: OwnedStep) -> bool:
+        """Return whether this VM may score samples of a step; detects a pause that just ended."""
+        assert self.tasks is not None
+        self.pause_guard.check_for_pause(self.steps.values(), self.tasks)
+        return step.can_start
+
     async def end_step(self, step: OwnedStep, carryover_part: str) -> None:
         """Stop a step that its trainer ended, and save text for the trainer's next step.
 
@@ -363,6 +372,6 @@
         """Cancel all runs of a step and wait until they have ended."""
         step.handing_over = True
         step.cancel_runs()
-        while step.running:
+        while step.running or step.scoring:
             changed = step.changed
             await changed.wait()
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -133,6 +133,7 @@
     pool: ConnectionPool
     crash_history: SharedCrashHistory
     keeper: ReplicaKeeper
+    forwarder: LiveForwarder
     flaws: RowStoreFlaws
 
 
@@ -222,7 +223,9 @@
         group.start_soon(run)
     host, port = listener.getsockname()
     keeper = ReplicaKeeper(directory, stats_registry, pool, lambda: None, detector.on_target_end)
-    return LiveVm(f"{host}:{port}", server, directory, pool, crash_history, keeper, flaws)
+    return LiveVm(
+        f"{host}:{port}", server, directory, pool, crash_history, keeper, forwarder, flaws
+    )
 
 
 @asynccontextmanager
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -38,6 +38,7 @@
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.sample_guard import SampleGuard
 from balsamcleat.tasks.sample_run import SampleAssignment, SampleEnd, SampleRunOutcome
+from balsamcleat.tasks.sample_scorer import ScoringTask
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.step_transfer import StepTransfer
@@ -89,13 +90,19 @@
     )
 
 
-def make_submission(groups: int, size: int, target_groups: int, step_id: str = "step-1") -> Request:
+def make_submission(
+    groups: int, size: int, target_groups: int, step_id: str = "step-1", *, scored: bool = False
+) -> Request:
     """Return the HTTP request with which a trainer submits a step."""
-    items = [
+    items: list[dict[str, Any]] = [
         {"id": f"{group}-{place}", "path": f"{PREFIX}g", "group": f"g{group}", "body": "AAAA"}
         for group in range(groups)
         for place in range(size)
     ]
+    if scored:
+        for item in items:
+            scorer = {"id": f"score-{item['id']}", "host": "scorer.example", "path": "/score/x"}
+            item["scorerUrl"] = {**scorer, "body": "AAAA"}
     body = {"model": MODEL, "minVersion": 1, "targetGroups": target_groups, "requests": items}
     return Request(
         "POST",
@@ -146,6 +153,22 @@
             stats.in_flight -= 1
 
 
+class SimulatedScorer:
+    """Scores samples by sleeping; a sample's score names the sample and the VM."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.calls: list[str] = []
+        self.delay_s = 0.05
+        self.failing_samples: set[str] = set()
+
+    async def score(self, task: ScoringTask) -> str | None:
+        assert task.is_wanted()
+        self.calls.append(task.sample_id)
+        await anyio.sleep(self.delay_s)
+        return None if task.sample_id in self.failing_samples else f"{task.sample_id} {self.name}"
+
+
 def scripted_outcome(end: SampleEnd) -> SampleRunOutcome:
     """Return the outcome of a scripted run; an interrupted one was cut off by its engine."""
     if end is not SampleEnd.INTERRUPTED:
@@ -189,6 +212,7 @@
     presence: VmPresence
     transfer: StepTransfer
     engines: SimulatedEngines
+    scorer: SimulatedScorer
     clock: SuspendableClock
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
@@ -251,6 +275,7 @@
             lambda: False,
         )
         clock = SuspendableClock()
+        scorer = SimulatedScorer(name)
         guard = PauseGuard(records, clock.now_s, generator)
         runner = RolloutRunner(
             records,
@@ -258,6 +283,7 @@
             stats_registry,
             engines,  # type: ignore[arg-type]
             SampleGuard(detector),
+            scorer,  # type: ignore[arg-type]
             ZoneName("a"),
             lambda: TABLE,
             lambda _: frozenset(),
@@ -289,7 +315,7 @@
             presence.watch,
             lambda: anyio.current_time() - store_clock.synchronized_at_s >= STORE_SILENCE_LIMIT_S,
         )
-        vm = StepVm(name, view, runner, handler, feed, presence, transfer, engines, clock)
+        vm = StepVm(name, view, runner, handler, feed, presence, transfer, engines, scorer, clock)
         followers = [
             TableFollower(view, "steps", feed, generator, single_part=False),
             TableFollower(view, SUSPECTS_TABLE, crash_history, generator, single_part=False),
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -32,6 +32,8 @@
             "rollout_handler",
             "rollout_runner",
             "routing_keeper",
+            "sample_scorer",
+            "step_scorer",
             "pause_guard",
             "step_transfer",
             "step_feed",
