Send nothing new to a target once it announced its departure in an answer

Cause: only the target list told that a target leaves.

It marks the target in the directory at the first such answer, whatever its status, and checks right before sending that the target still takes requests, for those that waited meanwhile. The mark holds for one start of the target, and outlasts an entry that lapses and comes back. A misdirected request says nothing of the target that was meant.

Ruled out: telling the other VMs (a row a departure; each learns it with its own next answer).

--- a/src/balsamcleat/decisions/replica_directory.py
+++ b/src/balsamcleat/decisions/replica_directory.py
@@ -3,6 +3,9 @@
 Load pattern: the store is unavailable for some seconds, and entries expire meanwhile although
 their targets still serve. Removing these targets at once would leave none while every caller
 needs one; keeping a missing entry for long sends work to a target that no longer exists.
+
+A target may also announce in its responses that it is leaving, before the list says so and while
+this VM can't read the list. It gets no new work from then on, until it starts again.
 """
 
 from dataclasses import dataclass
@@ -15,6 +18,8 @@
 # The platform restores the entries of running targets within about this time after the store has
 # recovered, in seconds.
 STORE_RECOVERY_GRACE_S = 2.0
+# The oldest announcements are forgotten beyond this number; ids of targets are rarely used again.
+MAX_ANNOUNCED_DEPARTURES = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +50,32 @@
         # kept.
         self.missing_until_s: dict[TargetId, float] = {}
         self.store_recovered_at_s = float("-inf")
+        # Start times of the targets that announced their departure. They outlast the entries,
+        # which may lapse and come back.
+        self.departing_starts: dict[TargetId, int] = {}
+
+    def mark_leaving(self, replica: Replica) -> bool:
+        """Record that a target announced its departure; return whether that is new."""
+        if self.departing_starts.get(replica.target_id) == replica.started_ms:
+            return False
+        current = self.entries.get(replica.target_id)
+        if current is not None and current.started_ms > replica.started_ms:
+            # The announcement is from before the target's restart.
+            return False
+        self.departing_starts[replica.target_id] = replica.started_ms
+        if len(self.departing_starts) > MAX_ANNOUNCED_DEPARTURES:
+            del self.departing_starts[next(iter(self.departing_starts))]
+        self.remove_ready(current)
+        return True
+
+    def is_leaving(self, replica: Replica) -> bool:
+        """Return whether this start of a target announced its departure."""
+        return self.departing_starts.get(replica.target_id) == replica.started_ms
+
+    def takes_requests(self, replica: Replica) -> bool:
+        """Return whether this start of a target is ready for new work."""
+        current = self.ready_by_service.get(replica.service, {}).get(replica.target_id)
+        return current is not None and current.started_ms == replica.started_ms
 
     def record_store_recovery(self, now_s: float) -> None:
         """Record that the store answers again after an outage."""
@@ -67,7 +98,7 @@
             return []
         self.remove_ready(previous)
         self.entries[replica.target_id] = replica
-        if replica.state is ReplicaState.READY:
+        if replica.state is ReplicaState.READY and not self.is_leaving(replica):
             self.ready_by_service.setdefault(replica.service, {})[replica.target_id] = replica
         if previous is None:
             return [ReplicaChange(replica.target_id, replica, "listed")]
@@ -88,7 +119,7 @@
         self.missing_until_s.pop(target_id, None)
         removed = self.entries.pop(target_id)
         self.remove_ready(removed)
-        is_planned = removed.state is ReplicaState.DRAINING
+        is_planned = removed.state is ReplicaState.DRAINING or self.is_leaving(removed)
         return [ReplicaChange(target_id, None, "gone", is_planned)]
 
     def remove_expired(self, now_s: float) -> list[ReplicaChange]:
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -183,7 +183,7 @@
             self.records,
             self.replica_directory,
             self.stats_registry,
-            SampleRunner(self.target_pool, self.stats_registry),
+            SampleRunner(self.target_pool, self.replica_directory, self.stats_registry),
             SampleGuard(self.crash_detector),
             SampleScorer(forwarder, lambda: self.routing_keeper.table, generator),
             settings.zone,
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -154,6 +154,11 @@
     event("feed gap", "History was lost; the table is read in full.", "table after"),
     event("store reached by way of a peer", "The straight way is closed.", "peer"),
     event("store reached straight again", "It is open."),
+    event(
+        "target leaving",
+        "It said so in an answer; it gets nothing new.",
+        "target service address row_version",
+    ),
     event(
         "peers asked about the store",
         "Their answers changed.",
--- a/src/balsamcleat/platform/__init__.py
+++ b/src/balsamcleat/platform/__init__.py
@@ -16,6 +16,7 @@
 from balsamcleat.platform.headers import (
     CORRELATION_HEADER,
     ResponseMetadata,
+    announces_departure,
     error_response_headers,
     forwarded_request_headers,
     forwarded_response_headers,
@@ -56,6 +57,7 @@
     "ResultsQuery",
     "StepCall",
     "StepCallKind",
+    "announces_departure",
     "classify_step_call",
     "decode_named_version",
     "decode_replica",
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -10,6 +10,7 @@
 __all__ = [
     "CORRELATION_HEADER",
     "ResponseMetadata",
+    "announces_departure",
     "error_response_headers",
     "forwarded_request_headers",
     "forwarded_response_headers",
@@ -27,6 +28,7 @@
 EXPECTED_TARGET_HEADER = "Expect-Instance"
 LAST_EVENT_HEADER = "Last-Event-Id"
 LOAD_HEADER = "Server-Load"
+LEAVING_HEADER = "Server-Leaving"
 NOT_RUN_HEADER = "Not-Run"
 PRIORITY_HEADER = "Request-Priority"
 PROMPT_HEADER = "Prompt-Prefix"
@@ -154,6 +156,14 @@
     )
 
 
+def announces_departure(status: int, headers: Headers) -> bool:
+    """Return whether the target that was meant says in its response that it is leaving.
+
+    A misdirected request was answered by another target, which now has the address.
+    """
+    return status != MISDIRECTED_STATUS and header_value(headers, LEAVING_HEADER) is not None
+
+
 def parse_last_event_id(headers: Headers) -> int | None:
     """Return the number of the last event that a resuming caller has received, if it states one."""
     value = header_value(headers, LAST_EVENT_HEADER)
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -13,7 +13,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.http1 import ConnectionPool, Exchange, Request, Responder, Response
+from balsamcleat.http1 import ConnectionPool, Request, Responder, Response
 from balsamcleat.model import ZoneName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import Route
@@ -41,6 +41,7 @@
     unstamped_response_error,
 )
 from balsamcleat.tasks.live_queues import LiveQueues
+from balsamcleat.tasks.target_exchange import TargetExchange
 
 __all__ = ["LiveForwarder", "live_priority"]
 
@@ -326,7 +327,7 @@
             priority=live_priority(call.route),
         )
         request = Request(call.request.method, call.request.target, headers, call.request.body)
-        exchange = Exchange(self.pool, replica.address, request)
+        exchange = TargetExchange(self.pool, self.directory, replica, request)
         try:
             await exchange.begin(force_new_connection=not call.route.is_repeatable)
             response = await exchange.read_response()
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -7,6 +7,7 @@
 import structlog
 
 from balsamcleat.decisions.crash_suspects import request_digest
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStats, ReplicaStatsRegistry
 from balsamcleat.decisions.sample_progress import SampleProgress
 from balsamcleat.errors import AttemptFailedError
@@ -20,6 +21,7 @@
     sample_request_headers,
 )
 
+from balsamcleat.tasks.target_exchange import TargetExchange
 __all__ = ["SampleEnd", "SampleRunOutcome", "SampleRunner", "sample_digest"]
 
 # A run is aborted if the target sends no data for this long. Loading weights while a sample is
@@ -93,12 +95,19 @@
 class SampleRunner:
     """Runs samples on targets.
 
+        directory: Directory of the targets.
     Args:
         pool: Connection pool to the targets.
         stats_registry: Observed load, pace and failures of each target.
     """
 
-    def __init__(self, pool: ConnectionPool, stats_registry: ReplicaStatsRegistry) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        directory: ReplicaDirectory,
+        stats_registry: ReplicaStatsRegistry,
+        self.directory = directory
+    ) -> None:
         self.pool = pool
         self.stats_registry = stats_registry
 
@@ -109,8 +118,11 @@
             assignment.step.oldest_version, single_version=assignment.single_version
         ):
             progress.reset()
-        exchange = Exchange(
-            self.pool, assignment.replica.address, self.build_request(assignment, progress)
+        exchange = TargetExchange(
+            self.pool,
+            self.directory,
+            assignment.replica,
+            self.build_request(assignment, progress),
         )
         stats.in_flight += 1
         try:
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -25,6 +25,7 @@
 from balsamcleat.tasks.live_forwarder import LiveForwarder, live_priority
 
 __all__ = ["StreamForwarder"]
+from balsamcleat.tasks.target_exchange import TargetExchange
 
 # A stream that sends nothing for this long is resumed at another target, if the route allows it.
 # Callers wait longer than this before they disconnect.
@@ -149,8 +150,11 @@
             AttemptFailedError: The target did not run the request, or its stream was interrupted.
         """
         stats = self.forwarder.stats_registry.for_target(replica.target_id)
-        exchange = Exchange(
-            self.forwarder.pool, replica.address, self.request_for_target(call, replica, relay)
+        exchange = TargetExchange(
+            self.forwarder.pool,
+            self.forwarder.directory,
+            replica,
+            self.request_for_target(call, replica, relay),
         )
         stats.in_flight += 1
         try:
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -41,6 +41,7 @@
             "shared_crash_history",
             "table_follower",
             "version_orders",
+            "target_exchange",
             "vm_presence",
         )
     ),
