Bound what a target can send, and count only events as progress of a stream

Cause, as tried on loopback with endless bytes: bodies were read up to 64 MiB each; a stream without blank lines was kept whole and searched again with each read; each byte restarted the idle timeout, so a stalled stream that sends a byte now and then never ended, while a sound one with more than 1.5 s between events was cut; a socket that always has data kept the event loop from all other tasks and timeouts.

Now: 8 MiB a response, 16 MiB for all that are being read, 256 KiB an event, 16 interim responses; the event parser looks at each byte once; reads yield every 256 KiB. A request that is repeated under the same id gets another connection, since a late copy of the first answer could not be told from the second. The rest of a 'not run' answer can't make it uncertain any more.

--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from balsamcleat.http1.client import ConnectionPool, Exchange, PoolLimits
-from balsamcleat.http1.events import EventParser, StreamEvent
+from balsamcleat.http1.events import EventParser, EventTooLargeError, StreamEvent
 from balsamcleat.http1.messages import Headers, Request, Response, header_value, without_headers
 from balsamcleat.http1.server import Handler, HttpServer, Responder, ServerLimits
 from balsamcleat.http1.streams import ByteStream, connect, listen
@@ -15,6 +15,7 @@
     "ByteStream",
     "ConnectionPool",
     "EventParser",
+    "EventTooLargeError",
     "Exchange",
     "Handler",
     "Headers",
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -1,10 +1,11 @@
 """HTTP/1.1 client with a connection pool and typed errors."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 import h11
+import structlog
 
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1.messages import Headers, Request, Response, header_value
@@ -19,6 +20,15 @@
 MAX_MISMATCHED_RESPONSES = 4
 # Time limit for reading the rest of a response body that is not needed.
 DISCARD_TIMEOUT_S = 0.05
+MAX_DISCARDED_BYTES = 64 * 1024
+MAX_INTERIM_RESPONSES = 16
+# A response of up to this size is read whatever other responses the pool is reading.
+GUARANTEED_RESPONSE_BYTES = 256 * 1024
+# Number of correlation ids that a connection remembers.
+MAX_REMEMBERED_IDS = 32
+
+
+log = structlog.get_logger()
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,12 +41,14 @@
             ``Keep-Alive`` header can only shorten it.
         max_idle_connections: Maximum number of idle connections, over all addresses.
         max_response_bytes: Maximum size of a response body that is read as a whole.
+        max_buffered_bytes: Maximum size of all response bodies that are being read as a whole.
     """
 
     connect_timeout_s: float = 1.0
     idle_timeout_s: float = 4.0
     max_idle_connections: int = 64
-    max_response_bytes: int = 64 * 1024 * 1024
+    max_response_bytes: int = 8 * 1024 * 1024
+    max_buffered_bytes: int = 16 * 1024 * 1024
 
 
 @dataclass(slots=True)
@@ -47,10 +59,18 @@
         stream: Connected stream.
         expires_at_s: Time after which the idle connection is no longer reused, in seconds of the
             monotonic clock.
+        sent_ids: Correlation ids of the last requests on the connection, the newest last.
     """
 
     stream: ByteStream
     expires_at_s: float = 0.0
+    sent_ids: dict[str, None] = field(default_factory=dict)
+
+    def remember_id(self, correlation_id: str) -> None:
+        """Record the correlation id of a request that is sent on the connection."""
+        self.sent_ids[correlation_id] = None
+        if len(self.sent_ids) > MAX_REMEMBERED_IDS:
+            del self.sent_ids[next(iter(self.sent_ids))]
 
 
 class ConnectionPool:
@@ -65,6 +85,7 @@
         idle_connections: Idle connections by address; the last used address is at the end.
         opened_connections: Number of connections opened so far.
         mismatched_responses: Number of dropped responses that belonged to other requests.
+        buffered_bytes: Size of the response bodies that are being read as a whole.
     """
 
     def __init__(self, limits: PoolLimits, correlation_header: str | None = None) -> None:
@@ -73,28 +94,48 @@
         self.idle_connections: OrderedDict[str, list[PooledConnection]] = OrderedDict()
         self.opened_connections = 0
         self.mismatched_responses = 0
+        self.buffered_bytes = 0
 
-    def pop_idle_connection(self, address: str) -> PooledConnection | None:
+    def correlation_id(self, headers: Headers) -> str | None:
+        """Return the correlation id in the headers of a request or a response, if there is one."""
+        if self.correlation_header is None:
+            return None
+        return header_value(headers, self.correlation_header)
+
+    def pop_idle_connection(
+        self, address: str, correlation_id: str | None = None
+    ) -> PooledConnection | None:
         """Return the last used idle connection that is open and has no unread input, or None.
 
-        Expired connections and those with unread input are closed.
+        Expired connections and those with unread input are closed. So are those on which a request
+        with the same correlation id was sent: a late copy of its response could not be told from
+        the new one.
         """
         while connections := self.idle_connections.get(address):
             connection = connections.pop()
             if not connections:
                 del self.idle_connections[address]
-            if anyio.current_time() < connection.expires_at_s and not connection.stream.has_input():
+            is_usable = (
+                anyio.current_time() < connection.expires_at_s
+                and correlation_id not in connection.sent_ids
+                and not connection.stream.has_input()
+            )
+            if is_usable:
                 return connection
             connection.stream.close()
         return None
 
-    async def acquire(self, address: str, *, force_new_connection: bool) -> PooledConnection:
+    async def acquire(
+        self, address: str, correlation_id: str | None, *, force_new_connection: bool
+    ) -> PooledConnection:
         """Return an idle connection to the address, or open a new one.
 
         Raises:
             AttemptFailedError: No connection could be opened; nothing was sent.
         """
-        if not force_new_connection and (connection := self.pop_idle_connection(address)):
+        if not force_new_connection and (
+            connection := self.pop_idle_connection(address, correlation_id)
+        ):
             return connection
         try:
             stream = await connect(address, self.limits.connect_timeout_s)
@@ -207,9 +248,12 @@
         Raises:
             AttemptFailedError: The request could not be sent or the response could not be read.
         """
+        correlation_id = self.pool.correlation_id(self.request.headers)
         self.connection = await self.pool.acquire(
-            self.address, force_new_connection=force_new_connection
+            self.address, correlation_id, force_new_connection=force_new_connection
         )
+        if correlation_id is not None:
+            self.connection.remember_id(correlation_id)
         data = self.encode_request()
         # The server may act on the request from its first byte on.
         self.perhaps_sent = True
@@ -248,19 +292,15 @@
 
     def matches_request(self) -> bool:
         """Return whether the last response head has this request's correlation id, or none."""
-        header_name = self.pool.correlation_header
-        if header_name is None:
-            return True
-        response_id = header_value(self.headers, header_name)
-        return response_id is None or response_id == header_value(self.request.headers, header_name)
+        response_id = self.pool.correlation_id(self.headers)
+        return response_id is None or response_id == self.pool.correlation_id(self.request.headers)
 
     async def skip_response(self) -> None:
         """Read and drop a response to an earlier request, then expect another response.
 
         A new parser gets the bytes that follow, as ``h11`` expects one response to a request.
         """
-        while await self.next_body_chunk():
-            pass
+        await self.drop_body(self.pool.limits.max_response_bytes)
         remaining, _ = self.parser.trailing_data
         self.parser = h11.Connection(h11.CLIENT)
         self.encode_request()
@@ -270,7 +310,11 @@
     async def read_head(self) -> None:
         """Read the status line and headers of a response; skip informational responses."""
         event = await self.next_event()
+        interim_count = 0
         while isinstance(event, h11.InformationalResponse):
+            interim_count += 1
+            if interim_count > MAX_INTERIM_RESPONSES:
+                raise self.failure("too many interim responses", FailureKind.MALFORMED)
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise self.failure("the response has no status line", FailureKind.MALFORMED)
@@ -324,18 +368,55 @@
         """Read the whole body and return the response."""
         parts: list[bytes] = []
         size = 0
+        try:
+            while data := await self.next_body_chunk():
+                size += len(data)
+                self.pool.buffered_bytes += len(data)
+                self.check_body_size(size)
+                parts.append(data)
+        finally:
+            self.pool.buffered_bytes -= size
+        return Response(self.status, self.headers, b"".join(parts))
+
+    def check_body_size(self, size: int) -> None:
+        """Check the size of the body read so far.
+
+        Raises:
+            AttemptFailedError: The body exceeds its limit, or it is large and the bodies that the
+                pool is reading together exceed theirs.
+        """
+        limits = self.pool.limits
+        if size > limits.max_response_bytes:
+            raise self.failure("the response body is too large", FailureKind.MALFORMED)
+        is_over_budget = self.pool.buffered_bytes > limits.max_buffered_bytes
+        if is_over_budget and size > GUARANTEED_RESPONSE_BYTES:
+            raise self.failure(
+                "the response body is too large beside the others that are being read",
+                FailureKind.MALFORMED,
+            )
+
+    async def drop_body(self, max_bytes: int) -> None:
+        """Read and drop the body.
+
+        Raises:
+            AttemptFailedError: The body exceeds ``max_bytes`` or could not be read.
+        """
+        size = 0
         while data := await self.next_body_chunk():
             size += len(data)
-            if size > self.pool.limits.max_response_bytes:
+            if size > max_bytes:
                 raise self.failure("the response body is too large", FailureKind.MALFORMED)
-            parts.append(data)
-        return Response(self.status, self.headers, b"".join(parts))
 
     async def discard_body(self) -> None:
-        """Read and drop a short body that is not needed, so that the connection can be reused."""
+        """Read and drop a short body that is not needed, so that the connection can be reused.
+
+        The head has said what matters. A body that is long, slow or broken costs the connection.
+        """
         with anyio.move_on_after(DISCARD_TIMEOUT_S):
-            while await self.next_body_chunk():
-                pass
+            try:
+                await self.drop_body(MAX_DISCARDED_BYTES)
+            except AttemptFailedError as error:
+                log.info("connection not kept", peer=self.address, reason=error.message)
 
     def end(self) -> None:
         """Release the connection if the exchange is complete and reuse is safe, else close it.
--- a/src/balsamcleat/http1/events.py
+++ b/src/balsamcleat/http1/events.py
@@ -1,8 +1,19 @@
 """Incremental parser for server-sent events."""
 
+import re
 from dataclasses import dataclass
 
-__all__ = ["EventParser", "StreamEvent"]
+__all__ = ["EventParser", "EventTooLargeError", "StreamEvent"]
+
+# Bytes that end neither an event nor a stream must not fill the memory.
+MAX_EVENT_BYTES = 256 * 1024
+# A blank line ends an event. Lines end with LF, CRLF or CR.
+EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\n\r\n|\r\n\n")
+MAX_END_BYTES = 4
+
+
+class EventTooLargeError(ValueError):
+    """An event exceeds the size limit before it is complete."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,52 +25,72 @@
         data: Values of the ``data`` fields, joined by line feeds.
         fields: Names, in lower case, and values of the fields other than ``id`` and ``data``.
         raw: Bytes of the event as received, including the blank line that ends it.
+        is_comment: Whether the event consists of comments only, which keep a connection open.
     """
 
     event_id: int | None
     data: str
     fields: tuple[tuple[str, str], ...]
     raw: bytes
+    is_comment: bool = False
 
 
 class EventParser:
     """Incremental parser that is fed received bytes and returns complete events.
 
     An event is complete only with the blank line that ends it, because a target may stop in the
-    middle of an event. The attribute ``buffer`` has the bytes of an incomplete event.
+    middle of an event. Each received byte is looked at once, whatever it belongs to.
+
+    Args:
+        max_event_bytes: Maximum size of an event.
+
+    Attributes:
+        buffer: Bytes of an incomplete event.
     """
 
-    def __init__(self) -> None:
-        self.buffer = b""
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self.max_event_bytes = max_event_bytes
+        self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events that they complete.
 
         Raises:
             UnicodeDecodeError: An event is not valid UTF-8.
+            EventTooLargeError: An event exceeds the size limit.
         """
+        search_start = max(0, len(self.buffer) - MAX_END_BYTES + 1)
         self.buffer += data
-        if b"\r" in self.buffer:
-            return self.feed_crlf()
-        *blocks, self.buffer = self.buffer.split(b"\n\n")
-        return [parse_event(block, block + b"\n\n") for block in blocks if block.strip()]
-
-    def feed_crlf(self) -> list[StreamEvent]:
-        """Return the complete events of a buffer whose lines end with CRLF."""
-        events = []
-        while (end := self.buffer.find(b"\r\n\r\n")) >= 0:
-            block, self.buffer = self.buffer[:end], self.buffer[end + 4 :]
-            normalized = block.replace(b"\r\n", b"\n")
-            if normalized.strip():
-                events.append(parse_event(normalized, block + b"\r\n\r\n"))
+        events: list[StreamEvent] = []
+        event_start = 0
+        for end in EVENT_END.finditer(self.buffer, search_start):
+            block, raw = (
+                self.buffer[event_start : end.start()],
+                self.buffer[event_start : end.end()],
+            )
+            event_start = end.end()
+            self.check_size(len(raw))
+            if block.strip():
+                events.append(parse_event(bytes(block), bytes(raw)))
+        del self.buffer[:event_start]
+        self.check_size(len(self.buffer))
         return events
 
+    def check_size(self, size: int) -> None:
+        """Check the size of a complete or incomplete event.
+
+        Raises:
+            EventTooLargeError: The event exceeds the size limit.
+        """
+        if size > self.max_event_bytes:
+            raise EventTooLargeError(f"an event exceeds {self.max_event_bytes} bytes")
+
 
 def parse_event(block: bytes, raw: bytes) -> StreamEvent:
     """Return the event that a block of lines contains.
 
     Args:
-        block: Lines of the event, separated by line feeds, without the blank line that ends it.
+        block: Lines of the event, without the blank line that ends it.
         raw: Bytes of the event as received.
 
     Raises:
@@ -68,16 +99,18 @@
     event_id: int | None = None
     data: list[str] = []
     fields: list[tuple[str, str]] = []
-    for line in block.decode().split("\n"):
+    is_comment = True
+    for line in block.replace(b"\r\n", b"\n").replace(b"\r", b"\n").decode().split("\n"):
         name, colon, value = line.partition(":")
-        if not name and colon:
+        if not name:
             # A line that starts with a colon is a comment.
             continue
-        value = value.removeprefix(" ")
+        is_comment = False
+        value = value.removeprefix(" ") if colon else ""
         if name == "data":
             data.append(value)
         elif name == "id" and value.isdecimal():
             event_id = int(value)
-        elif name:
+        else:
             fields.append((name.lower(), value))
-    return StreamEvent(event_id, "\n".join(data), tuple(fields), raw)
+    return StreamEvent(event_id, "\n".join(data), tuple(fields), raw, is_comment)
--- a/src/balsamcleat/http1/streams.py
+++ b/src/balsamcleat/http1/streams.py
@@ -5,6 +5,7 @@
 import struct
 
 import anyio
+import anyio.lowlevel
 
 __all__ = ["ByteStream", "connect", "listen"]
 
@@ -16,6 +17,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 BACKLOG = 512
+# A remote end that sends without pause must not keep the event loop from other tasks and timeouts.
+MAX_BYTES_WITHOUT_YIELD = 256 * 1024
 
 
 def set_socket_options(sock: socket.socket) -> None:
@@ -42,6 +45,7 @@
         self.sock = sock
         self.remote_address = remote_address
         self.closed = False
+        self.bytes_since_yield = 0
 
     async def receive(self) -> bytes:
         """Wait for data and return it; empty bytes mean that the remote end sent EOF.
@@ -49,15 +53,22 @@
         Raises:
             OSError: The connection failed or was closed locally.
         """
+        if self.bytes_since_yield >= MAX_BYTES_WITHOUT_YIELD:
+            self.bytes_since_yield = 0
+            await anyio.lowlevel.checkpoint()
         while True:
             if self.closed:
                 raise ConnectionAbortedError(
                     errno.ECONNABORTED, "the connection was closed locally"
                 )
             try:
-                return self.sock.recv(RECEIVE_BYTES)
+                data = self.sock.recv(RECEIVE_BYTES)
             except BlockingIOError:
+                self.bytes_since_yield = 0
                 await self.wait_readable()
+            else:
+                self.bytes_since_yield += len(data)
+                return data
 
     async def wait_readable(self) -> None:
         """Wait until there is data, EOF or an error to read.
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -66,6 +66,7 @@
         "request service rank waited_s left_s own",
     ),
     event("request failed by a fault", "A fault of this program.", "request path exception"),
+    event("connection not kept", "The rest of a target's answer was broken.", "peer reason"),
     event("caller gone", "The caller closed before its answer.", "request path took_s"),
     event("no route", "No route of the configuration takes it.", "request host path version"),
     event("attempt answered", "A target answered whole.", f"{ATTEMPT} status"),
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -265,6 +265,13 @@
         call.attempts.record_start(replica.target_id)
         return replica
 
+    def has_other_target(self, call: LiveCall) -> bool:
+        """Return whether a ready target has not been tried yet."""
+        return any(
+            replica.target_id not in call.attempts.tried_targets
+            for replica in self.directory.ready_replicas(call.service)
+        )
+
     def choose_target(self, call: LiveCall) -> Replica | None:
         """Return the best target for the call, or None if no more targets may be tried."""
         if not call.attempts.can_start() or call.remaining_s() <= 0.0:
@@ -309,6 +316,8 @@
             outcome = await self.send_to_target(call, replica)
             if isinstance(outcome, Err):
                 call.attempts.record_failure(outcome.err_value)
+            elif outcome.ok_value.status == SERVER_ERROR_STATUS:
+                call.attempts.server_error_count += 1
             await send_stream.send(outcome)
 
     async def send_to_target(
@@ -317,8 +326,6 @@
         """Send the request to one target and return the complete response or the failure."""
         stats = self.stats_registry.for_target(replica.target_id)
         stats.in_flight += 1
-            elif outcome.ok_value.status == SERVER_ERROR_STATUS:
-                call.attempts.server_error_count += 1
         started_s = anyio.current_time()
         headers = forwarded_request_headers(
             call.request.headers,
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -10,6 +10,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStats, ReplicaStatsRegistry
 from balsamcleat.decisions.sample_progress import SampleProgress
+from balsamcleat.decisions.stream_stall import SAMPLE_PAUSE_S, StallTimer
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, EventParser, Exchange, Request, StreamEvent
 from balsamcleat.model import FailureKind, WeightVersion
@@ -20,13 +21,10 @@
     parse_weight_version,
     sample_request_headers,
 )
-
 from balsamcleat.tasks.target_exchange import TargetExchange
+
 __all__ = ["SampleEnd", "SampleRunOutcome", "SampleRunner", "sample_digest"]
 
-# A run is aborted if the target sends no data for this long. Loading weights while a sample is
-# running interrupts its stream for a shorter time.
-STREAM_IDLE_TIMEOUT_S = 1.2
 # Longest wait for the response head; longer, since the sample may wait in the target's queue.
 RESPONSE_HEAD_TIMEOUT_S = 2.5
 OK = 200
@@ -95,9 +93,9 @@
 class SampleRunner:
     """Runs samples on targets.
 
-        directory: Directory of the targets.
     Args:
         pool: Connection pool to the targets.
+        directory: Directory of the targets.
         stats_registry: Observed load, pace and failures of each target.
     """
 
@@ -106,9 +104,9 @@
         pool: ConnectionPool,
         directory: ReplicaDirectory,
         stats_registry: ReplicaStatsRegistry,
-        self.directory = directory
     ) -> None:
         self.pool = pool
+        self.directory = directory
         self.stats_registry = stats_registry
 
     async def run(self, assignment: SampleAssignment, progress: SampleProgress) -> SampleRunOutcome:
@@ -193,13 +191,13 @@
         """Read events until the stream ends."""
         parser = EventParser()
         previous_event_s: float | None = None
+        began_s = anyio.current_time()
+        timer = StallTimer(SAMPLE_PAUSE_S, began_s, stats.recent_event_interval_s(began_s))
         while True:
-            with anyio.move_on_after(STREAM_IDLE_TIMEOUT_S) as scope:
+            with anyio.move_on_after(timer.remaining_s(anyio.current_time())) as scope:
                 data = await exchange.next_body_chunk()
             if scope.cancelled_caught:
-                raise exchange.failure(
-                    "no data on the stream within the idle timeout", FailureKind.SILENT
-                )
+                raise exchange.failure("the stream stalled between events", FailureKind.SILENT)
             if not data:
                 break
             events = self.parse_events(exchange, parser, data)
@@ -211,6 +209,7 @@
             if not events:
                 continue
             now_s = anyio.current_time()
+            timer.record_events(len(events), now_s)
             if previous_event_s is not None:
                 stats.record_event_interval((now_s - previous_event_s) / len(events), now_s)
             previous_event_s = now_s
@@ -227,11 +226,11 @@
     def parse_events(
         self, exchange: Exchange, parser: EventParser, data: bytes
     ) -> list[StreamEvent]:
-        """Return the events that are complete with the new data."""
+        """Return the events that are complete with the new data, without comments."""
         try:
-            return parser.feed(data)
-        except UnicodeDecodeError as error:
-            raise exchange.failure(f"invalid UTF-8: {error}", FailureKind.MALFORMED) from error
+            return [event for event in parser.feed(data) if not event.is_comment]
+        except ValueError as error:
+            raise exchange.failure(f"invalid event: {error}", FailureKind.MALFORMED) from error
 
 
 def sample_digest(assignment: SampleAssignment) -> str:
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -3,6 +3,8 @@
 import anyio
 import structlog
 
+from balsamcleat.decisions.replica_stats import ReplicaStats
+from balsamcleat.decisions.stream_stall import StallTimer, caller_patience_s, resume_pause_s
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import EventParser, Exchange, Request, Responder, Response
 from balsamcleat.model import FailureKind
@@ -23,13 +25,10 @@
     send_error_response,
 )
 from balsamcleat.tasks.live_forwarder import LiveForwarder, live_priority
+from balsamcleat.tasks.target_exchange import TargetExchange
 
 __all__ = ["StreamForwarder"]
-from balsamcleat.tasks.target_exchange import TargetExchange
 
-# A stream that sends nothing for this long is resumed at another target, if the route allows it.
-# Callers wait longer than this before they disconnect.
-STREAM_IDLE_TIMEOUT_S = 1.5
 OK = 200
 
 log = structlog.get_logger()
@@ -49,9 +48,13 @@
         self.last_event = parse_last_event_id(call.request.headers)
         self.finished = False
 
-    async def relay_stream(self, exchange: Exchange) -> None:
+    async def relay_stream(self, exchange: Exchange, timer: StallTimer) -> None:
         """Relay a target's stream until it ends.
 
+        Args:
+            exchange: Exchange whose head was read.
+            timer: Measures the progress of the stream.
+
         Raises:
             AttemptFailedError: The stream was interrupted; complete events up to ``last_event``
                 were relayed.
@@ -62,33 +65,43 @@
             )
         parser = EventParser()
         while True:
-            with anyio.move_on_after(STREAM_IDLE_TIMEOUT_S) as scope:
+            with anyio.move_on_after(timer.remaining_s(anyio.current_time())) as scope:
                 data = await exchange.next_body_chunk()
             if scope.cancelled_caught:
-                raise exchange.failure("the stream timed out between events", FailureKind.SILENT)
+                raise exchange.failure("the stream stalled between events", FailureKind.SILENT)
             if not data:
                 break
-            await self.relay_events(exchange, parser, data)
+            event_count = await self.relay_events(exchange, parser, data)
+            timer.record_events(event_count, anyio.current_time())
         if not exchange.has_explicit_framing or parser.buffer.strip():
             raise exchange.failure("the stream may be truncated", FailureKind.CUT)
         await self.responder.finish()
         self.finished = True
 
-    async def relay_events(self, exchange: Exchange, parser: EventParser, data: bytes) -> None:
-        """Relay the events that the data completes, each exactly once and in order."""
+    async def relay_events(self, exchange: Exchange, parser: EventParser, data: bytes) -> int:
+        """Relay the events that the data completes, each exactly once and in order.
+
+        Returns:
+            The number of events; comments are relayed, but don't count.
+        """
         try:
             events = parser.feed(data)
-        except UnicodeDecodeError as error:
-            raise exchange.failure(f"invalid UTF-8: {error}", FailureKind.MALFORMED) from error
+        except ValueError as error:
+            raise exchange.failure(f"invalid event: {error}", FailureKind.MALFORMED) from error
         output = b""
+        event_count = 0
         for event in events:
+            output += event.raw
+            if event.is_comment:
+                continue
             expected = None if self.last_event is None else self.last_event + 1
-            if event.event_id is not None and expected not in (None, event.event_id):
+            if event.event_id is None or expected not in (None, event.event_id):
                 raise exchange.failure("an event is out of order", FailureKind.MALFORMED)
-            self.last_event = event.event_id if event.event_id is not None else self.last_event
-            output += event.raw
+            self.last_event = event.event_id
+            event_count += 1
         if output:
             await self.responder.write(output)
+        return event_count
 
 
 class StreamForwarder:
@@ -170,9 +183,9 @@
             if exchange.status == OK and metadata.has_target_stamp:
                 for prompt_id in call.prompt_ids[:1]:
                     stats.record_prompt(prompt_id)
-                await relay.relay_stream(exchange)
+                await relay.relay_stream(exchange, self.stall_timer(call, stats))
             else:
-                await self.relay_failure(exchange, relay)
+                await self.relay_failure(call, exchange, relay)
             call.has_whole_answer = exchange.has_explicit_framing
             stats.record_success()
         except AttemptFailedError as error:
@@ -191,9 +204,23 @@
         if scope.cancelled_caught:
             raise exchange.failure("no response before the deadline", FailureKind.SILENT)
 
-    async def relay_failure(self, exchange: Exchange, relay: StreamRelay) -> None:
+    def stall_timer(self, call: LiveCall, stats: ReplicaStats) -> StallTimer:
+        """Return the timer of a stream that begins now.
+
+        A stream that no other target can resume is only ended once its caller has given up.
+        """
+        now_s = anyio.current_time()
+        can_resume = call.attempts.can_start() and self.forwarder.has_other_target(call)
+        objective_s = call.route.objective_s
+        min_pause_s = resume_pause_s(objective_s) if can_resume else caller_patience_s(objective_s)
+        return StallTimer(min_pause_s, now_s, stats.recent_event_interval_s(now_s))
+
+    async def relay_failure(self, call: LiveCall, exchange: Exchange, relay: StreamRelay) -> None:
         """Relay an error response of a target, unless the caller's stream has already begun."""
-        response = await exchange.read_response()
+        with anyio.move_on_after(max(0.0, call.remaining_s())) as scope:
+            response = await exchange.read_response()
+        if scope.cancelled_caught:
+            raise exchange.failure("no whole response before the deadline", FailureKind.SILENT)
         if relay.responder.has_started:
             raise exchange.failure(f"status {response.status}", FailureKind.FAULT)
         headers = forwarded_response_headers(response.headers)
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -15,6 +15,7 @@
 SOURCE = Path(balsamcleat.__file__).parent
 ENTRY_MODULES = (
     *SOURCE.glob("entry/*.py"),
+    SOURCE / "http1" / "client.py",
     *(
         SOURCE / "tasks" / f"{name}.py"
         for name in (
