Stop: answer requests that wait in the backlog or unread on a kept connection

The server accepts its backlog before it closes the socket, closes only connections without data and older than 1 s, and the process ends when no connection is left or its time is up.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -417,11 +417,12 @@
             if elapsed_s >= IDLE_CONNECTION_GRACE_S:
                 self.front_server.close_idle_connections()
             is_unused = elapsed_s >= IDLE_CONNECTION_GRACE_S or not self.front_server.connections
-            if (
-                elapsed_s >= LOAD_BALANCER_DELAY_S
-                and is_unused
-                and not self.front_server.active_requests
-            ):
+            if elapsed_s < LOAD_BALANCER_DELAY_S or not is_unused:
+                continue
+            if not self.front_server.has_open_requests:
+                # Requests that arrived just now are accepted and answered.
+                self.front_server.stop_accepting()
+            if self.front_server.is_closed and not self.front_server.connections:
                 return
 
     async def release_ownership(self) -> None:
--- a/src/balsamcleat/http1/server.py
+++ b/src/balsamcleat/http1/server.py
@@ -18,6 +18,8 @@
 LINGER_TIMEOUT_S = 1.0
 MAX_PIPELINED_BYTES = 1024 * 1024
 ACCEPT_RETRY_DELAY_S = 0.05
+# A connection that is younger than this may be about to get its first request.
+FIRST_REQUEST_GRACE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,19 +141,38 @@
         self.connections: set[ServerConnection] = set()
         self.is_draining = False
         self.is_closed = False
+        self.tasks: anyio.abc.TaskGroup | None = None
 
     @property
     def active_requests(self) -> int:
         """Number of requests whose handlers are running."""
         return sum(connection.is_busy for connection in self.connections)
 
+    @property
+    def has_open_requests(self) -> bool:
+        """Whether any request is being handled, is being read, or waits to be read."""
+        return any(connection.has_open_request() for connection in self.connections)
+
     async def run(self) -> None:
         """Accept and serve connections until cancelled or closed."""
-        async with anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as self.tasks:
             while not self.is_closed:
                 accepted = await self.accept()
                 if accepted is not None:
-                    tasks.start_soon(self.serve_connection, *accepted)
+                    self.start_connection(*accepted)
+
+    def start_connection(self, sock: socket.socket, client_address: str) -> None:
+        """Start to serve an accepted connection."""
+        assert self.tasks is not None
+        try:
+            stream = ByteStream(sock, client_address)
+        except OSError:
+            # The connection failed before its options were set; no request was read.
+            sock.close()
+            return
+        connection = ServerConnection(self, stream)
+        self.connections.add(connection)
+        self.tasks.start_soon(self.serve_connection, connection)
 
     async def accept(self) -> tuple[socket.socket, str] | None:
         """Return the next connection and its client's address, or None to try again."""
@@ -169,16 +190,8 @@
             return None
         return sock, socket_address[0]
 
-    async def serve_connection(self, sock: socket.socket, client_address: str) -> None:
+    async def serve_connection(self, connection: "ServerConnection") -> None:
         """Serve the requests of one connection until it is closed."""
-        try:
-            stream = ByteStream(sock, client_address)
-        except OSError:
-            # The connection failed before its options were set; no request was read.
-            sock.close()
-            return
-        connection = ServerConnection(self, stream)
-        self.connections.add(connection)
         try:
             await connection.run()
         except OSError:
@@ -186,24 +199,44 @@
             pass
         finally:
             self.connections.discard(connection)
-            stream.close()
+            connection.stream.close()
 
     def start_draining(self) -> None:
         """Close each connection after its next response, from now on."""
         self.is_draining = True
 
     def close_idle_connections(self) -> None:
-        """Close the connections on which no byte of a next request was received."""
+        """Close the connections without a request, unless they were opened only now."""
+        now_s = anyio.current_time()
         for connection in list(self.connections):
-            if connection.is_idle:
+            is_new = now_s - connection.opened_at_s < FIRST_REQUEST_GRACE_S
+            if not is_new and not connection.has_open_request():
                 connection.stream.close()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket; open connections are still served."""
-        if not self.is_closed:
-            self.is_closed = True
-            anyio.notify_closing(self.listener)
-            self.listener.close()
+        """Accept what waits in the backlog, then close the listening socket.
+
+        Closing the socket alone would reset the connections in the backlog, on which clients may
+        have sent requests. Open connections are still served.
+        """
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self.accept_backlog()
+        anyio.notify_closing(self.listener)
+        self.listener.close()
+
+    def accept_backlog(self) -> None:
+        """Accept all connections that wait in the backlog."""
+        if self.tasks is None:
+            return
+        while True:
+            try:
+                sock, socket_address = self.listener.accept()
+            except OSError:
+                # The backlog is empty, or there are no file descriptors left.
+                return
+            self.start_connection(sock, socket_address[0])
 
 
 class ServerConnection:
@@ -216,6 +249,7 @@
     Attributes:
         is_busy: Whether the handler of a request is running.
         is_idle: Whether the connection waits for a request and has received no byte of it.
+        opened_at_s: Time at which the connection was accepted, on the event loop's clock.
         is_rejected: Whether a request was rejected, so that the connection is closed.
         pipelined_data: Bytes of later requests that were received while a handler was running.
     """
@@ -227,9 +261,16 @@
         self.parser = self.new_parser()
         self.is_busy = False
         self.is_idle = True
+        self.opened_at_s = anyio.current_time()
         self.is_rejected = False
         self.pipelined_data = b""
 
+    def has_open_request(self) -> bool:
+        """Return whether a request is being handled, is being read, or waits to be read."""
+        if self.is_busy or not self.is_idle:
+            return True
+        return not self.stream.closed and self.stream.has_data()
+
     def new_parser(self) -> h11.Connection:
         """Return a parser with the limit on the size of heads."""
         return h11.Connection(h11.SERVER, self.limits.max_header_bytes)
--- a/src/balsamcleat/http1/streams.py
+++ b/src/balsamcleat/http1/streams.py
@@ -117,6 +117,13 @@
             return True
         return True
 
+    def has_data(self) -> bool:
+        """Return whether there is data to read, rather than EOF or an error."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def send_eof(self) -> None:
         """Shut down the sending side, so that the remote end reads EOF."""
         if not self.closed:
