Ask a silent owner before its step is taken over

Cause (one of the operators' reports, and it can happen here): an owner whose heartbeat row stayed unchanged for 1.7 s lost its steps, although it ran them and reached the store; its runs were cut and begun again elsewhere.

The VM whose turn it is asks the owner first. An owner that answers under its boot and reaches the store keeps its steps, for up to 8 s without heartbeats; one that is dead, frozen or cut off from the store does not answer so and is replaced as before.

--- a/src/balsamcleat/decisions/vm_watch.py
+++ b/src/balsamcleat/decisions/vm_watch.py
@@ -3,11 +3,14 @@
 VMs do not compare clocks: a VM is dead once its row stayed unchanged for ``VM_DEAD_AFTER_S`` on the
 observer's own clock while the store was available to the observer. A row of the same VM with a
 different boot identifier means that the earlier process is dead.
+
+A VM whose heartbeats are late is not dead if it answers its peers and reaches the store. What it
+runs would be interrupted and partly repeated by another VM, so its peers ask it first.
 """
 
 from dataclasses import dataclass
 
-__all__ = ["VM_DEAD_AFTER_S", "VmFailureDetector", "VmRow"]
+__all__ = ["MAX_EXCUSED_SILENCE_S", "VM_DEAD_AFTER_S", "VmFailureDetector", "VmRow"]
 
 # VMs renew their rows several times within this time. A step is due after some seconds, so most
 # of that time must remain after a dead owner is detected.
@@ -15,6 +18,8 @@
 # Maximum time counted between two reads, so that an observer that was paused doesn't consider all
 # other VMs dead.
 MAX_COUNTED_GAP_S = 0.8
+# A VM without heartbeats for this long is replaced even if it answers its peers.
+MAX_EXCUSED_SILENCE_S = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +108,17 @@
             return False
         return not self.is_dead(vm, boot)
 
+    def silent_process(self, vm: str, boot: str) -> VmRow | None:
+        """Return the row of a process that may only be late with its heartbeats.
+
+        Returns:
+            The row; None if the process has certainly ended or has been silent for too long.
+        """
+        observation = self.observations.get(vm)
+        if observation is None or observation.row.boot != boot:
+            return None
+        return observation.row if observation.unchanged_s < MAX_EXCUSED_SILENCE_S else None
+
     def unchanged_s(self, vm: str) -> float:
         """Return how long a VM's row has been unchanged, in seconds."""
         observation = self.observations.get(vm)
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -210,6 +210,7 @@
             lambda step_id: self.rollout_handler.is_running(step_id),
             lambda step_id: self.step_transfer.handle_step_ended(step_id, self.tasks),
             self.step_transfer.handle_owner_change,
+            lambda row: self.peer_poller.is_running(row),
         )
         self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
         self.row_garbage_collector = RowGarbageCollector(
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -107,6 +107,11 @@
     # Owners of steps.
     event("step owner", "The store says who owns a step.", "step owner row_version"),
     event("step without owner", "Its owner is dead.", "step owner silence_s row_version"),
+    event(
+        "step left to its silent owner",
+        "Its heartbeats are late, but it answers and reaches the store.",
+        "step owner",
+    ),
     event("step taken over", "This VM runs it now.", "step before listed at_hand age_s"),
     event("step claimed by another VM", "Another one was faster.", "step"),
     event("step not taken over", "The store failed.", "step reason"),
@@ -130,12 +135,6 @@
         "step sample target end reason events resumed_at took_s load pace_ms version content",
     ),
     event("sample run failed by a fault", "A fault of this program.", "step sample exception"),
-    event("sample moved", "It leaves a slow target.", "step sample source goal"),
-    event("target is behind", "It runs a version that the step doesn't allow.", "target version"),
-    event("results listed", "They are kept and may be read.", "step position results"),
-    event("results not listed yet", "The store failed.", "step position results reason"),
-    # What is believed.
-    event("configuration in force", "A newer one.", "version before row_version routes"),
     event(
         "scorer called",
         "A complete text was sent to be scored; without a status no target answered.",
@@ -143,23 +142,29 @@
     ),
     event("sample has no scorer", "No route takes the request; it is tried again.", "sample host"),
     event("sample not scored", "Its scorer failed too often; it is given up.", "step sample"),
+    event("sample moved", "It leaves a slow target.", "step sample source goal"),
+    event("target is behind", "It runs a version that the step doesn't allow.", "target version"),
+    event("results listed", "They are kept and may be read.", "step position results"),
+    event("results not listed yet", "The store failed.", "step position results reason"),
+    # What is believed.
+    event("configuration in force", "A newer one.", "version before row_version routes"),
     event("document refused", "It can't be read.", "key reason"),
     event("version named", "A trainer named a weight version.", "model version"),
     *(
         event(f"target {what}", "The list says so.", "target service address row_version")
         for what in ("listed", "ready", "draining", "restarted", "gone")
     ),
+    event(
+        "target leaving",
+        "It said so in an answer; it gets nothing new.",
+        "target service address row_version",
+    ),
     event("target entry ignored", "Written by another, or unreadable.", "target row_version"),
     event("store lost", "A feed does not answer.", "table version reason"),
     event("store regained", "It does again.", "table failures"),
     event("feed gap", "History was lost; the table is read in full.", "table after"),
     event("store reached by way of a peer", "The straight way is closed.", "peer"),
     event("store reached straight again", "It is open."),
-    event(
-        "target leaving",
-        "It said so in an answer; it gets nothing new.",
-        "target service address row_version",
-    ),
     event(
         "peers asked about the store",
         "Their answers changed.",
--- a/src/balsamcleat/platform/__init__.py
+++ b/src/balsamcleat/platform/__init__.py
@@ -39,8 +39,8 @@
     parse_weight_version,
     sample_body,
     sample_request_headers,
-)
     scoring_request,
+)
 from balsamcleat.platform.store import PlatformRowStore
 
 __all__ = [
@@ -76,6 +76,6 @@
     "request_id",
     "sample_body",
     "sample_request_headers",
+    "scoring_request",
     "stand_in_response_headers",
 ]
-    "scoring_request",
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -74,13 +74,13 @@
     weight_version: WeightVersion | None = None
     retry_after_s: float | None = None
 
-
-def request_id(headers: Headers) -> str:
     @property
     def has_target_stamp(self) -> bool:
         """Whether a target, rather than an intermediary, produced the body."""
         return self.target_stamp is not None
 
+
+def request_id(headers: Headers) -> str:
     """Return the id of the caller's attempt, or an empty string if it has none."""
     return header_value(headers, CORRELATION_HEADER) or ""
 
--- a/src/balsamcleat/tasks/peers.py
+++ b/src/balsamcleat/tasks/peers.py
@@ -149,6 +149,12 @@
                 silence_s=round(self.get_direct_store_view().silence_s, 2),
             )
 
+    async def is_running(self, row: VmRow) -> bool:
+        """Return whether a VM's process answers and reaches the store itself."""
+        (result,) = await self.poll([row])
+        state = result.state
+        return state is not None and state.boot == row.boot and state.reaches_store
+
     async def poll(self, rows: list[VmRow]) -> list[PollResult]:
         """Poll peers concurrently and return their states."""
         results: list[PollResult] = []
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -7,7 +7,7 @@
 import structlog
 import xxhash
 
-from balsamcleat.decisions.vm_watch import VmFailureDetector
+from balsamcleat.decisions.vm_watch import VmFailureDetector, VmRow
 from balsamcleat.errors import PlatformError, ProtocolError
 from balsamcleat.model import StepId
 from balsamcleat.ports.rows import RowChange
@@ -63,6 +63,7 @@
         is_running: Returns whether this VM runs a step or is about to start it.
         on_ended: Called with each step that was ended.
         on_owner_changed: Called with each step whose owner row changed.
+        is_process_running: Asks a VM whether its process runs and reaches the store.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         is_running: Callable[[StepId], bool],
         on_ended: Callable[[StepId], None],
         on_owner_changed: Callable[[StepId, KnownStep], None],
+        is_process_running: Callable[[VmRow], Awaitable[bool]],
     ) -> None:
         self.vm = vm
         self.boot = boot
@@ -86,6 +88,7 @@
         self.is_running = is_running
         self.on_ended = on_ended
         self.on_owner_changed = on_owner_changed
+        self.is_process_running = is_process_running
         self.steps: dict[StepId, KnownStep] = {}
         self.ended_before_known: set[StepId] = set()
         self.changed_event = anyio.Event()
@@ -188,8 +191,20 @@
         order = sorted(names, key=lambda vm: xxhash.xxh3_64_intdigest(f"{step_id}/{vm}".encode()))
         return order.index(self.vm)
 
+    async def is_owner_only_silent(self, known: KnownStep) -> bool:
+        """Return whether a step's owner is late with its heartbeats, but answers this VM."""
+        owner = known.owner
+        if not owner.vm or (owner.vm, owner.boot) == (self.vm, self.boot):
+            return False
+        row = self.failure_detector.silent_process(owner.vm, owner.boot)
+        return row is not None and bool(row.address) and await self.is_process_running(row)
+
     async def try_take_over(self, step_id: StepId, known: KnownStep) -> None:
         """Take over a step; after a failure, wait for this VM's rank again before the next try."""
+        if await self.is_owner_only_silent(known):
+            known.orphaned_at_s = None
+            log.info("step left to its silent owner", step=step_id, owner=known.owner.vm)
+            return
         try:
             await self.take_over(step_id, known)
         except (PlatformError, ProtocolError) as error:
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -266,7 +266,7 @@
         engines.on_crash = self.restart_engine
         generator = random.Random(name)
         store_clock = StoreClock(anyio.current_time)
-        vm_row = VmRow(name, boot, "", "a", 0)
+        vm_row = VmRow(name, boot, f"{name}:80", "a", 0)
         presence = VmPresence(view, vm_row, store_clock, lambda: bool(runner.steps), generator)
         crash_history = SharedCrashHistory(view, self.store.now_ms)
         detector = CrashDetector(
@@ -302,6 +302,7 @@
             lambda step_id: vm.handler.is_running(step_id),
             lambda step_id: transfer.handle_step_ended(step_id, self.tasks),
             transfer.handle_owner_change,
+            self.is_process_running,
         )
         runner.on_rows = guard.on_rows = feed.apply_rows
         handler = RolloutHandler(
@@ -326,6 +327,13 @@
         await anyio.sleep(1.0)
         return vm
 
+    async def is_process_running(self, row: VmRow) -> bool:
+        """Ask a VM as its peers do: it answers unless it is killed, and then says how it fares."""
+        await anyio.sleep(0.002)
+        vm = self.vms[row.vm]
+        is_gone = vm.scope.cancel_called or vm.presence.boot != row.boot
+        return not is_gone and not vm.view.flaws.down
+
     async def run_vm(self, vm: StepVm, loops: list[Callable[[], Awaitable[None]]]) -> None:
         with vm.scope:
             async with anyio.create_task_group() as tasks:
