--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client with a connection pool and typed errors."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -182,14 +183,22 @@
         timeout_s: float,
         *,
         force_new_connection: bool = False,
+        is_permitted: Callable[[], bool] = lambda: True,
     ) -> Response:
         """Send a request and return its complete response.
 
+        Args:
+            address: Server's address, as ``IP:PORT``.
+            request: Request to send.
+            timeout_s: Time limit for the whole exchange, in seconds.
+            force_new_connection: Whether an idle connection must not be used.
+            is_permitted: Returns whether the request may be sent now; asked right before that.
+
         Raises:
             AttemptFailedError: No complete response was received; the error says whether the
                 request may have been sent.
         """
-        exchange = Exchange(self, address, request)
+        exchange = Exchange(self, address, request, is_permitted)
         try:
             with anyio.fail_after(timeout_s):
                 await exchange.begin(force_new_connection=force_new_connection)
@@ -211,6 +220,8 @@
         pool: Pool that the connection is acquired from and released to.
         address: Server's address, as ``IP:PORT``.
         request: Request to send.
+        is_permitted: Returns whether the request may be sent now; asked right before that, as the
+            permission may run out while a connection is opened or while the process is paused.
 
     Attributes:
         perhaps_sent: Whether any byte of the request may have been sent.
@@ -220,8 +231,15 @@
         headers: Headers of the response.
     """
 
-    def __init__(self, pool: ConnectionPool, address: str, request: Request) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        address: str,
+        request: Request,
+        is_permitted: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.pool = pool
+        self.is_permitted = is_permitted
         self.address = address
         self.request = request
         self.connection: PooledConnection | None = None
@@ -246,7 +264,8 @@
         """Send the request and read the status line and headers of its response.
 
         Raises:
-            AttemptFailedError: The request could not be sent or the response could not be read.
+            AttemptFailedError: The request must not or could not be sent, or the response could not
+                be read.
         """
         correlation_id = self.pool.correlation_id(self.request.headers)
         self.connection = await self.pool.acquire(
@@ -255,6 +274,7 @@
         if correlation_id is not None:
             self.connection.remember_id(correlation_id)
         data = self.encode_request()
+        self.check_permission()
         # The server may act on the request from its first byte on.
         self.perhaps_sent = True
         try:
@@ -265,6 +285,15 @@
             ) from error
         await self.read_matching_head()
 
+    def check_permission(self) -> None:
+        """Check that the request may still be sent.
+
+        Raises:
+            AttemptFailedError: The request must not be sent any more; nothing was sent.
+        """
+        if not self.is_permitted():
+            raise self.failure("the permission to send has run out", FailureKind.UNREACHED)
+
     def encode_request(self) -> bytes:
         """Return the serialized request; the parser then expects its response."""
         request = self.request
--- a/src/balsamcleat/platform/orders.py
+++ b/src/balsamcleat/platform/orders.py
@@ -1,5 +1,6 @@
 """Client for the control interface of model engines: load orders and state reports."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -106,6 +107,7 @@
         fencing_token: int,
         order_count: int,
         continue_samples: bool,
+        is_permitted: Callable[[], bool],
     ) -> OrderOutcome:
         """Order a target to load a weight version.
 
@@ -118,6 +120,7 @@
                 differs, the target does not execute the order.
             continue_samples: Whether running samples continue with the new version; otherwise the
                 order waits until they have finished.
+            is_permitted: Returns whether this VM may send orders now; asked right before sending.
         """
         body = OrderFields(
             op="version",
@@ -131,7 +134,9 @@
         headers = self.request_headers(replica.address, replica.target_id)
         request = Request("POST", "/order", headers, msgspec.json.encode(body))
         try:
-            response = await self.pool.fetch(replica.address, request, ORDER_TIMEOUT_S)
+            response = await self.pool.fetch(
+                replica.address, request, ORDER_TIMEOUT_S, is_permitted=is_permitted
+            )
         except AttemptFailedError as error:
             maybe_sent = error.perhaps_sent
             return OrderOutcome(OrderResult.UNKNOWN if maybe_sent else OrderResult.NOT_SENT)
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -82,6 +82,10 @@
         """Return the time left until the response must begin, in seconds."""
         return self.deadline_s - anyio.current_time()
 
+    def may_be_sent(self) -> bool:
+        """Return whether the call is still wanted and its deadline has not passed."""
+        return self.remaining_s() > 0.0 and self.is_wanted()
+
     def stream_remaining_s(self) -> float:
         """Return the time left for a complete stream, in seconds.
 
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -334,7 +334,7 @@
             priority=live_priority(call.route),
         )
         request = Request(call.request.method, call.request.target, headers, call.request.body)
-        exchange = TargetExchange(self.pool, self.directory, replica, request)
+        exchange = TargetExchange(self.pool, self.directory, replica, request, call.may_be_sent)
         try:
             await exchange.begin(force_new_connection=not call.route.is_repeatable)
             response = await exchange.read_response()
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -94,7 +94,7 @@
         self.stats_registry = stats_registry
         self.sample_runner = sample_runner
         self.sample_guard = sample_guard
-        self.step_scorer = StepScorer(scorer, table, self.may_score)
+        self.step_scorer = StepScorer(scorer, table, self.may_send)
         self.table = table
         self.view = PlacementView(directory, stats_registry, zone, loading)
         self.pause_guard = pause_guard
@@ -225,6 +225,7 @@
             remaining_s=self.remaining_s(step, route),
             priority=SPARE_PRIORITY if rank.is_spare else REQUIRED_PRIORITY,
             single_version=route.single_version,
+            is_wanted=lambda: self.may_send(step),
         )
         stats = self.stats_registry.for_target(replica.target_id)
         now_s = anyio.current_time()
@@ -340,8 +341,8 @@
                 "target is behind", target=assignment.replica.target_id, version=target_version
             )
 
-    def may_score(self, step: OwnedStep) -> bool:
-        """Return whether this VM may score samples of a step; detects a pause that just ended."""
+    def may_send(self, step: OwnedStep) -> bool:
+        """Return whether this VM may send requests of a step; detects a pause that just ended."""
         assert self.tasks is not None
         self.pause_guard.check_for_pause(self.steps.values(), self.tasks)
         return step.can_start
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -1,5 +1,6 @@
 """Runs one sample on one target: sends the request, reads its events, reports how it ended."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -79,6 +80,7 @@
         remaining_s: Time that the target is given for the sample, in seconds.
         priority: Request priority from 0 to 9, 0 being the highest.
         single_version: Whether one weight version must generate the whole sample.
+        is_wanted: Returns whether this VM may still send the sample.
     """
 
     step: RolloutStep
@@ -88,6 +90,7 @@
     remaining_s: float
     priority: int
     single_version: bool
+    is_wanted: Callable[[], bool]
 
 
 class SampleRunner:
@@ -121,6 +124,7 @@
             self.directory,
             assignment.replica,
             self.build_request(assignment, progress),
+            assignment.is_wanted,
         )
         stats.in_flight += 1
         try:
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -168,6 +168,7 @@
             self.forwarder.directory,
             replica,
             self.request_for_target(call, replica, relay),
+            call.is_wanted,
         )
         stats.in_flight += 1
         try:
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -1,5 +1,7 @@
 """Exchanges with targets; a target that announces its departure gets no further request."""
 
+from collections.abc import Callable
+
 import structlog
 
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
@@ -21,6 +23,7 @@
         directory: Directory of the targets.
         replica: Target that the request is sent to.
         request: Request to send.
+        is_permitted: Returns whether the request may be sent now; asked right before that.
     """
 
     def __init__(
@@ -29,22 +32,22 @@
         directory: ReplicaDirectory,
         replica: Replica,
         request: Request,
+        is_permitted: Callable[[], bool],
     ) -> None:
-        super().__init__(pool, replica.address, request)
+        super().__init__(pool, replica.address, request, is_permitted)
         self.directory = directory
         self.replica = replica
 
-    async def begin(self, *, force_new_connection: bool = False) -> None:
-        """Send the request and read the status line and headers of its response.
+    def check_permission(self) -> None:
+        """Check that the request may still be sent, and that the target still takes requests.
 
         Raises:
-            AttemptFailedError: The target takes no requests any more, the request could not be
-                sent, or the response could not be read.
+            AttemptFailedError: The request must not be sent to the target; nothing was sent.
         """
         if not self.directory.takes_requests(self.replica):
             # The target may have left while the request waited for a permission to run.
             raise self.failure("the target takes no more requests", FailureKind.UNREACHED)
-        await super().begin(force_new_connection=force_new_connection)
+        super().check_permission()
 
     async def read_head(self) -> None:
         """Read the head of a response and record whether the target announces its departure."""
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -268,6 +268,7 @@
             fencing_token=fence,
             order_count=count,
             continue_samples=not self.requires_single_version(replica.service),
+            is_permitted=self.lease.can_order,
         )
         log.info(
             "weight order",
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -152,7 +152,9 @@
         directory = ReplicaDirectory()
         directory.apply_entry(replica)
         pool = ConnectionPool(PoolLimits(), CORRELATION_HEADER)
-        exchange = TargetExchange(pool, directory, replica, Request("GET", "/"))
+        exchange = TargetExchange(
+            pool, directory, replica, Request("GET", "/", (("Host", "h"),)), lambda: True
+        )
         directory.mark_leaving(replica)
         with pytest.raises(AttemptFailedError) as failure:
             await exchange.begin()
--- a/tests/test_sample_scoring.py
+++ b/tests/test_sample_scoring.py
@@ -148,11 +148,11 @@
         step = owned_step(vm)
         vm.view.flaws.down = True
         vm.clock.suspended_s += 5.0
-        assert not vm.runner.may_score(step)
+        assert not vm.runner.may_send(step)
         await anyio.sleep(1.0)
-        assert not vm.runner.may_score(step)
+        assert not vm.runner.may_send(step)
         vm.view.flaws.down = False
-        await wait_until(lambda: vm.runner.may_score(step), 5.0)
+        await wait_until(lambda: vm.runner.may_send(step), 5.0)
 
     play(test)
 
