--- a/src/balsamcleat/decisions/weight_rollout.py
+++ b/src/balsamcleat/decisions/weight_rollout.py
@@ -19,6 +19,7 @@
 from balsamcleat.model import TargetId, WeightVersion
 
 __all__ = [
+    "STEP_PLACEMENT_S",
     "EngineWeights",
     "LoadOrder",
     "ModelDemand",
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -12,6 +12,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.weight_rollout import (
+    STEP_PLACEMENT_S,
     EngineWeights,
     LoadOrder,
     ModelDemand,
@@ -132,8 +133,15 @@
                 await anyio.sleep(delay_after_pass(self.planning_took_s))
 
     def is_busy(self) -> bool:
-        """Return whether this VM holds the lease and orders are in flight or pending."""
-        return self.lease.lease is not None and (bool(self.in_flight) or self.has_pending_orders)
+        """Return whether this VM holds the lease and has orders in flight, pending or due soon."""
+        if self.lease.lease is None:
+            return False
+        return bool(self.in_flight) or self.has_pending_orders or self.has_orders_due_soon()
+
+    def has_orders_due_soon(self) -> bool:
+        """Return whether orders for a version that was named just now are still held back."""
+        now_s = anyio.current_time()
+        return any(now_s - since_s < STEP_PLACEMENT_S for _, since_s in self.named_since.values())
 
     def engines(self) -> dict[ServiceName, list[Replica]]:
         """Return the engines that accept requests, by service."""
--- /dev/null
+++ b/tests/test_version_orders.py
@@ -0,0 +1,94 @@
+"""The controller of weight loads: a named version is ordered as soon as its step is placed."""
+
+import anyio
+import anyio.abc
+
+from balsamcleat.decisions.order_lease import OrderLease, OrderLeaseState
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
+from balsamcleat.decisions.weight_rollout import STEP_PLACEMENT_S
+from balsamcleat.model import ConfigurationVersion, WeightVersion
+from balsamcleat.model.replicas import Replica, ReplicaReport
+from balsamcleat.model.routing import EngineSpec, RoutingTable, ServiceSpec
+from balsamcleat.platform import OrderOutcome
+from balsamcleat.platform.orders import OrderResult
+from balsamcleat.tasks.version_orders import ModelUsage, VersionLoadController
+from step_world import MODEL, SERVICE, make_engine, run_in_virtual_time
+
+ENGINES = 6
+LOAD_S = 0.9
+TABLE = RoutingTable(
+    ConfigurationVersion(1), (), {SERVICE: ServiceSpec(SERVICE, 100, EngineSpec(6, 0, (MODEL,)))}
+)
+
+
+class HeldLease:
+    """Lease on orders that this VM holds all the time."""
+
+    lease = OrderLease(OrderLeaseState("vm-1", "boot", True, 0), 1, 1, float("inf"), 0)
+
+    async def begin_orders(self) -> bool:
+        return True
+
+    async def end_orders(self) -> None:
+        return None
+
+    def can_order(self) -> bool:
+        return True
+
+
+class LoadingEngines:
+    """Engines that load a version for some time after each order."""
+
+    def __init__(self) -> None:
+        self.ordered_at_s: dict[str, float] = {}
+        self.versions: dict[str, WeightVersion] = {}
+
+    async def order_load(
+        self, replica: Replica, model: str, version: WeightVersion, **_: object
+    ) -> OrderOutcome:
+        self.ordered_at_s[replica.target_id] = anyio.current_time()
+        self.versions[replica.target_id] = version
+        return OrderOutcome(OrderResult.STARTED, 202)
+
+    async def fetch_report(self, replica: Replica) -> ReplicaReport:
+        ordered_s = self.ordered_at_s.get(replica.target_id, 0.0)
+        is_loading = anyio.current_time() < ordered_s + LOAD_S
+        version = WeightVersion(1) if is_loading else self.versions.get(replica.target_id, 1)
+        return ReplicaReport({MODEL: WeightVersion(version)}, is_loading, 0)
+
+
+def test_named_version_is_ordered_right_after_its_step_was_placed() -> None:
+    """The holder of the lease is idle when the version is named.
+
+    Without a plan for the moment when the step is placed, the orders would wait for the next
+    regular check, a second later.
+    """
+
+    async def test() -> None:
+        directory, engines = ReplicaDirectory(), LoadingEngines()
+        for number in range(ENGINES):
+            directory.apply_entry(make_engine(number))
+        versions: dict[str, WeightVersion] = {}
+        controller = VersionLoadController(
+            HeldLease(),  # type: ignore[arg-type]
+            engines,  # type: ignore[arg-type]
+            directory,
+            ReplicaStatsRegistry(),
+            lambda: TABLE,
+            lambda: versions,
+            lambda _: ModelUsage((WeightVersion(1),), 1.0),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(controller.run)
+            await anyio.sleep(2.05)
+            versions[MODEL] = WeightVersion(2)
+            named_s = anyio.current_time()
+            controller.wake()
+            await anyio.sleep(5.0)
+            tasks.cancel_scope.cancel()
+        assert len(engines.ordered_at_s) == ENGINES
+        first_s = min(engines.ordered_at_s.values()) - named_s
+        assert STEP_PLACEMENT_S <= first_s < STEP_PLACEMENT_S + 0.2
+
+    run_in_virtual_time(test)
