Call scorers of the own interface on a new connection each time

Engines name the request in each frame; plain services had no reuse already. Test: test_http_client.py, a scorer that answers twice; fails with the shared pool.

--- a/src/balsamcleat/adapters/http_service.py
+++ b/src/balsamcleat/adapters/http_service.py
@@ -72,7 +72,8 @@
     """Client of one replica of a scoring service.
 
     Args:
-        client: HTTP client.
+        client: HTTP client that reuses no connections, as for plain services: a second response to
+            an earlier request would be read as the score of another sample.
         address: Host and port of the replica.
     """
 
--- a/src/balsamcleat/composition/base.py
+++ b/src/balsamcleat/composition/base.py
@@ -79,7 +79,7 @@
         connections=Connections(
             lambda address: HttpEngine(client, address, metrics),
             lambda address: HttpPlainService(unpooled_client, address),
-            lambda address: HttpScorer(client, address),
+            lambda address: HttpScorer(unpooled_client, address),
         ),
     )
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from pathlib import Path
 
 import anyio
 import httpx
@@ -10,9 +11,13 @@
 
 from balsamcleat.adapters.http_client import new_client
 from balsamcleat.adapters.http_service import HttpPlainService
+from balsamcleat.adapters.system import SeededRandomness
+from balsamcleat.composition.base import compose_foundation
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.model import Answer, AttemptPhase, CallRequest, FailureKind, RequestId, ServiceName
 from balsamcleat.model.ids import TeamName
+from balsamcleat.model.samples import Sample, SampleKey
+from balsamcleat.settings import load_settings
 from balsamcleat.standins.serving import free_port
 from raw_target import (
     RawTarget,
@@ -23,6 +28,7 @@
     send_raw_response,
     send_raw_response_then_close,
 )
+from test_settings import GOOD, written
 
 pytestmark = pytest.mark.anyio
 
@@ -178,3 +184,23 @@
             call = replace(CALL, path=f"/{number}", idempotent=True)
             found = await plain(client, target.address).call(call, 1.0)
             assert found.body == f"/{number}".encode()
+
+
+async def score_twice(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
+    """Send each score twice; a sample's score is its text."""
+    while True:
+        request = await target.read_request(stream)
+        score = request.rpartition(b'"text":"')[2].partition(b'"')[0].decode()
+        body = f'{{"score":{score}}}'.encode()
+        head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n".encode()
+        await stream.send((head + body) * 2)
+
+
+async def test_repeated_score_reaches_no_other_sample(tmp_path: Path) -> None:
+    """A node's scorers must not be called on reused connections."""
+    foundation = compose_foundation(load_settings(written(tmp_path, GOOD)), SeededRandomness(1))
+    async with raw_target(score_twice) as target, foundation.client, foundation.unpooled_client:
+        scorer = foundation.connections.create_scorer(target.address)
+        for number in range(6):
+            sample = Sample(SampleKey(0, number), str(number), 1, (), "stop")
+            assert await scorer.score("prompt", sample, 1.0) == number
