--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -189,8 +189,8 @@
 async def score_twice(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
     """Send each score twice; a sample's score is its text."""
     while True:
-        request = await target.read_request(stream)
-        score = request.rpartition(b'"text":"')[2].partition(b'"')[0].decode()
+        await target.read_request(stream)
+        score = target.requests[-1].rpartition(b'"text":"')[2].partition(b'"')[0].decode()
         body = f'{{"score":{score}}}'.encode()
         head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n".encode()
         await stream.send((head + body) * 2)
