--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -14,6 +14,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.entry.drain import drain_callers
 from balsamcleat.entry.reload import SettingsWatcher
 from balsamcleat.errors import PlatformError
 from balsamcleat.http1 import (
@@ -67,14 +68,6 @@
 
 __all__ = ["EntryProcess", "run_entry"]
 
-# The load balancer removes a VM after two failed readiness checks, which are a second apart. Until
-# then it sends callers to the VM.
-LOAD_BALANCER_DELAY_S = 2.5
-# Idle connections stay open this long after the stop signal, for callers that reuse them.
-IDLE_CONNECTION_GRACE_S = 4.0
-# Reserved at the end of the grace period, between the stop signal and the kill.
-STOP_MARGIN_S = 0.8
-DRAIN_CHECK_INTERVAL_S = 0.05
 HOUSEKEEPING_INTERVAL_S = 0.2
 ENDED_STEP_RETENTION_S = 10.0
 # A trainer submits its next step some seconds after the previous one; the connections to targets
@@ -401,31 +394,10 @@
         self.front_server.start_draining()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.release_ownership)
-            await self.drain_callers(started_s)
+            await drain_callers(self.front_server, started_s, self.settings.grace_s)
             tasks.cancel_scope.cancel()
         self.front_server.stop_accepting()
 
-    async def drain_callers(self, started_s: float) -> None:
-        """Serve until the load balancer has removed this VM and callers are done, or time runs out.
-
-        Args:
-            started_s: Start of the shutdown in seconds, on the event loop's clock.
-        """
-        deadline_s = started_s + self.settings.grace_s - STOP_MARGIN_S
-        while anyio.current_time() < deadline_s:
-            await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
-            elapsed_s = anyio.current_time() - started_s
-            if elapsed_s >= IDLE_CONNECTION_GRACE_S:
-                self.front_server.close_idle_connections()
-            is_unused = elapsed_s >= IDLE_CONNECTION_GRACE_S or not self.front_server.connections
-            if elapsed_s < LOAD_BALANCER_DELAY_S or not is_unused:
-                continue
-            if not self.front_server.has_open_requests:
-                # Requests that arrived just now are accepted and answered.
-                self.front_server.stop_accepting()
-            if self.front_server.is_closed and not self.front_server.connections:
-                return
-
     async def release_ownership(self) -> None:
         """Hand over all steps and release the lease on orders; a store failure ends the attempt."""
         try:
