Measure an engine's usual pace over whole streams, so that bursts don't make it look fast

The mean since the request was sent can't be too short. The recent interval now only counts while it shows that an engine is slow. Tests: TestUsualEventInterval.

--- a/src/balsamcleat/decisions/replica_stats.py
+++ b/src/balsamcleat/decisions/replica_stats.py
@@ -20,9 +20,13 @@
 # An event interval measured longer ago than this is ignored, so that a target that was slow is
 # tried again.
 EVENT_INTERVAL_LIFETIME_S = 3.0
-# The usual event interval follows a shorter recent one at once, and a longer one at this rate, as a
-# target that is slow for some seconds is usually fast again later.
+# The usual event interval follows a shorter one at once, and a longer one at this rate, as a target
+# that is slow for some seconds is usually fast again later.
 USUAL_INTERVAL_GROWTH_PER_S = 0.01
+# A stream shows a target's pace from this number of events on; before, its start counts too much.
+MIN_PACE_EVENTS = 16
+# A target is slow now if its recent event interval exceeds its usual one by this factor.
+SLOW_NOW_RATIO = 1.5
 MAX_RECENT_PROMPTS = 256
 # A longer gap between events is a pause, for example to load weights, and is not measured.
 MAX_EVENT_INTERVAL_S = 0.6
@@ -43,6 +47,7 @@
         last_event_at_s: Time of the last measured event.
         usual_interval_s: Event interval that the target has while nothing slows it down, in
             seconds; 0 before the first measurement.
+        usual_interval_at_s: Time at which the usual event interval was measured.
         recent_prompts: Ids of the prompts sent to the target recently, the newest last.
     """
 
@@ -55,6 +60,7 @@
     event_interval_s: float = 0.0
     last_event_at_s: float = float("-inf")
     usual_interval_s: float = 0.0
+    usual_interval_at_s: float = 0.0
     recent_prompts: dict[str, None] = field(default_factory=dict)
 
     def load(self, now_s: float) -> float:
@@ -105,16 +111,26 @@
         """Record the interval, in seconds, between two events of a stream."""
         if interval_s > MAX_EVENT_INTERVAL_S:
             return
-        idle_s = now_s - self.last_event_at_s
-        if idle_s > EVENT_INTERVAL_LIFETIME_S:
+        if now_s - self.last_event_at_s > EVENT_INTERVAL_LIFETIME_S:
             self.event_interval_s = interval_s
         else:
             self.event_interval_s += EVENT_INTERVAL_SMOOTHING * (interval_s - self.event_interval_s)
-            growth = 1.0 + USUAL_INTERVAL_GROWTH_PER_S * idle_s
-            usual_s = self.usual_interval_s * growth if self.usual_interval_s else float("inf")
-            self.usual_interval_s = min(usual_s, self.event_interval_s)
         self.last_event_at_s = now_s
 
+    def record_stream_pace(self, event_count: int, duration_s: float, now_s: float) -> None:
+        """Record how many events a stream has produced since its request was sent.
+
+        Events that were held up arrive together, and single intervals between them say nothing of
+        the target's pace; the mean since the request is never too short.
+        """
+        if event_count < MIN_PACE_EVENTS:
+            return
+        mean_s = duration_s / event_count
+        growth = 1.0 + USUAL_INTERVAL_GROWTH_PER_S * (now_s - self.usual_interval_at_s)
+        if not self.usual_interval_s or mean_s < self.usual_interval_s * growth:
+            self.usual_interval_s = mean_s
+            self.usual_interval_at_s = now_s
+
     def recent_event_interval_s(self, now_s: float) -> float:
         """Return the smoothed event interval in seconds, or 0 if none was measured recently."""
         return (
@@ -124,8 +140,14 @@
         )
 
     def expected_interval_s(self, now_s: float) -> float:
-        """Return the event interval to expect of a new stream in seconds, or 0 if unknown."""
-        return self.recent_event_interval_s(now_s) or self.usual_interval_s
+        """Return the event interval to expect of a new stream in seconds, or 0 if unknown.
+
+        The recent interval is noisy, so it only counts while it shows that the target is slow now.
+        """
+        recent_s = self.recent_event_interval_s(now_s)
+        if not self.usual_interval_s or recent_s > SLOW_NOW_RATIO * self.usual_interval_s:
+            return recent_s
+        return self.usual_interval_s
 
     def record_prompt(self, prompt_id: str) -> None:
         """Record that a prompt was sent to the target."""
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -217,6 +217,7 @@
             if previous_event_s is not None:
                 stats.record_event_interval((now_s - previous_event_s) / len(events), now_s)
             previous_event_s = now_s
+            stats.record_stream_pace(timer.event_count, now_s - began_s, now_s)
             if not progress.satisfies_version_bounds(
                 assignment.step.oldest_version, single_version=assignment.single_version
             ):
--- a/tests/test_sample_placement.py
+++ b/tests/test_sample_placement.py
@@ -262,16 +262,37 @@
 class TestUsualEventInterval:
     def test_pace_is_known_after_a_pause_without_streams(self) -> None:
         stats = ReplicaStats()
-        for number in range(20):
-            stats.record_event_interval(0.039, 0.039 * number)
+        stats.record_stream_pace(20, 20 * 0.039, 1.0)
         assert stats.recent_event_interval_s(10.0) == 0.0
         assert stats.expected_interval_s(10.0) == pytest.approx(0.039)
 
     def test_pace_of_a_target_that_was_slow_for_a_while_is_not_expected_later(self) -> None:
         stats = ReplicaStats()
-        for number in range(20):
-            stats.record_event_interval(0.039, 0.039 * number)
+        stats.record_stream_pace(20, 20 * 0.039, 1.0)
         for number in range(60):
-            stats.record_event_interval(0.13, 0.8 + 0.13 * number)
-        assert stats.expected_interval_s(8.6) > 0.1
-        assert stats.expected_interval_s(20.0) < 0.045
+            stats.record_event_interval(0.13, 2.0 + 0.13 * number)
+        stats.record_stream_pace(60, 60 * 0.13, 9.8)
+        assert stats.expected_interval_s(9.8) > 0.1
+        assert stats.expected_interval_s(20.0) == pytest.approx(0.039)
+
+    def test_target_that_stays_slow_is_expected_to_be_slow_in_the_end(self) -> None:
+        stats = ReplicaStats()
+        stats.record_stream_pace(20, 20 * 0.039, 1.0)
+        stats.record_stream_pace(20, 20 * 0.051, 60.0)
+        assert stats.expected_interval_s(70.0) == pytest.approx(0.051)
+
+    def test_events_that_were_held_up_and_arrive_together_show_no_pace(self) -> None:
+        """The VM reads nothing for a second; 25 events then arrive within a millisecond."""
+        stats = ReplicaStats()
+        for number in range(1, 26):
+            now_s = 1.0 + number * 0.00004
+            stats.record_event_interval(0.00004, now_s)
+            stats.record_stream_pace(number, now_s, now_s)
+        assert stats.usual_interval_s >= 0.04
+
+    def test_single_short_intervals_do_not_make_a_target_look_fast(self) -> None:
+        stats = ReplicaStats()
+        stats.record_stream_pace(20, 20 * 0.039, 1.0)
+        for number in range(20):
+            stats.record_event_interval(0.001, 1.0 + 0.001 * number)
+        assert stats.expected_interval_s(1.02) == pytest.approx(0.039)
