Own interface: bound the bodies of targets, and end streams without frames

Cause: the clients of plain services, scorers and engines' control calls read a body of any size until their timeout, and each byte restarted the 30 s that an engine's stream may be silent. Now 8 MiB a body, and frames, not bytes, are the progress of a stream. Tests: test_http_client.py, an endless body and a dribbling stream; both fail on the code before.

--- a/src/balsamcleat/adapters/http_client.py
+++ b/src/balsamcleat/adapters/http_client.py
@@ -25,6 +25,7 @@
 REJECTION_HEADER = "x-refusal"
 LEAVING_REJECTION = "leaving"
 MAX_CONNECTIONS = 1000
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 200
 IDLE_EXPIRY_S = 4.0
 
@@ -153,6 +154,27 @@
     )
 
 
+async def read_bounded(response: httpx.Response, trace: AttemptTrace) -> httpx.Response:
+    """Return a response that is being received with its whole body.
+
+    Raises:
+        AttemptFailedError: The body is too large; the connection is closed.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.aiter_bytes():
+        size += len(part)
+        if size > MAX_RESPONSE_BYTES:
+            raise trace.failure("the response body is too large", FailureKind.MALFORMED)
+        parts.append(part)
+    headers = httpx.Headers(response.headers)
+    # The parts are decoded already.
+    headers.pop("content-encoding", None)
+    return httpx.Response(
+        response.status_code, headers=headers, content=b"".join(parts), request=response.request
+    )
+
+
 async def send_request(
     client: httpx.AsyncClient,
     trace: AttemptTrace,
@@ -179,17 +201,19 @@
     """
     try:
         with anyio.fail_after(timeout_s):
-            response = await client.request(
+            async with client.stream(
                 method,
                 url,
                 content=content,
                 headers=headers,
                 extensions=trace.extensions,
                 timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
-            )
+            ) as received:
+                has_end = has_explicit_end(received)
+                response = await read_bounded(received, trace)
     except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
         raise trace.failure(error) from error
-    if not has_explicit_end(response):
+    if not has_end:
         raise trace.failure("the end of the answer is not marked", FailureKind.CUT)
     trace.record_answer()
     return response
--- a/src/balsamcleat/adapters/http_engine.py
+++ b/src/balsamcleat/adapters/http_engine.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncGenerator
 from typing import TypeVar
 
+import anyio
 import httpx
 import msgspec
 
@@ -97,8 +98,15 @@
                 if response.status_code != 200:
                     await response.aread()
                     raise status_failure(response, step, self.address)
+                last_frame_s = anyio.current_time()
                 async for chunk in response.aiter_raw():
                     parsed = parser.feed(chunk)
+                    now_s = anyio.current_time()
+                    if parsed.frames:
+                        last_frame_s = now_s
+                    elif now_s - last_frame_s > FRAME_TIMEOUT_S:
+                        # Bytes that complete no frame are no progress.
+                        raise trace.failure("the stream stalled", FailureKind.SILENT)
                     if parsed.foreign_count and self.metrics is not None:
                         self.metrics.count("engine.frame.foreign", parsed.foreign_count)
                     for frame in parsed.frames:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -10,11 +10,20 @@
 import pytest
 
 from balsamcleat.adapters.http_client import new_client
+from balsamcleat.adapters.http_engine import HttpEngine
 from balsamcleat.adapters.http_service import HttpPlainService
 from balsamcleat.adapters.system import SeededRandomness
 from balsamcleat.composition.base import compose_foundation
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.model import Answer, AttemptPhase, CallRequest, FailureKind, RequestId, ServiceName
+from balsamcleat.model import (
+    Answer,
+    AttemptPhase,
+    CallRequest,
+    FailureKind,
+    GenerationRequest,
+    RequestId,
+    ServiceName,
+)
 from balsamcleat.model.ids import TeamName
 from balsamcleat.model.samples import Sample, SampleKey
 from balsamcleat.settings import load_settings
@@ -204,3 +213,37 @@
         for number in range(6):
             sample = Sample(SampleKey(0, number), str(number), 1, (), "stop")
             assert await scorer.score("prompt", sample, 1.0) == number
+
+
+async def send_endlessly(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
+    await target.read_request(stream)
+    await stream.send(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    while True:
+        await stream.send(b"8000\r\n" + b"z" * 0x8000 + b"\r\n")
+
+
+async def test_endless_body_fails_early() -> None:
+    """It must neither fill the memory nor hold the caller until the timeout."""
+    failure, _ = await outcome_of(send_endlessly, timeout_s=30.0)
+    assert "too large" in failure.message
+    assert failure.kind is FailureKind.MALFORMED
+
+
+async def dribble_bytes(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
+    """Begin a stream, then send bytes that complete no frame."""
+    await target.read_request(stream)
+    await stream.send(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    while True:
+        await stream.send(b"2\r\n:\n\r\n")
+        await anyio.sleep(0.02)
+
+
+async def test_stream_that_only_pretends_to_live_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each byte restarts the timeout of the transport, so frames are counted instead."""
+    monkeypatch.setattr("balsamcleat.adapters.http_engine.FRAME_TIMEOUT_S", 0.2)
+    request = GenerationRequest(RequestId("r-1"), ServiceName("m"), "prompt", 10, 1, 1.0)
+    async with raw_target(dribble_bytes) as target, clients() as client:
+        with anyio.fail_after(2.0), pytest.raises(AttemptFailedError) as caught:
+            async for _ in HttpEngine(client[0], target.address).generate(request):
+                pass
+    assert caught.value.kind is FailureKind.SILENT
