--- a/tests/soak.py
+++ b/tests/soak.py
@@ -28,7 +28,7 @@
 from soak_faults import SoakFaults, SoakVm
 from soak_link import SoakLink
 from soak_poison import MAX_LATE_RUNS, PoisonCaller, late_runs
-from soak_stand import SoakTarget, StoreDoor, events_of, serve
+from soak_stand import SoakTarget, StoreDoor, events_of, scoring_id, serve, stamp_of
 
 HOST = "soak.example"
 MODEL = "m"
@@ -206,6 +206,14 @@
                 }
                 for place in range(24)
             ]
+            if number % 2:
+                for item in items:
+                    item["scorerUrl"] = {
+                        "id": scoring_id(item["id"]),
+                        "host": HOST,
+                        "path": "/safe/score",
+                        "body": item["body"],
+                    }
             body = {
                 "model": MODEL,
                 "minVersion": max(1, self.version - 1),
@@ -275,6 +283,10 @@
         made = sorted({int(line[2][1:]) for line in lines})
         if made != result["versions"]:
             self.breaks("versions named", f"{result['id']} {made} {result['versions']}")
+        is_scored = int(step.rpartition("x")[2]) % 2 == 1
+        score = stamp_of(scoring_id(result["id"])) if is_scored else None
+        if result.get("score") != score:
+            self.breaks("own score", f"{result['id']} {result.get('score')}")
         if made[0] < oldest:
             self.breaks("staleness", f"{result['id']} {made} under {oldest}")
 
--- a/tests/soak_stand.py
+++ b/tests/soak_stand.py
@@ -254,7 +254,9 @@
             responder.connection.stream.reset()
             return
         body = attempt.encode() + b":" + request.body
-        headers = (("Attempt-Id", attempt), ("Server-Stamp", "s"))
+        headers = (("Attempt-Id", attempt), ("Server-Stamp", stamp_of(attempt)))
+        if self.draining_since_s is not None:
+            headers = (*headers, ("Server-Leaving", "1"))
         await responder.send(Response(200, headers, body))
         if self.answer_twice:
             head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: s\r\n"
@@ -306,6 +308,16 @@
         await responder.finish()
 
 
+def scoring_id(sample_id: str) -> str:
+    """Return the id of the request that scores a sample."""
+    return f"{sample_id}r"
+
+
+def stamp_of(attempt: str) -> str:
+    """Return the stamp of a plain target's answer, which is a sample's score."""
+    return f"stamp-{attempt}"
+
+
 def events_of(sample_id: str) -> int:
     """Return a sample's length, the same at every target; one in ten is long."""
     rng = random.Random(sample_id)
