--- a/src/balsamcleat/tasks/sample_scorer.py
+++ b/src/balsamcleat/tasks/sample_scorer.py
@@ -86,6 +86,8 @@
                 if progress.is_exhausted(limit):
                     return None
                 if response is not None and response.status == UNPROCESSABLE_CONTENT:
+                    # No call can succeed, but a sample may not be given up for that: it waits for
+                    # the end or the expiry of its step, which cancels this task.
                     await anyio.sleep_forever()
             await anyio.sleep(progress.retry_delay_s(self.generator))
 
--- a/tests/test_sample_scoring.py
+++ b/tests/test_sample_scoring.py
@@ -54,6 +54,15 @@
     await wait_until(lambda: len(owned_step(vm).unscored) == count, 20.0)
 
 
+async def start_owner_without_scores(world: StepWorld) -> StepVm:
+    """Start a VM, submit a step to it, and wait until all texts are complete and none is scored."""
+    vm = await world.start("vm-1")
+    vm.scorer.delay_s = FOREVER_S
+    await submit(vm)
+    await wait_for_unscored(vm, COUNT)
+    return vm
+
+
 def test_result_is_stored_with_its_score_and_not_before_it() -> None:
     async def test(world: StepWorld) -> None:
         vm = await world.start("vm-1")
@@ -93,10 +102,8 @@
     """The owner dies while it waits for scores, after the texts were saved as complete."""
 
     async def test(world: StepWorld) -> None:
-        first, second = await world.start("vm-1"), await world.start("vm-2")
-        first.scorer.delay_s = FOREVER_S
-        await submit(first)
-        await wait_for_unscored(first, COUNT)
+        second = await world.start("vm-2")
+        first = await start_owner_without_scores(world)
         await wait_until(lambda: len(owned_step(first).saved_as_complete) == COUNT, 10.0)
         world.kill(first)
         await world.wait_for_results(COUNT, 20.0)
@@ -110,10 +117,8 @@
 
 def test_handed_over_texts_are_scored_by_the_next_owner() -> None:
     async def test(world: StepWorld) -> None:
-        first, second = await world.start("vm-1"), await world.start("vm-2")
-        first.scorer.delay_s = FOREVER_S
-        await submit(first)
-        await wait_for_unscored(first, COUNT)
+        second = await world.start("vm-2")
+        first = await start_owner_without_scores(world)
         first.feed.accepting = False
         with anyio.fail_after(5.0):
             await first.transfer.hand_over()
@@ -125,10 +130,7 @@
 
 def test_ended_step_is_not_scored_any_more() -> None:
     async def test(world: StepWorld) -> None:
-        vm = await world.start("vm-1")
-        vm.scorer.delay_s = FOREVER_S
-        await submit(vm)
-        await wait_for_unscored(vm, COUNT)
+        vm = await start_owner_without_scores(world)
         step = owned_step(vm)
         assert await vm.end("step-1") == 200
         await wait_until(lambda: not step.scoring, 3.0)
@@ -141,10 +143,7 @@
     """The step ends while its owner is paused; the owner learns it only from the store."""
 
     async def test(world: StepWorld) -> None:
-        vm = await world.start("vm-1")
-        vm.scorer.delay_s = FOREVER_S
-        await submit(vm)
-        await wait_for_unscored(vm, COUNT)
+        vm = await start_owner_without_scores(world)
         step = owned_step(vm)
         vm.view.flaws.down = True
         vm.clock.suspended_s += 5.0
@@ -161,10 +160,7 @@
     """A group that the first step did not finish comes again, with texts that are complete."""
 
     async def test(world: StepWorld) -> None:
-        vm = await world.start("vm-1")
-        vm.scorer.delay_s = FOREVER_S
-        await submit(vm)
-        await wait_for_unscored(vm, COUNT)
+        vm = await start_owner_without_scores(world)
         assert await vm.end("step-1") == 200
         await anyio.sleep(2.0)
         runs_before = len(vm.engines.runs)
--- a/tests/test_silent_owner.py
+++ b/tests/test_silent_owner.py
@@ -20,13 +20,19 @@
     return flaws
 
 
+async def start_owner_and_other(world: StepWorld) -> tuple[StepVm, StepVm]:
+    """Start two VMs of which the first runs a step."""
+    owner, other = await world.start("vm-1"), await world.start("vm-2")
+    await owner.submit(make_submission(GROUPS, SIZE, GROUPS))
+    await anyio.sleep(1.0)
+    return owner, other
+
+
 def test_silent_owner_keeps_its_running_samples() -> None:
     async def test() -> None:
         async with anyio.create_task_group() as tasks:
             world = StepWorld(tasks, event_count=lambda _: SLOW_EVENTS)
-            owner, other = await world.start("vm-1"), await world.start("vm-2")
-            await owner.submit(make_submission(GROUPS, SIZE, GROUPS))
-            await anyio.sleep(1.0)
+            owner, other = await start_owner_and_other(world)
             flaws = silence_heartbeats(owner)
             await anyio.sleep(2 * VM_DEAD_AFTER_S)
             assert not other.engines.runs
@@ -46,9 +52,7 @@
     async def test() -> None:
         async with anyio.create_task_group() as tasks:
             world = StepWorld(tasks, event_count=lambda _: ENDLESS_EVENTS)
-            owner, other = await world.start("vm-1"), await world.start("vm-2")
-            await owner.submit(make_submission(GROUPS, SIZE, GROUPS))
-            await anyio.sleep(1.0)
+            owner, other = await start_owner_and_other(world)
             assert owned_step(owner).running
             silence_heartbeats(owner)
             if fault == "killed":
@@ -69,9 +73,7 @@
     async def test() -> None:
         async with anyio.create_task_group() as tasks:
             world = StepWorld(tasks, event_count=lambda _: ENDLESS_EVENTS)
-            owner, other = await world.start("vm-1"), await world.start("vm-2")
-            await owner.submit(make_submission(GROUPS, SIZE, GROUPS))
-            await anyio.sleep(1.0)
+            owner, other = await start_owner_and_other(world)
             world.kill(owner)
             (known,) = other.feed.steps.values()
             for _ in range(400):
