Log which part of a request's content differs when targets cut it off

The line 'request cut off by its target' now has the caller's address and a digest of path and of body. No change of logic.

--- a/src/balsamcleat/decisions/crash_suspects.py
+++ b/src/balsamcleat/decisions/crash_suspects.py
@@ -20,11 +20,13 @@
     "CRASHES_TO_BLOCK",
     "CRASH_WINDOW_S",
     "CrashHistory",
+    "RequestParts",
     "RunVerdict",
     "TargetRun",
     "TargetStart",
     "UnfinishedRuns",
     "request_digest",
+    "request_parts",
 ]
 
 CRASHES_TO_BLOCK = 3
@@ -75,6 +77,28 @@
     started_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RequestParts:
+    """Parts of a request's content, which tell in what two requests differ.
+
+    Attributes:
+        caller: IP address of the caller, or the id of a sample.
+        path_digest: Digest of the path and query.
+        body_digest: Digest of the body.
+    """
+
+    caller: str
+    path_digest: str
+    body_digest: str
+
+
+def request_parts(caller: str, target: str, body: bytes) -> RequestParts:
+    """Return the parts of a request's content."""
+    return RequestParts(
+        caller, xxhash.xxh3_64_hexdigest(target.encode()), xxhash.xxh3_64_hexdigest(body)
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class TargetRun:
     """One run of a request at a target.
@@ -85,6 +109,7 @@
         start: Start of the target that was sent the request.
         address: Address of that target, as ``IP:PORT``.
         is_sample: Whether the request is a sample of a step.
+        parts: Parts of the request's content, for the log.
     """
 
     request: str
@@ -92,6 +117,7 @@
     start: TargetStart
     address: str
     is_sample: bool = False
+    parts: RequestParts | None = None
 
 
 @dataclass(slots=True)
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -84,7 +84,9 @@
         f"request target last_event kind reason {CONTENT}",
     ),
     event(
-        "request cut off by its target", "It may have crashed it.", f"request target how {CONTENT}"
+        "request cut off by its target",
+        "It may have crashed it. The digests tell in what two requests differ.",
+        f"request target how {CONTENT} caller path_digest body_digest",
     ),
     event("crash read from the store", "A VM saw it.", f"target {CONTENT} row_version"),
     event(
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -5,7 +5,12 @@
 
 import anyio
 
-from balsamcleat.decisions.crash_suspects import TargetRun, TargetStart, request_digest
+from balsamcleat.decisions.crash_suspects import (
+    TargetRun,
+    TargetStart,
+    request_digest,
+    request_parts,
+)
 from balsamcleat.decisions.live_attempts import AttemptTracker
 from balsamcleat.decisions.live_queue import Ticket, background_ticket, new_ticket
 from balsamcleat.http1 import Request
@@ -66,11 +71,13 @@
 
     def run_at(self, replica: Replica) -> TargetRun:
         """Return the run of the request at a target."""
+        request = self.request
         return TargetRun(
             request=self.attempt_id,
             digest=self.digest,
             start=TargetStart(replica.target_id, replica.started_ms),
             address=replica.address,
+            parts=request_parts(request.client_address, request.target, request.body),
         )
 
     @property
--- a/src/balsamcleat/tasks/sample_guard.py
+++ b/src/balsamcleat/tasks/sample_guard.py
@@ -1,6 +1,11 @@
 """Keeps samples that crash engines from being run again at once."""
 
-from balsamcleat.decisions.crash_suspects import RunVerdict, TargetRun, TargetStart
+from balsamcleat.decisions.crash_suspects import (
+    RunVerdict,
+    TargetRun,
+    TargetStart,
+    request_parts,
+)
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.sample_run import (
     SampleAssignment,
@@ -60,11 +65,12 @@
 
 def run_of(assignment: SampleAssignment) -> TargetRun:
     """Return the run of a sample at its target."""
-    replica = assignment.replica
+    replica, sample = assignment.replica, assignment.sample
     return TargetRun(
-        request=assignment.sample.sample_id,
+        request=sample.sample_id,
         digest=sample_digest(assignment),
         start=TargetStart(replica.target_id, replica.started_ms),
         address=replica.address,
         is_sample=True,
+        parts=request_parts(sample.sample_id, sample.path, sample.body),
     )
--- a/src/balsamcleat/tasks/shared_crash_history.py
+++ b/src/balsamcleat/tasks/shared_crash_history.py
@@ -1,6 +1,7 @@
 """Shares the crashes that requests cause at targets between VMs, through the row store."""
 
 from collections.abc import Callable
+from dataclasses import asdict
 
 import anyio
 import anyio.abc
@@ -153,6 +154,7 @@
             how=how,
             content=run.digest,
             known_crashes=crashes,
+            **(asdict(run.parts) if run.parts is not None else {}),
         )
         if run.is_sample and crashes < MIN_PUBLISHED_SAMPLE_CRASHES:
             return
