Recognize a re-sent request by host, method, path and body, not by the address it came from

Cause: the digest that carries the evidence began with the IP address of the connection. Behind the balancer an address stands for a client machine of a zone; a caller has many. Class: an identity that holds something which differs when the same thing comes again, so that evidence about it is split.

Ruled out: evidence cleared, forgotten or late; within each content the count goes 1, 2, 3, blocked, known by all VMs within 10 ms.

Why this works: host, method, path with query and body are what the operators say such a request has in common. The host is new: without the address, the same path of two hosts must not share evidence. The own interface already had this identity; both now use one content_digest. Error on the safe side: callers who send the same bytes share evidence, and one whole answer clears it for all.

--- a/src/balsamcleat/commands/run_call.py
+++ b/src/balsamcleat/commands/run_call.py
@@ -4,7 +4,8 @@
 from math import ceil
 
 from balsamcleat.decisions.admission import AdmissionRequest
-from balsamcleat.decisions.quarantine import Quarantine, content_digest
+from balsamcleat.decisions.quarantine import Quarantine
+from balsamcleat.decisions.request_content import content_digest
 from balsamcleat.decisions.retry import GiveUp, RetryPolicy
 from balsamcleat.decisions.routing import RouteQuery, Router
 from balsamcleat.errors import AttemptFailedError, OverloadedError
--- a/src/balsamcleat/decisions/crash_suspects.py
+++ b/src/balsamcleat/decisions/crash_suspects.py
@@ -11,8 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-import xxhash
-
+from balsamcleat.decisions.request_content import RequestParts
 from balsamcleat.model import TargetId
 
 __all__ = [
@@ -20,13 +19,10 @@
     "CRASHES_TO_BLOCK",
     "CRASH_WINDOW_S",
     "CrashHistory",
-    "RequestParts",
     "RunVerdict",
     "TargetRun",
     "TargetStart",
     "UnfinishedRuns",
-    "request_digest",
-    "request_parts",
 ]
 
 CRASHES_TO_BLOCK = 3
@@ -47,14 +43,6 @@
 UNFINISHED_LIFETIME_S = 8.0
 
 
-def request_digest(caller: str, method: str, target: str, body: bytes) -> str:
-    """Return the digest by which a retry of the same request is recognized."""
-    digest = xxhash.xxh3_128()
-    for part in (caller.encode(), method.encode(), target.encode(), body):
-        digest.update(part + b"\0")
-    return digest.hexdigest()
-
-
 class RunVerdict(Enum):
     """Whether a request may be sent to a target."""
 
@@ -77,28 +65,6 @@
     started_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class RequestParts:
-    """Parts of a request's content, which tell in what two requests differ.
-
-    Attributes:
-        caller: IP address of the caller, or the id of a sample.
-        path_digest: Digest of the path and query.
-        body_digest: Digest of the body.
-    """
-
-    caller: str
-    path_digest: str
-    body_digest: str
-
-
-def request_parts(caller: str, target: str, body: bytes) -> RequestParts:
-    """Return the parts of a request's content."""
-    return RequestParts(
-        caller, xxhash.xxh3_64_hexdigest(target.encode()), xxhash.xxh3_64_hexdigest(body)
-    )
-
-
 @dataclass(frozen=True, slots=True)
 class TargetRun:
     """One run of a request at a target.
--- a/src/balsamcleat/decisions/quarantine.py
+++ b/src/balsamcleat/decisions/quarantine.py
@@ -5,7 +5,6 @@
 from enum import Enum
 
 import msgspec
-import xxhash
 
 from balsamcleat.model import TargetId
 
@@ -17,7 +16,6 @@
     "SuspectState",
     "SuspectUpdate",
     "WaitForTrial",
-    "content_digest",
 ]
 
 BLOCK_DURATION_S = 300.0
@@ -95,15 +93,6 @@
     retry_after_s: float
 
 
-def content_digest(*parts: str | bytes) -> str:
-    """Return the digest of a request's content, without ids, so that a retry has the same."""
-    digest = xxhash.xxh3_128()
-    for part in parts:
-        data = part.encode() if isinstance(part, str) else part
-        digest.update(len(data).to_bytes(8, "big") + data)
-    return digest.hexdigest()
-
-
 class Quarantine:
     """Isolates requests that may crash targets (poison requests), in one availability zone.
 
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -5,14 +5,10 @@
 
 import anyio
 
-from balsamcleat.decisions.crash_suspects import (
-    TargetRun,
-    TargetStart,
-    request_digest,
-    request_parts,
-)
+from balsamcleat.decisions.crash_suspects import TargetRun, TargetStart
 from balsamcleat.decisions.live_attempts import AttemptTracker
 from balsamcleat.decisions.live_queue import Ticket, background_ticket, new_ticket
+from balsamcleat.decisions.request_content import content_digest, request_parts
 from balsamcleat.http1 import Request
 from balsamcleat.model import ServiceName
 from balsamcleat.model.replicas import Replica
@@ -58,8 +54,8 @@
         """Digest that identifies the request when a caller sends it again."""
         if not self.computed_digest:
             request = self.request
-            self.computed_digest = request_digest(
-                request.client_address, request.method, request.target, request.body
+            self.computed_digest = content_digest(
+                request.host, request.method, request.target, request.body
             )
         return self.computed_digest
 
--- a/src/balsamcleat/tasks/sample_guard.py
+++ b/src/balsamcleat/tasks/sample_guard.py
@@ -1,11 +1,7 @@
 """Keeps samples that crash engines from being run again at once."""
 
-from balsamcleat.decisions.crash_suspects import (
-    RunVerdict,
-    TargetRun,
-    TargetStart,
-    request_parts,
-)
+from balsamcleat.decisions.crash_suspects import RunVerdict, TargetRun, TargetStart
+from balsamcleat.decisions.request_content import request_parts
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.sample_run import (
     SampleAssignment,
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -7,9 +7,9 @@
 import anyio
 import structlog
 
-from balsamcleat.decisions.crash_suspects import request_digest
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStats, ReplicaStatsRegistry
+from balsamcleat.decisions.request_content import content_digest
 from balsamcleat.decisions.sample_progress import SampleProgress
 from balsamcleat.decisions.stream_stall import SAMPLE_PAUSE_S, StallTimer
 from balsamcleat.errors import AttemptFailedError
@@ -244,7 +244,7 @@
     It has the sample's id, because the samples of a group may have the same path and body.
     """
     sample = assignment.sample
-    return request_digest(sample.sample_id, "POST", sample.path, sample.body)
+    return content_digest(sample.sample_id, "POST", sample.path, sample.body)
 
 
 def rejected_version(outcome: SampleRunOutcome) -> WeightVersion | None:
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -164,6 +164,12 @@
             entry = listed_replica(number, self.targets[number], started_ms)
             vm.keeper.apply_changes(vm.directory.apply_entry(entry), 0)
 
+    def restart_used_targets(self, started_ms: int) -> None:
+        """List the targets that received requests again, as started later."""
+        for number, target in enumerate(self.targets):
+            if target.requests:
+                self.restart_target(number, started_ms)
+
     def remove_target(self, number: int) -> None:
         """Remove a target that crashed from the target list."""
         for vm in self.vms:
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -19,10 +19,10 @@
     TargetRun,
     TargetStart,
     UnfinishedRuns,
-    request_digest,
 )
 from balsamcleat.decisions.live_attempts import AttemptTracker
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.request_content import content_digest
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.http1 import Request
 from balsamcleat.model import TargetId
@@ -37,7 +37,7 @@
 from live_world import SERVICE, route
 from step_world import make_engine, run_in_virtual_time
 
-DIGEST = request_digest("10.0.0.9", "POST", "/x", b"poison")
+DIGEST = content_digest("host.example", "POST", "/x", b"poison")
 
 
 def start(number: int, started_ms: int = 0) -> TargetStart:
@@ -64,7 +64,7 @@
         for number in range(CRASHES_TO_BLOCK):
             history.record_crash(DIGEST, start(number), 3.0)
         assert history.verdict(DIGEST, 4.0) is RunVerdict.BLOCKED
-        other = request_digest("10.0.0.9", "POST", "/x", b"other")
+        other = content_digest("host.example", "POST", "/x", b"other")
         assert history.verdict(other, 4.0) is RunVerdict.ALLOWED
 
     def test_target_that_restarts_under_its_id_counts_for_each_start(self) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -11,8 +11,8 @@
     CRASHES_TO_BLOCK,
     TargetRun,
     TargetStart,
-    request_digest,
 )
+from balsamcleat.decisions.request_content import content_digest
 from balsamcleat.model import TargetId
 from balsamcleat.model.routing import Route, RouteKind
 from balsamcleat.tasks.live_queues import QUEUED_PER_TARGET
@@ -153,6 +153,7 @@
         await anyio.sleep(0.1)
         for number in range(SENDS):
             await send_poison(world, number, number % 2, f"127.0.0.{number + 2}")
+            world.restart_used_targets(number + 1)
             await anyio.sleep(0.05)
         assert run_count(world) <= CRASHES_TO_BLOCK
 
@@ -312,7 +313,7 @@
 
 def record_crashes(world: LiveWorld, count: int, vm: int = 0) -> None:
     """Record at one VM that the content of ``send_poison`` crashed targets."""
-    digest = request_digest("127.0.0.1", "POST", "/path", b"poison")
+    digest = content_digest("host.example", "POST", "/path", b"poison")
     for number in range(count):
         run = TargetRun("other", digest, TargetStart(TargetId(f"x{number}")), "10.0.0.1:80")
         world.vms[vm].crash_history.record_crash(run, "cut off")
