Let only a success clear the crashes under a request

What callers would see: a request that ends targets goes on ending them if a target that fails part of its requests answers it with an error in between; on loopback one target that crashes and fails by turns crashed 8 times in 16 sends.

Cause: any whole answer cleared the evidence. An error says nothing about a run: a target in trouble sends it before it begins, and one may reject a long request before it is in.

Three cases of test_error_response_does_not_clear_... failed before and pass.

--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -7,7 +7,14 @@
 
 from balsamcleat.http1.client import ConnectionPool, Exchange, PoolLimits
 from balsamcleat.http1.events import EventParser, EventTooLargeError, StreamEvent
-from balsamcleat.http1.messages import Headers, Request, Response, header_value, without_headers
+from balsamcleat.http1.messages import (
+    Headers,
+    Request,
+    Response,
+    header_value,
+    is_success,
+    without_headers,
+)
 from balsamcleat.http1.server import HttpServer
 from balsamcleat.http1.server_connection import Handler, Responder, ServerLimits
 from balsamcleat.http1.streams import ByteStream, connect, listen
@@ -29,6 +36,7 @@
     "StreamEvent",
     "connect",
     "header_value",
+    "is_success",
     "listen",
     "without_headers",
 ]
--- a/src/balsamcleat/http1/messages.py
+++ b/src/balsamcleat/http1/messages.py
@@ -3,7 +3,18 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["HOP_BY_HOP", "Headers", "Request", "Response", "header_value", "without_headers"]
+__all__ = [
+    "HOP_BY_HOP",
+    "Headers",
+    "Request",
+    "Response",
+    "header_value",
+    "is_success",
+    "without_headers",
+]
+
+FIRST_SUCCESS_STATUS = 200
+FIRST_REDIRECT_STATUS = 300
 
 # Header names keep their received case, so that they are forwarded unchanged. Compare them
 # case-insensitively.
@@ -70,6 +81,11 @@
     body: bytes = b""
 
 
+def is_success(status: int) -> bool:
+    """Return whether a status code says that the request was carried out."""
+    return FIRST_SUCCESS_STATUS <= status < FIRST_REDIRECT_STATUS
+
+
 def header_value(headers: Headers, name: str) -> str | None:
     """Return the first value of a header, or None; the name is case-insensitive."""
     lower_name = name.lower()
--- a/src/balsamcleat/tasks/crash_guard.py
+++ b/src/balsamcleat/tasks/crash_guard.py
@@ -7,6 +7,7 @@
 
 from balsamcleat.decisions.crash_suspects import CRASHES_TO_BLOCK, RunVerdict
 from balsamcleat.errors import AttemptFailedError
+from balsamcleat.http1 import Exchange, is_success
 from balsamcleat.model.replicas import Replica
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.live_call import LiveCall
@@ -135,8 +136,17 @@
         else:
             self.detector.record_abandonment(call.run_at(replica))
 
+    def record_response(self, call: LiveCall, exchange: Exchange) -> None:
+        """Record a response that was read to its end.
+
+        Only a success shows that the target ran the request: one in trouble may answer with an
+        error before it begins.
+        """
+        if exchange.has_explicit_framing and is_success(exchange.status):
+            call.has_whole_answer = True
+
     def record_answer(self, call: LiveCall) -> None:
-        """Record whether a target answered completely; the request is then no suspect."""
+        """Record whether a target ran the request to its end; it is then no suspect."""
         if call.has_whole_answer and self.detector.has_suspects():
             self.detector.record_answer(call.digest)
 
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -31,7 +31,7 @@
         prompt_ids: Ids of the prompt's prefixes, by which the target is chosen; empty if the route
             is not sticky.
         is_trial: Whether the request is blocked and tried once more.
-        has_whole_answer: Whether a target answered completely, so that it did not crash.
+        has_whole_answer: Whether a target ran the request to its end, so that it did not crash.
         is_background: Whether this VM itself makes the call and no caller waits for it.
         is_wanted: Returns whether the call may still be sent; asked before each attempt.
         computed_digest: Digest of the request once it was needed; bodies may be large.
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -339,8 +339,8 @@
             await exchange.begin(force_new_connection=not call.route.is_repeatable)
             response = await exchange.read_response()
             outcome = self.classify_response(replica, response)
-            if isinstance(outcome, Ok) and exchange.has_explicit_framing:
-                call.has_whole_answer = True
+            if isinstance(outcome, Ok):
+                self.crash_guard.record_response(call, exchange)
         except AttemptFailedError as error:
             stats.record_failure(anyio.current_time())
             outcome = Err(error)
--- a/src/balsamcleat/tasks/sample_scorer.py
+++ b/src/balsamcleat/tasks/sample_scorer.py
@@ -12,7 +12,7 @@
 from balsamcleat.decisions.live_queue import Rejected
 from balsamcleat.decisions.replica_choice import choose_service
 from balsamcleat.decisions.sample_scoring import ScoringProgress, scoring_failure_limit
-from balsamcleat.http1 import Response
+from balsamcleat.http1 import Response, is_success
 from balsamcleat.model.rollout import ScoringRequest
 from balsamcleat.model.routing import Route, RoutingTable
 from balsamcleat.platform import parse_response_metadata, scoring_request
@@ -22,8 +22,6 @@
 __all__ = ["SampleScorer", "ScoringTask"]
 
 UNPROCESSABLE_CONTENT = 422
-FIRST_SUCCESS_STATUS = 200
-FIRST_REDIRECT_STATUS = 300
 
 log = structlog.get_logger()
 
@@ -80,7 +78,7 @@
             else:
                 limit = scoring_failure_limit(task.step_attempts, route.attempts)
                 response = await self.call_scorer(task, route, progress, limit)
-                if response is not None and is_success(response):
+                if response is not None and is_success(response.status):
                     stamp = parse_response_metadata(response.status, response.headers).target_stamp
                     return stamp or ""
                 if progress.is_exhausted(limit):
@@ -109,7 +107,7 @@
         outcome = await self.forwarder.queue_and_send(call)
         self.forwarder.crash_guard.record_answer(call)
         response = outcome.ok_value if isinstance(outcome, Ok) else None
-        if response is None or not is_success(response):
+        if response is None or not is_success(response.status):
             progress.record_failed_call(call.attempts.server_error_count)
         self.log_call(task, call, response, progress, began_s)
         if isinstance(outcome, Rejected):
@@ -152,8 +150,3 @@
             failures=progress.failure_count,
             took_s=round(anyio.current_time() - began_s, 4),
         )
-
-
-def is_success(response: Response) -> bool:
-    """Return whether a response has a success status."""
-    return FIRST_SUCCESS_STATUS <= response.status < FIRST_REDIRECT_STATUS
