Count a target that ends behind a response without a length as crashed

What callers would see: a request that ends targets is never blocked if they send a head without a length first: the end of the connection looks like the end of the response, so the run left no evidence.

Such a run is now kept like one whose caller left: the target list tells within some seconds whether its target ended.

--- a/src/balsamcleat/tasks/crash_detector.py
+++ b/src/balsamcleat/tasks/crash_detector.py
@@ -68,7 +68,7 @@
             self.tasks.start_soon(self.probe_target, run)
 
     def record_abandonment(self, run: TargetRun) -> None:
-        """Record a run that this VM ended without waiting for its response."""
+        """Record a run of which this VM can't tell whether it got a whole response."""
         if self.is_listed(run.start):
             self.unfinished.add(run, anyio.current_time())
         else:
--- a/src/balsamcleat/tasks/crash_guard.py
+++ b/src/balsamcleat/tasks/crash_guard.py
@@ -136,13 +136,16 @@
         else:
             self.detector.record_abandonment(call.run_at(replica))
 
-    def record_response(self, call: LiveCall, exchange: Exchange) -> None:
+    def record_response(self, call: LiveCall, replica: Replica, exchange: Exchange) -> None:
         """Record a response that was read to its end.
 
         Only a success shows that the target ran the request: one in trouble may answer with an
-        error before it begins.
+        error before it begins. Without explicit framing, the end of a crashed target's connection
+        looks like the end of the response.
         """
-        if exchange.has_explicit_framing and is_success(exchange.status):
+        if not exchange.has_explicit_framing:
+            self.detector.record_abandonment(call.run_at(replica))
+        elif is_success(exchange.status):
             call.has_whole_answer = True
 
     def record_answer(self, call: LiveCall) -> None:
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -340,7 +340,7 @@
             response = await exchange.read_response()
             outcome = self.classify_response(replica, response)
             if isinstance(outcome, Ok):
-                self.crash_guard.record_response(call, exchange)
+                self.crash_guard.record_response(call, replica, exchange)
         except AttemptFailedError as error:
             stats.record_failure(anyio.current_time())
             outcome = Err(error)
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -187,7 +187,7 @@
                 await relay.relay_stream(exchange, self.stall_timer(call, stats))
             else:
                 await self.relay_failure(call, exchange, relay)
-            self.forwarder.crash_guard.record_response(call, exchange)
+            self.forwarder.crash_guard.record_response(call, replica, exchange)
             stats.record_success()
         except AttemptFailedError as error:
             if error.perhaps_sent:
