Count the crashes of samples by their content, not by their id

What trainers would see: a prompt that ends the engines that run it ends them once more for each sample of its group: eight samples with one path and body got eight trials after they were blocked; the operators allow three late runs.

The id stood in the digest on purpose, so that samples of a group don't share evidence; they crash the same engines, and one whole sample clears it for all.

With this commit, the soak's rule for the poisoned caller is imported from soak_poison.

--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -239,12 +239,12 @@
 
 
 def sample_digest(assignment: SampleAssignment) -> str:
-    """Return the digest by which a sample is recognized in a later step of its trainer.
+    """Return the digest by which a sample is recognized when it is run again.
 
-    It has the sample's id, because the samples of a group may have the same path and body.
+    Samples of a group that have the same path and body crash the same engines.
     """
     sample = assignment.sample
-    return content_digest(sample.sample_id, "POST", sample.path, sample.body)
+    return content_digest(assignment.host, "POST", sample.path, sample.body)
 
 
 def rejected_version(outcome: SampleRunOutcome) -> WeightVersion | None:
--- a/tests/soak_poison.py
+++ b/tests/soak_poison.py
@@ -1,13 +1,15 @@
-"""A caller of the soak whose requests crash each target that runs them."""
+"""A caller of the soak whose requests crash each target that runs them.
+
+It has several client machines, as behind a load balancer, so that any address may send the request.
+"""
 
 import random
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
 
-from balsamcleat.http1 import Request, Response
 from soak_stand import POISON, SoakTarget
 
 # The operators' rule: at most this many runs later than this after the third crash, as far as VMs
@@ -16,7 +18,23 @@
 LATE_AFTER_S = 3.0
 CRASHES_TO_JUDGE = 3
 
-Ask = Callable[[Request, float], Awaitable[Response | None]]
+CLIENT_ADDRESSES = tuple(f"127.0.9.{number}" for number in range(1, 9))
+SEND_TIMEOUT_S = 2.0
+
+
+async def send(vm_address: str, client_address: str, request: bytes) -> None:
+    """Send a request from a client's address and wait for the response or the end."""
+    host, _, port = vm_address.rpartition(":")
+    with anyio.move_on_after(SEND_TIMEOUT_S):
+        try:
+            async with await anyio.connect_tcp(
+                host, int(port), local_host=client_address
+            ) as stream:
+                await stream.send(request)
+                await stream.receive()
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            # The VM ended; the content is sent again soon.
+            return
 
 
 @dataclass
@@ -25,7 +43,7 @@
 
     seed: int
     host: str
-    ask: Ask
+    choose_vm: Callable[[], str]
     count: int = 0
     rng: random.Random = field(init=False)
 
@@ -39,9 +57,13 @@
             self.count += 1
             kind = self.rng.choice(("safe", "once"))
             attempt = f"{kind}-poison-{self.count}"
-            headers = (("Host", self.host), ("Attempt-Id", attempt), ("Deadline-Ms", "1500"))
             body = POISON + f"{self.seed}".encode()
-            await self.ask(Request("POST", f"/{kind}/x", headers, body), 2.0)
+            head = (
+                f"POST /{kind}/x HTTP/1.1\r\nHost: {self.host}\r\nAttempt-Id: {attempt}\r\n"
+                f"Deadline-Ms: 1500\r\nContent-Length: {len(body)}\r\n\r\n"
+            )
+            client = self.rng.choice(CLIENT_ADDRESSES)
+            await send(self.choose_vm(), client, head.encode() + body)
 
 
 def late_runs(targets: list[SoakTarget], calm: Callable[[float], bool]) -> dict[str, list[float]]:
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -1,5 +1,6 @@
 """Simulated VMs that own steps, with an in-memory row store and engines, in virtual time."""
 
+import base64
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
@@ -92,14 +93,27 @@
 
 
 def make_submission(
-    groups: int, size: int, target_groups: int, step_id: str = "step-1", *, scored: bool = False
+    groups: int,
+    size: int,
+    target_groups: int,
+    step_id: str = "step-1",
+    *,
+    scored: bool = False,
+    has_group_bodies: bool = False,
 ) -> Request:
-    """Return the HTTP request with which a trainer submits a step."""
-    items: list[dict[str, Any]] = [
-        {"id": f"{group}-{place}", "path": f"{PREFIX}g", "group": f"g{group}", "body": "AAAA"}
-        for group in range(groups)
-        for place in range(size)
-    ]
+    """Return the HTTP request with which a trainer submits a step.
+
+    Each sample has a body of its own unless ``has_group_bodies`` says that those of a group share
+    theirs.
+    """
+    items: list[dict[str, Any]] = []
+    for group in range(groups):
+        for place in range(size):
+            sample_id = f"{group}-{place}"
+            content = f"g{group}" if has_group_bodies else sample_id
+            body = base64.b64encode(content.encode()).decode()
+            item = {"id": sample_id, "path": f"{PREFIX}g", "group": f"g{group}", "body": body}
+            items.append(item)
     if scored:
         for item in items:
             scorer = {"id": f"score-{item['id']}", "host": "scorer.example", "path": "/score/x"}
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -25,6 +25,7 @@
     read_and_close,
     read_and_crash,
 )
+from soak_poison import LATE_AFTER_S, MAX_LATE_RUNS
 
 pytestmark = pytest.mark.anyio
 
@@ -358,3 +359,24 @@
             tasks.cancel_scope.cancel()
 
     step_world.run_in_virtual_time(scenario)
+
+
+def test_samples_that_share_a_prompt_that_crashes_engines_are_backed_off_together() -> None:
+    """Counted by sample id, each sample of a group got a trial of its own."""
+    size = 8
+
+    async def scenario() -> None:
+        async with anyio.create_task_group() as tasks:
+            world = step_world.StepWorld(tasks, engines=6)
+            vm = await world.start("a")
+            vm.engines.crashing_samples |= {f"0-{place}" for place in range(size)}
+            submission = step_world.make_submission(2, size, 2, has_group_bodies=True)
+            assert await vm.submit(submission) == 202
+            await anyio.sleep(LATE_AFTER_S)
+            early_runs = len(vm.engines.runs)
+            assert len(await world.stored_results()) == size
+            await anyio.sleep(10.0)
+            assert len(vm.engines.runs) - early_runs <= MAX_LATE_RUNS
+            tasks.cancel_scope.cancel()
+
+    step_world.run_in_virtual_time(scenario)
