--- a/tests/soak.py
+++ b/tests/soak.py
@@ -139,12 +139,15 @@
     def breaks(self, promise: str, detail: str) -> None:
         self.broken.append(f"{promise}: {detail}")
 
+    def choose_vm_address(self) -> str:
+        """Return the address of any VM for callers."""
+        return front_address(self.rng.choice(self.vms))
+
     async def ask(
         self, request: Request, timeout_s: float, vm: SoakVm | None = None
     ) -> Response | None:
         """Ask a VM, drawn if none is named; None where no whole answer came."""
-        vm = vm or self.rng.choice(self.vms)
-        address = f"{vm.ip}:{VM_PORTS['front']}"
+        address = front_address(vm) if vm else self.choose_vm_address()
         try:
             fresh = self.rng.random() < 0.5
             return await self.pool.fetch(address, request, timeout_s, force_new_connection=fresh)
@@ -362,7 +365,7 @@
                     users.start_soon(self.call, number)
                 users.start_soon(self.train)
                 users.start_soon(self.probe)
-                poison = PoisonCaller(self.seed, HOST, self.ask)
+                poison = PoisonCaller(self.seed, HOST, self.choose_vm_address)
                 users.start_soon(poison.run)
                 faults = await self.faults()
                 before = (self.served, self.steps)
@@ -380,6 +383,11 @@
                 vm.end()
 
 
+def front_address(vm: SoakVm) -> str:
+    """Return a VM's address for callers."""
+    return f"{vm.ip}:{VM_PORTS['front']}"
+
+
 async def play_seed(seed: int, seconds: float, vms: int, folder: Path) -> Soak:
     """Play one seed; its logs stay in the folder."""
     async with anyio.create_task_group() as tasks:
