Keep the rate limits that targets name, shared by all VMs without a coordinator

Cause: Server-Limit was not read. Ruled out as enough: an equal part of the limit for each VM.

What is there now: - Each response's head is read in TargetExchange, which all calls, streams, samples, scoring and copies use; the check that a request may be sent is there, too. Choosing targets, queueing and placing look at the allowance before. - Each VM publishes its demand and what it saw of limits in its heartbeat row; all compute the parts from the same rows: a tenth evenly, the rest by published demand, live calls counting more. What all VMs may save up is a sum on a line, of which each has the whole numbers in its part. A VM without savings begins its wait at a random point. One that no peer answers uses its even part only; one that has read no row sends none. - Calls and streams wait for the allowance while it is of use, else are rejected at once; samples wait in their step, give way to live calls and get every fourth request. Copies for speed don't use a limited target.

--- a/src/balsamcleat/decisions/engine_ranking.py
+++ b/src/balsamcleat/decisions/engine_ranking.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import math
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -60,6 +61,7 @@
         loaded_versions: Loaded weight version by model.
         loading_models: Models whose weights are being replaced.
         is_usable: Whether the engine takes new work now.
+        sendable: Number of requests that this VM may send to the engine now.
         is_local: Whether the engine is in this VM's availability zone.
         recent_prompts: Ids of the prompts that the engine processed recently.
     """
@@ -71,6 +73,7 @@
     loaded_versions: dict[str, WeightVersion] = field(default_factory=dict)
     loading_models: frozenset[str] = frozenset()
     is_usable: bool = True
+    sendable: float = math.inf
     is_local: bool = True
     recent_prompts: Collection[str] = field(default_factory=set)
 
@@ -89,6 +92,7 @@
     """Return whether an engine has a free slot and weights that meet the requirements."""
     return (
         engine.is_usable
+        and engine.sendable >= 1.0
         and engine.load + 1.0 <= engine.slots
         and requirements.model not in engine.loading_models
         and engine.loaded_versions.get(requirements.model, 0) >= requirements.oldest_version
@@ -143,6 +147,7 @@
         index = best[1]
         engine = self.engines[index]
         engine.load += 1.0
+        engine.sendable -= 1.0
         if index not in self.engines_by_prompt[prompt]:
             self.engines_by_prompt[prompt].append(index)
         return engine
--- a/src/balsamcleat/decisions/live_queue.py
+++ b/src/balsamcleat/decisions/live_queue.py
@@ -63,11 +63,14 @@
         capacity: Number of requests that the targets accept at once.
         others_in_flight: Estimated number of requests of other VMs at the targets.
         own_in_flight: Number of calls of this VM that hold a slot.
+        min_interval_s: Shortest interval at which this VM may send requests, in seconds, where all
+            targets name a rate limit.
     """
 
     capacity: float
     others_in_flight: float
     own_in_flight: int
+    min_interval_s: float = 0.0
 
     @property
     def free(self) -> float:
@@ -194,7 +197,8 @@
         if free_slots >= 1.0:
             self.last_free_at_s = now_s
         if self.waiting:
-            decisions += self.reject_late(self.slot_interval_s(own_in_flight, now_s), now_s)
+            interval_s = max(slots.min_interval_s, self.slot_interval_s(own_in_flight, now_s))
+            decisions += self.reject_late(interval_s, now_s)
         return decisions
 
     def pop_next(self) -> Ticket:
--- a/src/balsamcleat/decisions/readiness.py
+++ b/src/balsamcleat/decisions/readiness.py
@@ -58,6 +58,11 @@
     answered_count: int = 0
     reaching_store_count: int = 0
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether peers were asked and none answered."""
+        return self.asked_count > 0 and not self.answered_count
+
 
 def should_ask_peers(store: StoreView) -> bool:
     """Return whether this VM should ask its peers if they reach the store."""
--- a/src/balsamcleat/decisions/replica_stats.py
+++ b/src/balsamcleat/decisions/replica_stats.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from balsamcleat.decisions.shared_limit import TargetLimits
 from balsamcleat.model import TargetId
 
 __all__ = ["ReplicaStats", "ReplicaStatsRegistry"]
@@ -163,9 +164,15 @@
 
 @dataclass(slots=True)
 class ReplicaStatsRegistry:
-    """This VM's measurements of all targets, by target id."""
+    """This VM's measurements of all targets.
+
+    Attributes:
+        by_target: Measurements by target id.
+        limits: Limits that the targets name, and what this VM may send to them.
+    """
 
     by_target: dict[TargetId, ReplicaStats] = field(default_factory=dict)
+    limits: TargetLimits = field(default_factory=TargetLimits)
 
     def for_target(self, target_id: TargetId) -> ReplicaStats:
         """Return the measurements of a target; create empty ones if there are none."""
@@ -176,6 +183,7 @@
 
     def remove(self, target_id: TargetId) -> None:
         """Drop the measurements of a target that was removed or restarted."""
+        self.limits.remove(target_id)
         stats = self.by_target.pop(target_id, None)
         if stats is not None and stats.in_flight:
             # Attempts that still run decrement the object that they hold, not the new one.
--- a/src/balsamcleat/decisions/sample_placement.py
+++ b/src/balsamcleat/decisions/sample_placement.py
@@ -112,6 +112,7 @@
         ):
             continue
         destination.load += 1.0
+        destination.sendable -= 1.0
         source.load -= 1.0
         moves.append(Placement(sample.step_id, sample.sample_id, destination.target_id))
     return moves
--- a/src/balsamcleat/decisions/vm_watch.py
+++ b/src/balsamcleat/decisions/vm_watch.py
@@ -8,7 +8,9 @@
 runs would be interrupted and partly repeated by another VM, so its peers ask it first.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from balsamcleat.decisions.shared_limit import LimitReport
 
 __all__ = ["MAX_EXCUSED_SILENCE_S", "VM_DEAD_AFTER_S", "VmFailureDetector", "VmRow"]
 
@@ -33,6 +35,7 @@
         zone: Availability zone of the VM.
         version: Version of the row.
         leaving: Whether the VM accepts no new steps.
+        limits: What the VM publishes about the limits of targets.
     """
 
     vm: str
@@ -41,6 +44,7 @@
     zone: str
     version: int
     leaving: bool = False
+    limits: LimitReport = field(default_factory=LimitReport)
 
 
 @dataclass(slots=True)
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -40,6 +40,7 @@
 )
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
+from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.model_usage import ModelUsageReader
@@ -141,6 +142,12 @@
             self.store_clock,
             lambda: bool(self.runner.steps) or self.order_lease_keeper.lease is not None,
             generator,
+            LimitSharing(
+                settings.vm,
+                self.stats_registry.limits,
+                self.replica_directory,
+                lambda: self.peer_poller.view.is_isolated,
+            ),
         )
         self.order_lease_keeper = OrderLeaseKeeper(
             self.store, settings.vm, self.boot, settings.order_gap_s, self.store_clock, generator
@@ -366,6 +373,7 @@
         self.metrics.gauge("connections.callers", len(self.front_server.connections))
         self.metrics.gauge("connections.opened", self.target_pool.opened_connections)
         self.metrics.gauge("answers.foreign", self.target_pool.mismatched_responses)
+        self.metrics.gauge("limits.targets", self.stats_registry.limits.limited_count)
         self.metrics.gauge("log.bytes_waiting", self.output.waiting_bytes)
         await responder.send(Response(200, METRICS_HEADERS, self.metrics.render()))
 
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -161,6 +161,20 @@
         "It said so in an answer; it gets nothing new.",
         "target service address row_version",
     ),
+    *(
+        event(
+            f"target limit {what}",
+            "A response, or another VM's row, says so.",
+            "target limit_per_s before_per_s source",
+        )
+        for what in ("began", "changed", "ended")
+    ),
+    event("target limit ignored", "Its value is no number of 0 or more.", "target reason"),
+    event(
+        "turned away for a limit",
+        "The targets' limits leave this VM no request in time.",
+        "request service wait_s retry_after_s",
+    ),
     event("target entry ignored", "Written by another, or unreadable.", "target row_version"),
     event("store lost", "A feed does not answer.", "table version reason"),
     event("store regained", "It does again.", "table failures"),
--- a/src/balsamcleat/model/calls.py
+++ b/src/balsamcleat/model/calls.py
@@ -29,13 +29,14 @@
 class FailureKind(Enum):
     """Classification of failed attempts, used by all layers.
 
-    ``UNREACHED`` means that nothing was sent to the target, ``REFUSED`` that the target rejected
-    the request, ``CUT`` that the connection closed before the response was complete, ``SILENT``
-    that a timeout expired, ``FAULT`` that the target failed, and ``MALFORMED`` that the response
-    was invalid.
+    ``UNREACHED`` means that nothing was sent to the target, ``LIMITED`` that nothing was sent
+    because of the target's rate limit, ``REFUSED`` that the target rejected the request, ``CUT``
+    that the connection closed before the response was complete, ``SILENT`` that a timeout expired,
+    ``FAULT`` that the target failed, and ``MALFORMED`` that the response was invalid.
     """
 
     UNREACHED = "unreached"
+    LIMITED = "limited"
     REFUSED = "refused"
     CUT = "cut"
     SILENT = "silent"
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -14,6 +14,8 @@
     "error_response_headers",
     "forwarded_request_headers",
     "forwarded_response_headers",
+    "is_misdirected",
+    "parse_announced_limit",
     "parse_caller_timeout_s",
     "parse_last_event_id",
     "parse_response_metadata",
@@ -29,6 +31,7 @@
 LAST_EVENT_HEADER = "Last-Event-Id"
 LOAD_HEADER = "Server-Load"
 LEAVING_HEADER = "Server-Leaving"
+LIMIT_HEADER = "Server-Limit"
 NOT_RUN_HEADER = "Not-Run"
 PRIORITY_HEADER = "Request-Priority"
 PROMPT_HEADER = "Prompt-Prefix"
@@ -146,8 +149,7 @@
     running, waiting = parse_load(header_value(headers, LOAD_HEADER))
     version = parse_number(header_value(headers, VERSION_HEADER))
     return ResponseMetadata(
-        is_not_run=status == MISDIRECTED_STATUS
-        or header_value(headers, NOT_RUN_HEADER) is not None,
+        is_not_run=is_misdirected(status) or header_value(headers, NOT_RUN_HEADER) is not None,
         target_stamp=header_value(headers, STAMP_HEADER),
         running_count=running,
         waiting_count=waiting,
@@ -156,12 +158,29 @@
     )
 
 
+def is_misdirected(status: int) -> bool:
+    """Return whether another target answered, which now has the address of the one meant."""
+    return status == MISDIRECTED_STATUS
+
+
 def announces_departure(status: int, headers: Headers) -> bool:
-    """Return whether the target that was meant says in its response that it is leaving.
+    """Return whether the target that was meant says in its response that it is leaving."""
+    return not is_misdirected(status) and header_value(headers, LEAVING_HEADER) is not None
+
 
-    A misdirected request was answered by another target, which now has the address.
+def parse_announced_limit(headers: Headers) -> float | None:
+    """Return the requests per second that a target accepts, or None if it names no limit.
+
+    Raises:
+        ValueError: The value is no number of 0 or more.
     """
-    return status != MISDIRECTED_STATUS and header_value(headers, LEAVING_HEADER) is not None
+    value = header_value(headers, LIMIT_HEADER)
+    if value is None:
+        return None
+    limit_per_s = parse_number(value)
+    if limit_per_s is None or limit_per_s < 0.0:
+        raise ValueError(f"invalid limit: {value!r}")
+    return limit_per_s
 
 
 def parse_last_event_id(headers: Headers) -> int | None:
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -14,7 +14,7 @@
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response
-from balsamcleat.model import ZoneName
+from balsamcleat.model import FailureKind, ZoneName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import (
@@ -153,6 +153,14 @@
     async def reject(self, call: LiveCall, responder: Responder, rejection: Rejected) -> None:
         """Reject a call that can't be answered in time, and tell the caller when to retry."""
         reason = f"no slot at {call.service} in time; estimated wait {rejection.wait_s:.3f} s"
+        if self.queues.has_limits(call.service):
+            log.info(
+                "turned away for a limit",
+                request=call.attempt_id,
+                service=call.service,
+                wait_s=round(rejection.wait_s, 3),
+                retry_after_s=round(rejection.retry_after_s, 3),
+            )
         await send_error_response(
             call.request,
             responder,
@@ -166,6 +174,7 @@
         self, call: LiveCall
     ) -> Result[Response, AttemptFailedError] | Rejected:
         """Wait for a slot and try targets; queue the call again if all targets rejected it."""
+        self.record_demand(call)
         while True:
             queued_s = anyio.current_time()
             rejection = await self.queues.acquire(call.service, call.ticket(queued_s))
@@ -187,6 +196,12 @@
                 return outcome
             call.attempts.start_round()
 
+    def record_demand(self, call: LiveCall) -> None:
+        """Record that a call wants a target, for the shares of limits."""
+        self.stats_registry.limits.record_demand(
+            call.service, anyio.current_time(), is_live=not call.is_background
+        )
+
     def can_queue_again(self, call: LiveCall) -> bool:
         """Return whether a call that all targets rejected may wait for another slot."""
         return (
@@ -258,7 +273,7 @@
         """
         if not await self.crash_guard.may_run(call, is_copy=is_copy):
             return None
-        replica = self.choose_target(call) if call.is_wanted() else None
+        replica = self.choose_target(call, is_copy=is_copy) if call.is_wanted() else None
         if replica is None:
             self.crash_guard.end_run(call)
             return None
@@ -272,20 +287,44 @@
             for replica in self.directory.ready_replicas(call.service)
         )
 
-    def choose_target(self, call: LiveCall) -> Replica | None:
+    def choose_target(self, call: LiveCall, *, is_copy: bool = False) -> Replica | None:
         """Return the best target for the call, or None if no more targets may be tried."""
         if not call.attempts.can_start() or call.remaining_s() <= 0.0:
             return None
+        now_s = anyio.current_time()
+        replicas = self.directory.ready_replicas(call.service)
+        if self.stats_registry.limits.is_active:
+            replicas = [r for r in replicas if self.may_take(call, r, now_s, is_copy=is_copy)]
         return choose_replica(
-            self.directory.ready_replicas(call.service),
+            replicas,
             self.stats_registry,
             zone=self.zone,
             excluded=call.attempts.tried_targets,
             prompt_ids=call.prompt_ids,
-            now_s=anyio.current_time(),
+            now_s=now_s,
             generator=self.generator,
         )
 
+    def is_held_by_limits(self, call: LiveCall) -> bool:
+        """Return whether only limits keep the call from targets that were not tried yet."""
+        now_s = anyio.current_time()
+        untried = [
+            replica
+            for replica in self.directory.ready_replicas(call.service)
+            if replica.target_id not in call.attempts.tried_targets
+        ]
+        is_allowed = any(self.may_take(call, replica, now_s) for replica in untried)
+        return bool(untried) and not is_allowed and call.attempts.can_start()
+
+    def may_take(
+        self, call: LiveCall, replica: Replica, now_s: float, *, is_copy: bool = False
+    ) -> bool:
+        """Return whether a target's limit allows a call; copies for speed leave it to others."""
+        limits = self.stats_registry.limits
+        if is_copy and limits.limit_per_s(replica.target_id) is not None:
+            return False
+        return limits.can_send(replica.target_id, now_s, is_live=not call.is_background)
+
     async def wait_for_outcome(
         self,
         call: LiveCall,
@@ -334,7 +373,15 @@
             priority=live_priority(call.route),
         )
         request = Request(call.request.method, call.request.target, headers, call.request.body)
-        exchange = TargetExchange(self.pool, self.directory, replica, request, call.may_be_sent)
+        exchange = TargetExchange(
+            self.pool,
+            self.directory,
+            replica,
+            request,
+            call.may_be_sent,
+            self.stats_registry.limits,
+            is_live=not call.is_background,
+        )
         try:
             await exchange.begin(force_new_connection=not call.route.is_repeatable)
             response = await exchange.read_response()
@@ -342,7 +389,8 @@
             if isinstance(outcome, Ok):
                 self.crash_guard.record_response(call, replica, exchange)
         except AttemptFailedError as error:
-            stats.record_failure(anyio.current_time())
+            if error.kind is not FailureKind.LIMITED:
+                stats.record_failure(anyio.current_time())
             outcome = Err(error)
             self.crash_guard.record_failure(call, replica, error)
         except anyio.get_cancelled_exc_class():
--- a/src/balsamcleat/tasks/live_queues.py
+++ b/src/balsamcleat/tasks/live_queues.py
@@ -1,6 +1,7 @@
 """Queues in which live calls to plain services wait for a slot."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -16,9 +17,12 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.model import ServiceName
+from balsamcleat.model.replicas import Replica
 
 __all__ = ["LiveQueues"]
 
+# Lowest rate, in requests per second, that the estimate of a wait reckons with.
+MIN_RATE_PER_S = 1e-3
 # While calls wait, the load that other VMs put on the targets is read again at this interval.
 RECHECK_INTERVAL_S = 0.02
 
@@ -75,6 +79,9 @@
     ) -> SlotEstimate | None:
         """Return an estimate of a service's slots, or None if the service needs no queue."""
         replicas = self.directory.ready_replicas(service)
+        limits = self.stats_registry.limits
+        if limits.is_active and self.has_limits(service):
+            return self.estimate_limited_slots(replicas, held_slots, now_s)
         if not replicas or any(replica.versions for replica in replicas):
             return None
         usable = [
@@ -89,6 +96,38 @@
             own_in_flight=held_slots,
         )
 
+    def has_limits(self, service: ServiceName) -> bool:
+        """Return whether any target of a service names a rate limit."""
+        return any(map(self.is_limited, self.directory.ready_replicas(service)))
+
+    def is_limited(self, replica: Replica) -> bool:
+        """Return whether a target names a rate limit."""
+        return self.stats_registry.limits.limit_per_s(replica.target_id) is not None
+
+    def estimate_limited_slots(
+        self, replicas: Sequence[Replica], held_slots: int, now_s: float
+    ) -> SlotEstimate:
+        """Return an estimate of the slots of targets some of which name a rate limit.
+
+        A limited target has a slot for each request that this VM may send to it now. Engines put
+        live requests ahead of samples, so those without a limit always have slots.
+        """
+        limits, free, rate_per_s = self.stats_registry.limits, 0.0, 0.0
+        has_unlimited = False
+        for replica in replicas:
+            stats = self.stats_registry.for_target(replica.target_id)
+            slots = float(replica.slots + QUEUED_PER_TARGET)
+            if not replica.versions:
+                slots = max(0.0, slots - stats.load(now_s))
+            if self.is_limited(replica):
+                slots = min(slots, limits.sendable(replica.target_id, now_s))
+                rate_per_s += limits.rate_at(replica.target_id, now_s)
+            else:
+                has_unlimited = True
+            free += slots
+        min_interval_s = 0.0 if has_unlimited else 1.0 / max(MIN_RATE_PER_S, rate_per_s)
+        return SlotEstimate(held_slots + free, 0.0, held_slots, min_interval_s)
+
     async def acquire(self, service: ServiceName, ticket: Ticket) -> Rejected | None:
         """Wait for a slot; return the rejection if none becomes free in time.
 
--- a/src/balsamcleat/tasks/placement_view.py
+++ b/src/balsamcleat/tasks/placement_view.py
@@ -69,6 +69,7 @@
             loaded_versions=self.versions(replica),
             loading_models=self.loading(replica.target_id),
             is_usable=not stats.is_avoided(now_s),
+            sendable=self.stats_registry.limits.sendable(replica.target_id, now_s, is_live=False),
             is_local=replica.zone == self.zone,
             recent_prompts=stats.recent_prompts,
         )
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -155,6 +155,7 @@
                     await self.changed.wait()
                 self.changed = anyio.Event()
                 if not self.steps:
+                    self.stats_registry.limits.record_backlogs({})
                     self.pause_guard.detector.reset()
                     continue
                 self.pause_guard.check_for_pause(self.steps.values(), tasks)
@@ -168,6 +169,7 @@
         now_s = anyio.current_time()
         table = self.table()
         active = [step for step in self.steps.values() if step.can_start]
+        backlogs: dict[ServiceName, int] = {}
         if table is None or not active:
             return
         may_move = now_s - self.last_move_check_s >= PLACEMENT_INTERVAL_S
@@ -177,6 +179,7 @@
             waiting = [item for step, _ in steps for item in self.view.waiting_samples(step, now_s)]
             if not waiting and not may_move:
                 continue
+            backlogs[service] = len(waiting)
             engines = self.view.engines(service, now_s)
             routes = {step.step_id: route for step, route in steps}
             for placement in place_samples(waiting, engines):
@@ -185,6 +188,7 @@
                 running = [item for step, _ in steps for item in self.view.movable_samples(step)]
                 for move in find_moves(running, engines):
                     self.move_sample(move)
+        self.stats_registry.limits.record_backlogs(backlogs)
 
     def group_by_service(
         self, table: RoutingTable, steps: list[OwnedStep], now_s: float
@@ -229,6 +233,7 @@
         )
         stats = self.stats_registry.for_target(replica.target_id)
         now_s = anyio.current_time()
+        self.stats_registry.limits.record_demand(replica.service, now_s, is_live=False)
         run = SampleRun(
             replica.target_id,
             anyio.CancelScope(),
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -125,12 +125,15 @@
             assignment.replica,
             self.build_request(assignment, progress),
             assignment.is_wanted,
+            self.stats_registry.limits,
+            is_live=False,
         )
         stats.in_flight += 1
         try:
             return await self.read_response(assignment, progress, exchange, stats)
         except AttemptFailedError as error:
-            stats.record_failure(anyio.current_time())
+            if error.kind is not FailureKind.LIMITED:
+                stats.record_failure(anyio.current_time())
             reason = f"{error.kind.value}: {error.message}"
             return SampleRunOutcome(SampleEnd.INTERRUPTED, reason, error=error)
         finally:
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -30,6 +30,7 @@
 __all__ = ["StreamForwarder"]
 
 OK = 200
+LIMIT_RECHECK_S = 0.05
 
 log = structlog.get_logger()
 
@@ -128,10 +129,26 @@
         call = await self.forwarder.admit(request, route, responder)
         if call is None:
             return
+        self.forwarder.record_demand(call)
+        queues = self.forwarder.queues
+        if not queues.has_limits(call.service):
+            await self.send(call, responder, version)
+            return
+        rejection = await queues.acquire(call.service, call.ticket(anyio.current_time()))
+        if rejection is not None:
+            await self.forwarder.reject(call, responder, rejection)
+            return
+        try:
+            await self.send(call, responder, version)
+        finally:
+            queues.release(call.service, None)
+
+    async def send(self, call: LiveCall, responder: Responder, version: int) -> None:
+        """Send a call to targets in turn, and relay their stream or an error response."""
         relay = StreamRelay(call, responder)
         error = no_target_error(call.service)
         while not responder.has_finished:
-            replica = await self.forwarder.begin_attempt(call)
+            replica = await self.begin_attempt(call, relay)
             if replica is None:
                 break
             try:
@@ -153,9 +170,23 @@
         if not responder.has_started:
             status = call.attempts.failure_status()
             await send_error_response(
-                request, responder, status, str(error), self.forwarder.generator
+                call.request, responder, status, str(error), self.forwarder.generator
             )
 
+    async def begin_attempt(self, call: LiveCall, relay: StreamRelay) -> Replica | None:
+        """Return the target of the next attempt, or None if no more targets may be tried.
+
+        A stream that was interrupted waits for a target that its limit allows to resume it.
+        """
+        until_s = anyio.current_time() + caller_patience_s(call.route.objective_s) / 2.0
+        while True:
+            replica = await self.forwarder.begin_attempt(call)
+            if replica is not None or not relay.responder.has_started:
+                return replica
+            if not self.forwarder.is_held_by_limits(call) or anyio.current_time() >= until_s:
+                return None
+            await anyio.sleep(LIMIT_RECHECK_S)
+
     async def relay_from_target(self, call: LiveCall, replica: Replica, relay: StreamRelay) -> None:
         """Relay the response of one target.
 
@@ -169,6 +200,7 @@
             replica,
             self.request_for_target(call, replica, relay),
             call.is_wanted,
+            self.forwarder.stats_registry.limits,
         )
         stats.in_flight += 1
         try:
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -2,13 +2,17 @@
 
 from collections.abc import Callable
 
+import anyio
 import structlog
 
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.shared_limit import TargetLimits
+from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Exchange, Request
 from balsamcleat.model import FailureKind
 from balsamcleat.model.replicas import Replica
-from balsamcleat.platform import announces_departure
+from balsamcleat.platform import announces_departure, is_misdirected, parse_announced_limit
+from balsamcleat.tasks.limit_sharing import log_limit_change
 
 __all__ = ["TargetExchange"]
 
@@ -24,6 +28,8 @@
         replica: Target that the request is sent to.
         request: Request to send.
         is_permitted: Returns whether the request may be sent now; asked right before that.
+        limits: Limits that the targets name.
+        is_live: Whether a live caller waits for the response.
     """
 
     def __init__(
@@ -33,10 +39,15 @@
         replica: Replica,
         request: Request,
         is_permitted: Callable[[], bool],
+        limits: TargetLimits,
+        *,
+        is_live: bool = True,
     ) -> None:
         super().__init__(pool, replica.address, request, is_permitted)
         self.directory = directory
         self.replica = replica
+        self.limits = limits
+        self.is_live = is_live
 
     def check_permission(self) -> None:
         """Check that the request may still be sent, and that the target still takes requests.
@@ -48,10 +59,20 @@
             # The target may have left while the request waited for a permission to run.
             raise self.failure("the target takes no more requests", FailureKind.UNREACHED)
         super().check_permission()
+        if not self.limits.take(self.replica.target_id, anyio.current_time(), is_live=self.is_live):
+            raise AttemptFailedError(
+                "the target's limit is used up",
+                step="target.limit",
+                peer=self.replica.target_id,
+                perhaps_sent=False,
+                kind=FailureKind.LIMITED,
+            )
 
     async def read_head(self) -> None:
-        """Read the head of a response and record whether the target announces its departure."""
+        """Read the head of a response and record what the target says of itself in it."""
         await super().read_head()
+        if not is_misdirected(self.status):
+            self.record_limit()
         if announces_departure(self.status, self.headers) and self.directory.mark_leaving(
             self.replica
         ):
@@ -62,3 +83,17 @@
                 address=self.replica.address,
                 row_version=self.replica.entry_version,
             )
+
+    def record_limit(self) -> None:
+        """Record the limit that the target names, or that it names none."""
+        replica = self.replica
+        try:
+            limit_per_s = parse_announced_limit(self.headers)
+        except ValueError as error:
+            log.warning("target limit ignored", target=replica.target_id, reason=str(error))
+            return
+        change = self.limits.record_response(
+            replica.target_id, replica.service, limit_per_s, anyio.current_time()
+        )
+        if change is not None:
+            log_limit_change(change, source="response")
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -7,9 +7,11 @@
 import msgspec
 import structlog
 
+from balsamcleat.decisions.shared_limit import LimitReport
 from balsamcleat.decisions.vm_watch import VmFailureDetector, VmRow
 from balsamcleat.errors import PlatformError
 from balsamcleat.ports.rows import RowChange, RowCommit, RowKey, RowStore, RowWrite
+from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.rollout_records import VM_PART, VMS_TABLE
 from balsamcleat.tasks.store_clock import StoreClock
 
@@ -27,7 +29,7 @@
 log = structlog.get_logger()
 
 
-class VmRowValue(msgspec.Struct, frozen=True):
+class VmRowValue(msgspec.Struct, frozen=True, omit_defaults=True):
     """Value of a VM's row; ``beat`` is a counter that makes every heartbeat change the row."""
 
     boot: str
@@ -35,6 +37,7 @@
     zone: str
     beat: int
     leaving: bool = False
+    limits: LimitReport | None = None
 
 
 class VmPresence:
@@ -46,6 +49,7 @@
         store_clock: Estimate of the store's clock, synchronized with each read.
         is_needed: Returns whether other VMs depend on the liveness of this VM.
         generator: Draws the jitter of the intervals.
+        limit_sharing: Publishes and applies what VMs know of targets' limits, in the same rows.
     """
 
     def __init__(
@@ -55,9 +59,11 @@
         store_clock: StoreClock,
         is_needed: Callable[[], bool],
         generator: random.Random,
+        limit_sharing: LimitSharing,
     ) -> None:
         self.store = store
         self.row = row
+        self.limit_sharing = limit_sharing
         self.boot = row.boot
         self.store_clock = store_clock
         self.is_needed = is_needed
@@ -77,7 +83,8 @@
         """Renew this VM's row at intervals until cancelled."""
         while True:
             await self.try_call("presence renewal", self.renew)
-            wait_s = HEARTBEAT_INTERVAL_S if self.is_needed() else IDLE_HEARTBEAT_INTERVAL_S
+            is_needed = self.is_needed() or self.limit_sharing.is_active
+            wait_s = HEARTBEAT_INTERVAL_S if is_needed else IDLE_HEARTBEAT_INTERVAL_S
             await anyio.sleep(self.add_jitter(wait_s))
 
     async def run_reads(self) -> None:
@@ -85,6 +92,7 @@
         while True:
             if not await self.try_call("presence reading", self.read):
                 self.watch.reset()
+            self.limit_sharing.update_isolation()
             await anyio.sleep(self.add_jitter(READ_INTERVAL_S))
 
     async def try_call(self, description: str, call: Callable[[], Awaitable[None]]) -> bool:
@@ -112,7 +120,12 @@
         """Write this VM's row with the next heartbeat number."""
         self.heartbeat_count += 1
         row_value = VmRowValue(
-            self.boot, self.row.address, self.row.zone, self.heartbeat_count, self.is_leaving
+            self.boot,
+            self.row.address,
+            self.row.zone,
+            self.heartbeat_count,
+            self.is_leaving,
+            self.limit_sharing.report(),
         )
         key = RowKey(VMS_TABLE, VM_PART, self.row.vm)
         await self.store.commit(RowCommit((RowWrite(key, msgspec.json.encode(row_value)),)))
@@ -123,6 +136,7 @@
         page = await self.store.read(VMS_TABLE, VM_PART)
         self.store_clock.synchronize(page.store_ms)
         self.watch.apply_read([decode_vm(row) for row in page.rows], self.store_clock.clock())
+        self.limit_sharing.apply(self.watch)
 
     async def announce_leaving(self) -> None:
         """Announce that this VM accepts no new steps."""
@@ -148,4 +162,5 @@
         row_value.zone,
         row.version,
         row_value.leaving,
+        row_value.limits or LimitReport(),
     )
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -10,6 +10,7 @@
 
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
+from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.http1 import (
     ConnectionPool,
     HttpServer,
@@ -26,12 +27,15 @@
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
+from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
+from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
 from balsamcleat.tasks.table_follower import TableFollower
+from balsamcleat.tasks.vm_presence import VmPresence
 from raw_target import RawTarget, Script, raw_target
 
 SERVICE = ServiceName("service")
@@ -219,6 +223,15 @@
         lambda: not flaws.down,
     )
     stats_registry = ReplicaStatsRegistry()
+    vm = f"vm-{seed}"
+    presence = VmPresence(
+        view,
+        VmRow(vm, "boot", "", "a", 0),
+        StoreClock(anyio.current_time),
+        lambda: False,
+        generator,
+        LimitSharing(vm, stats_registry.limits, directory),
+    )
     queues = LiveQueues(directory, stats_registry, generator)
     forwarder = LiveForwarder(
         directory, stats_registry, pool, ZoneName("a"), generator, CrashGuard(detector), queues
@@ -232,7 +245,8 @@
 
     listener = listen("127.0.0.1:0")
     server = HttpServer(listener, handle, lambda: limits or ServerLimits())
-    for run in (queues.run, follower.run, server.run, crash_history.run, detector.run):
+    runs = (queues.run, follower.run, server.run, crash_history.run, detector.run, presence.run)
+    for run in runs:
         group.start_soon(run)
     host, port = listener.getsockname()
     keeper = ReplicaKeeper(directory, stats_registry, pool, lambda: None, detector.on_target_end)
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -32,6 +32,7 @@
 from balsamcleat.ports.rows import RowConflict
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.crash_detector import CrashDetector
+from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.peers import POLL_TIMEOUT_S
@@ -139,14 +140,28 @@
         self.runs: list[str] = []
         self.slowdown: dict[TargetId, float] = {}
         self.scripted_ends: dict[str, list[SampleEnd]] = {}
+        # Times at which requests were sent, and the limit that all engines name in the responses.
+        self.sent: dict[TargetId, list[float]] = {}
+        self.limit_per_s: float | None = None
         # Samples under which engines crash and start again under their ids.
         self.crashing_samples: set[str] = set()
         self.on_crash: Callable[[Replica], None] = lambda _: None
 
+    def send(self, replica: Replica) -> bool:
+        """Send a request as the exchange does, if the engine's limit allows it."""
+        limits, now_s = self.stats_registry.limits, anyio.current_time()
+        if not limits.take(replica.target_id, now_s, is_live=False):
+            return False
+        self.sent.setdefault(replica.target_id, []).append(now_s)
+        limits.record_response(replica.target_id, replica.service, self.limit_per_s, now_s)
+        return True
+
     async def run(self, assignment: SampleAssignment, progress: SampleProgress) -> SampleRunOutcome:
         sample_id = assignment.sample.sample_id
         self.runs.append(sample_id)
         stats = self.stats_registry.for_target(assignment.replica.target_id)
+        if not self.send(assignment.replica):
+            return SampleRunOutcome(SampleEnd.INTERRUPTED, "limited")
         stats.in_flight += 1
         try:
             if sample_id in self.crashing_samples:
@@ -282,7 +297,10 @@
         generator = random.Random(name)
         store_clock = StoreClock(anyio.current_time)
         vm_row = VmRow(name, boot, f"{name}:80", "a", 0)
-        presence = VmPresence(view, vm_row, store_clock, lambda: bool(runner.steps), generator)
+        sharing = LimitSharing(name, stats_registry.limits, self.directory)
+        presence = VmPresence(
+            view, vm_row, store_clock, lambda: bool(runner.steps), generator, sharing
+        )
         crash_history = SharedCrashHistory(view, self.store.now_ms)
         detector = CrashDetector(
             crash_history,
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -6,6 +6,7 @@
 import pytest
 
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.shared_limit import TargetLimits
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, PoolLimits, Request
 from balsamcleat.model import ConfigurationVersion
@@ -153,7 +154,12 @@
         directory.apply_entry(replica)
         pool = ConnectionPool(PoolLimits(), CORRELATION_HEADER)
         exchange = TargetExchange(
-            pool, directory, replica, Request("GET", "/", (("Host", "h"),)), lambda: True
+            pool,
+            directory,
+            replica,
+            Request("GET", "/", (("Host", "h"),)),
+            lambda: True,
+            TargetLimits(),
         )
         directory.mark_leaving(replica)
         with pytest.raises(AttemptFailedError) as failure:
