--- a/src/balsamcleat/bench/app.py
+++ b/src/balsamcleat/bench/app.py
@@ -88,6 +88,21 @@
     finish(outcome.text, outcome.broken_bounds)
 
 
+@bench.command
+def limits(*, seed: int = 1, duration_s: float = 30.0, folder: Path = REPORTS) -> None:
+    """Measure how well many VMs share a target's rate limit, in virtual time.
+
+    Args:
+        seed: Gives the same figures again.
+        duration_s: Virtual seconds of each run.
+        folder: Where the table goes.
+    """
+    from balsamcleat.bench.limits import run_limits
+
+    outcome = run_limits(seed, duration_s, folder)
+    finish(outcome.text, outcome.broken_bounds)
+
+
 @bench.command
 def slopes(*, folder: Path = SLOPES) -> None:
     """Measure what each part costs by its size, and fit the slopes.
--- a/tests/test_shared_limit.py
+++ b/tests/test_shared_limit.py
@@ -13,6 +13,13 @@
     LimitLoad,
     play_limit,
 )
+from balsamcleat.bench.limits import (
+    LIMIT_LOADS,
+    everywhere,
+    moving_owner,
+    owner,
+    run_limits,
+)
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.shared_limit import (
     EVEN_PART,
@@ -64,25 +71,7 @@
     return limits
 
 
-def owner(number: int, now_s: float) -> float:
-    """One VM owns a trainer's step and wants far more than the limit."""
-    return 60.0 if number == 0 else 0.0
-
-
-def moving_owner(number: int, now_s: float) -> float:
-    return 60.0 if number == int(now_s // 3) % 5 else 0.0
-
-
-def everywhere(number: int, now_s: float) -> float:
-    return 5.0
-
-
-def waves(number: int, now_s: float) -> float:
-    """All VMs are idle, then all send at once, over and over."""
-    return 30.0 if now_s % 4.0 < 0.5 else 0.0
-
-
-LOADS = [owner, moving_owner, everywhere, waves]
+LOADS = list(LIMIT_LOADS.values())
 
 
 class TestManyVms:
@@ -120,6 +109,12 @@
             assert figures.most_in_window <= figures.allowed_in_window
             assert figures.used_share > 0.5
 
+    def test_report_shows_use_and_excess_of_the_limit(self, tmp_path) -> None:
+        outcome = run_limits(1, 10.0, tmp_path, vm_counts=(12,))
+        assert not outcome.broken_bounds
+        assert "most in 4 s" in outcome.text
+        assert (tmp_path / "limits.md").exists()
+
 
 class TestDecision:
     def test_vm_that_has_read_no_rows_sends_nothing(self) -> None:
