Limits in heartbeat rows: an unreadable report does not make its VM count as stopped

It is checked apart now, with a log line; the test failed before. The services of targets are looked up by need, not copied at each read of the rows.

--- a/src/balsamcleat/bench/limit_model.py
+++ b/src/balsamcleat/bench/limit_model.py
@@ -116,7 +116,7 @@
 
     def apply_view(self, view: tuple[VmDemand, ...], now_s: float) -> None:
         """Apply the rows of all VMs."""
-        self.limits.apply_view(view, {TARGET: SERVICE}, now_s)
+        self.limits.apply_view(view, lambda _: SERVICE, now_s)
 
     def report(self, now_s: float) -> LimitReport:
         """Return what the VM publishes."""
--- a/src/balsamcleat/decisions/shared_limit.py
+++ b/src/balsamcleat/decisions/shared_limit.py
@@ -10,7 +10,7 @@
 
 import math
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
@@ -275,14 +275,14 @@
     def apply_view(
         self,
         view: tuple[VmDemand, ...],
-        services: Mapping[TargetId, ServiceName],
+        service_of: Callable[[TargetId], ServiceName | None],
         now_s: float,
     ) -> list[LimitChange]:
         """Apply the rows of all live VMs, as this VM has just read them.
 
         Args:
             view: Reports of the live VMs, this one's among them.
-            services: Service of each listed target.
+            service_of: Returns the service of a target, or None if the target isn't listed.
             now_s: Time on the process clock, in seconds.
 
         Returns:
@@ -294,17 +294,20 @@
         changes = []
         for row in view:
             if row.vm != self.vm:
-                changes += self.apply_notices(row, services, now_s)
+                changes += self.apply_notices(row, service_of, now_s)
         return changes
 
     def apply_notices(
-        self, row: VmDemand, services: Mapping[TargetId, ServiceName], now_s: float
+        self,
+        row: VmDemand,
+        service_of: Callable[[TargetId], ServiceName | None],
+        now_s: float,
     ) -> list[LimitChange]:
         """Put limits in force that another VM saw later than this one."""
         changes = []
         for key, notice in row.report.notices.items():
             target_id = TargetId(key)
-            service = services.get(target_id)
+            service = service_of(target_id)
             target = self.targets.get(target_id)
             if service is None or (target is None and notice.limit_per_s is None):
                 continue
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -169,6 +169,7 @@
         )
         for what in ("began", "changed", "ended")
     ),
+    event("limits not read", "Another VM's row has them in a form unknown here.", "reason"),
     event("target limit ignored", "Its value is no number of 0 or more.", "target reason"),
     event(
         "turned away for a limit",
--- a/src/balsamcleat/tasks/limit_sharing.py
+++ b/src/balsamcleat/tasks/limit_sharing.py
@@ -8,6 +8,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.shared_limit import LimitChange, LimitReport, TargetLimits, VmDemand
 from balsamcleat.decisions.vm_watch import VmFailureDetector
+from balsamcleat.model import ServiceName, TargetId
 
 __all__ = ["LimitSharing", "log_limit_change"]
 
@@ -57,10 +58,14 @@
             for row in watch.live_rows()
             if row.boot
         )
-        services = {key: entry.service for key, entry in self.directory.entries.items()}
-        for change in self.limits.apply_view(view, services, anyio.current_time()):
+        for change in self.limits.apply_view(view, self.service_of, anyio.current_time()):
             log_limit_change(change, source="another VM")
 
+    def service_of(self, target_id: TargetId) -> ServiceName | None:
+        """Return the service of a target, or None if the target isn't listed."""
+        entry = self.directory.entries.get(target_id)
+        return None if entry is None else entry.service
+
 
 def log_limit_change(change: LimitChange, source: str) -> None:
     """Log that a target's limit began, changed or ended."""
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -30,14 +30,17 @@
 
 
 class VmRowValue(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Value of a VM's row; ``beat`` is a counter that makes every heartbeat change the row."""
+    """Value of a VM's row; ``beat`` is a counter that makes every heartbeat change the row.
+
+    ``limits`` is a limit report, which is checked apart from the rest.
+    """
 
     boot: str
     address: str
     zone: str
     beat: int
     leaving: bool = False
-    limits: LimitReport | None = None
+    limits: object = None
 
 
 class VmPresence:
@@ -162,5 +165,16 @@
         row_value.zone,
         row.version,
         row_value.leaving,
-        row_value.limits or LimitReport(),
+        decode_limits(row_value.limits),
     )
+
+
+def decode_limits(value: object) -> LimitReport:
+    """Return the report in a VM's row; an unreadable one must not make its VM count as stopped."""
+    if value is None:
+        return LimitReport()
+    try:
+        return msgspec.convert(value, LimitReport)
+    except msgspec.ValidationError as error:
+        log.warning("limits not read", reason=str(error))
+        return LimitReport()
--- a/tests/test_shared_limit.py
+++ b/tests/test_shared_limit.py
@@ -66,7 +66,7 @@
     """Return the limits of a VM that is alone and has seen a target's limit at 0 s."""
     limits = TargetLimits(random.Random(1))
     limits.vm = "a"
-    limits.apply_view((VmDemand("a", LimitReport()),), {TARGET: SERVICE}, 0.0)
+    limits.apply_view((VmDemand("a", LimitReport()),), lambda _: SERVICE, 0.0)
     limits.record_response(TARGET, SERVICE, limit_per_s, 0.0)
     return limits
 
@@ -158,7 +158,7 @@
         limits.vm = "a"
         report = LimitReport({}, {TARGET: LimitNotice(1.0, 0.1)})
         view = (VmDemand("a", LimitReport()), VmDemand("b", report))
-        (change,) = limits.apply_view(view, {TARGET: SERVICE}, 5.0)
+        (change,) = limits.apply_view(view, lambda _: SERVICE, 5.0)
         assert change.limit_per_s == 1.0
         assert limits.limit_per_s(TARGET) == 1.0
 
@@ -167,13 +167,13 @@
         limits.record_response(TARGET, SERVICE, None, 4.9)
         report = LimitReport({}, {TARGET: LimitNotice(1.0, 0.5)})
         view = (VmDemand("a", LimitReport()), VmDemand("b", report))
-        assert not limits.apply_view(view, {TARGET: SERVICE}, 5.0)
+        assert not limits.apply_view(view, lambda _: SERVICE, 5.0)
 
     def test_isolated_vm_uses_its_even_part_only(self) -> None:
         limits = TargetLimits()
         limits.vm = "a"
         view = (VmDemand("a", LimitReport({SERVICE: 50.0})), VmDemand("b", LimitReport()))
-        limits.apply_view(view, {TARGET: SERVICE}, 0.0)
+        limits.apply_view(view, lambda _: SERVICE, 0.0)
         limits.record_response(TARGET, SERVICE, 10.0, 0.0)
         assert limits.rate_at(TARGET, 5.0) > 9.0
         limits.is_isolated = True
@@ -231,6 +231,8 @@
     for value in (
         b'{"boot":"b","address":"","zone":"a","beat":1}',
         b'{"boot":"b","address":"","zone":"a","beat":1,"limits":{"demands":{},"more":1}}',
+        b'{"boot":"b","address":"","zone":"a","beat":1,"limits":{"demands":[1]}}',
+        b'{"boot":"b","address":"","zone":"a","beat":1,"limits":7}',
     ):
         row = decode_vm(RowChange(RowKey(VMS_TABLE, VM_PART, "a"), value, 1))
         assert row.boot == "b"
