--- a/src/balsamcleat/bench/limit_model.py
+++ b/src/balsamcleat/bench/limit_model.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from balsamcleat.decisions.shared_limit import LimitReport, TargetLimits, VmDemand
+from balsamcleat.decisions.limit_parts import LimitReport, VmDemand
+from balsamcleat.decisions.shared_limit import TargetLimits
 from balsamcleat.model import ServiceName, TargetId
 
 __all__ = ["LIMIT_POLICIES", "LimitFigures", "LimitLoad", "play_limit"]
--- a/src/balsamcleat/decisions/vm_watch.py
+++ b/src/balsamcleat/decisions/vm_watch.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 
-from balsamcleat.decisions.shared_limit import LimitReport
+from balsamcleat.decisions.limit_parts import LimitReport
 
 __all__ = ["MAX_EXCUSED_SILENCE_S", "VM_DEAD_AFTER_S", "VmFailureDetector", "VmRow"]
 
--- a/src/balsamcleat/tasks/limit_sharing.py
+++ b/src/balsamcleat/tasks/limit_sharing.py
@@ -5,8 +5,9 @@
 import anyio
 import structlog
 
+from balsamcleat.decisions.limit_parts import LimitReport, VmDemand
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
-from balsamcleat.decisions.shared_limit import LimitChange, LimitReport, TargetLimits, VmDemand
+from balsamcleat.decisions.shared_limit import LimitChange, TargetLimits
 from balsamcleat.decisions.vm_watch import VmFailureDetector
 from balsamcleat.model import ServiceName, TargetId
 
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -9,7 +9,7 @@
 
 from balsamcleat.decisions.live_attempts import AttemptTracker, FailureStatus, hedge_delay_s
 from balsamcleat.decisions.live_queue import Rejected
-from balsamcleat.decisions.replica_choice import choose_replica, choose_service
+from balsamcleat.decisions.replica_choice import choose_service
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.errors import AttemptFailedError
@@ -41,6 +41,7 @@
     unstamped_response_error,
 )
 from balsamcleat.tasks.live_queues import LiveQueues
+from balsamcleat.tasks.target_chooser import TargetChooser
 from balsamcleat.tasks.target_exchange import TargetExchange
 
 __all__ = ["LiveForwarder", "live_priority"]
@@ -85,7 +86,7 @@
         self.directory = directory
         self.stats_registry = stats_registry
         self.pool = pool
-        self.zone = zone
+        self.chooser = TargetChooser(directory, stats_registry, zone, generator)
         self.generator = generator
         self.crash_guard = crash_guard
         self.queues = queues
@@ -273,58 +274,13 @@
         """
         if not await self.crash_guard.may_run(call, is_copy=is_copy):
             return None
-        replica = self.choose_target(call, is_copy=is_copy) if call.is_wanted() else None
+        replica = self.chooser.choose_target(call, is_copy=is_copy) if call.is_wanted() else None
         if replica is None:
             self.crash_guard.end_run(call)
             return None
         call.attempts.record_start(replica.target_id)
         return replica
 
-    def has_other_target(self, call: LiveCall) -> bool:
-        """Return whether a ready target has not been tried yet."""
-        return any(
-            replica.target_id not in call.attempts.tried_targets
-            for replica in self.directory.ready_replicas(call.service)
-        )
-
-    def choose_target(self, call: LiveCall, *, is_copy: bool = False) -> Replica | None:
-        """Return the best target for the call, or None if no more targets may be tried."""
-        if not call.attempts.can_start() or call.remaining_s() <= 0.0:
-            return None
-        now_s = anyio.current_time()
-        replicas = self.directory.ready_replicas(call.service)
-        if self.stats_registry.limits.is_active:
-            replicas = [r for r in replicas if self.may_take(call, r, now_s, is_copy=is_copy)]
-        return choose_replica(
-            replicas,
-            self.stats_registry,
-            zone=self.zone,
-            excluded=call.attempts.tried_targets,
-            prompt_ids=call.prompt_ids,
-            now_s=now_s,
-            generator=self.generator,
-        )
-
-    def is_held_by_limits(self, call: LiveCall) -> bool:
-        """Return whether only limits keep the call from targets that were not tried yet."""
-        now_s = anyio.current_time()
-        untried = [
-            replica
-            for replica in self.directory.ready_replicas(call.service)
-            if replica.target_id not in call.attempts.tried_targets
-        ]
-        is_allowed = any(self.may_take(call, replica, now_s) for replica in untried)
-        return bool(untried) and not is_allowed and call.attempts.can_start()
-
-    def may_take(
-        self, call: LiveCall, replica: Replica, now_s: float, *, is_copy: bool = False
-    ) -> bool:
-        """Return whether a target's limit allows a call; copies for speed leave it to others."""
-        limits = self.stats_registry.limits
-        if is_copy and limits.limit_per_s(replica.target_id) is not None:
-            return False
-        return limits.can_send(replica.target_id, now_s, is_live=not call.is_background)
-
     async def wait_for_outcome(
         self,
         call: LiveCall,
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -183,7 +183,10 @@
             replica = await self.forwarder.begin_attempt(call)
             if replica is not None or not relay.responder.has_started:
                 return replica
-            if not self.forwarder.is_held_by_limits(call) or anyio.current_time() >= until_s:
+            if (
+                not self.forwarder.chooser.is_held_by_limits(call)
+                or anyio.current_time() >= until_s
+            ):
                 return None
             await anyio.sleep(LIMIT_RECHECK_S)
 
@@ -243,7 +246,7 @@
         A stream that no other target can resume is only ended once its caller has given up.
         """
         now_s = anyio.current_time()
-        can_resume = call.attempts.can_start() and self.forwarder.has_other_target(call)
+        can_resume = call.attempts.can_start() and self.forwarder.chooser.has_other_target(call)
         objective_s = call.route.objective_s
         min_pause_s = resume_pause_s(objective_s) if can_resume else caller_patience_s(objective_s)
         return StallTimer(min_pause_s, now_s, stats.recent_event_interval_s(now_s))
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -7,7 +7,7 @@
 import msgspec
 import structlog
 
-from balsamcleat.decisions.shared_limit import LimitReport
+from balsamcleat.decisions.limit_parts import LimitReport
 from balsamcleat.decisions.vm_watch import VmFailureDetector, VmRow
 from balsamcleat.errors import PlatformError
 from balsamcleat.ports.rows import RowChange, RowCommit, RowKey, RowStore, RowWrite
--- a/tests/test_shared_limit.py
+++ b/tests/test_shared_limit.py
@@ -20,16 +20,13 @@
     owner,
     run_limits,
 )
+from balsamcleat.decisions.limit_parts import EVEN_PART, LimitNotice, LimitReport, VmDemand
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.shared_limit import (
-    EVEN_PART,
     LIVE_REQUESTS_PER_SAMPLE,
     MAX_LIMIT_PER_S,
     STALE_VIEW_S,
-    LimitNotice,
-    LimitReport,
     TargetLimits,
-    VmDemand,
 )
 from balsamcleat.decisions.vm_watch import VmFailureDetector
 from balsamcleat.errors import AttemptFailedError
