Samples that only look at engines take no turn from live calls at a limit

Found by reading the limits again: the placement looks at all engines at each pass, also without a waiting sample, and each look without an allowance counted as a waiting sample. At a limited engine that serves live calls, too, a live call then left its turn to nobody, for 1 s: at a limit of 4 a second, calls were 1.24 s apart (0.25 expected). Only what waits is recorded as waiting now. test_samples_that_do_not_wait_... failed before (1.24 s against 0.5).

--- a/src/balsamcleat/decisions/shared_limit.py
+++ b/src/balsamcleat/decisions/shared_limit.py
@@ -312,8 +312,19 @@
         target.allowance = min(float(most), earned)
 
     def can_send(self, target_id: TargetId, now_s: float, *, is_live: bool = True) -> bool:
-        """Return whether a request may be sent to a target now; a limited one is then wanted."""
-        return self.sendable(target_id, now_s, is_live=is_live) >= 1.0
+        """Return whether a request that wants a target may be sent now; if not, it waits."""
+        if self.sendable(target_id, now_s, is_live=is_live) >= 1.0:
+            return True
+        self.record_wait(target_id, now_s, is_live=is_live)
+        return False
+
+    def record_wait(self, target_id: TargetId, now_s: float, *, is_live: bool) -> None:
+        """Record that a live call or a sample waits for a request to a limited target."""
+        target = self.targets.get(target_id)
+        if target is not None and is_live:
+            target.live_wait_at_s = now_s
+        elif target is not None:
+            target.sample_wait_at_s = now_s
 
     def sendable(self, target_id: TargetId, now_s: float, *, is_live: bool = True) -> float:
         """Return how many requests may be sent to a target now; infinite without a limit."""
@@ -327,12 +338,9 @@
                 target.allowance = self.generator.random()
         target.wanted_at_s = now_s
         self.refill(target_id, target, now_s)
-        may_send = target.allowance >= 1.0 and not self.must_yield(target, now_s, is_live=is_live)
-        if not may_send and is_live:
-            target.live_wait_at_s = now_s
-        elif not may_send:
-            target.sample_wait_at_s = now_s
-        return float(math.floor(target.allowance)) if may_send else 0.0
+        if self.must_yield(target, now_s, is_live=is_live):
+            return 0.0
+        return float(math.floor(target.allowance))
 
     def must_yield(self, target: TargetLimit, now_s: float, *, is_live: bool) -> bool:
         """Return whether the next request belongs to the other kind, which waits."""
--- a/src/balsamcleat/tasks/live_queues.py
+++ b/src/balsamcleat/tasks/live_queues.py
@@ -120,7 +120,10 @@
             if not replica.versions:
                 slots = max(0.0, slots - stats.load(now_s))
             if self.is_limited(replica):
-                slots = min(slots, limits.sendable(replica.target_id, now_s))
+                sendable = limits.sendable(replica.target_id, now_s)
+                if sendable < 1.0:
+                    limits.record_wait(replica.target_id, now_s, is_live=True)
+                slots = min(slots, sendable)
                 rate_per_s += limits.rate_at(replica.target_id, now_s)
             else:
                 has_unlimited = True
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -1,13 +1,15 @@
 """Runs the samples of the steps that this VM owns, on the targets chosen by the placement."""
 
+import math
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, TypeVarTuple, Unpack
 
 import anyio
 import anyio.abc
 import structlog
 
+from balsamcleat.decisions.engine_ranking import EngineView
 from balsamcleat.decisions.pass_pacing import delay_after_pass
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
@@ -182,14 +184,23 @@
             backlogs[service] = len(waiting)
             engines = self.view.engines(service, now_s)
             routes = {step.step_id: route for step, route in steps}
-            for placement in place_samples(waiting, engines):
+            placements = place_samples(waiting, engines)
+            for placement in placements:
                 self.start_sample(placement, routes[placement.step_id])
+            if len(placements) < len(waiting):
+                self.record_waits(engines, now_s)
             if may_move:
                 running = [item for step, _ in steps for item in self.view.movable_samples(step)]
                 for move in find_moves(running, engines):
                     self.move_sample(move)
         self.stats_registry.limits.record_backlogs(backlogs)
 
+    def record_waits(self, engines: Iterable[EngineView], now_s: float) -> None:
+        """Record at the limits of engines that samples wait for them."""
+        for engine in engines:
+            if not math.isinf(engine.sendable):
+                self.stats_registry.limits.record_wait(engine.target_id, now_s, is_live=False)
+
     def group_by_service(
         self, table: RoutingTable, steps: list[OwnedStep], now_s: float
     ) -> dict[ServiceName, list[tuple[OwnedStep, Route]]]:
--- a/tests/test_shared_limit.py
+++ b/tests/test_shared_limit.py
@@ -1,6 +1,7 @@
 """Targets get no more requests than the limits that they name, from all VMs together."""
 
 import random
+from itertools import pairwise
 
 import anyio
 import pytest
@@ -190,6 +191,17 @@
         assert late.count("sample") * LIVE_REQUESTS_PER_SAMPLE <= late.count("live") + 3
         assert late.count("sample") >= 4
 
+    def test_samples_that_do_not_wait_take_no_turn_of_live_calls(self) -> None:
+        """A VM that runs samples looks at its engines all the time; live calls waited for 1 s."""
+        limits = one_vm(4.0)
+        times = []
+        for number in range(1000):
+            now_s = number / 50
+            limits.sendable(TARGET, now_s, is_live=False)
+            if limits.take(TARGET, now_s, is_live=True):
+                times.append(now_s)
+        assert max(after - before for before, after in pairwise(times)) < 0.5
+
     def test_allowance_for_samples_alone_is_the_whole_limit(self) -> None:
         limits = one_vm()
         sent = sum(limits.take(TARGET, number / 50, is_live=False) for number in range(1000))
