Test BUDGET under random restarts of VMs and faults of the store

Twelve seeds in virtual time, five minutes each: VMs start again without memory, the store goes away, refuses commits, loses answers and drops its history, targets answer with errors in between. Only runs that VMs in touch send late are counted, as the operators do; all are kept.

--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 
 import anyio
+import anyio.abc
+import pytest
 
 from balsamcleat.decisions.crash_suspects import (
     BLOCK_LIFETIME_S,
@@ -37,6 +39,8 @@
 from live_world import SERVICE, route
 from step_world import make_engine, run_in_virtual_time
 
+# VMs count as in touch with the platform this long after they or the store were disturbed.
+IN_TOUCH_AFTER_S = 3.0
 DIGEST = content_digest("host.example", "POST", "/x", b"poison")
 
 
@@ -365,6 +369,85 @@
     run_in_virtual_time(scenario)
 
 
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_request_stays_within_the_budget_while_vms_and_the_store_fail(seed: int) -> None:
+    """The operators' rule, for runs sent by VMs in touch, under random faults.
+
+    VMs start again without memory, the store goes away, loses answers, refuses commits and drops
+    its history, and targets answer the request with errors, which are no evidence either way.
+    """
+    generator = random.Random(seed)
+
+    async def scenario() -> None:
+        store = MemoryRowStore()
+        crashed_at_s: list[float] = []
+        late = 0
+        async with anyio.create_task_group() as tasks:
+            vms = [start_vm(store, tasks, number) for number in range(4)]
+            unstable_at_s = anyio.current_time()
+            for tick in range(1200):
+                await anyio.sleep(0.25)
+                now_s = anyio.current_time()
+                if tick % 40 < 8 and generator.random() < 0.3:
+                    unstable_at_s = now_s
+                    spoil_store(store, [vm for vm, _, _ in vms], generator)
+                elif tick % 40 == 8:
+                    unstable_at_s = now_s
+                    for vm, _, _ in vms:
+                        vm.flaws.down = False
+                if generator.random() < 0.02:
+                    place = generator.randrange(4)
+                    vms[place][2].cancel()
+                    vms[place] = start_vm(store, tasks, 4 + tick)
+                vm, started_s, _ = generator.choice(vms)
+                if not await vm.may_send():
+                    continue
+                is_in_touch = now_s - max(started_s, unstable_at_s) >= IN_TOUCH_AFTER_S
+                is_late = len(crashed_at_s) >= CRASHES_TO_BLOCK and (
+                    now_s > crashed_at_s[CRASHES_TO_BLOCK - 1] + IN_TOUCH_AFTER_S
+                )
+                late += is_in_touch and is_late
+                if generator.random() < 0.8:
+                    vm.history.record_crash(run_at(1000 + tick), "cut off")
+                    crashed_at_s.append(now_s)
+            tasks.cancel_scope.cancel()
+        assert len(crashed_at_s) >= CRASHES_TO_BLOCK
+        assert late <= 3
+
+    run_in_virtual_time(scenario)
+
+
+def start_vm(
+    store: MemoryRowStore, tasks: anyio.abc.TaskGroup, number: int
+) -> tuple[Vm, float, anyio.CancelScope]:
+    """Start a VM; return it with the time of its start and what ends it."""
+    vm, scope = Vm(store, number), anyio.CancelScope()
+
+    async def run() -> None:
+        with scope:
+            async with anyio.create_task_group() as own:
+                own.start_soon(vm.history.run)
+                own.start_soon(vm.follower.run)
+
+    tasks.start_soon(run)
+    return vm, anyio.current_time(), scope
+
+
+def spoil_store(store: MemoryRowStore, vms: list[Vm], generator: random.Random) -> None:
+    """Let the store go away, refuse commits or lose answers for a VM, or drop its history."""
+    kind = generator.choice(("down", "refuse", "lose", "history"))
+    vm = generator.choice(vms)
+    if kind == "down":
+        for other in vms:
+            other.flaws.down = True
+    elif kind == "refuse":
+        vm.flaws.refuse_commits += 2
+    elif kind == "lose":
+        vm.flaws.lose_answers += 2
+    else:
+        store.forget_history()
+
+
 def test_caller_that_leaves_while_its_suspect_waits_holds_up_no_other() -> None:
     """A suspect runs once at a time; one whose caller left would be taken to run for ever."""
 
