--- a/tests/test_shared_limit.py
+++ b/tests/test_shared_limit.py
@@ -72,6 +72,26 @@
 LOADS = list(LIMIT_LOADS.values())
 
 
+def random_load(generator: random.Random) -> LimitLoad:
+    """Return a load of VMs that each are busy at times, while some read no rows."""
+    vm_count = generator.randint(2, 16)
+    rates = [generator.choice((0.0, 0.5, 5.0, 60.0)) for _ in range(vm_count)]
+    periods_s = [generator.uniform(1.0, 12.0) for _ in range(vm_count)]
+    phases_s = [generator.uniform(0.0, 12.0) for _ in range(vm_count)]
+    cut_from_s, cut_for_s = generator.uniform(2.0, 15.0), generator.uniform(1.0, 12.0)
+    cut = range(generator.randint(0, vm_count))
+
+    def rate_per_s(number: int, now_s: float) -> float:
+        is_busy = (now_s + phases_s[number]) % periods_s[number] < periods_s[number] / 2
+        return rates[number] if is_busy else 0.0
+
+    def cut_vms(now_s: float) -> range:
+        return cut if cut_from_s <= now_s < cut_from_s + cut_for_s else range(0)
+
+    limit_per_s = generator.choice((0.0, 0.3, 1.0, 4.0, 15.0, 60.0))
+    return LimitLoad(vm_count, limit_per_s, rate_per_s, 30.0, cut_vms)
+
+
 class TestManyVms:
     @pytest.mark.parametrize("limit_per_s", [0.1, 1.0, 5.0, 40.0])
     @pytest.mark.parametrize("rate_per_s", LOADS)
@@ -107,6 +127,11 @@
             assert figures.most_in_window <= figures.allowed_in_window
             assert figures.used_share > 0.5
 
+    @pytest.mark.parametrize("seed", range(1, 9))
+    def test_random_loads_and_cuts_stay_within_the_limit(self, seed: int) -> None:
+        figures = play_limit(random_load(random.Random(seed)), "shared", seed)
+        assert figures.most_in_window <= figures.allowed_in_window
+
     def test_report_shows_use_and_excess_of_the_limit(self, tmp_path) -> None:
         outcome = run_limits(1, 10.0, tmp_path, vm_counts=(12,))
         assert not outcome.broken_bounds
