Test that callers rejected for a limit return one by one at its rate

Four callers at two a second get delays at least 0.2 s apart; without the interval of the limit they return within the pace of the service time.

--- a/tests/test_shared_limit.py
+++ b/tests/test_shared_limit.py
@@ -22,6 +22,7 @@
     run_limits,
 )
 from balsamcleat.decisions.limit_parts import EVEN_PART, LimitNotice, LimitReport, VmDemand
+from balsamcleat.decisions.live_queue import LiveQueue, Rejected, SlotEstimate, new_ticket
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.shared_limit import (
     LIVE_REQUESTS_PER_SAMPLE,
@@ -233,6 +234,18 @@
         assert sent >= 0.9 * LIMIT_PER_S * 20
 
 
+def test_rejected_callers_are_told_to_return_one_by_one_at_the_rate_of_the_limit() -> None:
+    """Callers that return together are a wave that the limit turns away again."""
+    queue = LiveQueue(random.Random(1))
+    for _ in range(4):
+        queue.enqueue(new_ticket(1, deadline_s=9.0, requested_at_s=0.0, objective_s=0.2))
+    slots = SlotEstimate(capacity=0.0, others_in_flight=0.0, own_in_flight=0, min_interval_s=0.5)
+    decisions = queue.decide(slots, 0.0)
+    delays = [decision.retry_after_s for decision in decisions if isinstance(decision, Rejected)]
+    assert len(delays) == 4
+    assert all(after - before >= 0.2 for before, after in pairwise(sorted(delays)))
+
+
 @pytest.mark.parametrize(
     ("value", "limit_per_s"), [("2.5", 2.5), ("0", 0.0), ("1e9", 1e9), (None, None)]
 )
