Soak: overlapping restarts of a VM leave no process behind

Two faults had restarted one VM at the same time, and the second start replaced the first process, which was then nobody's. Not the product: a VM is not started while it runs now. The new test failed before. No check is narrower.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -32,6 +32,9 @@
     frozen: bool = False
 
     def start(self) -> None:
+        """Start the process, unless an overlapping fault has started it already."""
+        if self.process is not None and self.process.poll() is None:
+            return
         environment = {**os.environ, "BALSAMCLEAT_CONFIG": str(self.settings)}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,16 @@
 """A short soak with the real processes: one seed, and those that ever failed."""
 
+import subprocess
+import sys
 from pathlib import Path
 
 import anyio
 import pytest
 
+from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from soak import play_seed
+from soak_faults import SoakVm
+from soak_stand import StoreDoor
 
 SECONDS = 6.0
 VMS = 4
@@ -18,6 +23,21 @@
     return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
 
 
+def test_overlapping_restarts_of_a_vm_leave_no_process_behind(tmp_path: Path) -> None:
+    """The process that was left kept the VM's addresses, and the next run could not use them."""
+    store = MemoryRowStore()
+    door = StoreDoor(RowStoreView(store, RowStoreFlaws()))
+    vm = SoakVm("vm", "127.0.0.1", door, tmp_path / "settings.json", tmp_path / "log")
+    first = vm.process = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
+    try:
+        vm.start()
+        assert vm.process is first
+    finally:
+        vm.end()
+        first.kill()
+        first.wait()
+
+
 @pytest.mark.parametrize("seed", seeds())
 def test_every_promise_is_kept_through_faults_in_series(seed: int, tmp_path: Path) -> None:
     soak = anyio.run(play_seed, seed, SECONDS, VMS, tmp_path)
