Logs: the software version of targets, with their start, in the list, in runs of samples and of streams

To tell the hypotheses of ORDER apart: which version wrote which events, and which start of a target was listed then. No logic reads the version yet.

--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -81,7 +81,7 @@
     event(
         "stream attempt failed",
         "A stream broke off after this event.",
-        f"request target last_event kind reason {CONTENT}",
+        f"request target software last_event kind reason {CONTENT}",
     ),
     event(
         "request cut off by its target",
@@ -134,7 +134,8 @@
     event(
         "sample run ended",
         "A run at a target is over; load, pace and version are what was believed at its start.",
-        "step sample target end reason events resumed_at took_s load pace_ms version content",
+        "step sample target end reason events resumed_at took_s load pace_ms version software"
+        " content",
     ),
     event("sample run failed by a fault", "A fault of this program.", "step sample exception"),
     event(
@@ -153,7 +154,11 @@
     event("document refused", "It can't be read.", "key reason"),
     event("version named", "A trainer named a weight version.", "model version"),
     *(
-        event(f"target {what}", "The list says so.", "target service address row_version")
+        event(
+            f"target {what}",
+            "The list says so.",
+            "target service address software started_ms row_version",
+        )
         for what in ("listed", "ready", "draining", "restarted", "gone")
     ),
     event(
--- a/src/balsamcleat/model/replicas.py
+++ b/src/balsamcleat/model/replicas.py
@@ -31,6 +31,8 @@
         started_ms: Start time of the target, in milliseconds since the Unix epoch. It
             distinguishes a restarted target from its predecessor with the same id.
         versions: Loaded weight version of each model, by the model's name.
+        software_version: Version of the target's software, unrelated to its weights; versions have
+            no order. Empty if it is unknown.
         entry_version: Version of the entry, increased by each write to the list.
     """
 
@@ -43,6 +45,7 @@
     slow_start_s: float = 0.0
     started_ms: int = 0
     versions: dict[str, WeightVersion] = field(default_factory=dict)
+    software_version: str = ""
     entry_version: int = 0
 
 
--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -132,6 +132,8 @@
     address: str
     state: str
     zone: str = ""
+    # Version of the target's software, while each of ``models`` has that of its weights.
+    version: str = ""
     batch_slots: int = 1
     cold_left_ms: float = 0.0
     # Start of the target's process in Unix milliseconds.
@@ -251,5 +253,6 @@
         slow_start_s=fields.cold_left_ms / MS_PER_S,
         started_ms=fields.born,
         versions={model.name: WeightVersion(model.version) for model in fields.models},
+        software_version=fields.version,
         entry_version=version,
     )
--- a/src/balsamcleat/tasks/replica_keeper.py
+++ b/src/balsamcleat/tasks/replica_keeper.py
@@ -95,6 +95,8 @@
                 target=change.target_id,
                 service=change.replica.service if change.replica else None,
                 address=change.replica.address if change.replica else None,
+                software=change.replica.software_version if change.replica else None,
+                started_ms=change.replica.started_ms if change.replica else None,
                 row_version=version,
             )
             if change.replica is None or change.reason == "restarted":
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -310,6 +310,7 @@
             load=round(run.load, 1),
             pace_ms=round(run.event_interval_s * 1000, 1),
             version=run.version,
+            software=assignment.replica.software_version,
             content=sample_digest(assignment) if outcome.end is SampleEnd.INTERRUPTED else None,
         )
         was_cancelled = outcome.reason == CANCELLED_RUN_REASON
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -281,6 +281,7 @@
             "stream attempt failed",
             request=call.attempt_id,
             target=replica.target_id,
+            software=replica.software_version,
             last_event=relay.last_event,
             kind=failure.kind.value,
             reason=failure.message,
