--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -1,7 +1,7 @@
 """Test environment: an HTTP server that forwards live requests to raw targets on loopback."""
 
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -162,6 +162,10 @@
     def pool(self) -> ConnectionPool:
         return self.vms[0].pool
 
+    def target_id(self, number: int) -> TargetId:
+        """Return the id of a target in the list."""
+        return TargetId(f"t{number}")
+
     def restart_target(self, number: int, started_ms: int) -> None:
         """List a target again under its id, with a later start."""
         for vm in self.vms:
@@ -188,7 +192,9 @@
         return caller
 
 
-def listed_replica(number: int, target: RawTarget, started_ms: int = 0) -> Replica:
+def listed_replica(
+    number: int, target: RawTarget, started_ms: int = 0, software: str = "v1"
+) -> Replica:
     """Return the entry of a target in the target list; a restart has a later start time."""
     return Replica(
         target_id=TargetId(f"t{number}"),
@@ -198,6 +204,7 @@
         state=ReplicaState.READY,
         slots=SLOTS,
         started_ms=started_ms,
+        software_version=software,
         entry_version=1 + started_ms,
     )
 
@@ -261,10 +268,24 @@
     live_route: Route,
     limits: ServerLimits | None = None,
     vm_count: int = 1,
+    software: Sequence[str] = (),
 ) -> AsyncIterator[LiveWorld]:
+    """Run VMs and targets.
+
+    Args:
+        scripts: Scripts of the targets.
+        live_route: Route of all requests.
+        limits: Limits of the VMs' servers.
+        vm_count: Number of VMs.
+        software: Software versions of the targets, by their numbers; "v1" for the rest.
+    """
     async with AsyncExitStack() as stack:
         targets = [await stack.enter_async_context(raw_target(script)) for script in scripts]
-        replicas = [listed_replica(number, target) for number, target in enumerate(targets)]
+        versions = [*software, *["v1"] * (len(targets) - len(software))]
+        replicas = [
+            listed_replica(number, target, software=version)
+            for number, (target, version) in enumerate(zip(targets, versions, strict=True))
+        ]
         group = await stack.enter_async_context(anyio.create_task_group())
         store = MemoryRowStore()
         vms = [
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -22,6 +22,9 @@
     listener: anyio.abc.Listener[anyio.abc.SocketStream] | None = None
 
     has_crashed: bool = False
+    # Start time that the target reports; reports are no requests.
+    started_ms: int = 0
+    report_count: int = 0
     streams: set[anyio.abc.SocketStream] = field(default_factory=set)
 
     async def crash(self) -> None:
@@ -56,6 +59,21 @@
         self.streams.discard(stream)
 
     async def read_request(self, stream: anyio.abc.SocketStream) -> bytes:
+        """Read the next request; answer questions for the target's state that come before it."""
+        data = await self.read_message(stream)
+        while data.startswith(b"GET /report "):
+            self.report_count += 1
+            body = f'{{"born":{self.started_ms}}}'.encode()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            await stream.send(head.encode() + body)
+            data = await self.read_message(stream)
+        self.requests.append(data)
+        self.request_received.set()
+        self.next_request.set()
+        self.next_request = anyio.Event()
+        return data
+
+    async def read_message(self, stream: anyio.abc.SocketStream) -> bytes:
         data = b""
         while b"\r\n\r\n" not in data:
             data += await stream.receive()
@@ -64,11 +82,7 @@
             if line.lower().startswith(b"content-length:"):
                 while len(body) < int(line.split(b":")[1]):
                     body += await stream.receive()
-        self.requests.append(head + b"\r\n\r\n" + body)
-        self.request_received.set()
-        self.next_request.set()
-        self.next_request = anyio.Event()
-        return data
+        return head + b"\r\n\r\n" + body
 
 
 @asynccontextmanager
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -89,6 +89,7 @@
         state=ReplicaState.READY,
         slots=slots,
         versions={MODEL: version},
+        software_version="v1",
         entry_version=1,
     )
 
@@ -146,6 +147,11 @@
         # Samples under which engines crash and start again under their ids.
         self.crashing_samples: set[str] = set()
         self.on_crash: Callable[[Replica], None] = lambda _: None
+        # Software versions that wrote the events of each sample's text.
+        self.writers: dict[str, list[str]] = {}
+        # Number of events after which a sample's stream is cut once, by sample id.
+        self.cuts: dict[str, int] = {}
+        self.on_cut: Callable[[Replica], None] = lambda _: None
 
     def send(self, replica: Replica) -> bool:
         """Send a request as the exchange does, if the engine's limit allows it."""
@@ -172,11 +178,19 @@
             if ends:
                 return scripted_outcome(ends.pop(0))
             progress.begin_stream(assignment.replica.versions[MODEL])
+            writers = self.writers.setdefault(sample_id, [])
+            del writers[len(progress.events) :]
+            writers += ["unknown"] * (len(progress.events) - len(writers))
             while len(progress.events) < self.event_count(sample_id):
+                if len(progress.events) == self.cuts.get(sample_id):
+                    del self.cuts[sample_id]
+                    self.on_cut(assignment.replica)
+                    return scripted_outcome(SampleEnd.INTERRUPTED)
                 event_s = EVENT_S * self.slowdown.get(assignment.replica.target_id, 1.0)
                 await anyio.sleep(event_s)
                 number = len(progress.events) + 1
                 assert progress.append_event(number, f"{sample_id}:{number}", None)
+                writers.append(assignment.replica.software_version)
                 stats.record_event_interval(event_s, anyio.current_time())
             return SampleRunOutcome(SampleEnd.COMPLETE)
         finally:
@@ -276,6 +290,7 @@
     store: MemoryRowStore = field(default_factory=MemoryRowStore)
     vms: dict[str, StepVm] = field(default_factory=dict)
     directory: ReplicaDirectory = field(default_factory=ReplicaDirectory)
+    writers: dict[str, list[str]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for number in range(self.engines):
@@ -287,6 +302,13 @@
         started_ms, version = entry.started_ms + 1, entry.entry_version + 1
         self.directory.apply_entry(replace(entry, started_ms=started_ms, entry_version=version))
 
+    def replace_engine(self, replica: Replica, number: int, software: str) -> None:
+        """Remove an engine, and list another one with other software."""
+        self.directory.apply_removal(replica.target_id, anyio.current_time())
+        self.directory.apply_entry(
+            replace(make_engine(number, self.slots), software_version=software)
+        )
+
     async def start(self, name: str, boot: str = "boot") -> StepVm:
         """Start a VM and wait until it has read the store."""
         view = RowStoreView(self.store, RowStoreFlaws(delay_s=0.002))
@@ -294,6 +316,7 @@
         records = RolloutRecords(view)
         engines = SimulatedEngines(stats_registry, self.event_count)
         engines.on_crash = self.restart_engine
+        engines.writers = self.writers
         generator = random.Random(name)
         store_clock = StoreClock(anyio.current_time)
         vm_row = VmRow(name, boot, f"{name}:80", "a", 0)
