--- a/src/balsamcleat/bench/probes/entry.py
+++ b/src/balsamcleat/bench/probes/entry.py
@@ -37,6 +37,7 @@
 from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.shared_crash_history import SharedCrashHistory
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
+from balsamcleat.tasks.stream_register import StreamRegister
 
 __all__ = ["EntryCallProbe", "EntryTokenProbe"]
 
@@ -108,7 +109,9 @@
         guard = CrashGuard(CrashDetector(history, lambda _: True, lambda: True))
         pool = ConnectionPool(PoolLimits(), CORRELATION_HEADER)
         forwarder = LiveForwarder(directory, book, pool, ZONE, generator, guard, queues)
-        answerer = StreamForwarder(forwarder) if kind is RouteKind.STREAM else forwarder
+        register = StreamRegister("vm", pool, lambda: [], directory)
+        streams = StreamForwarder(forwarder, register)
+        answerer = streams if kind is RouteKind.STREAM else forwarder
         only = route(kind)
 
         async def answer(request: Request, responder: Responder) -> None:
--- a/src/balsamcleat/decisions/crash_suspects.py
+++ b/src/balsamcleat/decisions/crash_suspects.py
@@ -13,6 +13,7 @@
 
 from balsamcleat.decisions.request_content import RequestParts
 from balsamcleat.model import TargetId
+from balsamcleat.model.replicas import TargetStart
 
 __all__ = [
     "BLOCK_LIFETIME_S",
@@ -21,7 +22,6 @@
     "CrashHistory",
     "RunVerdict",
     "TargetRun",
-    "TargetStart",
     "UnfinishedRuns",
 ]
 
@@ -52,19 +52,6 @@
     BLOCKED = "blocked"
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class TargetStart:
-    """One start of a target, because a target that restarts may keep its id.
-
-    Attributes:
-        target_id: Id of the target.
-        started_ms: Start time of the target, in milliseconds since the Unix epoch.
-    """
-
-    target_id: TargetId
-    started_ms: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class TargetRun:
     """One run of a request at a target.
--- a/src/balsamcleat/decisions/engine_ranking.py
+++ b/src/balsamcleat/decisions/engine_ranking.py
@@ -30,6 +30,10 @@
 PROMPT_BONUS = 0.6
 # Cost of an engine in another availability zone, in shares of a full batch.
 OTHER_ZONE_COST = 0.05
+# Cost of an engine whose software is being replaced, in shares of a full batch. Its slots are left
+# to the interrupted samples that only that software can continue, and new samples begin where they
+# can also end.
+REPLACED_SOFTWARE_COST = 0.25
 # Cost of an engine that takes twice as long for an event as the fastest one, in shares of a full
 # batch. Samples are assigned longest first, so the long ones get the fast engines.
 PACE_COST = 2.0
@@ -42,10 +46,12 @@
     Attributes:
         model: Name of the model.
         oldest_version: Oldest weight version that may generate the sample.
+        software_version: Software version that began the sample; None if it has not begun.
     """
 
     model: str
     oldest_version: WeightVersion
+    software_version: str | None = None
 
 
 @dataclass(slots=True)
@@ -64,6 +70,8 @@
         sendable: Number of requests that this VM may send to the engine now.
         is_local: Whether the engine is in this VM's availability zone.
         recent_prompts: Ids of the prompts that the engine processed recently.
+        software_version: Version of the engine's software.
+        is_replaced: Whether engines of this software version are being replaced.
     """
 
     target_id: TargetId
@@ -76,6 +84,8 @@
     sendable: float = math.inf
     is_local: bool = True
     recent_prompts: Collection[str] = field(default_factory=set)
+    software_version: str = ""
+    is_replaced: bool = False
 
 
 def fastest_event_interval_s(engines: Iterable[EngineView]) -> float:
@@ -96,6 +106,7 @@
         and engine.load + 1.0 <= engine.slots
         and requirements.model not in engine.loading_models
         and engine.loaded_versions.get(requirements.model, 0) >= requirements.oldest_version
+        and requirements.software_version in (None, engine.software_version)
     )
 
 
@@ -104,6 +115,8 @@
     cost = engine.load / engine.slots
     if not engine.is_local:
         cost += OTHER_ZONE_COST
+    if engine.is_replaced:
+        cost += REPLACED_SOFTWARE_COST
     if fastest_s > 0.0 and engine.event_interval_s > 0.0:
         slowness = engine.event_interval_s / fastest_s
         cost += PACE_COST * (slowness - 1.0)
--- a/src/balsamcleat/decisions/replica_choice.py
+++ b/src/balsamcleat/decisions/replica_choice.py
@@ -19,6 +19,9 @@
 # Cost of a target in another availability zone.
 OTHER_ZONE_COST = 0.4
 SLOW_START_COST = 0.5
+# Cost of a target whose software is being replaced; only counted for streams, which would end
+# with its last target.
+REPLACED_SOFTWARE_COST = 0.25
 AVOIDED_COST = 10.0
 TIE_COST = 0.05
 # Cost reduction for a target that probably has the prompt cached.
@@ -47,6 +50,7 @@
     now_s: float,
     generator: random.Random,
     prompt_ids: Collection[str] = (),
+    replaced_versions: Collection[str] = (),
 ) -> Replica | None:
     """Return the target with the lowest cost, or None if all are excluded."""
     best: Replica | None = None
@@ -60,6 +64,8 @@
             for prompt_id in prompt_ids
         ):
             cost -= PROMPT_BONUS
+        if replica.software_version in replaced_versions:
+            cost += REPLACED_SOFTWARE_COST
         if cost < best_cost:
             best, best_cost = replica, cost
     return best
--- a/src/balsamcleat/decisions/replica_directory.py
+++ b/src/balsamcleat/decisions/replica_directory.py
@@ -6,12 +6,16 @@
 
 A target may also announce in its responses that it is leaving, before the list says so and while
 this VM can't read the list. It gets no new work from then on, until it starts again.
+
+While the targets of a service are replaced, the list says which software version each start of a
+target runs, and which versions are on their way out.
 """
 
 from dataclasses import dataclass
 
+from balsamcleat.decisions.stream_origin import LIST_DELAY_S, StreamOrigin
 from balsamcleat.model import ServiceName, TargetId
-from balsamcleat.model.replicas import Replica, ReplicaState
+from balsamcleat.model.replicas import Replica, ReplicaState, StreamSoftware, TargetStart
 
 __all__ = ["STORE_RECOVERY_GRACE_S", "ReplicaChange", "ReplicaDirectory"]
 
@@ -20,6 +24,10 @@
 STORE_RECOVERY_GRACE_S = 2.0
 # The oldest announcements are forgotten beyond this number; ids of targets are rarely used again.
 MAX_ANNOUNCED_DEPARTURES = 10_000
+# The oldest ends of targets are forgotten beyond this number.
+MAX_RECORDED_ENDS = 10_000
+# A version of which a target left within this time is being replaced, in seconds.
+REPLACEMENT_MEMORY_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,11 +58,75 @@
         # kept.
         self.missing_until_s: dict[TargetId, float] = {}
         self.store_recovered_at_s = float("-inf")
-        # Start times of the targets that announced their departure. They outlast the entries,
-        # which may lapse and come back.
+        # Start times of the targets that announced their departure, or were found to have ended.
+        # They outlast the entries, which may lapse and come back.
         self.departing_starts: dict[TargetId, int] = {}
+        # Time until which this VM knows the list, and when it no longer showed a start.
+        self.read_at_s = float("-inf")
+        self.ended_at_s: dict[TargetStart, float] = {}
+        # Time of the last departure of a target, by its software.
+        self.departed_at_s: dict[StreamSoftware, float] = {}
+
+    def record_read(self, now_s: float) -> None:
+        """Record that all changes of the list until now were applied."""
+        self.read_at_s = now_s
+
+    def certain_software(self, origin: StreamOrigin | None) -> StreamSoftware | None:
+        """Return the software that began a stream, or None if that is not certain.
+
+        The list is late: it is certain that a connection led to a start that the list showed then
+        once the list has been read later by its delay and still showed that start.
+        """
+        if origin is None:
+            return None
+        if not origin.is_confirmed and not self.has_reached(origin.start, origin.connected_at_s):
+            return None
+        return origin.software
+
+    def has_reached(self, start: TargetStart, connected_at_s: float) -> bool:
+        """Return whether a connection that was opened then certainly led to this start."""
+        settled_s = connected_at_s + LIST_DELAY_S
+        return self.read_at_s >= settled_s and self.ended_at_s.get(start, settled_s) >= settled_s
+
+    def record_end(self, start: TargetStart, now_s: float) -> None:
+        """Record that the list no longer shows a start of a target."""
+        self.ended_at_s.setdefault(start, now_s)
+        if len(self.ended_at_s) > MAX_RECORDED_ENDS:
+            del self.ended_at_s[next(iter(self.ended_at_s))]
+
+    def software_versions(self, service: ServiceName) -> set[str]:
+        """Return the software versions of the targets of a service that take new work."""
+        return {replica.software_version for replica in self.ready_replicas(service)}
+
+    def replaced_versions(self, service: ServiceName, now_s: float) -> set[str]:
+        """Return the software versions whose targets are being replaced by those of others."""
+        versions = self.software_versions(service)
+        if len(versions) < 2:
+            return set()
+        return {
+            software.version
+            for software, departed_at_s in self.departed_at_s.items()
+            if software.service == service and now_s - departed_at_s < REPLACEMENT_MEMORY_S
+        }
+
+    def record_departure(self, replica: Replica | None, now_s: float) -> None:
+        """Record that a target leaves."""
+        if replica is not None and replica.software is not None:
+            self.departed_at_s[replica.software] = now_s
+
+    def mark_ended(self, replica: Replica, now_s: float) -> None:
+        """Record that a target has started again although the list does not show it yet."""
+        self.record_end(replica.start, now_s)
+        self.close_start(replica)
+        self.remove_ready(replica)
+
+    def close_start(self, replica: Replica) -> None:
+        """Record that a start of a target takes no new work whatever the list says."""
+        self.departing_starts[replica.target_id] = replica.started_ms
+        if len(self.departing_starts) > MAX_ANNOUNCED_DEPARTURES:
+            del self.departing_starts[next(iter(self.departing_starts))]
 
-    def mark_leaving(self, replica: Replica) -> bool:
+    def mark_leaving(self, replica: Replica, now_s: float = float("-inf")) -> bool:
         """Record that a target announced its departure; return whether that is new."""
         if self.departing_starts.get(replica.target_id) == replica.started_ms:
             return False
@@ -62,10 +134,9 @@
         if current is not None and current.started_ms > replica.started_ms:
             # The announcement is from before the target's restart.
             return False
-        self.departing_starts[replica.target_id] = replica.started_ms
-        if len(self.departing_starts) > MAX_ANNOUNCED_DEPARTURES:
-            del self.departing_starts[next(iter(self.departing_starts))]
+        self.close_start(replica)
         self.remove_ready(current)
+        self.record_departure(replica, now_s)
         return True
 
     def is_leaving(self, replica: Replica) -> bool:
@@ -87,12 +158,14 @@
         for target_id in [known_id for known_id in self.entries if known_id not in replicas]:
             changes += self.apply_removal(target_id, now_s)
         for replica in replicas.values():
-            changes += self.apply_entry(replica)
+            changes += self.apply_entry(replica, now_s)
         return changes
 
-    def apply_entry(self, replica: Replica) -> list[ReplicaChange]:
+    def apply_entry(self, replica: Replica, now_s: float = float("-inf")) -> list[ReplicaChange]:
         """Apply an entry that was written; return the changes."""
         self.missing_until_s.pop(replica.target_id, None)
+        if not self.is_leaving(replica):
+            self.ended_at_s.pop(replica.start, None)
         previous = self.entries.get(replica.target_id)
         if previous is not None and replica.entry_version <= previous.entry_version:
             return []
@@ -103,8 +176,11 @@
         if previous is None:
             return [ReplicaChange(replica.target_id, replica, "listed")]
         if previous.started_ms != replica.started_ms:
+            self.record_end(previous.start, now_s)
             return [ReplicaChange(replica.target_id, replica, "restarted")]
         if previous.state is not replica.state:
+            if replica.state is ReplicaState.DRAINING:
+                self.record_departure(replica, now_s)
             return [ReplicaChange(replica.target_id, replica, replica.state.value)]
         return []
 
@@ -112,6 +188,7 @@
         """Apply the removal of an entry; return the changes, none during the recovery grace."""
         if target_id not in self.entries:
             return []
+        self.record_end(self.entries[target_id].start, now_s)
         keep_until_s = self.store_recovered_at_s + STORE_RECOVERY_GRACE_S
         if now_s < keep_until_s:
             self.missing_until_s.setdefault(target_id, keep_until_s)
--- a/src/balsamcleat/decisions/sample_placement.py
+++ b/src/balsamcleat/decisions/sample_placement.py
@@ -5,7 +5,9 @@
 reports as old as this VM's. Another sample adds nearly no cost to an engine's batch, so all slots
 are filled, those of fast engines first, and samples of a group go to an engine that has already
 processed their prompt. Engines differ in pace, and a step is due about when its longest sample
-ends on a fast engine, so the longest samples get the fast engines. No sample is queued at a full
+ends on a fast engine, so the longest samples get the fast engines. Samples that have begun go on
+only at engines of one software version, which grow few and full during a release, so they are
+placed before new ones. No sample is queued at a full
 engine: as long as it waits on this VM, it can still be placed on any engine.
 """
 
@@ -83,7 +85,7 @@
     waiting: Iterable[WaitingSample], engines: Sequence[EngineView]
 ) -> list[Placement]:
     """Return placements for waiting samples, best rank first; updates the load of ``engines``."""
-    samples = sorted(waiting, key=lambda item: item.rank)
+    samples = sorted(waiting, key=placement_key)
     if not samples:
         return []
     ranking = EngineRanking(engines, {sample.prompt_id for sample in samples})
@@ -95,6 +97,11 @@
     return placements
 
 
+def placement_key(sample: WaitingSample) -> tuple[bool, tuple[float, SampleRank]]:
+    """Return the key by which samples are placed: those that have begun, then by rank."""
+    return sample.requirements.software_version is None, sample.rank
+
+
 def find_moves(running: Iterable[RunningSample], engines: Sequence[EngineView]) -> list[Placement]:
     """Return new placements for samples to move off slow engines, most remaining events first."""
     by_id = {engine.target_id: engine for engine in engines}
--- a/src/balsamcleat/decisions/sample_progress.py
+++ b/src/balsamcleat/decisions/sample_progress.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from balsamcleat.model import WeightVersion
+from balsamcleat.decisions.stream_origin import StreamOrigin
+from balsamcleat.model import ServiceName, WeightVersion
+from balsamcleat.model.replicas import StreamSoftware
 
 __all__ = ["FIRST_EVENT_NUMBER", "ProgressSlice", "SampleProgress", "SavedProgress", "join_slices"]
 
@@ -20,12 +22,14 @@
         versions: Weight versions that generated the events.
         first_event: Number of the first event.
         complete: Whether the sample has ended.
+        software: Software that wrote the events, or None if it is not certain.
     """
 
     events: tuple[str, ...]
     versions: tuple[WeightVersion, ...]
     first_event: int
     complete: bool
+    software: StreamSoftware | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +43,9 @@
         events: Data of the events.
         versions: Weight versions of all events up to the end of the slice.
         complete: Whether the slice ends the sample.
+        service: Service of the software that wrote the sample's events; empty if that software is
+            not certain, or if an older build saved the slice.
+        software_version: Version of that software.
     """
 
     generation: int
@@ -47,6 +54,15 @@
     events: tuple[str, ...]
     versions: tuple[WeightVersion, ...]
     complete: bool = False
+    service: str = ""
+    software_version: str = ""
+
+    @property
+    def software(self) -> StreamSoftware | None:
+        """Software that wrote the sample's events, or None if it is not certain."""
+        if not self.service or not self.software_version:
+            return None
+        return StreamSoftware(ServiceName(self.service), self.software_version)
 
 
 def join_slices(slices: Iterable[ProgressSlice]) -> SavedProgress | None:
@@ -56,15 +72,17 @@
     events: list[str] = []
     versions: tuple[WeightVersion, ...] = ()
     complete = False
+    software: StreamSoftware | None = None
     for part in newest:
         if part.start > len(events):
             break
         events[part.start :] = part.events
         versions = part.versions
         complete = part.complete
+        software = part.software
     if not events:
         return None
-    return SavedProgress(tuple(events), versions, newest[0].first_event, complete)
+    return SavedProgress(tuple(events), versions, newest[0].first_event, complete, software)
 
 
 @dataclass(slots=True)
@@ -77,6 +95,8 @@
         first_event: Number of the first event.
         current_version: Weight version of the stream that is being read; None if it is unknown.
         generation: Counter that is incremented each time the events are discarded.
+        origin: Target that began the stream; None if there are no events, or if nothing is known of
+            the software that wrote them.
     """
 
     events: list[str] = field(default_factory=list)
@@ -84,15 +104,25 @@
     first_event: int = FIRST_EVENT_NUMBER
     current_version: WeightVersion | None = None
     generation: int = 0
+    origin: StreamOrigin | None = None
 
     @property
     def last_event(self) -> int | None:
         """Number of the last received event, after which to resume; None if there is none."""
         return self.first_event + len(self.events) - 1 if self.events else None
 
-    def begin_stream(self, version: WeightVersion | None) -> None:
-        """Record the start of a target's stream and the weight version that generates it."""
+    def begin_stream(
+        self, version: WeightVersion | None, origin: StreamOrigin | None = None
+    ) -> None:
+        """Record the start of a target's stream.
+
+        Args:
+            version: Weight version that generates the stream.
+            origin: Target that sends it; it counts only if the sample has no events yet.
+        """
         self.current_version = version
+        if not self.events:
+            self.origin = origin
 
     def append_event(
         self, number: int | None, data: str, new_version: WeightVersion | None
@@ -130,18 +160,22 @@
         self.versions.clear()
         self.first_event = FIRST_EVENT_NUMBER
         self.current_version = None
+        self.origin = None
         self.generation += 1
 
     def joined_events(self) -> str:
         """Return the data of all events, separated by line feeds."""
         return "\n".join(self.events)
 
-    def slice_from(self, start: int, *, complete: bool = False) -> ProgressSlice:
+    def slice_from(
+        self, start: int, *, complete: bool = False, software: StreamSoftware | None = None
+    ) -> ProgressSlice:
         """Return the events from index ``start`` on as a slice to be saved.
 
         Args:
             start: Index of the first event of the slice.
             complete: Whether the last event ends the sample.
+            software: Software that wrote the sample's events, if that is certain.
         """
         return ProgressSlice(
             generation=self.generation,
@@ -150,9 +184,12 @@
             events=tuple(self.events[start:]),
             versions=tuple(sorted(self.versions)),
             complete=complete,
+            service=software.service if software else "",
+            software_version=software.version if software else "",
         )
 
     @classmethod
     def from_saved(cls, saved: SavedProgress) -> "SampleProgress":
         """Return the progress restored from its saved form."""
-        return cls(list(saved.events), set(saved.versions), saved.first_event)
+        origin = None if saved.software is None else StreamOrigin.certain(saved.software)
+        return cls(list(saved.events), set(saved.versions), saved.first_event, origin=origin)
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -47,7 +47,7 @@
 from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
 from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.peers import PeerPoller, PeerRequestHandler, PeerState
-from balsamcleat.tasks.relayed_store import RelayedRowStore, StoreRelay
+from balsamcleat.tasks.relayed_store import RELAY_PREFIX, RelayedRowStore, StoreRelay
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
 from balsamcleat.tasks.request_dispatcher import RequestDispatcher
 from balsamcleat.tasks.rollout_handler import RolloutHandler
@@ -63,6 +63,7 @@
 from balsamcleat.tasks.step_transfer import StepTransfer
 from balsamcleat.tasks.store_clock import StoreClock, boot_clock_s
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
+from balsamcleat.tasks.stream_register import STREAMS_PATH, StreamRegister
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.version_orders import VersionLoadController
 from balsamcleat.tasks.vm_presence import VmPresence
@@ -245,10 +246,16 @@
             self.store_clock.now_ms,
             settings.results_kept_s * 1000,
         )
+        self.stream_register = StreamRegister(
+            settings.vm,
+            self.peer_pool,
+            self.presence.watch.live_rows,
+            self.replica_directory,
+        )
         self.dispatcher = RequestDispatcher(
             lambda: self.routing_keeper.table,
             forwarder,
-            StreamForwarder(forwarder),
+            StreamForwarder(forwarder, self.stream_register),
             self.rollout_handler,
         )
         self.table_followers = [
@@ -256,7 +263,12 @@
                 self.store, OPERATOR_TABLE, self.routing_keeper, generator, single_part=True
             ),
             TableFollower(
-                self.store, REPLICA_TABLE, self.replica_keeper, generator, single_part=True
+                self.store,
+                REPLICA_TABLE,
+                self.replica_keeper,
+                generator,
+                single_part=True,
+                on_read=self.replica_keeper.record_read,
             ),
             TableFollower(self.store, STEPS_TABLE, self.step_feed, generator, single_part=False),
             TableFollower(
@@ -271,7 +283,13 @@
         )
         self.peer_server = HttpServer(
             listen(settings.peer_address),
-            PeerRequestHandler(self.peer_state, StoreRelay(self.direct_store)).handle,
+            PeerRequestHandler(
+                self.peer_state,
+                {
+                    RELAY_PREFIX: StoreRelay(self.direct_store).handle,
+                    STREAMS_PATH: self.stream_register.handle,
+                },
+            ).handle,
             lambda: ServerLimits(),
         )
         self.metrics_server = HttpServer(
@@ -340,6 +358,7 @@
                 self.live_queues.run,
                 self.crash_history.run,
                 self.crash_detector.run,
+                self.stream_register.run,
                 self.presence.run,
                 self.order_lease_keeper.run,
                 self.runner.run,
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -58,13 +58,17 @@
 
     Attributes:
         stream: Connected stream.
+        opened_at_s: Time at which the connection was opened, in seconds of the monotonic clock.
         expires_at_s: Time after which the idle connection is no longer reused, in seconds of the
             monotonic clock.
+        server_identity: What the server said on the connection of who it is; empty before.
         sent_ids: Correlation ids of the last requests on the connection, the newest last.
     """
 
     stream: ByteStream
+    opened_at_s: float = 0.0
     expires_at_s: float = 0.0
+    server_identity: str = ""
     sent_ids: dict[str, None] = field(default_factory=dict)
 
     def remember_id(self, correlation_id: str) -> None:
@@ -138,6 +142,7 @@
             connection := self.pop_idle_connection(address, correlation_id)
         ):
             return connection
+        opened_at_s = anyio.current_time()
         try:
             stream = await connect(address, self.limits.connect_timeout_s)
         except OSError as error:
@@ -149,7 +154,7 @@
                 kind=FailureKind.UNREACHED,
             ) from error
         self.opened_connections += 1
-        return PooledConnection(stream)
+        return PooledConnection(stream, opened_at_s)
 
     def release(self, address: str, connection: PooledConnection, idle_timeout_s: float) -> None:
         """Add a connection whose exchange is complete to the idle connections.
@@ -271,6 +276,20 @@
         self.connection = await self.pool.acquire(
             self.address, correlation_id, force_new_connection=force_new_connection
         )
+        await self.prepare_connection()
+        await self.send_request()
+
+    async def prepare_connection(self) -> None:
+        """Do what must be done on the connection before the request is sent; by default nothing.
+
+        Raises:
+            AttemptFailedError: The request must not be sent on the connection; nothing was sent.
+        """
+
+    async def send_request(self) -> None:
+        """Send the request on the connection and read the head of its response."""
+        assert self.connection is not None
+        correlation_id = self.pool.correlation_id(self.request.headers)
         if correlation_id is not None:
             self.connection.remember_id(correlation_id)
         data = self.encode_request()
@@ -353,6 +372,27 @@
             for name, value in event.headers.raw_items()
         )
 
+    async def ask_server(self, request: Request, timeout_s: float) -> Response:
+        """Send another request on the connection before this one, and return its response.
+
+        Raises:
+            AttemptFailedError: No complete response came, or the connection can't be used further;
+                nothing of this exchange's request was sent.
+        """
+        question = Exchange(self.pool, self.address, request)
+        question.connection = self.connection
+        response: Response | None = None
+        reason = f"no response within {timeout_s:.3f} s"
+        with anyio.move_on_after(timeout_s):
+            try:
+                await question.send_request()
+                response = await question.read_response()
+            except AttemptFailedError as error:
+                reason = error.message
+        if response is None or question.keep_alive_timeout_s() <= 0.0:
+            raise self.failure(f"a question before the request: {reason}", FailureKind.UNREACHED)
+        return response
+
     async def next_event(self) -> object:
         """Return the parser's next event; receives data until there is one."""
         assert self.connection is not None
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -83,6 +83,9 @@
         "A stream broke off after this event.",
         f"request target software last_event kind reason {CONTENT}",
     ),
+    event("streams not shared", "A VM that keeps them does not answer.", "peer reason"),
+    event("keeper did not answer", "A caller resumes a stream.", "peer stream reason"),
+    event("peer's streams unreadable", "Its message has another form.", "reason"),
     event(
         "request cut off by its target",
         "It may have crashed it. The digests tell in what two requests differ.",
@@ -145,6 +148,11 @@
     ),
     event("sample has no scorer", "No route takes the request; it is tried again.", "sample host"),
     event("sample not scored", "Its scorer failed too often; it is given up.", "step sample"),
+    event(
+        "sample begun anew",
+        "No target continues it; its events so far are lost.",
+        "step sample lost_events software reason",
+    ),
     event("sample moved", "It leaves a slow target.", "step sample source goal"),
     event("target is behind", "It runs a version that the step doesn't allow.", "target version"),
     event("results listed", "They are kept and may be read.", "step position results"),
@@ -166,6 +174,11 @@
         "It said so in an answer; it gets nothing new.",
         "target service address row_version",
     ),
+    event(
+        "target started unseen",
+        "It names a later start than the list; it gets nothing under the old one.",
+        "target listed_ms started_ms",
+    ),
     *(
         event(
             f"target limit {what}",
--- a/src/balsamcleat/model/replicas.py
+++ b/src/balsamcleat/model/replicas.py
@@ -5,7 +5,7 @@
 
 from balsamcleat.model.ids import ServiceName, TargetId, WeightVersion, ZoneName
 
-__all__ = ["Replica", "ReplicaReport", "ReplicaState"]
+__all__ = ["Replica", "ReplicaReport", "ReplicaState", "StreamSoftware", "TargetStart"]
 
 
 class ReplicaState(Enum):
@@ -15,6 +15,32 @@
     DRAINING = "draining"
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class TargetStart:
+    """One start of a target, because a target that restarts may keep its id.
+
+    Attributes:
+        target_id: Id of the target.
+        started_ms: Start time of the target, in milliseconds since the Unix epoch.
+    """
+
+    target_id: TargetId
+    started_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StreamSoftware:
+    """Software that writes a stream: a version of a service's software.
+
+    Attributes:
+        service: Service of the target.
+        version: Version of the target's software.
+    """
+
+    service: ServiceName
+    version: str
+
+
 @dataclass(frozen=True, slots=True)
 class Replica:
     """A target's entry in the platform's target list.
@@ -48,6 +74,18 @@
     software_version: str = ""
     entry_version: int = 0
 
+    @property
+    def start(self) -> TargetStart:
+        """The start of the target that the entry describes."""
+        return TargetStart(self.target_id, self.started_ms)
+
+    @property
+    def software(self) -> StreamSoftware | None:
+        """The target's software, or None if its version is unknown."""
+        return (
+            StreamSoftware(self.service, self.software_version) if self.software_version else None
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class ReplicaReport:
--- a/src/balsamcleat/platform/__init__.py
+++ b/src/balsamcleat/platform/__init__.py
@@ -25,11 +25,17 @@
     parse_caller_timeout_s,
     parse_last_event_id,
     parse_response_metadata,
+    parse_resumed_attempt,
     prompt_ids,
     request_id,
     stand_in_response_headers,
 )
-from balsamcleat.platform.orders import OrderOutcome, ReplicaControl
+from balsamcleat.platform.orders import (
+    OrderOutcome,
+    ReplicaControl,
+    parse_started_ms,
+    report_request,
+)
 from balsamcleat.platform.settings import PlatformSettings, load_platform_settings
 from balsamcleat.platform.steps import (
     ResultsQuery,
@@ -75,8 +81,11 @@
     "parse_caller_timeout_s",
     "parse_last_event_id",
     "parse_response_metadata",
+    "parse_resumed_attempt",
+    "parse_started_ms",
     "parse_weight_version",
     "prompt_ids",
+    "report_request",
     "request_id",
     "sample_body",
     "sample_request_headers",
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -19,6 +19,7 @@
     "parse_caller_timeout_s",
     "parse_last_event_id",
     "parse_response_metadata",
+    "parse_resumed_attempt",
     "prompt_ids",
     "request_id",
     "stand_in_response_headers",
@@ -35,6 +36,8 @@
 NOT_RUN_HEADER = "Not-Run"
 PRIORITY_HEADER = "Request-Priority"
 PROMPT_HEADER = "Prompt-Prefix"
+# Names the attempt of the caller whose answer brought the first event of a stream.
+RESUMED_ATTEMPT_HEADER = "Resumes"
 RETRY_AFTER_HEADER = "Retry-After"
 # Proves that a target produced the body; this header must reach the caller unchanged.
 STAMP_HEADER = "Server-Stamp"
@@ -189,6 +192,11 @@
     return int(value) if value is not None and value.isdecimal() else None
 
 
+def parse_resumed_attempt(headers: Headers) -> str:
+    """Return the id of the attempt that began the stream a caller resumes, or an empty string."""
+    return header_value(headers, RESUMED_ATTEMPT_HEADER) or ""
+
+
 def prompt_ids(headers: Headers) -> tuple[str, ...]:
     """Return the ids of a prompt's parts in order; empty if the request has no prompt."""
     value = header_value(headers, PROMPT_HEADER)
--- a/src/balsamcleat/platform/orders.py
+++ b/src/balsamcleat/platform/orders.py
@@ -7,12 +7,12 @@
 import msgspec
 
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.http1 import ConnectionPool, Headers, Request
-from balsamcleat.model import TargetId, WeightVersion
+from balsamcleat.http1 import ConnectionPool, Headers, Request, Response, is_success
+from balsamcleat.model import WeightVersion
 from balsamcleat.model.replicas import Replica, ReplicaReport
 from balsamcleat.platform.headers import EXPECTED_TARGET_HEADER
 
-__all__ = ["OrderOutcome", "OrderResult", "ReplicaControl"]
+__all__ = ["OrderOutcome", "OrderResult", "ReplicaControl", "parse_started_ms", "report_request"]
 
 ORDER_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 0.6
@@ -86,6 +86,12 @@
     born: int = 0
 
 
+class StartFields(msgspec.Struct, frozen=True):
+    """Start of the target that sends a report, in Unix milliseconds."""
+
+    born: int | None = None
+
+
 class ReplicaControl:
     """Sends load orders to model engines and fetches their state reports.
 
@@ -131,7 +137,7 @@
             fence=fencing_token,
             expected=order_count,
         )
-        headers = self.request_headers(replica.address, replica.target_id)
+        headers = request_headers(replica)
         request = Request("POST", "/order", headers, msgspec.json.encode(body))
         try:
             response = await self.pool.fetch(
@@ -150,10 +156,7 @@
         Raises:
             AttemptFailedError: The target did not respond, or its response is not a report.
         """
-        request = Request(
-            "GET", "/report", self.request_headers(replica.address, replica.target_id)
-        )
-        response = await self.pool.fetch(replica.address, request, REPORT_TIMEOUT_S)
+        response = await self.pool.fetch(replica.address, report_request(replica), REPORT_TIMEOUT_S)
         try:
             fields = msgspec.json.decode(response.body, type=ReportFields)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -170,10 +173,26 @@
             started_ms=fields.born,
         )
 
-    def request_headers(self, address: str, target_id: TargetId) -> Headers:
-        """Return the headers of a request to one target."""
-        return (
-            ("Host", address),
-            ("Content-Type", "application/json"),
-            (EXPECTED_TARGET_HEADER, target_id),
-        )
+
+def report_request(replica: Replica) -> Request:
+    """Return the request for a target's report of its state."""
+    return Request("GET", "/report", request_headers(replica))
+
+
+def parse_started_ms(response: Response) -> int | None:
+    """Return the start of the target that sent a report, in Unix milliseconds, or None."""
+    if not is_success(response.status):
+        return None
+    try:
+        return msgspec.json.decode(response.body, type=StartFields).born
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+def request_headers(replica: Replica) -> Headers:
+    """Return the headers of a request to the control interface of one target."""
+    return (
+        ("Host", replica.address),
+        ("Content-Type", "application/json"),
+        (EXPECTED_TARGET_HEADER, replica.target_id),
+    )
--- a/src/balsamcleat/tasks/crash_detector.py
+++ b/src/balsamcleat/tasks/crash_detector.py
@@ -5,9 +5,10 @@
 import anyio
 import anyio.abc
 
-from balsamcleat.decisions.crash_suspects import TargetRun, TargetStart, UnfinishedRuns
+from balsamcleat.decisions.crash_suspects import TargetRun, UnfinishedRuns
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.model import FailureKind, TargetId
+from balsamcleat.model.replicas import TargetStart
 from balsamcleat.tasks.shared_crash_history import SharedCrashHistory
 from balsamcleat.tasks.target_probe import accepts_connections
 
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -5,13 +5,13 @@
 
 import anyio
 
-from balsamcleat.decisions.crash_suspects import TargetRun, TargetStart
+from balsamcleat.decisions.crash_suspects import TargetRun
 from balsamcleat.decisions.live_attempts import AttemptTracker
 from balsamcleat.decisions.live_queue import Ticket, background_ticket, new_ticket
 from balsamcleat.decisions.request_content import content_digest, request_parts
 from balsamcleat.http1 import Request
 from balsamcleat.model import ServiceName
-from balsamcleat.model.replicas import Replica
+from balsamcleat.model.replicas import Replica, StreamSoftware
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import parse_caller_timeout_s, request_id
 
@@ -34,6 +34,7 @@
         has_whole_answer: Whether a target ran the request to its end, so that it did not crash.
         is_background: Whether this VM itself makes the call and no caller waits for it.
         is_wanted: Returns whether the call may still be sent; asked before each attempt.
+        software: Software that began the stream and must continue it; None if none began it.
         computed_digest: Digest of the request once it was needed; bodies may be large.
     """
 
@@ -47,6 +48,7 @@
     has_whole_answer: bool = False
     is_background: bool = False
     is_wanted: Callable[[], bool] = lambda: True
+    software: StreamSoftware | None = None
     computed_digest: str = ""
 
     @property
@@ -71,7 +73,7 @@
         return TargetRun(
             request=self.attempt_id,
             digest=self.digest,
-            start=TargetStart(replica.target_id, replica.started_ms),
+            start=replica.start,
             address=replica.address,
             parts=request_parts(request.client_address, request.target, request.body),
         )
--- a/src/balsamcleat/tasks/live_errors.py
+++ b/src/balsamcleat/tasks/live_errors.py
@@ -17,6 +17,7 @@
     "no_target_error",
     "rejection_error",
     "send_error_response",
+    "stranded_stream_error",
     "unstamped_response_error",
 ]
 
@@ -24,6 +25,7 @@
 # the latency objectives of the routes.
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_SPREAD_S = 0.3
+BEGIN_ANEW_DETAIL = "the stream can't go on; send the request again from its start"
 
 log = structlog.get_logger()
 
@@ -35,6 +37,8 @@
     reason: str,
     generator: random.Random,
     retry_after_s: float | None = None,
+    *,
+    must_begin_anew: bool = False,
 ) -> None:
     """Send the caller an error response, because no target answered.
 
@@ -45,6 +49,7 @@
         reason: Reason that is logged.
         generator: Random generator for the retry delay if ``retry_after_s`` is None.
         retry_after_s: Delay after which the caller may retry, in seconds.
+        must_begin_anew: Whether a stream can't go on, so that the caller must ask for all of it.
     """
     attempt_id = request_id(request.headers)
     if status is FailureStatus.NOT_RUN and retry_after_s is None:
@@ -57,13 +62,15 @@
         retry_after_s=retry_after_s,
     )
     headers = error_response_headers(attempt_id, retry_after_s)
-    await responder.send(Response(status.value, headers, problem_body(status)))
+    body = problem_body(status, BEGIN_ANEW_DETAIL if must_begin_anew else "")
+    await responder.send(Response(status.value, headers, body))
 
 
-def problem_body(status: FailureStatus) -> bytes:
+def problem_body(status: FailureStatus, detail: str = "") -> bytes:
     """Return the body of an error response."""
     certainty = "not run" if status is FailureStatus.NOT_RUN else "outcome unknown"
-    return f'{{"title":"{certainty}","status":{status.value}}}\n'.encode()
+    described = f',"detail":"{detail}"' if detail else ""
+    return f'{{"title":"{certainty}","status":{status.value}{described}}}\n'.encode()
 
 
 def no_target_error(service: ServiceName) -> AttemptFailedError:
@@ -88,6 +95,17 @@
     )
 
 
+def stranded_stream_error(service: ServiceName, reason: str) -> AttemptFailedError:
+    """Return the error for a stream that no target may continue; its caller may begin it anew."""
+    return AttemptFailedError(
+        f"the stream can't go on at {service}: {reason}",
+        step="live.resume",
+        peer=None,
+        perhaps_sent=False,
+        kind=FailureKind.NO_TARGET,
+    )
+
+
 def deadline_error() -> AttemptFailedError:
     """Return the error for a request that was not answered before its deadline."""
     return AttemptFailedError(
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -1,6 +1,7 @@
 """State of one rollout step on its owner: listed, finished, running and waiting samples."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -12,7 +13,9 @@
     SavedProgress,
 )
 from balsamcleat.decisions.step_order import SampleRank, rank_samples
+from balsamcleat.decisions.stream_origin import StreamOrigin
 from balsamcleat.model import StepId, TargetId
+from balsamcleat.model.replicas import StreamSoftware
 from balsamcleat.model.rollout import RolloutStep, SampleResult, SampleState, SampleTask
 from balsamcleat.tasks.rollout_records import OwnerRecord
 
@@ -75,6 +78,9 @@
         saved_as_complete: Ids of the samples whose text is saved in the row store as complete.
         ranks: Placement order of the samples, by sample id.
         samples: Samples of the step, by sample id.
+        resume_wait_began_s: Time since which each interrupted sample waits for a target of its
+            software, on the process clock, by sample id.
+        certain_software: Returns the software that began a stream, or None if it is not certain.
     """
 
     step: RolloutStep
@@ -101,6 +107,8 @@
     saved_as_complete: set[str] = field(default_factory=set)
     ranks: dict[str, SampleRank] = field(default_factory=dict)
     samples: dict[str, SampleTask] = field(default_factory=dict)
+    resume_wait_began_s: dict[str, float] = field(default_factory=dict)
+    certain_software: Callable[[StreamOrigin | None], StreamSoftware | None] = lambda _: None
 
     def __post_init__(self) -> None:
         self.samples = {sample.sample_id: sample for sample in self.step.samples}
@@ -177,15 +185,20 @@
         groups = dict.fromkeys(sample.group for sample in self.step.samples)
         return [group for group in groups if group in self.carried_groups]
 
+    def is_waiting(self, sample_id: str) -> bool:
+        """Return whether a sample has no complete text and does not run."""
+        return (
+            sample_id not in self.done
+            and sample_id not in self.unscored
+            and sample_id not in self.running
+        )
+
     def waiting_samples(self, now_s: float) -> list[SampleTask]:
         """Return the samples without a result that are neither running nor waiting for a retry."""
         return [
             sample
             for sample_id, sample in self.samples.items()
-            if sample_id not in self.done
-            and sample_id not in self.unscored
-            and sample_id not in self.running
-            and self.retry_not_before_s.get(sample_id, 0.0) <= now_s
+            if self.is_waiting(sample_id) and self.retry_not_before_s.get(sample_id, 0.0) <= now_s
         ]
 
     def add_complete_text(self, sample_id: str) -> None:
@@ -241,7 +254,11 @@
             sample.group for sample_id, sample in self.samples.items() if sample_id not in listed
         }
         slices = {
-            sample_id: progress.slice_from(0, complete=sample_id in self.unscored)
+            sample_id: progress.slice_from(
+                0,
+                complete=sample_id in self.unscored,
+                software=self.certain_software(progress.origin),
+            )
             for sample_id, progress in self.progress.items()
             if progress.events and sample_id not in self.done
         }
@@ -269,7 +286,8 @@
             complete = sample_id in self.unscored
             is_end_unsaved = complete and sample_id not in self.saved_as_complete
             if is_end_unsaved or len(progress.events) - start >= min_events:
-                slices[sample_id] = progress.slice_from(start, complete=complete)
+                software = self.certain_software(progress.origin)
+                slices[sample_id] = progress.slice_from(start, complete=complete, software=software)
         return slices
 
     def mark_saved(self, slices: dict[str, ProgressSlice]) -> None:
--- a/src/balsamcleat/tasks/peers.py
+++ b/src/balsamcleat/tasks/peers.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 import anyio
@@ -17,7 +17,6 @@
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response
-from balsamcleat.tasks.relayed_store import RELAY_PREFIX, StoreRelay
 
 __all__ = ["PeerPoller", "PeerRequestHandler", "PeerState"]
 
@@ -56,18 +55,23 @@
 
     Args:
         get_state: Returns the state of this VM.
-        relay: Executes the peers' calls to the row store.
+        handlers: Handlers of all other requests, by the prefix of their paths.
     """
 
-    def __init__(self, get_state: Callable[[], PeerState], relay: StoreRelay) -> None:
+    def __init__(
+        self,
+        get_state: Callable[[], PeerState],
+        handlers: Mapping[str, Callable[[Request, Responder], Awaitable[None]]],
+    ) -> None:
         self.get_state = get_state
-        self.relay = relay
+        self.handlers = handlers
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request of a peer."""
-        if request.path.startswith(RELAY_PREFIX):
-            await self.relay.handle(request, responder)
-            return
+        for prefix, handler in self.handlers.items():
+            if request.path.startswith(prefix):
+                await handler(request, responder)
+                return
         if request.path != STATE_PATH:
             await responder.send(Response(404))
             return
--- a/src/balsamcleat/tasks/placement_view.py
+++ b/src/balsamcleat/tasks/placement_view.py
@@ -56,9 +56,13 @@
 
     def engines(self, service: ServiceName, now_s: float) -> list[EngineView]:
         """Return the targets of a service as placement candidates."""
-        return [self.engine(replica, now_s) for replica in self.directory.ready_replicas(service)]
+        replaced = self.directory.replaced_versions(service, now_s)
+        return [
+            self.engine(replica, now_s, is_replaced=replica.software_version in replaced)
+            for replica in self.directory.ready_replicas(service)
+        ]
 
-    def engine(self, replica: Replica, now_s: float) -> EngineView:
+    def engine(self, replica: Replica, now_s: float, *, is_replaced: bool) -> EngineView:
         """Return a target as a placement candidate."""
         stats = self.stats_registry.for_target(replica.target_id)
         return EngineView(
@@ -72,20 +76,29 @@
             sendable=self.stats_registry.limits.sendable(replica.target_id, now_s, is_live=False),
             is_local=replica.zone == self.zone,
             recent_prompts=stats.recent_prompts,
+            software_version=replica.software_version,
+            is_replaced=is_replaced,
         )
 
-    def kind(self, step: OwnedStep) -> SampleRequirements:
-        """Return the model and the oldest weight version that a step's samples require."""
-        return SampleRequirements(step.step.model, step.step.oldest_version)
+    def requirements(self, step: OwnedStep, sample_id: str) -> SampleRequirements:
+        """Return what a sample requires of its engine."""
+        progress = step.progress.get(sample_id)
+        software = None
+        if progress is not None and progress.events:
+            software = self.directory.certain_software(progress.origin)
+        return SampleRequirements(
+            step.step.model,
+            step.step.oldest_version,
+            None if software is None else software.version,
+        )
 
     def waiting_samples(self, step: OwnedStep, now_s: float) -> list[WaitingSample]:
         """Return a step's samples that may start now, as input of the placement."""
-        kind = self.kind(step)
         return [
             WaitingSample(
                 step_id=step.step_id,
                 sample_id=sample.sample_id,
-                requirements=kind,
+                requirements=self.requirements(step, sample.sample_id),
                 prompt_id=sample.prompt_id,
                 rank=(step.accepted_s, step.ranks[sample.sample_id]),
             )
@@ -93,13 +106,18 @@
         ]
 
     def movable_samples(self, step: OwnedStep) -> list[RunningSample]:
-        """Return a step's running samples that may be moved: those that have produced an event."""
-        kind = self.kind(step)
+        """Return a step's running samples that may be moved.
+
+        Those are the samples that have produced an event and can go on without losing any.
+        """
         samples = []
         for sample_id, run in step.running.items():
             progress = step.progress.get(sample_id)
             if run.is_moving or progress is None or not progress.events:
                 continue
+            requirements = self.requirements(step, sample_id)
+            if requirements.software_version is None:
+                continue
             tokens = len(progress.events) * TOKENS_PER_EVENT
             events_left = (
                 expected_remaining_tokens(step.samples[sample_id], tokens) / TOKENS_PER_EVENT
@@ -109,7 +127,7 @@
                     step_id=step.step_id,
                     sample_id=sample_id,
                     target_id=run.target_id,
-                    requirements=kind,
+                    requirements=requirements,
                     remaining_events=events_left,
                 )
             )
--- a/src/balsamcleat/tasks/replica_keeper.py
+++ b/src/balsamcleat/tasks/replica_keeper.py
@@ -54,7 +54,8 @@
             replica = self.decode(row)
             if replica is not None:
                 replicas[replica.target_id] = replica
-        self.apply_changes(self.directory.apply_listing(replicas, anyio.current_time()), version)
+        now_s = anyio.current_time()
+        self.apply_changes(self.directory.apply_listing(replicas, now_s), version)
         self.on_change()
 
     def on_changes(self, rows: tuple[RowChange, ...], version: int) -> None:
@@ -62,7 +63,8 @@
         for row in rows:
             replica = self.decode(row)
             if replica is not None:
-                self.apply_changes(self.directory.apply_entry(replica), row.version)
+                changes = self.directory.apply_entry(replica, anyio.current_time())
+                self.apply_changes(changes, row.version)
             else:
                 target_id = TargetId(row.key.key)
                 self.apply_changes(
@@ -87,6 +89,10 @@
         """Give entries that expired while the store was unavailable time to be renewed."""
         self.directory.record_store_recovery(anyio.current_time())
 
+    def record_read(self) -> None:
+        """Record that the directory shows the table as of now."""
+        self.directory.record_read(anyio.current_time())
+
     def apply_changes(self, changes: list[ReplicaChange], version: int) -> None:
         """Log the changes and discard the state that they make stale."""
         for change in changes:
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -29,6 +29,7 @@
 from balsamcleat.tasks.result_writer import ResultWriter
 from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.sample_guard import SampleGuard
+from balsamcleat.tasks.sample_resumption import SampleResumption
 from balsamcleat.tasks.sample_run import (
     SampleAssignment,
     SampleEnd,
@@ -98,6 +99,7 @@
         self.sample_guard = sample_guard
         self.step_scorer = StepScorer(scorer, table, self.may_send)
         self.table = table
+        self.resumption = SampleResumption(directory)
         self.view = PlacementView(directory, stats_registry, zone, loading)
         self.pause_guard = pause_guard
         pause_guard.on_confirmed = self.wake
@@ -120,6 +122,7 @@
     def add_step(self, step: OwnedStep) -> None:
         """Start to run a step that this VM owns."""
         self.steps[step.step_id] = step
+        step.certain_software = self.directory.certain_software
         step.update_ranks(TOKENS_PER_EVENT)
         self.start_task(self.result_writer.write_results, step)
         self.start_task(self.result_writer.save_progress, step)
@@ -178,6 +181,8 @@
         if may_move:
             self.last_move_check_s = now_s
         for service, steps in self.group_by_service(table, active, now_s).items():
+            for step, _ in steps:
+                self.resumption.begin_anew_where_stranded(step, service)
             waiting = [item for step, _ in steps for item in self.view.waiting_samples(step, now_s)]
             if not waiting and not may_move:
                 continue
@@ -189,6 +194,11 @@
                 self.start_sample(placement, routes[placement.step_id])
             if len(placements) < len(waiting):
                 self.record_waits(engines, now_s)
+                placed = {(placement.step_id, placement.sample_id) for placement in placements}
+                unplaced = [
+                    item for item in waiting if (item.step_id, item.sample_id) not in placed
+                ]
+                self.resumption.end_long_waits(self.steps, unplaced, engines)
             if may_move:
                 running = [item for step, _ in steps for item in self.view.movable_samples(step)]
                 for move in find_moves(running, engines):
@@ -253,6 +263,7 @@
             version=self.view.versions(replica).get(step.step.model, 0),
         )
         step.running[sample.sample_id] = run
+        step.resume_wait_began_s.pop(sample.sample_id, None)
         self.start_task(self.run_sample, step, assignment, run, route.attempts)
 
     def remaining_s(self, step: OwnedStep, route: Route) -> float:
--- a/src/balsamcleat/tasks/sample_guard.py
+++ b/src/balsamcleat/tasks/sample_guard.py
@@ -1,6 +1,6 @@
 """Keeps samples that crash engines from being run again at once."""
 
-from balsamcleat.decisions.crash_suspects import RunVerdict, TargetRun, TargetStart
+from balsamcleat.decisions.crash_suspects import RunVerdict, TargetRun
 from balsamcleat.decisions.request_content import request_parts
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.sample_run import (
@@ -65,7 +65,7 @@
     return TargetRun(
         request=sample.sample_id,
         digest=sample_digest(assignment),
-        start=TargetStart(replica.target_id, replica.started_ms),
+        start=replica.start,
         address=replica.address,
         is_sample=True,
         parts=request_parts(sample.sample_id, sample.path, sample.body),
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -22,7 +22,7 @@
     parse_weight_version,
     sample_request_headers,
 )
-from balsamcleat.tasks.target_exchange import TargetExchange
+from balsamcleat.tasks.target_exchange import StartCheck, TargetExchange
 
 __all__ = ["SampleEnd", "SampleRunOutcome", "SampleRunner", "sample_digest"]
 
@@ -119,6 +119,8 @@
             assignment.step.oldest_version, single_version=assignment.single_version
         ):
             progress.reset()
+        if progress.events and not self.can_continue(assignment.replica, progress):
+            progress.reset()
         exchange = TargetExchange(
             self.pool,
             self.directory,
@@ -127,6 +129,7 @@
             assignment.is_wanted,
             self.stats_registry.limits,
             is_live=False,
+            start_check=self.start_check(assignment.replica, progress),
         )
         stats.in_flight += 1
         try:
@@ -140,6 +143,23 @@
             exchange.end()
             stats.in_flight -= 1
 
+    def can_continue(self, replica: Replica, progress: SampleProgress) -> bool:
+        """Return whether a target's software is the one that wrote the sample's events."""
+        software = self.directory.certain_software(progress.origin)
+        return software is not None and software == replica.software
+
+    def start_check(self, replica: Replica, progress: SampleProgress) -> StartCheck:
+        """Return whether the target's start must be certain before the sample is sent.
+
+        A sample that is interrupted soon loses little, so a question is asked for new samples only
+        while several software versions serve.
+        """
+        if progress.events:
+            return StartCheck.REQUIRED
+        if len(self.directory.software_versions(replica.service)) > 1:
+            return StartCheck.WANTED
+        return StartCheck.NONE
+
     def build_request(self, assignment: SampleAssignment, progress: SampleProgress) -> Request:
         """Return the request that runs a sample, resuming after its last event."""
         headers = sample_request_headers(
@@ -156,7 +176,7 @@
         self,
         assignment: SampleAssignment,
         progress: SampleProgress,
-        exchange: Exchange,
+        exchange: TargetExchange,
         stats: ReplicaStats,
     ) -> SampleRunOutcome:
         """Read the response to its end."""
@@ -185,7 +205,7 @@
             and metadata.weight_version < assignment.step.oldest_version
         ):
             return SampleRunOutcome(SampleEnd.VERSION_TOO_OLD, f"version {metadata.weight_version}")
-        progress.begin_stream(metadata.weight_version)
+        progress.begin_stream(metadata.weight_version, exchange.origin())
         return await self.read_events(assignment, progress, exchange, stats)
 
     async def read_events(
--- a/src/balsamcleat/tasks/shared_crash_history.py
+++ b/src/balsamcleat/tasks/shared_crash_history.py
@@ -11,10 +11,10 @@
     CrashHistory,
     RunVerdict,
     TargetRun,
-    TargetStart,
 )
 from balsamcleat.errors import InvalidInputError, PlatformError
 from balsamcleat.model import TargetId
+from balsamcleat.model.replicas import TargetStart
 from balsamcleat.ports.rows import (
     ABSENT_VERSION,
     RowChange,
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -1,9 +1,13 @@
 """Relays live event streams, and resumes an interrupted stream at another target."""
 
+from collections.abc import Callable
+
 import anyio
 import structlog
 
+from balsamcleat.decisions.live_attempts import FailureStatus
 from balsamcleat.decisions.replica_stats import ReplicaStats
+from balsamcleat.decisions.stream_origin import StreamOrigin
 from balsamcleat.decisions.stream_stall import StallTimer, caller_patience_s, resume_pause_s
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import EventParser, Exchange, Request, Responder, Response
@@ -15,6 +19,7 @@
     forwarded_response_headers,
     parse_last_event_id,
     parse_response_metadata,
+    parse_resumed_attempt,
 )
 from balsamcleat.tasks.attempt_log import log_answered
 from balsamcleat.tasks.live_call import LiveCall
@@ -23,13 +28,18 @@
     no_target_error,
     rejection_error,
     send_error_response,
+    stranded_stream_error,
 )
 from balsamcleat.tasks.live_forwarder import LiveForwarder, live_priority
-from balsamcleat.tasks.target_exchange import TargetExchange
+from balsamcleat.tasks.stream_register import StreamRegister
+from balsamcleat.tasks.target_exchange import StartCheck, TargetExchange
 
 __all__ = ["StreamForwarder"]
 
 OK = 200
+# Delay after which a caller whose stream can't go on may begin it anew; nothing has to change
+# first.
+BEGIN_ANEW_DELAY_S = 0.05
 LIMIT_RECHECK_S = 0.05
 
 log = structlog.get_logger()
@@ -41,15 +51,29 @@
     Args:
         call: Request of the caller.
         responder: Writes the events to the caller.
+        on_begin: Called with the origin of a stream when its first event is relayed.
+
+    Attributes:
+        last_event: Number of the last event that the caller has, or None.
+        origin: Target that began the stream, if it began in this answer.
+        has_events: Whether the caller has events of the stream.
     """
 
-    def __init__(self, call: LiveCall, responder: Responder) -> None:
+    def __init__(
+        self,
+        call: LiveCall,
+        responder: Responder,
+        on_begin: Callable[[StreamOrigin | None], None],
+    ) -> None:
         self.call = call
         self.responder = responder
+        self.on_begin = on_begin
         self.last_event = parse_last_event_id(call.request.headers)
+        self.origin: StreamOrigin | None = None
+        self.has_events = bool(self.last_event)
         self.finished = False
 
-    async def relay_stream(self, exchange: Exchange, timer: StallTimer) -> None:
+    async def relay_stream(self, exchange: TargetExchange, timer: StallTimer) -> None:
         """Relay a target's stream until it ends.
 
         Args:
@@ -79,7 +103,7 @@
         await self.responder.finish()
         self.finished = True
 
-    async def relay_events(self, exchange: Exchange, parser: EventParser, data: bytes) -> int:
+    async def relay_events(self, exchange: TargetExchange, parser: EventParser, data: bytes) -> int:
         """Relay the events that the data completes, each exactly once and in order.
 
         Returns:
@@ -100,6 +124,10 @@
                 raise exchange.failure("an event is out of order", FailureKind.MALFORMED)
             self.last_event = event.event_id
             event_count += 1
+        if event_count and not self.has_events:
+            self.has_events = True
+            self.origin = exchange.origin()
+            self.on_begin(self.origin)
         if output:
             await self.responder.write(output)
         return event_count
@@ -110,10 +138,12 @@
 
     Args:
         forwarder: Admits calls, chooses targets and records their statistics.
+        register: Knows which software began the streams of callers, at all VMs.
     """
 
-    def __init__(self, forwarder: LiveForwarder) -> None:
+    def __init__(self, forwarder: LiveForwarder, register: StreamRegister) -> None:
         self.forwarder = forwarder
+        self.register = register
 
     async def answer(
         self, request: Request, route: Route, responder: Responder, version: int
@@ -129,6 +159,12 @@
         call = await self.forwarder.admit(request, route, responder)
         if call is None:
             return
+        if route.resumable and not await self.require_software(call):
+            error = stranded_stream_error(
+                call.service, "its software is unknown or not in the route"
+            )
+            await self.reject_resumption(call, responder, error)
+            return
         self.forwarder.record_demand(call)
         queues = self.forwarder.queues
         if not queues.has_limits(call.service):
@@ -143,11 +179,55 @@
         finally:
             queues.release(call.service, None)
 
+    async def require_software(self, call: LiveCall) -> bool:
+        """Require the software that began the stream which a caller resumes.
+
+        Returns:
+            Whether the call may be sent: it resumes nothing, or the software is certain and the
+            route has its service.
+        """
+        headers = call.request.headers
+        resumed_attempt = parse_resumed_attempt(headers)
+        if not resumed_attempt and not parse_last_event_id(headers):
+            return True
+        if resumed_attempt:
+            call.software = await self.register.look_up(resumed_attempt)
+        if call.software is None:
+            return False
+        call.service = call.software.service
+        return any(share.service == call.service for share in call.route.shares)
+
+    async def reject_resumption(
+        self, call: LiveCall, responder: Responder, error: AttemptFailedError
+    ) -> None:
+        """Tell a caller that its stream can't go on, and that nothing has run."""
+        await send_error_response(
+            call.request,
+            responder,
+            FailureStatus.NOT_RUN,
+            str(error),
+            self.forwarder.generator,
+            BEGIN_ANEW_DELAY_S,
+            must_begin_anew=True,
+        )
+
+    def record_begin(self, call: LiveCall, origin: StreamOrigin | None) -> None:
+        """Record the origin of a caller's stream, so that the caller can resume it at any VM."""
+        if call.route.resumable:
+            self.register.record(call.attempt_id, origin)
+
+    def can_go_on(self, call: LiveCall, relay: StreamRelay) -> bool:
+        """Return whether an interrupted stream may go on; require its software from now on."""
+        if relay.has_events and call.software is None:
+            call.software = self.forwarder.directory.certain_software(relay.origin)
+            return call.software is not None
+        return True
+
     async def send(self, call: LiveCall, responder: Responder, version: int) -> None:
         """Send a call to targets in turn, and relay their stream or an error response."""
-        relay = StreamRelay(call, responder)
+        relay = StreamRelay(call, responder, lambda origin: self.record_begin(call, origin))
         error = no_target_error(call.service)
-        while not responder.has_finished:
+        while not responder.has_finished and self.can_go_on(call, relay):
             replica = await self.begin_attempt(call, relay)
             if replica is None:
                 break
@@ -167,7 +247,13 @@
             return
         if call.attempts.is_blocked:
             error = blocked_error(call.service)
-        if not responder.has_started:
+        if (
+            not responder.has_started
+            and call.software is not None
+            and error.kind is (FailureKind.NO_TARGET)
+        ):
+            await self.reject_resumption(call, responder, error)
+        elif not responder.has_started:
             status = call.attempts.failure_status()
             await send_error_response(
                 call.request, responder, status, str(error), self.forwarder.generator
@@ -204,6 +290,7 @@
             self.request_for_target(call, replica, relay),
             call.is_wanted,
             self.forwarder.stats_registry.limits,
+            start_check=self.start_check(call),
         )
         stats.in_flight += 1
         try:
@@ -219,7 +306,7 @@
             if exchange.status == OK and metadata.has_target_stamp:
                 for prompt_id in call.prompt_ids[:1]:
                     stats.record_prompt(prompt_id)
-                await relay.relay_stream(exchange, self.stall_timer(call, stats))
+                await relay.relay_stream(exchange, self.stall_timer(call, replica, stats))
             else:
                 await self.relay_failure(call, exchange, relay)
             self.forwarder.crash_guard.record_response(call, replica, exchange)
@@ -233,6 +320,12 @@
             stats.in_flight -= 1
             self.forwarder.crash_guard.end_run(call)
 
+    def start_check(self, call: LiveCall) -> StartCheck:
+        """Return whether the target's start must be certain before the call is sent."""
+        if call.software is not None:
+            return StartCheck.REQUIRED
+        return StartCheck.WANTED if call.route.resumable else StartCheck.NONE
+
     async def start_exchange(self, call: LiveCall, exchange: Exchange) -> None:
         """Send the request and read the response head before the call's deadline."""
         with anyio.move_on_after(max(0.0, call.remaining_s())) as scope:
@@ -240,13 +333,14 @@
         if scope.cancelled_caught:
             raise exchange.failure("no response before the deadline", FailureKind.SILENT)
 
-    def stall_timer(self, call: LiveCall, stats: ReplicaStats) -> StallTimer:
+    def stall_timer(self, call: LiveCall, replica: Replica, stats: ReplicaStats) -> StallTimer:
         """Return the timer of a stream that begins now.
 
         A stream that no other target can resume is only ended once its caller has given up.
         """
         now_s = anyio.current_time()
-        can_resume = call.attempts.can_start() and self.forwarder.chooser.has_other_target(call)
+        chooser = self.forwarder.chooser
+        can_resume = call.attempts.can_start() and chooser.can_continue_elsewhere(call, replica)
         objective_s = call.route.objective_s
         min_pause_s = resume_pause_s(objective_s) if can_resume else caller_patience_s(objective_s)
         return StallTimer(min_pause_s, now_s, stats.recent_event_interval_s(now_s))
--- a/src/balsamcleat/tasks/table_follower.py
+++ b/src/balsamcleat/tasks/table_follower.py
@@ -2,6 +2,7 @@
 
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import anyio
 import structlog
@@ -74,6 +75,7 @@
         observer: Receives the rows and the changes.
         generator: Draws the jitter of retries.
         single_part: Whether the table has only the part with the empty name.
+        on_read: Called when the observer has all changes of the table until now.
     """
 
     def __init__(
@@ -84,12 +86,14 @@
         generator: random.Random,
         *,
         single_part: bool,
+        on_read: Callable[[], None] = lambda: None,
     ) -> None:
         self.store = store
         self.table = table
         self.observer = observer
         self.generator = generator
         self.single_part = single_part
+        self.on_read = on_read
         self.version: int | None = None
         self.consecutive_failures = 0
 
@@ -120,6 +124,7 @@
             if rows:
                 self.observer.on_changes(rows, version)
         self.version = version
+        self.on_read()
 
     async def read_all(self) -> tuple[tuple[RowChange, ...], int]:
         """Return all rows of the table and the version from which to follow its feed."""
--- a/src/balsamcleat/tasks/target_chooser.py
+++ b/src/balsamcleat/tasks/target_chooser.py
@@ -9,6 +9,7 @@
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.model import ZoneName
 from balsamcleat.model.replicas import Replica
+from balsamcleat.model.routing import RouteKind
 from balsamcleat.tasks.live_call import LiveCall
 
 __all__ = ["TargetChooser"]
@@ -41,7 +42,7 @@
         if not call.attempts.can_start() or call.remaining_s() <= 0.0:
             return None
         now_s = anyio.current_time()
-        replicas = self.directory.ready_replicas(call.service)
+        replicas = self.candidates(call)
         if self.stats_registry.limits.is_active:
             replicas = [r for r in replicas if self.may_take(call, r, now_s, is_copy=is_copy)]
         return choose_replica(
@@ -52,8 +53,22 @@
             prompt_ids=call.prompt_ids,
             now_s=now_s,
             generator=self.generator,
+            replaced_versions=self.replaced_versions(call, now_s),
         )
 
+    def candidates(self, call: LiveCall) -> list[Replica]:
+        """Return the ready targets that may run the call, tried ones included."""
+        replicas = self.directory.ready_replicas(call.service)
+        if call.software is None:
+            return replicas
+        return [replica for replica in replicas if replica.software == call.software]
+
+    def replaced_versions(self, call: LiveCall, now_s: float) -> set[str]:
+        """Return the software versions where a new stream might find nothing to continue it."""
+        if call.route.kind is not RouteKind.STREAM:
+            return set()
+        return self.directory.replaced_versions(call.service, now_s)
+
     def is_held_by_limits(self, call: LiveCall) -> bool:
         """Return whether only limits keep the call from targets that were not tried yet."""
         now_s = anyio.current_time()
@@ -70,14 +85,14 @@
             return False
         return limits.can_send(replica.target_id, now_s, is_live=not call.is_background)
 
-    def has_other_target(self, call: LiveCall) -> bool:
-        """Return whether a ready target has not been tried yet."""
-        return bool(self.untried_replicas(call))
+    def can_continue_elsewhere(self, call: LiveCall, replica: Replica) -> bool:
+        """Return whether an untried target has the same software as one that runs the stream."""
+        return any(other.software == replica.software for other in self.untried_replicas(call))
 
     def untried_replicas(self, call: LiveCall) -> list[Replica]:
         """Return the ready targets that have not been tried yet."""
         return [
             replica
-            for replica in self.directory.ready_replicas(call.service)
+            for replica in self.candidates(call)
             if replica.target_id not in call.attempts.tried_targets
         ]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,7 +16,8 @@
     assert text
 
 
-def pytest_sessionstart() -> None:
+@pytest.fixture(scope="session", autouse=True)
+def unicode_tables() -> None:
     """Build the tables before the tests, whose health checks count slow draws as failures."""
     build_unicode_tables()
 
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -34,6 +34,7 @@
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
+from balsamcleat.tasks.stream_register import StreamRegister
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.vm_presence import VmPresence
 from raw_target import RawTarget, Script, raw_target
@@ -139,6 +140,15 @@
     keeper: ReplicaKeeper
     forwarder: LiveForwarder
     flaws: RowStoreFlaws
+    register: StreamRegister
+    peer_server: HttpServer
+
+    def kill(self) -> None:
+        """Accept nothing any more and reset all connections, as a killed process does."""
+        for server in (self.server, self.peer_server):
+            server.stop_accepting()
+            for connection in list(server.connections):
+                connection.stream.reset()
 
 
 @dataclass
@@ -216,8 +226,12 @@
     store: MemoryRowStore,
     limits: ServerLimits | None,
     seed: int,
+    peers: list[VmRow],
 ) -> LiveVm:
-    """Start a VM that follows the crashes that other VMs write to the store."""
+    """Start a VM that follows the crashes that other VMs write to the store.
+
+    ``peers`` are the rows of all VMs; that of this one is added.
+    """
     directory, flaws, generator = ReplicaDirectory(), RowStoreFlaws(), random.Random(seed)
     for replica in replicas:
         directory.apply_entry(replica)
@@ -239,11 +253,16 @@
         generator,
         LimitSharing(vm, stats_registry.limits, directory),
     )
+    peer_listener = listen("127.0.0.1:0")
+    peer_host, peer_port = peer_listener.getsockname()
+    peers.append(VmRow(vm, "boot", f"{peer_host}:{peer_port}", "a", 0))
+    register = StreamRegister(vm, ConnectionPool(PoolLimits()), lambda: peers, directory)
+    peer_server = HttpServer(peer_listener, register.handle, lambda: ServerLimits())
     queues = LiveQueues(directory, stats_registry, generator)
     forwarder = LiveForwarder(
         directory, stats_registry, pool, ZoneName("a"), generator, CrashGuard(detector), queues
     )
-    streams = StreamForwarder(forwarder)
+    streams = StreamForwarder(forwarder, register)
     follower = TableFollower(view, SUSPECTS_TABLE, crash_history, generator, single_part=False)
 
     async def handle(request: Request, responder: Responder) -> None:
@@ -252,13 +271,31 @@
 
     listener = listen("127.0.0.1:0")
     server = HttpServer(listener, handle, lambda: limits or ServerLimits())
-    runs = (queues.run, follower.run, server.run, crash_history.run, detector.run, presence.run)
+    runs = (
+        queues.run,
+        follower.run,
+        server.run,
+        peer_server.run,
+        register.run,
+        crash_history.run,
+        detector.run,
+        presence.run,
+    )
     for run in runs:
         group.start_soon(run)
     host, port = listener.getsockname()
     keeper = ReplicaKeeper(directory, stats_registry, pool, lambda: None, detector.on_target_end)
     return LiveVm(
-        f"{host}:{port}", server, directory, pool, crash_history, keeper, forwarder, flaws
+        f"{host}:{port}",
+        server,
+        directory,
+        pool,
+        crash_history,
+        keeper,
+        forwarder,
+        flaws,
+        register,
+        peer_server,
     )
 
 
@@ -288,14 +325,16 @@
         ]
         group = await stack.enter_async_context(anyio.create_task_group())
         store = MemoryRowStore()
+        peers: list[VmRow] = []
         vms = [
-            start_live_vm(group, live_route, replicas, store, limits, seed)
+            start_live_vm(group, live_route, replicas, store, limits, seed, peers)
             for seed in range(1, vm_count + 1)
         ]
         world = LiveWorld(vms, targets, store)
         yield world
         for vm in vms:
             vm.server.stop_accepting()
+            vm.peer_server.stop_accepting()
             vm.pool.close()
         for caller in world.callers:
             await caller.stream.aclose()
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -15,6 +15,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.sample_progress import SampleProgress
+from balsamcleat.decisions.stream_origin import origin_of
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import Request, Responder, Response
@@ -152,6 +153,9 @@
         # Number of events after which a sample's stream is cut once, by sample id.
         self.cuts: dict[str, int] = {}
         self.on_cut: Callable[[Replica], None] = lambda _: None
+        # Time of the connection to each engine, and whether engines are asked for their starts.
+        self.connected_at_s: dict[TargetId, float] = {}
+        self.names_starts = True
 
     def send(self, replica: Replica) -> bool:
         """Send a request as the exchange does, if the engine's limit allows it."""
@@ -177,7 +181,13 @@
             ends = self.scripted_ends.get(sample_id)
             if ends:
                 return scripted_outcome(ends.pop(0))
-            progress.begin_stream(assignment.replica.versions[MODEL])
+            connected_at_s = self.connected_at_s.setdefault(
+                assignment.replica.target_id, anyio.current_time()
+            )
+            progress.begin_stream(
+                assignment.replica.versions[MODEL],
+                origin_of(assignment.replica, connected_at_s, is_confirmed=self.names_starts),
+            )
             writers = self.writers.setdefault(sample_id, [])
             del writers[len(progress.events) :]
             writers += ["unknown"] * (len(progress.events) - len(writers))
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -29,7 +29,7 @@
 )
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.peers import PeerPoller, PeerRequestHandler, PeerState
-from balsamcleat.tasks.relayed_store import RelayedRowStore, StoreRelay
+from balsamcleat.tasks.relayed_store import RELAY_PREFIX, RelayedRowStore, StoreRelay
 
 KEY = RowKey("table", "part", "key")
 WRITE = RowCommit((RowWrite(KEY, b"value"),), ((KEY, 0),))
@@ -46,7 +46,7 @@
     store = MemoryRowStore()
     flaws = RowStoreFlaws(down=True)
     relay = StoreRelay(RowStoreView(store, relay_flaws))
-    handler = PeerRequestHandler(lambda: state, relay)
+    handler = PeerRequestHandler(lambda: state, {RELAY_PREFIX: relay.handle})
     listener = listen("127.0.0.1:0")
     host, port = listener.getsockname()
     server = HttpServer(listener, handler.handle, lambda: ServerLimits())
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,16 +1,37 @@
 """Streams go on only at the software version that began them, on each way and at each VM."""
 
+from collections.abc import Awaitable
 from dataclasses import replace
 
 import anyio
 import pytest
 
-from balsamcleat.decisions.sample_progress import ProgressSlice
-from balsamcleat.model import StepId, WeightVersion
+from balsamcleat.decisions.engine_ranking import EngineView, SampleRequirements
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
+from balsamcleat.decisions.sample_placement import (
+    RunningSample,
+    WaitingSample,
+    find_moves,
+    place_samples,
+)
+from balsamcleat.decisions.sample_progress import ProgressSlice, SampleProgress
+from balsamcleat.decisions.step_order import SampleRank
+from balsamcleat.decisions.stream_keepers import KeeperRing
+from balsamcleat.decisions.stream_origin import LIST_DELAY_S, StreamOrigin, origin_of
+from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.http1 import ConnectionPool, PoolLimits
+from balsamcleat.model import StepId, TargetId, WeightVersion
+from balsamcleat.model.replicas import Replica, ReplicaState, StreamSoftware
+from balsamcleat.model.rollout import RolloutStep, SampleTask
 from balsamcleat.model.routing import RouteKind
 from balsamcleat.tasks.rollout_records import RolloutRecords
+from balsamcleat.tasks.sample_run import SampleAssignment, SampleEnd, SampleRunner
+from balsamcleat.tasks.stream_register import ASKED_COUNT, KEEPER_COUNT
 from live_world import live_world, route
+from raw_target import RawTarget, raw_target
 from step_world import (
+    MODEL,
     StepWorld,
     make_engine,
     make_submission,
@@ -62,7 +83,8 @@
     """The target has its id, but the list still shows the start before, with that software."""
     scripts = [stream_script(cut_after=3), stream_script()]
     async with live_world(scripts, STREAM) as world:
-        world.targets[1].started_ms = 5
+        world.restart_target(1, started_ms=5)
+        world.targets[1].started_ms = 9
         caller = await world.connect()
         with anyio.fail_after(1.0), pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
             await caller.request("a")
@@ -102,6 +124,55 @@
         assert not any(target.requests for target in world.targets)
 
 
+@pytest.mark.anyio
+async def test_caller_goes_on_after_the_vm_that_began_its_stream_was_killed() -> None:
+    """Any VM finds out the software from those that keep it."""
+    scripts = [cut_once(cut_after=4), stream_script()]
+    async with live_world(scripts, STREAM, software=["v1", "v2"], vm_count=5) as world:
+        first = await world.connect(vm=0)
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            await first.request("a")
+        await anyio.sleep(0.1)
+        world.vms[0].kill()
+        for vm in range(1, 5):
+            caller = await world.connect(vm=vm)
+            status, _, body = await caller.request(f"b{vm}", extra_headers=resuming("a", 3))
+            assert status == 200
+            assert body == b"".join(event_bytes(number) for number in range(4, EVENTS + 1))
+        assert not world.targets[1].requests
+
+
+@pytest.mark.anyio
+async def test_caller_is_told_at_once_if_the_keepers_of_its_stream_do_not_answer() -> None:
+    async with live_world([stream_script()], STREAM, vm_count=5) as world:
+        await (await world.connect(vm=0)).request("a")
+        await anyio.sleep(0.1)
+        keepers = [vm for vm in world.vms if "a" in vm.register.streams]
+        others = [number for number, vm in enumerate(world.vms) if vm not in keepers]
+        for vm in keepers:
+            vm.kill()
+        caller = await world.connect(vm=others[0])
+        with anyio.fail_after(1.0):
+            status, headers, _ = await caller.request("b", extra_headers=resuming("a", 3))
+        assert (status, "retry-after" in headers) == (503, True)
+
+
+@pytest.mark.parametrize("vm_count", [3, 12, 195])
+def test_vms_with_different_views_find_a_common_keeper(vm_count: int) -> None:
+    """One VM has come, or gone, since the stream began."""
+    rows = [
+        VmRow(f"vm-{number}", "boot", f"10.0.0.{number}:1", "a", 1) for number in range(vm_count)
+    ]
+    before = KeeperRing.of(rows)
+    for missing in range(vm_count):
+        after = KeeperRing.of(rows[:missing] + rows[missing + 1 :])
+        for stream in ("one", "two", "three"):
+            told = {row.vm for row in before.keepers(stream, KEEPER_COUNT)}
+            assert told & {row.vm for row in after.keepers(stream, ASKED_COUNT)}
+            told = {row.vm for row in after.keepers(stream, KEEPER_COUNT)}
+            assert told & {row.vm for row in before.keepers(stream, ASKED_COUNT)}
+
+
 def check_one_writer(world: StepWorld) -> None:
     """Check what engines wrote of each sample against their software."""
     for sample_id, writers in world.writers.items():
@@ -175,10 +246,11 @@
         world = StepWorld(tasks, engines=1)
         vm = await world.start("a")
         await vm.submit(make_submission(1, 1, 1))
+        await anyio.sleep(0.1)
         step = owned_step(vm)
         vm.runner.leaving = True
         step.cancel_runs()
-        await anyio.sleep(0.2)
+        await anyio.sleep(0.1)
         events = tuple(f"{SAMPLE}:{number}" for number in range(1, 6))
         old = ProgressSlice(step.first_generation + 5, 0, 1, events, (WeightVersion(1),))
         await RolloutRecords(vm.view).save_progress("step-1", {SAMPLE: old})
@@ -214,3 +286,194 @@
 
 def test_text_of_an_earlier_step_is_not_continued_at_other_software() -> None:
     run_in_virtual_time(text_of_an_earlier_step)
+
+
+def listed(started_ms: int = 1, software: str = "v1", entry_version: int = 1) -> Replica:
+    return replace(
+        make_engine(0),
+        started_ms=started_ms,
+        software_version=software,
+        entry_version=entry_version,
+    )
+
+
+class TestOriginByALateList:
+    """A connection led to the listed start only if the list still shows it some time later."""
+
+    connected_at_s = 100.0
+    settled_s = connected_at_s + LIST_DELAY_S
+
+    def directory(self) -> ReplicaDirectory:
+        directory = ReplicaDirectory()
+        directory.apply_entry(listed(), self.connected_at_s - 50.0)
+        return directory
+
+    def software(self, directory: ReplicaDirectory) -> str | None:
+        origin = origin_of(listed(), self.connected_at_s, is_confirmed=False)
+        software = directory.certain_software(origin)
+        return None if software is None else software.version
+
+    def test_is_unknown_until_the_list_was_read_late_enough(self) -> None:
+        directory = self.directory()
+        directory.record_read(self.settled_s - 0.1)
+        assert self.software(directory) is None
+        directory.record_read(self.settled_s)
+        assert self.software(directory) == "v1"
+
+    @pytest.mark.parametrize(("read_after_s", "expected"), [(-0.1, None), (0.1, "v1")])
+    def test_a_start_that_is_listed_soon_may_have_answered(
+        self, read_after_s: float, expected: str | None
+    ) -> None:
+        directory = self.directory()
+        directory.apply_entry(listed(2, "v2", 2), self.settled_s + read_after_s)
+        directory.record_read(self.settled_s + 1.0)
+        assert self.software(directory) == expected
+
+    @pytest.mark.parametrize(("removed_after_s", "expected"), [(-0.1, None), (0.1, "v1")])
+    def test_a_target_that_vanishes_soon_may_have_started_again(
+        self, removed_after_s: float, expected: str | None
+    ) -> None:
+        directory = self.directory()
+        directory.apply_removal(TargetId("engine-0"), self.settled_s + removed_after_s)
+        directory.record_read(self.settled_s + 1.0)
+        assert self.software(directory) == expected
+
+    def test_an_entry_that_lapsed_and_came_back_is_the_same_start(self) -> None:
+        directory = self.directory()
+        directory.apply_removal(TargetId("engine-0"), self.connected_at_s + 1.0)
+        directory.apply_entry(listed(entry_version=2), self.connected_at_s + 2.0)
+        directory.record_read(self.settled_s)
+        assert self.software(directory) == "v1"
+
+    def test_an_entry_that_is_missing_during_the_recovery_of_the_store_proves_nothing(self) -> None:
+        directory = self.directory()
+        directory.record_store_recovery(self.connected_at_s + 1.0)
+        directory.apply_listing({}, self.connected_at_s + 1.0)
+        directory.record_read(self.settled_s)
+        assert self.software(directory) is None
+
+    def test_a_start_that_was_found_to_have_ended_stays_ended(self) -> None:
+        """Its entry may still be renewed in the list by a write from before."""
+        directory = self.directory()
+        directory.mark_ended(listed(), self.connected_at_s + 1.0)
+        directory.apply_entry(listed(entry_version=2), self.connected_at_s + 2.0)
+        directory.record_read(self.settled_s)
+        assert self.software(directory) is None
+        assert not directory.ready_replicas(listed().service)
+
+
+def engine(number: int, software: str, load: float = 0.0, **fields) -> EngineView:
+    return EngineView(
+        TargetId(f"e{number}"),
+        slots=2,
+        load=load,
+        loaded_versions={MODEL: WeightVersion(1)},
+        software_version=software,
+        **fields,
+    )
+
+
+def sample(number: int, software: str | None, place: int) -> WaitingSample:
+    requirements = SampleRequirements(MODEL, WeightVersion(1), software)
+    rank = (0.0, SampleRank(-100.0, place))
+    return WaitingSample(StepId("s"), f"sample-{number}", requirements, f"p{number}", rank)
+
+
+def test_interrupted_samples_get_the_last_slots_of_their_software() -> None:
+    """New samples, however early their rank, go where they can also end."""
+    engines = [engine(0, "old", load=1.0, is_replaced=True), engine(1, "new")]
+    waiting = [sample(0, None, 0), sample(1, None, 1), sample(2, "old", 2)]
+    placed = {p.sample_id: p.target_id for p in place_samples(waiting, engines)}
+    assert placed == {"sample-0": "e1", "sample-1": "e1", "sample-2": "e0"}
+
+
+def test_sample_is_moved_for_speed_only_to_its_software() -> None:
+    engines = [
+        engine(0, "old", event_interval_s=0.2),
+        engine(1, "new", event_interval_s=0.02),
+        engine(2, "old", event_interval_s=0.03),
+    ]
+    running = RunningSample(
+        StepId("s"),
+        "sample-0",
+        TargetId("e0"),
+        SampleRequirements(MODEL, WeightVersion(1), "old"),
+        remaining_events=100.0,
+    )
+    assert [move.target_id for move in find_moves([running], engines)] == ["e2"]
+
+
+def test_a_version_is_being_replaced_while_its_targets_leave() -> None:
+    directory = ReplicaDirectory()
+    old = [replace(make_engine(n), software_version="old") for n in (0, 1)]
+    for entry in (*old, replace(make_engine(2), software_version="new")):
+        directory.apply_entry(entry, 0.0)
+    assert not directory.replaced_versions(old[0].service, 10.0)
+    leaving = replace(old[0], state=ReplicaState.DRAINING, entry_version=2)
+    directory.apply_entry(leaving, 10.0)
+    assert directory.replaced_versions(old[0].service, 12.0) == {"old"}
+    assert not directory.replaced_versions(old[0].service, 30.0)
+
+
+def sample_assignment(replica: Replica) -> SampleAssignment:
+    task = SampleTask(sample_id=SAMPLE, group="g", path="/path", headers=(), body=b"")
+    step = RolloutStep(StepId("s"), MODEL, WeightVersion(1), 1, 0, (task,))
+    return SampleAssignment(step, task, "host.example", replica, 5.0, 5, False, lambda: True)
+
+
+def weighted_stream(target: RawTarget, stream) -> Awaitable[None]:
+    """Stream all events of a sample and its weight version."""
+    return stream_script(headers=b"Weight-Versions: 1\r\n")(target, stream)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(("started_ms", "goes_on"), [(1, True), (2, False)])
+async def test_sample_goes_on_only_at_the_start_that_the_list_shows(
+    started_ms: int, goes_on: bool
+) -> None:
+    """The target may have started again with other software before the list says so."""
+    async with raw_target(weighted_stream) as target:
+        target.started_ms = started_ms
+        replica = replace(listed(), address=target.address)
+        directory = ReplicaDirectory()
+        directory.apply_entry(replica)
+        pool = ConnectionPool(PoolLimits())
+        progress = SampleProgress(["event 1"], {WeightVersion(1)})
+        progress.origin = StreamOrigin.certain(StreamSoftware(replica.service, "v1"))
+        runner = SampleRunner(pool, directory, ReplicaStatsRegistry())
+        outcome = await runner.run(sample_assignment(replica), progress)
+        pool.close()
+        assert len(target.requests) == goes_on
+        assert (outcome.end is SampleEnd.COMPLETE) is goes_on
+        assert progress.events[0] == "event 1"
+        assert bool(directory.ready_replicas(replica.service)) is goes_on
+
+
+async def waits_for_its_software(has_other_engine: bool) -> list[int]:
+    """Keep a sample waiting at a full engine of its software; return the events of its text."""
+    async with anyio.create_task_group() as tasks:
+        world = StepWorld(tasks, engines=1, slots=1, event_count=lambda _: 60)
+        vm = await world.start("a")
+        vm.engines.cuts[SAMPLE] = 10
+
+        def fill(replica: Replica) -> None:
+            """Let other VMs fill the engine; another engine, if there is one, is free."""
+            stats = vm.engines.stats_registry.for_target(replica.target_id)
+            stats.avoid_until_s = anyio.current_time() + 1.5
+            if has_other_engine:
+                world.directory.apply_entry(replace(make_engine(7, 1), software_version="v2"))
+
+        vm.engines.on_cut = fill
+        await vm.submit(make_submission(1, 1, 1))
+        await world.wait_for_results(1, 12.0)
+        check_one_writer(world)
+        tasks.cancel_scope.cancel()
+    return [world.writers[SAMPLE].count(version) for version in ("v1", "v2")]
+
+
+@pytest.mark.parametrize(("has_other_engine", "written"), [(True, [0, 60]), (False, [60, 0])])
+def test_sample_gives_its_text_up_only_for_an_engine_that_is_free(
+    has_other_engine: bool, written: list[int]
+) -> None:
+    """It waits about as long as its text took, and longer while nothing else could take it."""
+    assert run_in_virtual_time(waits_for_its_software, has_other_engine) == written
--- a/tests/test_stream_forwarding.py
+++ b/tests/test_stream_forwarding.py
@@ -20,12 +20,13 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
-def stream_script(cut_after: int | None = None, skip: int | None = None):
+def stream_script(cut_after: int | None = None, skip: int | None = None, headers: bytes = b""):
     """Return a target script that streams events.
 
     Args:
         cut_after: Number of the event in the middle of which the stream ends.
         skip: Number of the event that is left out.
+        headers: Further header lines of the response.
     """
 
     async def script(target: RawTarget, stream) -> None:
@@ -37,7 +38,7 @@
                 first = int(line.split(":")[1]) + 1
         await stream.send(
             b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n"
+            b"Transfer-Encoding: chunked\r\n" + headers + b"\r\n"
         )
         for number in range(first, EVENTS + 1):
             if number == skip:
@@ -82,5 +83,7 @@
 async def test_caller_resumes_after_its_last_event_id() -> None:
     async with live_world([stream_script(cut_after=5), stream_script()], STREAM) as world:
         caller = await world.connect()
-        _, _, body = await caller.request("a", extra_headers="Last-Event-Id: 3\r\n")
+        await caller.request("a")
+        resumption = "Resumes: a\r\nLast-Event-Id: 3\r\n"
+        _, _, body = await caller.request("b", extra_headers=resumption)
         assert body == b"".join(event_bytes(number) for number in range(4, EVENTS + 1))
