Targets: runs that one event cuts count as one failure of their target

Trainers saw nothing run for 2.2 s after a reset of all connections of their step's owner: each of the streams that it cut counted as one more consecutive failure, so each engine was avoided for the longest time, 3 s. Ruled out: the wait for engines of the same software (nothing was placed at all, of either version). Now a failure counts only if the run began after the last one was over, so avoidance grows with tries, not with the number of streams. The test fails before.

--- a/src/balsamcleat/decisions/replica_stats.py
+++ b/src/balsamcleat/decisions/replica_stats.py
@@ -44,6 +44,7 @@
         consecutive_failures: Number of failures since the last success.
         consecutive_rejections: Number of rejections since the last success.
         avoid_until_s: Time until which other targets are preferred.
+        failing_until_s: Time until which other targets are preferred because of a failure.
         event_interval_s: Smoothed recent interval between two events of a stream, in seconds.
         last_event_at_s: Time of the last measured event.
         usual_interval_s: Event interval that the target has while nothing slows it down, in
@@ -58,6 +59,7 @@
     consecutive_failures: int = 0
     consecutive_rejections: int = 0
     avoid_until_s: float = float("-inf")
+    failing_until_s: float = float("-inf")
     event_interval_s: float = 0.0
     last_event_at_s: float = float("-inf")
     usual_interval_s: float = 0.0
@@ -87,12 +89,20 @@
         self.consecutive_failures = 0
         self.consecutive_rejections = 0
         self.avoid_until_s = float("-inf")
+        self.failing_until_s = float("-inf")
 
     def record_failure(self, now_s: float) -> None:
-        """Record a failure; each consecutive one doubles the time for which it is avoided."""
+        """Record a failure; each consecutive one doubles the time for which it is avoided.
+
+        Runs that fail while the target is avoided had begun before: whatever cut the first of them
+        cut the others, too, so they show nothing new.
+        """
+        if now_s < self.failing_until_s:
+            return
         self.consecutive_failures += 1
         avoid_s = min(AVOID_CAP_S, AVOID_BASE_S * 2 ** min(self.consecutive_failures - 1, 8))
-        self.avoid_until_s = max(self.avoid_until_s, now_s + avoid_s)
+        self.failing_until_s = now_s + avoid_s
+        self.avoid_until_s = max(self.avoid_until_s, self.failing_until_s)
 
     def record_rejection(self, now_s: float, retry_after_s: float | None) -> None:
         """Record a rejection by a full or unready target; each consecutive one doubles the time.
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -9,7 +9,7 @@
 from balsamcleat.decisions.live_attempts import AttemptTracker, FailureStatus
 from balsamcleat.decisions.replica_choice import choose_replica, choose_service
 from balsamcleat.decisions.replica_directory import STORE_RECOVERY_GRACE_S, ReplicaDirectory
-from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
+from balsamcleat.decisions.replica_stats import ReplicaStats, ReplicaStatsRegistry
 from balsamcleat.decisions.sample_progress import ProgressSlice, SampleProgress, join_slices
 from balsamcleat.decisions.vm_watch import VM_DEAD_AFTER_S, VmFailureDetector, VmRow
 from balsamcleat.errors import AttemptFailedError
@@ -111,6 +111,25 @@
         assert not detector.accepts_steps("vm", "b")
 
 
+class TestReplicaStats:
+    def test_runs_that_one_event_cuts_count_as_one_failure(self) -> None:
+        """A reset of all connections must not take a full engine away for the longest time."""
+        stats = ReplicaStats()
+        for place in range(12):
+            stats.record_failure(10.0 + 0.001 * place)
+        assert stats.is_avoided(10.2)
+        assert not stats.is_avoided(10.4)
+
+    def test_target_that_fails_again_and_again_is_avoided_for_longer(self) -> None:
+        stats = ReplicaStats()
+        now_s, avoided_s = 10.0, []
+        for _ in range(5):
+            stats.record_failure(now_s)
+            avoided_s.append(stats.avoid_until_s - now_s)
+            now_s = stats.avoid_until_s
+        assert avoided_s == pytest.approx([0.3, 0.6, 1.2, 2.4, 3.0])
+
+
 def failure(*, sent: bool, kind: FailureKind = FailureKind.CUT) -> AttemptFailedError:
     return AttemptFailedError("m", step="s", peer=None, perhaps_sent=sent, kind=kind)
 
