RECOVER: failing tests for VMs that lost their links to the targets

Each VM of the tests has links of its own to the targets, which hang, are reset, or live on while new connections are refused. Seen besides: the stranded VM blocks its callers' sound requests with 500, as targets that crash under them.

--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -1,5 +1,6 @@
 """Test environment: an HTTP server that forwards live requests to raw targets on loopback."""
 
+import dataclasses
 import random
 from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -37,6 +38,7 @@
 from balsamcleat.tasks.stream_register import StreamRegister
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.vm_presence import VmPresence
+from lost_links import Cut, Link, LinkedNetwork
 from raw_target import RawTarget, Script, raw_target
 
 SERVICE = ServiceName("service")
@@ -159,6 +161,17 @@
     targets: list[RawTarget]
     store: MemoryRowStore
     callers: list[Caller] = field(default_factory=list)
+    links: list[list[Link]] = field(default_factory=list)
+
+    async def strand(self, vm: int, how: Cut) -> None:
+        """Cut a VM off from all targets."""
+        for link in self.links[vm]:
+            await link.cut_off(how)
+
+    def heal(self, vm: int) -> None:
+        """Connect a VM to all targets again."""
+        for link in self.links[vm]:
+            link.heal()
 
     @property
     def address(self) -> str:
@@ -306,6 +319,7 @@
     limits: ServerLimits | None = None,
     vm_count: int = 1,
     software: Sequence[str] = (),
+    network: LinkedNetwork | None = None,
 ) -> AsyncIterator[LiveWorld]:
     """Run VMs and targets.
 
@@ -315,6 +329,7 @@
         limits: Limits of the VMs' servers.
         vm_count: Number of VMs.
         software: Software versions of the targets, by their numbers; "v1" for the rest.
+        network: Gives each VM links of its own to the targets; None connects them directly.
     """
     async with AsyncExitStack() as stack:
         targets = [await stack.enter_async_context(raw_target(script)) for script in scripts]
@@ -326,11 +341,18 @@
         group = await stack.enter_async_context(anyio.create_task_group())
         store = MemoryRowStore()
         peers: list[VmRow] = []
-        vms = [
-            start_live_vm(group, live_route, replicas, store, limits, seed, peers)
-            for seed in range(1, vm_count + 1)
-        ]
-        world = LiveWorld(vms, targets, store)
+        vms = []
+        links: list[list[Link]] = []
+        for seed in range(1, vm_count + 1):
+            seen = replicas
+            if network is not None:
+                links.append([await network.add(group, replica.address) for replica in replicas])
+                seen = [
+                    dataclasses.replace(replica, address=link.address)
+                    for replica, link in zip(replicas, links[-1], strict=True)
+                ]
+            vms.append(start_live_vm(group, live_route, seen, store, limits, seed, peers))
+        world = LiveWorld(vms, targets, store, links=links)
         yield world
         for vm in vms:
             vm.server.stop_accepting()
