RECOVER: a VM that lost its links to targets has other VMs pass its requests on

Cause: each VM judged targets by its own links alone, and told all others of what it concluded. Class: a VM's own broken link, taken for a fact about others.

Now a target that gives no bytes is checked: a connection of this VM's, and the view of up to five others. Others reach it: the link is lost, requests go through one of them over HTTP, directly from there (a request that was passed on is never passed on again). Nobody reaches it, while one that fails reaches another target of the service: it has ended. No such witness: unknown, rejected at once, and the target list tells. Deadline, at most once, new connections for what may not be repeated, cancellation, departures, unframed and truncated bodies and the certainty of a stream's software hold over the hop; the limit is taken by the VM that has the caller. Idempotent requests and samples that hang on a lost link are given up at once; others wait for their answer. A crash counts for the VM that saw it at once, as before, and is told to others once no lost link explains it; the VM that passes a request on judges what it sees itself.

Weighed: telling the balancer (kept connections stay, and where half of a zone is cut the balancer uses all of it), handing steps over (the next owner may be cut, too); neither is needed once requests are passed on.

--- a/src/balsamcleat/decisions/crash_suspects.py
+++ b/src/balsamcleat/decisions/crash_suspects.py
@@ -128,6 +128,13 @@
         if not record.crashed_at_s:
             del self.records[digest]
 
+    def withdraw_crash(self, digest: str, start: TargetStart) -> None:
+        """Remove a crash that was none; it no longer blocks the request."""
+        self.remove_crash(digest, start)
+        record = self.records.get(digest)
+        if record is not None and not record.trial_count:
+            record.is_blocked = len(record.crashed_at_s) >= CRASHES_TO_BLOCK
+
     def record_trial(self, digest: str, number: int, at_s: float) -> None:
         """Record that a VM began a trial; trials are numbered from 1."""
         record = self.records.setdefault(digest, CrashRecord())
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -40,6 +40,7 @@
 )
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
+from balsamcleat.tasks.hop_messages import HOP_PATH
 from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
@@ -65,6 +66,8 @@
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
 from balsamcleat.tasks.stream_register import STREAMS_PATH, StreamRegister
 from balsamcleat.tasks.table_follower import TableFollower
+from balsamcleat.tasks.target_paths import REACH_PATH, TargetPaths
+from balsamcleat.tasks.target_relay import TargetRelay
 from balsamcleat.tasks.version_orders import VersionLoadController
 from balsamcleat.tasks.vm_presence import VmPresence
 
@@ -79,6 +82,8 @@
 # deploy/system.toml names this port and this path as the place to fetch metrics from.
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
+# Requests that are passed on have the headers of their callers and some more.
+PEER_SERVER_LIMITS = ServerLimits(max_header_bytes=64 * 1024)
 METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
 # Upper limit of the reported store silence in seconds; the silence of a store that has never
 # answered is infinite.
@@ -164,11 +169,30 @@
         )
         self.records = RolloutRecords(self.store)
         pause_guard = PauseGuard(self.records, boot_clock_s, generator)
+        self.relay_pool = ConnectionPool(
+            PoolLimits(
+                connect_timeout_s=0.3,
+                idle_timeout_s=TARGET_IDLE_TIMEOUT_S,
+                max_idle_connections=MAX_IDLE_TARGET_CONNECTIONS,
+            ),
+            CORRELATION_HEADER,
+        )
+        self.target_paths = TargetPaths(
+            settings.vm,
+            settings.zone,
+            self.peer_pool,
+            self.relay_pool,
+            self.presence.watch.live_rows,
+            self.replica_directory,
+            lambda target_id: self.stats_registry.for_target(target_id).record_success(),
+            generator,
+        )
         self.crash_history = SharedCrashHistory(self.store, self.store_clock.now_ms)
         self.crash_detector = CrashDetector(
             self.crash_history,
             lambda start: self.replica_directory.is_listed(start.target_id, start.started_ms),
             self.reaches_store,
+            lambda run: self.target_paths.examine(run.start.target_id),
         )
         self.live_queues = LiveQueues(self.replica_directory, self.stats_registry, generator)
         forwarder = LiveForwarder(
@@ -179,12 +203,15 @@
             generator,
             CrashGuard(self.crash_detector),
             self.live_queues,
+            self.target_paths,
         )
         self.runner = RolloutRunner(
             self.records,
             self.replica_directory,
             self.stats_registry,
-            SampleRunner(self.target_pool, self.replica_directory, self.stats_registry),
+            SampleRunner(
+                self.target_pool, self.replica_directory, self.stats_registry, self.target_paths
+            ),
             SampleGuard(self.crash_detector),
             SampleScorer(forwarder, lambda: self.routing_keeper.table, generator),
             settings.zone,
@@ -252,6 +279,13 @@
             self.presence.watch.live_rows,
             self.replica_directory,
         )
+        target_relay = TargetRelay(
+            self.replica_directory,
+            self.stats_registry,
+            self.target_pool,
+            self.crash_detector,
+            self.target_paths,
+        )
         self.dispatcher = RequestDispatcher(
             lambda: self.routing_keeper.table,
             forwarder,
@@ -288,9 +322,11 @@
                 {
                     RELAY_PREFIX: StoreRelay(self.direct_store).handle,
                     STREAMS_PATH: self.stream_register.handle,
+                    REACH_PATH: self.target_paths.handle,
+                    HOP_PATH: target_relay.handle,
                 },
             ).handle,
-            lambda: ServerLimits(),
+            lambda: PEER_SERVER_LIMITS,
         )
         self.metrics_server = HttpServer(
             listen(f"{settings.ip}:{METRICS_PORT}"),
@@ -359,6 +395,7 @@
                 self.crash_history.run,
                 self.crash_detector.run,
                 self.stream_register.run,
+                self.target_paths.run,
                 self.presence.run,
                 self.order_lease_keeper.run,
                 self.runner.run,
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -13,7 +13,7 @@
 from balsamcleat.http1.streams import ByteStream, connect
 from balsamcleat.model import FailureKind
 
-__all__ = ["ConnectionPool", "Exchange", "PoolLimits"]
+__all__ = ["CONNECT_STEP", "ConnectionPool", "Exchange", "PoolLimits"]
 
 # Subtracted from the keep-alive timeout that a server announces, so that a request in transit
 # does not meet a connection that the server is closing.
@@ -25,6 +25,8 @@
 MAX_INTERIM_RESPONSES = 16
 # A response of up to this size is read whatever other responses the pool is reading.
 GUARANTEED_RESPONSE_BYTES = 256 * 1024
+# Step of the errors for connections that could not be opened.
+CONNECT_STEP = "http.connect"
 # Number of correlation ids that a connection remembers.
 MAX_REMEMBERED_IDS = 32
 
@@ -148,7 +150,7 @@
         except OSError as error:
             raise AttemptFailedError(
                 f"could not connect: {error}",
-                step="http.connect",
+                step=CONNECT_STEP,
                 peer=address,
                 perhaps_sent=False,
                 kind=FailureKind.UNREACHED,
@@ -171,6 +173,10 @@
             if not self.idle_connections[oldest_address]:
                 del self.idle_connections[oldest_address]
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether there is an idle connection to an address, which may have ended."""
+        return address in self.idle_connections
+
     def close_idle_connections(self, address: str) -> None:
         """Close the idle connections to an address that is no longer used."""
         for connection in self.idle_connections.pop(address, []):
--- a/src/balsamcleat/tasks/crash_guard.py
+++ b/src/balsamcleat/tasks/crash_guard.py
@@ -79,6 +79,7 @@
             return False
         try:
             if self.crash_count(call) >= CRASHES_TO_WAIT:
+                await self.detector.wait_until_examined(call.digest)
                 await self.history.wait_until_shared(call.digest)
         except BaseException:
             # The caller left.
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -14,7 +14,7 @@
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response
-from balsamcleat.model import FailureKind, ZoneName
+from balsamcleat.model import ZoneName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import (
@@ -42,7 +42,8 @@
 )
 from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.target_chooser import TargetChooser
-from balsamcleat.tasks.target_exchange import TargetExchange
+from balsamcleat.tasks.target_exchange import FAILURES_OF_THIS_VM, TargetExchange
+from balsamcleat.tasks.target_paths import TargetPaths
 
 __all__ = ["LiveForwarder", "live_priority"]
 
@@ -71,6 +72,7 @@
         generator: Random generator for choosing services, breaking ties and retry delays.
         crash_guard: Blocks requests that crash targets.
         queues: Queues in which calls wait for a slot.
+        paths: Tells which targets this VM reaches; None calls all of them directly.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         generator: random.Random,
         crash_guard: CrashGuard,
         queues: LiveQueues,
+        paths: TargetPaths | None = None,
     ) -> None:
         self.directory = directory
         self.stats_registry = stats_registry
@@ -90,6 +93,7 @@
         self.generator = generator
         self.crash_guard = crash_guard
         self.queues = queues
+        self.paths = paths
 
     async def answer(
         self, request: Request, route: Route, responder: Responder, version: int
@@ -337,6 +341,8 @@
             call.may_be_sent,
             self.stats_registry.limits,
             is_live=not call.is_background,
+            paths=self.paths,
+            can_repeat=call.route.is_repeatable,
         )
         try:
             await exchange.begin(force_new_connection=not call.route.is_repeatable)
@@ -345,7 +351,7 @@
             if isinstance(outcome, Ok):
                 self.crash_guard.record_response(call, replica, exchange)
         except AttemptFailedError as error:
-            if error.kind is not FailureKind.LIMITED:
+            if error.kind not in FAILURES_OF_THIS_VM:
                 stats.record_failure(anyio.current_time())
             outcome = Err(error)
             self.crash_guard.record_failure(call, replica, error)
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -22,7 +22,9 @@
     parse_weight_version,
     sample_request_headers,
 )
-from balsamcleat.tasks.target_exchange import StartCheck, TargetExchange
+from balsamcleat.tasks.hop_messages import StartCheck
+from balsamcleat.tasks.target_exchange import FAILURES_OF_THIS_VM, TargetExchange
+from balsamcleat.tasks.target_paths import TargetPaths
 
 __all__ = ["SampleEnd", "SampleRunOutcome", "SampleRunner", "sample_digest"]
 
@@ -100,6 +102,7 @@
         pool: Connection pool to the targets.
         directory: Directory of the targets.
         stats_registry: Observed load, pace and failures of each target.
+        paths: Tells which targets this VM reaches; None calls all of them directly.
     """
 
     def __init__(
@@ -107,10 +110,12 @@
         pool: ConnectionPool,
         directory: ReplicaDirectory,
         stats_registry: ReplicaStatsRegistry,
+        paths: TargetPaths | None = None,
     ) -> None:
         self.pool = pool
         self.directory = directory
         self.stats_registry = stats_registry
+        self.paths = paths
 
     async def run(self, assignment: SampleAssignment, progress: SampleProgress) -> SampleRunOutcome:
         """Run a sample, or resume it, and append its events to ``progress``."""
@@ -130,12 +135,14 @@
             self.stats_registry.limits,
             is_live=False,
             start_check=self.start_check(assignment.replica, progress),
+            paths=self.paths,
+            can_repeat=True,
         )
         stats.in_flight += 1
         try:
             return await self.read_response(assignment, progress, exchange, stats)
         except AttemptFailedError as error:
-            if error.kind is not FailureKind.LIMITED:
+            if error.kind not in FAILURES_OF_THIS_VM:
                 stats.record_failure(anyio.current_time())
             reason = f"{error.kind.value}: {error.message}"
             return SampleRunOutcome(SampleEnd.INTERRUPTED, reason, error=error)
--- a/src/balsamcleat/tasks/shared_crash_history.py
+++ b/src/balsamcleat/tasks/shared_crash_history.py
@@ -142,26 +142,46 @@
             while any(key.part == digest for key in self.unread_keys):
                 await self.changed.wait()
 
-    def record_crash(self, run: TargetRun, how: str) -> None:
-        """Record a crash that this VM saw, and publish it to the other VMs."""
-        if not self.history.record_crash(run.digest, run.start, anyio.current_time()):
-            return
-        crashes = self.crash_count(run.digest)
-        log.warning(
-            "request cut off by its target",
-            request=run.request,
-            target=run.start.target_id,
-            how=how,
-            content=run.digest,
-            known_crashes=crashes,
-            **(asdict(run.parts) if run.parts is not None else {}),
-        )
-        if run.is_sample and crashes < MIN_PUBLISHED_SAMPLE_CRASHES:
+    def record_crash(self, run: TargetRun, how: str, *, is_shared: bool = True) -> None:
+        """Record a crash that this VM saw.
+
+        Args:
+            run: Run during which the target crashed.
+            how: How the crash showed, for the log.
+            is_shared: Whether the other VMs are told of it now.
+        """
+        if self.history.record_crash(run.digest, run.start, anyio.current_time()):
+            log.warning(
+                "request cut off by its target",
+                request=run.request,
+                target=run.start.target_id,
+                how=how,
+                content=run.digest,
+                known_crashes=self.crash_count(run.digest),
+                **(asdict(run.parts) if run.parts is not None else {}),
+            )
+        if is_shared:
+            self.share_crash(run)
+
+    def share_crash(self, run: TargetRun) -> None:
+        """Tell the other VMs of a crash that this VM has recorded."""
+        record = self.history.records.get(run.digest)
+        if record is None or run.start not in record.crashed_at_s:
             return
-        for key in self.crash_keys(run.digest):
+        keys = [RowKey(SUSPECTS_TABLE, run.digest, encode_start(run.start))]
+        if run.is_sample:
+            if len(record.crashed_at_s) < MIN_PUBLISHED_SAMPLE_CRASHES:
+                return
+            keys = self.crash_keys(run.digest)
+        for key in keys:
             if key not in self.stored_keys:
                 self.queue_row(key, self.encode_now())
 
+    def withdraw_crash(self, run: TargetRun) -> None:
+        """Forget a crash that was none, unless another VM has seen it, too."""
+        if RowKey(SUSPECTS_TABLE, run.digest, encode_start(run.start)) not in self.stored_keys:
+            self.history.withdraw_crash(run.digest, run.start)
+
     def record_answer(self, digest: str) -> None:
         """Record that a target answered a request, which is then no suspect any more."""
         record = self.history.records.get(digest)
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -22,6 +22,7 @@
     parse_resumed_attempt,
 )
 from balsamcleat.tasks.attempt_log import log_answered
+from balsamcleat.tasks.hop_messages import StartCheck
 from balsamcleat.tasks.live_call import LiveCall
 from balsamcleat.tasks.live_errors import (
     blocked_error,
@@ -32,7 +33,7 @@
 )
 from balsamcleat.tasks.live_forwarder import LiveForwarder, live_priority
 from balsamcleat.tasks.stream_register import StreamRegister
-from balsamcleat.tasks.target_exchange import StartCheck, TargetExchange
+from balsamcleat.tasks.target_exchange import FAILURES_OF_THIS_VM, TargetExchange
 
 __all__ = ["StreamForwarder"]
 
@@ -291,6 +292,8 @@
             call.is_wanted,
             self.forwarder.stats_registry.limits,
             start_check=self.start_check(call),
+            paths=self.forwarder.paths,
+            can_repeat=call.route.is_repeatable,
         )
         stats.in_flight += 1
         try:
@@ -312,7 +315,7 @@
             self.forwarder.crash_guard.record_response(call, replica, exchange)
             stats.record_success()
         except AttemptFailedError as error:
-            if error.perhaps_sent:
+            if error.perhaps_sent and error.kind not in FAILURES_OF_THIS_VM:
                 stats.record_failure(anyio.current_time())
             raise
         finally:
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -1,7 +1,6 @@
 """Exchanges with targets; a target that announces its departure gets no further request."""
 
 from collections.abc import Callable
-from enum import Enum
 
 import anyio
 import structlog
@@ -9,8 +8,9 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.shared_limit import TargetLimits
 from balsamcleat.decisions.stream_origin import StreamOrigin, origin_of
+from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.http1 import ConnectionPool, Exchange, Request
+from balsamcleat.http1 import CONNECT_STEP, ConnectionPool, Exchange, Request
 from balsamcleat.model import FailureKind
 from balsamcleat.model.replicas import Replica
 from balsamcleat.platform import (
@@ -20,27 +20,26 @@
     parse_started_ms,
     report_request,
 )
+from balsamcleat.tasks.hop_messages import StartCheck, parse_hop_result, wrap_request
 from balsamcleat.tasks.limit_sharing import log_limit_change
+from balsamcleat.tasks.target_paths import TargetPaths, WatchedRun
 
-__all__ = ["StartCheck", "TargetExchange"]
+__all__ = ["FAILURES_OF_THIS_VM", "TargetExchange"]
 
 # A target that runs answers a question for its state within some milliseconds.
 REPORT_TIMEOUT_S = 0.4
+# Time without bytes after which the link to a target is suspected. A sample may wait for its first
+# event for longer, but a check costs only a connection.
+LIVE_PATIENCE_S = 0.25
+SAMPLE_PATIENCE_S = 0.6
 
-log = structlog.get_logger()
-
+# Kinds of failures that say nothing about the target.
+FAILURES_OF_THIS_VM = (FailureKind.LIMITED, FailureKind.LINK_LOST)
 
-class StartCheck(Enum):
-    """Whether the start of the target must be certain before the request is sent."""
-
-    NONE = "none"
-    # The stream may have to go on elsewhere; a target that names no start may begin it.
-    WANTED = "wanted"
-    # The stream goes on here, so the target's software must be the one that began it.
-    REQUIRED = "required"
+log = structlog.get_logger()
 
 
-class TargetExchange(Exchange):
+class TargetExchange(Exchange, WatchedRun):
     """Exchange with a target: all calls, streams, samples and scoring requests are sent by one.
 
     Args:
@@ -52,6 +51,15 @@
         limits: Limits that the targets name.
         is_live: Whether a live caller waits for the response.
         start_check: Whether the start of the target must be certain.
+        paths: Tells which targets this VM reaches; None calls the target directly.
+        can_repeat: Whether the request may run again elsewhere.
+        can_be_passed_on: Whether another VM may pass the request on; one that was passed on may not
+            be again.
+        takes_limit: Whether the request counts as one of this VM's for the target's limit.
+
+    Attributes:
+        relay: VM that passes the request on, or None if it is sent directly.
+        is_given_up: Whether the request was ended because its link was lost.
     """
 
     def __init__(
@@ -65,6 +73,10 @@
         *,
         is_live: bool = True,
         start_check: StartCheck = StartCheck.NONE,
+        paths: TargetPaths | None = None,
+        can_repeat: bool = False,
+        can_be_passed_on: bool = True,
+        takes_limit: bool = True,
     ) -> None:
         super().__init__(pool, replica.address, request, is_permitted)
         self.directory = directory
@@ -72,19 +84,112 @@
         self.limits = limits
         self.is_live = is_live
         self.start_check = start_check
+        self.paths = paths
+        self.can_repeat = can_repeat
+        self.can_be_passed_on = can_be_passed_on
+        self.takes_limit = takes_limit
+        self.patience_s = LIVE_PATIENCE_S if is_live else SAMPLE_PATIENCE_S
+        self.progress_at_s = anyio.current_time()
+        self.relay: VmRow | None = None
+        self.is_given_up = False
+        self.is_unframed = False
+        self.is_start_certain_at_relay = False
+
+    async def begin(self, *, force_new_connection: bool = False) -> None:
+        """Send the request, directly or by a VM that reaches the target, and read the head.
+
+        Raises:
+            AttemptFailedError: The request must not or could not be sent, or the response could not
+                be read.
+        """
+        self.choose_path(needs_new_connection=force_new_connection)
+        self.progress_at_s = anyio.current_time()
+        if self.paths is not None and self.relay is None:
+            self.paths.watch(self)
+        try:
+            is_fresh = force_new_connection and self.relay is None
+            await super().begin(force_new_connection=is_fresh)
+        except AttemptFailedError as error:
+            self.record_path_failure(error)
+            raise
+
+    def choose_path(self, *, needs_new_connection: bool) -> None:
+        """Choose a VM that passes the request on if this VM has lost its link to the target.
+
+        Raises:
+            AttemptFailedError: No VM is known to reach the target; nothing was sent.
+        """
+        if self.paths is None or not self.can_be_passed_on:
+            return
+        self.relay = self.paths.choose_relay(self.replica)
+        if self.relay is not None:
+            self.pool = self.paths.relay_pool
+            self.address = self.relay.address
+            self.request = wrap_request(
+                self.request,
+                self.replica,
+                self.start_check,
+                needs_new_connection=needs_new_connection,
+            )
+        elif self.paths.is_unreachable(self.replica) and not self.pool.has_idle(self.address):
+            raise self.failure("no VM reaches the target", FailureKind.UNREACHED)
+
+    def record_path_failure(self, error: AttemptFailedError) -> None:
+        """Record a failure that may come from the way to the target."""
+        if self.paths is None:
+            return
+        if self.relay is not None:
+            if error.kind in (FailureKind.UNREACHED, FailureKind.LINK_LOST):
+                self.paths.drop_relay(self.replica, self.relay)
+        elif error.step == CONNECT_STEP or error.kind in (FailureKind.CUT, FailureKind.SILENT):
+            self.paths.suspect(self.replica)
+
+    def failure(self, message: str, kind: FailureKind) -> AttemptFailedError:
+        """Return an error for this exchange; a lost link says nothing about the target."""
+        is_link = self.relay is not None or self.is_given_up
+        if is_link and kind in (FailureKind.CUT, FailureKind.SILENT):
+            kind = FailureKind.LINK_LOST
+        return super().failure(message, kind)
+
+    def give_up(self) -> None:
+        """End the exchange, since its link is lost; the task that reads from it gets an error."""
+        self.is_given_up = True
+        if self.connection is not None:
+            self.connection.stream.close()
+
+    async def next_event(self) -> object:
+        """Return the parser's next event, and record the progress of the request."""
+        event = await super().next_event()
+        self.progress_at_s = anyio.current_time()
+        return event
+
+    def end(self) -> None:
+        """Release or close the connection."""
+        if self.paths is not None:
+            self.paths.unwatch(self)
+        super().end()
+
+    @property
+    def has_explicit_framing(self) -> bool:
+        """Whether the end of the target's response is marked by more than the end of the bytes."""
+        return super().has_explicit_framing and not self.is_unframed
 
     @property
     def is_start_confirmed(self) -> bool:
         """Whether the target named the start on this connection that the list shows."""
+        if self.relay is not None:
+            return self.is_start_certain_at_relay
         assert self.connection is not None
         return self.connection.server_identity == start_identity(self.replica)
 
     def origin(self) -> StreamOrigin | None:
         """Return the origin of a stream that begins with this response, if it may go on."""
         assert self.connection is not None
-        return origin_of(
-            self.replica, self.connection.opened_at_s, is_confirmed=self.is_start_confirmed
-        )
+        connected_at_s = self.connection.opened_at_s
+        if self.relay is not None:
+            # The other VM's connection to the target was opened at some time before now.
+            connected_at_s = anyio.current_time()
+        return origin_of(self.replica, connected_at_s, is_confirmed=self.is_start_confirmed)
 
     async def prepare_connection(self) -> None:
         """Make sure of the target's start where that is wanted.
@@ -94,7 +199,8 @@
                 that is required; nothing was sent.
         """
         assert self.connection is not None
-        if self.start_check is StartCheck.NONE or self.is_start_confirmed:
+        is_checked_elsewhere = self.relay is not None
+        if self.start_check is StartCheck.NONE or is_checked_elsewhere or self.is_start_confirmed:
             return
         if self.directory.has_reached(self.replica.start, self.connection.opened_at_s):
             return
@@ -132,7 +238,9 @@
             # The target may have left while the request waited for a permission to run.
             raise self.failure("the target takes no more requests", FailureKind.UNREACHED)
         super().check_permission()
-        if not self.limits.take(self.replica.target_id, anyio.current_time(), is_live=self.is_live):
+        if self.takes_limit and not self.limits.take(
+            self.replica.target_id, anyio.current_time(), is_live=self.is_live
+        ):
             raise AttemptFailedError(
                 "the target's limit is used up",
                 step="target.limit",
@@ -144,6 +252,10 @@
     async def read_head(self) -> None:
         """Read the head of a response and record what the target says of itself in it."""
         await super().read_head()
+        if self.relay is not None:
+            self.read_hop_result()
+        elif self.paths is not None:
+            self.paths.record_answer(self.replica)
         if not is_misdirected(self.status):
             self.record_limit()
         if announces_departure(self.status, self.headers) and self.directory.mark_leaving(
@@ -157,6 +269,20 @@
                 row_version=self.replica.entry_version,
             )
 
+    def read_hop_result(self) -> None:
+        """Take what the VM that passed the request on says of it from the response's headers.
+
+        Raises:
+            AttemptFailedError: The target sent no response to that VM.
+        """
+        result = parse_hop_result(self.headers)
+        self.headers = result.headers
+        self.is_unframed = result.is_unframed
+        self.is_start_certain_at_relay = result.is_start_certain
+        if result.failure is not None:
+            self.perhaps_sent = result.perhaps_sent
+            raise self.failure("the VM that passed the request on got no response", result.failure)
+
     def record_limit(self) -> None:
         """Record the limit that the target names, or that it names none."""
         replica = self.replica
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -28,15 +28,19 @@
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
+from balsamcleat.tasks.hop_messages import HOP_PATH
 from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
+from balsamcleat.tasks.peers import PeerRequestHandler, PeerState
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
-from balsamcleat.tasks.stream_register import StreamRegister
+from balsamcleat.tasks.stream_register import STREAMS_PATH, StreamRegister
 from balsamcleat.tasks.table_follower import TableFollower
+from balsamcleat.tasks.target_paths import REACH_PATH, TargetPaths
+from balsamcleat.tasks.target_relay import TargetRelay
 from balsamcleat.tasks.vm_presence import VmPresence
 from lost_links import Cut, Link, LinkedNetwork
 from raw_target import RawTarget, Script, raw_target
@@ -144,6 +148,8 @@
     flaws: RowStoreFlaws
     register: StreamRegister
     peer_server: HttpServer
+    paths: TargetPaths
+    relay: TargetRelay
 
     def kill(self) -> None:
         """Accept nothing any more and reset all connections, as a killed process does."""
@@ -162,6 +168,7 @@
     store: MemoryRowStore
     callers: list[Caller] = field(default_factory=list)
     links: list[list[Link]] = field(default_factory=list)
+    peers: list[VmRow] = field(default_factory=list)
 
     async def strand(self, vm: int, how: Cut) -> None:
         """Cut a VM off from all targets."""
@@ -251,13 +258,25 @@
     pool = ConnectionPool(PoolLimits(), CORRELATION_HEADER)
     view = RowStoreView(store, flaws)
     crash_history = SharedCrashHistory(view, store.now_ms)
+    stats_registry = ReplicaStatsRegistry()
+    vm = f"vm-{seed}"
+    paths = TargetPaths(
+        vm,
+        "a",
+        ConnectionPool(PoolLimits()),
+        ConnectionPool(PoolLimits(), CORRELATION_HEADER),
+        lambda: peers,
+        directory,
+        lambda target_id: stats_registry.for_target(target_id).record_success(),
+        generator,
+    )
     detector = CrashDetector(
         crash_history,
         lambda start: directory.is_listed(start.target_id, start.started_ms),
         lambda: not flaws.down,
+        lambda run: paths.examine(run.start.target_id),
     )
-    stats_registry = ReplicaStatsRegistry()
-    vm = f"vm-{seed}"
+    relay = TargetRelay(directory, stats_registry, pool, detector, paths)
     presence = VmPresence(
         view,
         VmRow(vm, "boot", "", "a", 0),
@@ -270,10 +289,23 @@
     peer_host, peer_port = peer_listener.getsockname()
     peers.append(VmRow(vm, "boot", f"{peer_host}:{peer_port}", "a", 0))
     register = StreamRegister(vm, ConnectionPool(PoolLimits()), lambda: peers, directory)
-    peer_server = HttpServer(peer_listener, register.handle, lambda: ServerLimits())
+    handlers = {
+        STREAMS_PATH: register.handle,
+        REACH_PATH: paths.handle,
+        HOP_PATH: relay.handle,
+    }
+    peer_handler = PeerRequestHandler(lambda: PeerState("boot", 0.0), handlers)
+    peer_server = HttpServer(peer_listener, peer_handler.handle, lambda: ServerLimits())
     queues = LiveQueues(directory, stats_registry, generator)
     forwarder = LiveForwarder(
-        directory, stats_registry, pool, ZoneName("a"), generator, CrashGuard(detector), queues
+        directory,
+        stats_registry,
+        pool,
+        ZoneName("a"),
+        generator,
+        CrashGuard(detector),
+        queues,
+        paths,
     )
     streams = StreamForwarder(forwarder, register)
     follower = TableFollower(view, SUSPECTS_TABLE, crash_history, generator, single_part=False)
@@ -290,6 +322,7 @@
         server.run,
         peer_server.run,
         register.run,
+        paths.run,
         crash_history.run,
         detector.run,
         presence.run,
@@ -309,6 +342,8 @@
         flaws,
         register,
         peer_server,
+        paths,
+        relay,
     )
 
 
@@ -352,7 +387,7 @@
                     for replica, link in zip(replicas, links[-1], strict=True)
                 ]
             vms.append(start_live_vm(group, live_route, seen, store, limits, seed, peers))
-        world = LiveWorld(vms, targets, store, links=links)
+        world = LiveWorld(vms, targets, store, links=links, peers=peers)
         yield world
         for vm in vms:
             vm.server.stop_accepting()
