RECOVER: a VM that lost its links to engines hands the lease on orders over

The holder of the lease kept it for 12 s while it reached no engine (the lines 'no report' in the timeline), so no weights were loaded. It reaches the store, and orders can't be passed on: those of two VMs count as those of two holders. Now missing reports make it check its links; it frees the lease when it has lost some that other VMs have, and takes it again only if no other VM does. The gap between two holders' orders holds as before; the test fails before (the lease has no such condition).

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -156,7 +156,13 @@
             ),
         )
         self.order_lease_keeper = OrderLeaseKeeper(
-            self.store, settings.vm, self.boot, settings.order_gap_s, self.store_clock, generator
+            self.store,
+            settings.vm,
+            self.boot,
+            settings.order_gap_s,
+            self.store_clock,
+            generator,
+            lambda: not self.target_paths.has_lost_links(self.load_controller.engines()),
         )
         self.load_controller = VersionLoadController(
             self.order_lease_keeper,
@@ -166,6 +172,7 @@
             lambda: self.routing_keeper.table,
             lambda: self.routing_keeper.named_versions,
             lambda model: self.model_usage.usage(model),
+            lambda replica: self.target_paths.suspect(replica),
         )
         self.records = RolloutRecords(self.store)
         pause_guard = PauseGuard(self.records, boot_clock_s, generator)
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -235,6 +235,7 @@
         "This VM gives the orders.",
         "fence before before_ordering first_order_in_ms",
     ),
+    event("lease on orders given up", "This VM lost links to engines.", "fence"),
     event("lease on orders lost", "Another VM has it.", "fence"),
     event("lease on orders not tended", "The store failed.", "reason"),
     event("lease on orders tended again", "It answers."),
--- a/src/balsamcleat/tasks/order_lease_keeper.py
+++ b/src/balsamcleat/tasks/order_lease_keeper.py
@@ -33,6 +33,8 @@
 LEASES_TABLE = "leases"
 ORDER_LEASE_KEY = "orders"
 JITTER = 0.2
+# A VM that has lost links to targets waits this much longer for others to take the lease.
+CUT_OFF_DELAY_S = 2.0
 
 log = structlog.get_logger()
 
@@ -57,6 +59,7 @@
         order_gap_s: Shortest time between orders of two holders, in seconds.
         store_clock: Estimate of the store's clock.
         generator: Draws the jitter of the renewals.
+        reaches_targets: Returns whether this VM reaches the targets that it would send orders to.
     """
 
     def __init__(
@@ -67,8 +70,10 @@
         order_gap_s: float,
         store_clock: StoreClock,
         generator: random.Random,
+        reaches_targets: Callable[[], bool] = lambda: True,
     ) -> None:
         self.store = store
+        self.reaches_targets = reaches_targets
         self.vm = vm
         self.boot = boot
         self.order_gap_s = order_gap_s
@@ -79,6 +84,9 @@
         self.observed_row: tuple[int, float] | None = None
         self.write_count = 0
         self.should_acquire = True
+        # Whether this VM reached the targets when that was last asked. A VM that takes the lease
+        # without links, since nobody else does, keeps it.
+        self.has_links = True
         self.is_failing = False
         self.lock = anyio.Lock()
 
@@ -101,6 +109,12 @@
 
     async def renew_or_acquire(self) -> None:
         """Renew the lease, or read its row and acquire the lease if possible."""
+        had_links = self.has_links
+        self.has_links = self.reaches_targets()
+        if self.lease is not None and had_links and not self.has_links:
+            log.warning("lease on orders given up", fence=self.lease.fencing_token)
+            await self.free()
+            return
         if self.lease is not None:
             await self.update(lambda state: state)
             return
@@ -117,9 +131,13 @@
         now_s = self.store_clock.clock()
         if self.observed_row is None or self.observed_row[0] != version:
             self.observed_row = (version, now_s)
+        unchanged_s = now_s - self.observed_row[1]
+        if not self.has_links:
+            # Another VM is better off, unless none takes the lease.
+            return unchanged_s >= LEASE_TERM_S + CUT_OFF_DELAY_S
         if not state.vm or (state.vm == self.vm and state.boot != self.boot):
             return True
-        return now_s - self.observed_row[1] >= LEASE_TERM_S
+        return unchanged_s >= LEASE_TERM_S
 
     async def acquire(self, previous: OrderLeaseState | None, version: int) -> None:
         """Acquire the lease if its row has not changed since it was read."""
@@ -205,8 +223,11 @@
     async def release(self) -> None:
         """Release the lease and never acquire it again."""
         self.should_acquire = False
-        if self.lease is None:
-            return
+        if self.lease is not None:
+            await self.free()
+
+    async def free(self) -> None:
+        """Free the lease for the next holder."""
         now_ms = self.store_clock.now_ms()
         await self.update(
             lambda state: OrderLeaseState(
--- a/src/balsamcleat/tasks/target_paths.py
+++ b/src/balsamcleat/tasks/target_paths.py
@@ -2,7 +2,7 @@
 
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable, Set
+from collections.abc import Callable, Container, Iterable, Set
 from dataclasses import dataclass
 
 import anyio
@@ -14,7 +14,7 @@
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response, is_success
-from balsamcleat.model import TargetId
+from balsamcleat.model import ServiceName, TargetId
 from balsamcleat.model.replicas import Replica
 from balsamcleat.tasks.target_probe import accepts_connections
 
@@ -186,9 +186,14 @@
             return False
         return path.condition is not TargetCondition.LINK_LOST or not path.relays
 
-    def has_lost_links(self) -> bool:
-        """Return whether this VM has lost its link to a target that others reach."""
-        return any(path.condition is TargetCondition.LINK_LOST for path in self.paths.values())
+    def has_lost_links(self, services: Container[ServiceName]) -> bool:
+        """Return whether this VM has lost its link to a target of services that others reach."""
+        return any(
+            path.condition is TargetCondition.LINK_LOST
+            and target_id in self.directory.entries
+            and self.directory.entries[target_id].service in services
+            for target_id, path in self.paths.items()
+        )
 
     async def examine(self, target_id: TargetId) -> TargetCondition:
         """Return the condition of a target after a check, unless there was one just now."""
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -80,6 +80,7 @@
         current_table: Returns the configuration in force.
         named_versions: Returns the named version of each model.
         model_usage: Returns the current usage of a model.
+        on_unanswered: Called with a target that did not answer.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         current_table: Callable[[], RoutingTable | None],
         named_versions: Callable[[], dict[str, WeightVersion]],
         model_usage: Callable[[str], ModelUsage],
+        on_unanswered: Callable[[Replica], None] = lambda _: None,
     ) -> None:
         self.lease = lease
         self.control = control
@@ -99,6 +101,7 @@
         self.current_table = current_table
         self.named_versions = named_versions
         self.model_usage = model_usage
+        self.on_unanswered = on_unanswered
         self.named_since: dict[str, tuple[WeightVersion, float]] = {}
         self.in_flight: dict[TargetId, OrderInFlight] = {}
         # Versions that targets reported to this VM directly; newer than their directory entries.
@@ -325,6 +328,7 @@
             report = await self.control.fetch_report(replica)
         except AttemptFailedError as error:
             log.warning("no report", target=replica.target_id, reason=error.message)
+            self.on_unanswered(replica)
             return None
         self.order_counts[replica.target_id] = (report.started_ms, report.order_count)
         for model, version in report.versions.items():
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -145,3 +145,33 @@
         assert HOLDER_ORDER_WINDOW_S < GAP_S
 
     run(test)
+
+
+def test_holder_that_lost_its_links_to_engines_hands_the_lease_over() -> None:
+    """It reaches the store, so nobody else would see that its orders reach no engine."""
+
+    async def lose_links() -> None:
+        store = MemoryRowStore()
+        orders: list[tuple[float, str, int]] = []
+        cut_off: set[str] = set()
+        vms = {name: OrderingVm(store, name, orders) for name in ("a", "b")}
+        for vm in vms.values():
+            vm.keeper.reaches_targets = lambda name=vm.name: name not in cut_off
+        async with anyio.create_task_group() as tasks:
+            for vm in vms.values():
+                tasks.start_soon(vm.send_orders)
+            await anyio.sleep(8.0)
+            first = orders[-1][1]
+            cut_off.add(first)
+            lost_at_s = anyio.current_time()
+            await anyio.sleep(8.0)
+            assert all(name != first for at_s, name, _ in orders if at_s > lost_at_s + 1.0)
+            assert orders[-1][1] != first
+            # Where no VM reaches the engines, the lease must not stay free.
+            cut_off |= set(vms)
+            await anyio.sleep(12.0)
+            assert any(vm.keeper.lease is not None for vm in vms.values())
+            tasks.cancel_scope.cancel()
+        assert_orders_keep_gap(orders)
+
+    run(lose_links)
