Samples: one under which engines crashed is owed, and runs again as soon as they are calm

The operators' report: an item under which several servers died in a burst of crashes was never placed again. Items handed in for later never crash servers by themselves, so the cause is a rule applied to what it doesn't hold for.

Samples and their scoring requests are no longer judged, give no evidence, and are not held back, also not by a VM that passes them on. What bounds what remains: answers of 500 (attempts) and 422 of the operators' rule on items, the expiry of the step, and a delay between interruptions that doubles, up to 0.4 s, as long as the sample makes no progress.

--- a/src/balsamcleat/decisions/crash_suspects.py
+++ b/src/balsamcleat/decisions/crash_suspects.py
@@ -5,6 +5,9 @@
 other requests and responses get lost; the same content under which three targets crashed, and
 which none answered, is blocked. A blocked request is tried again at one target after a delay that
 grows, so that content that was blocked by coincidence is served again.
+
+Only requests that a caller waits for are judged. Samples of steps, and the requests that score
+them, never crash targets by themselves: one under which targets crashed is owed, and runs again.
 """
 
 from collections.abc import Iterable
@@ -29,7 +32,6 @@
 # Crashes further apart than this are not counted together, and are forgotten after it: each is a
 # row that a VM reads when it starts.
 CRASH_WINDOW_S = 300.0
-# A sample that waits for its trial is back at a target within the 5 s that its step allows.
 FIRST_TRIAL_DELAY_S = 4.0
 # The second trial comes after 64 s and the third after 17 min: a request that really crashes its
 # targets is sent less than three times in any quarter of an hour after it was blocked.
@@ -61,7 +63,6 @@
         digest: Digest of the request's content.
         start: Start of the target that was sent the request.
         address: Address of that target, as ``IP:PORT``.
-        is_sample: Whether the request is a sample of a step.
         parts: Parts of the request's content, for the log.
     """
 
@@ -69,7 +70,6 @@
     digest: str
     start: TargetStart
     address: str
-    is_sample: bool = False
     parts: RequestParts | None = None
 
 
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -56,7 +56,6 @@
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.routing_keeper import RoutingKeeper
 from balsamcleat.tasks.row_garbage_collector import RowGarbageCollector
-from balsamcleat.tasks.sample_guard import SampleGuard
 from balsamcleat.tasks.sample_run import SampleRunner
 from balsamcleat.tasks.sample_scorer import SampleScorer
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
@@ -219,7 +218,6 @@
             SampleRunner(
                 self.target_pool, self.replica_directory, self.stats_registry, self.target_paths
             ),
-            SampleGuard(self.crash_detector),
             SampleScorer(forwarder, lambda: self.routing_keeper.table, generator),
             settings.zone,
             lambda: self.routing_keeper.table,
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -155,8 +155,7 @@
     event(
         "sample run ended",
         "A run at a target is over; load, pace and version are what was believed at its start.",
-        "step sample target end reason events resumed_at took_s load pace_ms version software"
-        " content",
+        "step sample target end reason events resumed_at took_s load pace_ms version software",
     ),
     event("sample run failed by a fault", "A fault of this program.", "step sample exception"),
     event(
--- a/src/balsamcleat/tasks/crash_guard.py
+++ b/src/balsamcleat/tasks/crash_guard.py
@@ -51,6 +51,8 @@
 
     async def admit(self, call: LiveCall) -> bool:
         """Return whether a request that has arrived may be sent; a blocked one may be a trial."""
+        if call.is_background:
+            return True
         verdict = self.verdict(call)
         if verdict is RunVerdict.TRIAL_DUE:
             call.is_trial = await self.history.claim_trial(call.digest)
@@ -73,7 +75,7 @@
         """
         if call.attempts.is_blocked:
             return False
-        if call.is_trial or not self.crash_count(call):
+        if call.is_background or call.is_trial or not self.crash_count(call):
             return True
         if is_copy or not await self.reserve_suspect_run(call):
             return False
@@ -128,10 +130,14 @@
 
     def record_failure(self, call: LiveCall, replica: Replica, error: AttemptFailedError) -> None:
         """Record a run that failed at its target."""
+        if call.is_background:
+            return
         self.detector.record_failure(call.run_at(replica), error)
 
     def record_cancellation(self, call: LiveCall, replica: Replica) -> None:
         """Record a run without a response that was cancelled, at the deadline or before."""
+        if call.is_background:
+            return
         if call.remaining_s() <= 0.0:
             self.detector.record_silence(call.run_at(replica))
         else:
@@ -144,6 +150,8 @@
         error before it begins. Without explicit framing, the end of a crashed target's connection
         looks like the end of the response.
         """
+        if call.is_background:
+            return
         if not exchange.has_explicit_framing:
             self.detector.record_abandonment(call.run_at(replica))
         elif is_success(exchange.status):
--- a/src/balsamcleat/tasks/hop_messages.py
+++ b/src/balsamcleat/tasks/hop_messages.py
@@ -25,6 +25,7 @@
 TARGET_HEADER = "Hop-Target"
 NEW_CONNECTION_HEADER = "Hop-New-Connection"
 START_CHECK_HEADER = "Hop-Start-Check"
+LIVE_HEADER = "Hop-Live"
 FAILURE_HEADER = "Hop-Failure"
 CERTAIN_START_HEADER = "Hop-Start-Certain"
 UNFRAMED_HEADER = "Hop-Unframed"
@@ -34,6 +35,7 @@
         TARGET_HEADER,
         NEW_CONNECTION_HEADER,
         START_CHECK_HEADER,
+        LIVE_HEADER,
         FAILURE_HEADER,
         CERTAIN_START_HEADER,
         UNFRAMED_HEADER,
@@ -63,12 +65,14 @@
         start: Start of the target that it is meant for.
         needs_new_connection: Whether it must not be sent on a connection that was used before.
         start_check: Whether the start of the target must be certain.
+        is_live: Whether a live caller waits for the response.
     """
 
     request: Request
     start: TargetStart
     needs_new_connection: bool
     start_check: StartCheck
+    is_live: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +95,12 @@
 
 
 def wrap_request(
-    request: Request, replica: Replica, start_check: StartCheck, *, needs_new_connection: bool
+    request: Request,
+    replica: Replica,
+    start_check: StartCheck,
+    *,
+    needs_new_connection: bool,
+    is_live: bool,
 ) -> Request:
     """Return the request that asks another VM to pass a request on to a target."""
     headers = (
@@ -101,6 +110,8 @@
     )
     if needs_new_connection:
         headers = (*headers, (NEW_CONNECTION_HEADER, "1"))
+    if is_live:
+        headers = (*headers, (LIVE_HEADER, "1"))
     return Request(request.method, HOP_PATH + request.target, headers, request.body)
 
 
@@ -119,7 +130,8 @@
     )
     needs_new_connection = header_value(request.headers, NEW_CONNECTION_HEADER) is not None
     start = TargetStart(TargetId(target_id), int(started))
-    return HopRequest(original, start, needs_new_connection, StartCheck(check))
+    is_live = header_value(request.headers, LIVE_HEADER) is not None
+    return HopRequest(original, start, needs_new_connection, StartCheck(check), is_live)
 
 
 def failure_response(error: AttemptFailedError) -> Response:
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -65,6 +65,8 @@
         failure_counts: Number of runs that a target answered with an error, by sample id.
         retry_not_before_s: Earliest time of a sample's next run, on the process clock, by sample
             id.
+        interruptions: Number of events at the last interruption of each sample, and how many
+            interruptions in a row found that number, by sample id.
         carried_groups: Groups that have text from an earlier step of the same trainer.
         done: Ids of the samples that have a result.
         ended: Whether the trainer ended the step.
@@ -95,6 +97,7 @@
     scoring: dict[str, anyio.CancelScope] = field(default_factory=dict)
     failure_counts: dict[str, int] = field(default_factory=dict)
     retry_not_before_s: dict[str, float] = field(default_factory=dict)
+    interruptions: dict[str, tuple[int, int]] = field(default_factory=dict)
     carried_groups: set[str] = field(default_factory=set)
     done: set[str] = field(default_factory=set)
     ended: bool = False
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -28,7 +28,6 @@
 from balsamcleat.tasks.placement_view import TOKENS_PER_EVENT, PlacementView
 from balsamcleat.tasks.result_writer import ResultWriter
 from balsamcleat.tasks.rollout_records import RolloutRecords
-from balsamcleat.tasks.sample_guard import SampleGuard
 from balsamcleat.tasks.sample_resumption import SampleResumption
 from balsamcleat.tasks.sample_run import (
     SampleAssignment,
@@ -36,7 +35,6 @@
     SampleRunner,
     SampleRunOutcome,
     rejected_version,
-    sample_digest,
 )
 from balsamcleat.tasks.sample_scorer import SampleScorer
 from balsamcleat.tasks.step_scorer import StepScorer
@@ -48,6 +46,8 @@
 PLACEMENT_INTERVAL_S = 0.1
 # Upper bound of the random delay before a sample is retried after an interrupted run.
 MAX_INTERRUPTED_BACKOFF_S = 0.05
+# The delay doubles at most this often.
+MAX_BACKOFF_DOUBLINGS = 3
 FAILED_BACKOFF_S = 0.2
 # Request priorities of samples, 0 being the highest. Live requests precede all samples.
 REQUIRED_PRIORITY = 4
@@ -69,7 +69,6 @@
         directory: Directory of the known targets.
         stats_registry: Observed load, pace and failures of each target.
         sample_runner: Runs one sample on one target.
-        sample_guard: Holds back samples that crash targets.
         scorer: Obtains the scores of samples.
         zone: Availability zone of this VM.
         table: Returns the routing table in force, or None before there is one.
@@ -84,7 +83,6 @@
         directory: ReplicaDirectory,
         stats_registry: ReplicaStatsRegistry,
         sample_runner: SampleRunner,
-        sample_guard: SampleGuard,
         scorer: SampleScorer,
         zone: ZoneName,
         table: Callable[[], RoutingTable | None],
@@ -96,7 +94,6 @@
         self.directory = directory
         self.stats_registry = stats_registry
         self.sample_runner = sample_runner
-        self.sample_guard = sample_guard
         self.step_scorer = StepScorer(scorer, table, self.may_send)
         self.table = table
         self.resumption = SampleResumption(directory)
@@ -299,8 +296,7 @@
         outcome = SampleRunOutcome(SampleEnd.INTERRUPTED, CANCELLED_RUN_REASON)
         try:
             with run.scope:
-                blocked = await self.sample_guard.check_before_run(assignment)
-                outcome = blocked or await self.sample_runner.run(assignment, progress)
+                outcome = await self.sample_runner.run(assignment, progress)
         except Exception:
             outcome = SampleRunOutcome(SampleEnd.INTERRUPTED, "internal error")
             log.exception("sample run failed by a fault", step=step.step_id, sample=sample_id)
@@ -322,10 +318,7 @@
             pace_ms=round(run.event_interval_s * 1000, 1),
             version=run.version,
             software=assignment.replica.software_version,
-            content=sample_digest(assignment) if outcome.end is SampleEnd.INTERRUPTED else None,
         )
-        was_cancelled = outcome.reason == CANCELLED_RUN_REASON
-        self.sample_guard.record_end(assignment, outcome, was_cancelled=was_cancelled)
         if progress.current_version is not None:
             self.view.record_version(
                 assignment.replica.target_id, step.step.model, progress.current_version
@@ -359,16 +352,26 @@
                 now_s, FAILED_BACKOFF_S
             )
         elif outcome.reason != CANCELLED_RUN_REASON:
-            step.retry_not_before_s[sample_id] = now_s + max(
-                self.generator.random() * MAX_INTERRUPTED_BACKOFF_S,
-                self.sample_guard.retry_delay_s(assignment),
-            )
+            step.retry_not_before_s[sample_id] = now_s + self.interrupted_backoff_s(step, sample_id)
         target_version = rejected_version(outcome)
         if target_version is not None:
             log.info(
                 "target is behind", target=assignment.replica.target_id, version=target_version
             )
 
+    def interrupted_backoff_s(self, step: OwnedStep, sample_id: str) -> float:
+        """Return the delay before an interrupted sample runs again, in seconds.
+
+        It grows with the interruptions without any progress between them, while engines crash in
+        series, and stays short enough for the sample to run soon after they are calm.
+        """
+        event_count = len(step.progress[sample_id].events)
+        previous_count, interruptions = step.interruptions.get(sample_id, (-1, 0))
+        interruptions = interruptions + 1 if event_count == previous_count else 0
+        step.interruptions[sample_id] = (event_count, interruptions)
+        growth = 2.0 ** min(interruptions, MAX_BACKOFF_DOUBLINGS)
+        return self.generator.random() * MAX_INTERRUPTED_BACKOFF_S * growth
+
     def may_send(self, step: OwnedStep) -> bool:
         """Return whether this VM may send requests of a step; detects a pause that just ended."""
         assert self.tasks is not None
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -9,7 +9,6 @@
 
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStats, ReplicaStatsRegistry
-from balsamcleat.decisions.request_content import content_digest
 from balsamcleat.decisions.sample_progress import SampleProgress
 from balsamcleat.decisions.stream_stall import SAMPLE_PAUSE_S, StallTimer
 from balsamcleat.errors import AttemptFailedError
@@ -26,7 +25,7 @@
 from balsamcleat.tasks.target_exchange import FAILURES_OF_THIS_VM, TargetExchange
 from balsamcleat.tasks.target_paths import TargetPaths
 
-__all__ = ["SampleEnd", "SampleRunOutcome", "SampleRunner", "sample_digest"]
+__all__ = ["SampleAssignment", "SampleEnd", "SampleRunOutcome", "SampleRunner"]
 
 # Longest wait for the response head; longer, since the sample may wait in the target's queue.
 RESPONSE_HEAD_TIMEOUT_S = 2.5
@@ -49,8 +48,6 @@
     UNPROCESSABLE = "impossible"
     # The stream was cut, went silent or was malformed; the progress up to there is kept.
     INTERRUPTED = "broken"
-    # Several engines crashed under the sample; it was not sent.
-    BLOCKED = "blocked"
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,15 +265,6 @@
             raise exchange.failure(f"invalid event: {error}", FailureKind.MALFORMED) from error
 
 
-def sample_digest(assignment: SampleAssignment) -> str:
-    """Return the digest by which a sample is recognized when it is run again.
-
-    Samples of a group that have the same path and body crash the same engines.
-    """
-    sample = assignment.sample
-    return content_digest(assignment.host, "POST", sample.path, sample.body)
-
-
 def rejected_version(outcome: SampleRunOutcome) -> WeightVersion | None:
     """Return the weight version for which a target's response was rejected, or None.
 
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -130,6 +130,7 @@
                 self.replica,
                 self.start_check,
                 needs_new_connection=needs_new_connection,
+                is_live=self.is_live,
             )
         elif self.paths.is_unreachable(self.replica) and not self.pool.has_idle(self.address):
             raise self.failure("no VM reaches the target", FailureKind.UNREACHED)
--- a/src/balsamcleat/tasks/target_relay.py
+++ b/src/balsamcleat/tasks/target_relay.py
@@ -98,6 +98,7 @@
             hop.request,
             lambda: True,
             self.stats_registry.limits,
+            is_live=hop.is_live,
             start_check=hop.start_check,
             paths=self.paths,
             can_be_passed_on=False,
@@ -107,7 +108,8 @@
             await exchange.begin(force_new_connection=hop.needs_new_connection)
             await self.relay_response(exchange, responder)
         except AttemptFailedError as error:
-            self.detector.record_failure(run_of(hop.request, replica), error)
+            if hop.is_live:
+                self.detector.record_failure(run_of(hop.request, replica), error)
             log.info(
                 "request not passed on",
                 request=request_id(hop.request.headers),
