Soak: software versions, callers that resume streams, and VMs that lose their links to targets

Engines start with one of two software versions, some again under their ids while the list is late by a second, and their events name the software that wrote them. Each VM has links of its own to all targets, which refuse new connections and reset, silence or keep the established ones for 4 to 8 s at one to all but one VMs; the share of calls served there is held against the others', by the operators' rule.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -29,6 +29,8 @@
 from soak_link import SoakLink
 from soak_poison import MAX_LATE_RUNS, PoisonCaller, late_runs
 from soak_stand import SoakTarget, StoreDoor, events_of, scoring_id, serve, stamp_of
+from soak_strand import CallLog
+from soak_streams import StreamCaller
 
 HOST = "soak.example"
 MODEL = "m"
@@ -63,6 +65,8 @@
     configurations: int = 0
     acked: dict[int, float] = field(default_factory=dict)
     stopping: bool = False
+    streams: tuple[int, int, int] = (0, 0, 0)
+    call_log: CallLog = field(default_factory=CallLog)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -96,6 +100,7 @@
     def vm(self, number: int) -> SoakVm:
         ip = f"127.{self.net}.0.{number + 1}"
         door = StoreDoor(RowStoreView(self.store, RowStoreFlaws(delay_s=0.002)))
+        links = [self.vm_link(number, target, door) for target in (*self.engines, *self.plains)]
         serve(self.tasks, self.address(200 + number, 9100), door.answer)
         settings = self.folder / f"vm{number}.json"
         document = {
@@ -112,7 +117,17 @@
             "bounds": {"graceS": 6, "leaseMs": ORDER_GAP_S * 1000, "statusS": 120},
         }
         settings.write_text(json.dumps(document))
-        return SoakVm(f"vm{number}", ip, door, settings, self.folder / f"vm{number}.log")
+        log = self.folder / f"vm{number}.log"
+        return SoakVm(f"vm{number}", ip, door, settings, log, links)
+
+    def vm_link(self, number: int, target: SoakTarget, door: StoreDoor) -> SoakLink:
+        """Return a VM's own link to a target, at an address that only this VM is told."""
+        _, _, place = target.link.address.split(":")[0].rpartition(".")
+        address = f"127.{self.net}.{number + 1}.{place}:9000"
+        door.addresses[target.link.address] = address
+        link = SoakLink(address, target.link.address, self.tasks)
+        link.start()
+        return link
 
     def change_configuration(self) -> None:
         """Write the next version; each adds a route and moves a timeout."""
@@ -129,6 +144,7 @@
         routes = [
             route("/safe/", "safe", "app"),
             route("/once/", "unsafe", "app"),
+            route("/stream/", "streaming", "llm", resumable=True),
             route("/steps/", "rollout", "llm", resumable=True, queueTtlS=60, dueMs=7500),
         ]
         routes += [route(f"/new{number}/", "safe", "app") for number in range(1, version + 1)]
@@ -164,7 +180,10 @@
             headers = (("Host", HOST), ("Attempt-Id", attempt), ("Deadline-Ms", "2000"))
             body = os.urandom(8).hex().encode()
             self.asked += 1
-            response = await self.ask(Request("POST", f"/{kind}/x", headers, body), 2.5)
+            vm, sent_s = self.rng.choice(self.vms), anyio.current_time()
+            response = await self.ask(Request("POST", f"/{kind}/x", headers, body), 2.5, vm)
+            is_served = response is not None and response.status == 200
+            self.call_log.calls.append((sent_s, vm.name, is_served))
             if response is not None and response.status == 200:
                 self.served += 1
                 if response.body != attempt.encode() + b":" + body:
@@ -283,6 +302,9 @@
         numbers = [int(line[1]) for line in lines]
         if numbers != list(range(1, events_of(result["id"]) + 1)):
             self.breaks("whole text", f"{result['id']} has events {numbers}")
+        writers = [line[3] for line in lines]
+        if len(set(writers)) > 1:
+            self.breaks("one software version a sample", f"{result['id']} {writers}")
         made = sorted({int(line[2][1:]) for line in lines})
         if made != result["versions"]:
             self.breaks("versions named", f"{result['id']} {made} {result['versions']}")
@@ -353,6 +375,11 @@
             if before[1] != after[1] and after[0] - before[0] < ORDER_GAP_S:
                 self.breaks("one holder of orders", f"{engine.name} {before} {after}")
 
+    def stream_caller(self) -> StreamCaller:
+        """Return the caller of streams."""
+        rng = random.Random(f"streams {self.seed}")
+        return StreamCaller(HOST, self.choose_vm_address, self.breaks, rng)
+
     async def play(self, vms: int) -> None:
         """Play the seed to its end."""
         self.build(vms)
@@ -367,6 +394,8 @@
                 users.start_soon(self.probe)
                 poison = PoisonCaller(self.seed, HOST, self.choose_vm_address)
                 users.start_soon(poison.run)
+                streams = self.stream_caller()
+                users.start_soon(streams.run)
                 faults = await self.faults()
                 before = (self.served, self.steps)
                 await anyio.sleep(SETTLE_S)
@@ -377,6 +406,11 @@
             self.check_targets()
             self.check_leaving()
             self.check_poison(faults)
+            for stranding in faults.strandings:
+                broken = self.call_log.broken(stranding)
+                if broken:
+                    self.breaks("callers of VMs that lost their links are served", broken)
+            self.streams = (streams.finished, streams.resumed, streams.refused)
         finally:
             for vm in self.vms:
                 vm.send(signal.SIGCONT)
@@ -413,7 +447,7 @@
         poison = sum(len(target.poison_runs) for target in soak.plains)
         print(
             f"seed {seed}: {verdict}; {soak.served} of {soak.asked} calls, {soak.steps} steps,"
-            f" {poison} runs of poison"
+            f" {poison} runs of poison, streams {soak.streams} (whole, resumed, begun anew)"
         )
         for line in soak.broken[:8]:
             print(f"  {line}")
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -12,7 +12,9 @@
 import anyio
 
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws
+from soak_link import SoakLink
 from soak_stand import SoakTarget, StoreDoor
+from soak_strand import Stranding, cut, heal
 
 GRACE_S = 8.0
 # VMs are in touch again this long after a fault.
@@ -28,8 +30,10 @@
     door: StoreDoor
     settings: Path
     log: Path
+    links: list[SoakLink] = field(default_factory=list)
     process: subprocess.Popen | None = None
     frozen: bool = False
+    stranded: bool = False
 
     def start(self) -> None:
         """Start the process, unless an overlapping fault has started it already."""
@@ -69,6 +73,7 @@
     # Times at which the first of several overlapping faults began and the last one ended.
     disturbed: list[tuple[float, float]] = field(default_factory=list)
     began_s: float = 0.0
+    strandings: list[Stranding] = field(default_factory=list)
 
     async def one(self) -> None:
         """Do one harm, drawn at random, and mend it."""
@@ -94,6 +99,8 @@
             self.link_reset,
             self.link_cut_one_way,
             self.link_silent,
+            self.strand_vms,
+            self.strand_vms,
             self.target_leaves,
             self.configuration_changes,
         )
@@ -238,6 +245,25 @@
         link.drops_requests = link.drops_answers = False
         link.reset()
 
+    async def strand_vms(self) -> None:
+        """Cut some VMs, but not all, from all targets, for longer than the rule allows."""
+        free = [vm for vm in self.vms if not vm.stranded]
+        count = self.rng.randrange(1, len(self.vms))
+        chosen = self.rng.sample(free, min(count, len(free) - 1)) if len(free) > 1 else []
+        if not chosen:
+            return
+        how = self.rng.choice(("reset", "silent", "live"))
+        began_s = anyio.current_time()
+        for vm in chosen:
+            vm.stranded = True
+            await cut(vm.links, how)
+        await anyio.sleep(self.rng.uniform(4.0, 8.0))
+        for vm in chosen:
+            await heal(vm.links, how)
+            vm.stranded = False
+        names = frozenset(vm.name for vm in chosen)
+        self.strandings.append(Stranding(names, began_s, anyio.current_time()))
+
     async def target_leaves(self) -> None:
         target = self.target()
         if target.up and target.draining_since_s is None:
--- a/tests/soak_link.py
+++ b/tests/soak_link.py
@@ -29,15 +29,25 @@
     drops_requests: bool = False
     drops_answers: bool = False
     streams: set[ByteStream] = field(default_factory=set)
+    accepting: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     def start(self) -> None:
-        self.tasks.start_soon(self.accept, listen(self.address))
+        self.accepting = anyio.CancelScope()
+        self.tasks.start_soon(self.accept, listen(self.address), self.accepting)
 
-    async def accept(self, listener) -> None:
-        while True:
-            await anyio.wait_readable(listener)
-            sock, peer = listener.accept()
-            self.tasks.start_soon(self.carry, ByteStream(sock, peer[0]))
+    def refuse(self) -> None:
+        """Accept no new connections until ``start``; open ones stay."""
+        self.accepting.cancel()
+
+    async def accept(self, listener, accepting: anyio.CancelScope) -> None:
+        try:
+            with accepting:
+                while True:
+                    await anyio.wait_readable(listener)
+                    sock, peer = listener.accept()
+                    self.tasks.start_soon(self.carry, ByteStream(sock, peer[0]))
+        finally:
+            listener.close()
 
     async def carry(self, caller: ByteStream) -> None:
         """Carry one connection until either side ends it."""
--- a/tests/soak_stand.py
+++ b/tests/soak_stand.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import dataclasses
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -34,7 +35,15 @@
 DRAINED_S = 9.0
 # A plain target that runs a request with such a body crashes.
 POISON = b"poison"
+# Paths of callers' streams; the rest of the path names the stream at all targets.
+STREAM_PREFIX = "/stream/"
 CUT_RESPONSE = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 9\r\n\r\npart"
+# Software versions that engines run; a start may bring another one.
+SOFTWARE = ("s1", "s2")
+# The list shows an engine that starts again under its id this much later.
+LIST_DELAY_S = 1.0
+# An engine that is away for less keeps its id, and its entry stays.
+MAX_UNLISTED_S = 1.5
 LIMITS = ServerLimits(idle_timeout_s=60.0)
 
 
@@ -62,6 +71,8 @@
     """The store as one VM reaches it."""
 
     view: RowStoreView
+    # Addresses at which the VM reaches targets, by the addresses that the targets register.
+    addresses: dict[str, str] = field(default_factory=dict)
     silent: bool = False
     reset: bool = False
 
@@ -101,16 +112,24 @@
         else:
             bounds = (name.get("from", ""), name.get("to", ""))
             read = await self.view.read(name["table"], name["part"], *bounds)
-            rows = [wire_row(row) for row in read.rows]
+            rows = [wire_row(self.seen(row)) for row in read.rows]
             return 200, {
                 "rows": rows,
                 "hasMore": read.more,
                 "ver": read.version,
                 "nowMs": read.store_ms,
             }
-        rows = [wire_row(row) for row in page.rows]
+        rows = [wire_row(self.seen(row)) for row in page.rows]
         return 200, {"rows": rows, "ver": page.version, "nowMs": page.store_ms}
 
+    def seen(self, row: RowChange) -> RowChange:
+        """Return a row as the VM sees it, with its own way to a target."""
+        if row.key.table != "servers" or row.value is None:
+            return row
+        entry = msgspec.json.decode(row.value)
+        entry["address"] = self.addresses.get(entry["address"], entry["address"])
+        return dataclasses.replace(row, value=msgspec.json.encode(entry))
+
     async def commit(self, body) -> tuple[int, dict[str, object]]:
         writes = [
             RowWrite(RowKey(p["table"], p["part"], p["key"]), base64.b64decode(p["value"]))
@@ -137,6 +156,8 @@
     tasks: anyio.abc.TaskGroup
     model: str = ""
     life: int = 0
+    id_life: int = 0
+    software: str = SOFTWARE[0]
     version: int = 1
     orders: int = 0
     loading: bool = False
@@ -155,7 +176,7 @@
 
     @property
     def target_id(self) -> str:
-        return f"{self.name}-{self.life}"
+        return f"{self.name}-{self.id_life}"
 
     def put(self, state: str | None) -> None:
         key = RowKey("servers", "", self.target_id)
@@ -165,20 +186,33 @@
             "zone": "a",
             "state": state,
             "batchSlots": 8,
+            "version": self.software,
             "born": self.life + 1,
             "models": [{"name": self.model, "version": self.version}] if self.model else [],
         }
         value = None if state is None else msgspec.json.encode(entry)
         self.store.apply(RowCommit((RowWrite(key, value),)))
 
-    def start(self) -> None:
+    def start(self, *, keeps_id: bool = False) -> None:
+        """Start with any software; the list is late if the target keeps its id."""
         self.life += 1
+        if not keeps_id:
+            self.id_life = self.life
+        self.software = self.rng.choice(SOFTWARE)
         self.orders = 0
         self.loading = False
         self.up = True
         self.draining_since_s = None
         self.server = serve(self.tasks, self.link.goal, self.answer)
-        self.put("ready")
+        if keeps_id:
+            self.tasks.start_soon(self.put_late, self.life)
+        else:
+            self.put("ready")
+
+    async def put_late(self, life: int) -> None:
+        await anyio.sleep(LIST_DELAY_S)
+        if self.life == life and self.up:
+            self.put("draining" if self.draining_since_s else "ready")
 
     async def leave(self) -> None:
         """Say that it leaves, serve on for a while, go, and come back with a new id."""
@@ -189,16 +223,18 @@
             await self.crash(1.0)
 
     async def crash(self, down_s: float) -> None:
-        """Break all connections, stay away, come back with a new id."""
+        """Break all connections, stay away, come back with a new id or soon with the same."""
         assert self.server is not None
         self.up = False
+        keeps_id = bool(self.model) and down_s < MAX_UNLISTED_S and self.draining_since_s is None
         self.server.stop_accepting()
         for connection in list(self.server.connections):
             connection.stream.reset()
         await anyio.sleep(min(down_s, 0.5))
-        self.put(None)
+        if not keeps_id:
+            self.put(None)
         await anyio.sleep(max(0.0, down_s - 0.5))
-        self.start()
+        self.start(keeps_id=keeps_id)
 
     async def answer(self, request: Request, responder: Responder) -> None:
         attempt = header_value(request.headers, "Attempt-Id") or ""
@@ -288,12 +324,14 @@
             await responder.send(Response(503, refusal))
             return
         self.note_run(attempt)
+        if request.path.startswith(STREAM_PREFIX):
+            attempt = request.path.removeprefix(STREAM_PREFIX)
         number = int(header_value(request.headers, "Last-Event-Id") or 0)
         version = self.version
         await responder.start_chunked(
             200,
             (
-                ("Attempt-Id", attempt),
+                ("Attempt-Id", header_value(request.headers, "Attempt-Id") or ""),
                 ("Server-Stamp", "s"),
                 ("Weight-Versions", str(version)),
                 ("Content-Type", "text/event-stream"),
@@ -303,7 +341,7 @@
             await anyio.sleep(EVENT_S * self.slow)
             changed = f"weight-versions: {self.version}\n" if self.version != version else ""
             version = self.version
-            data = f"{changed}id: {event}\ndata: {attempt}:{event}:v{version}\n\n"
+            data = f"{changed}id: {event}\ndata: {attempt}:{event}:v{version}:{self.software}\n\n"
             await responder.write(data.encode())
         await responder.finish()
 
