RECOVER: attempts with lost links leave room for others; a question makes no other VM ask

A call whose attempts all hang on lost links had used up the route's attempts by the time that other VMs could pass it on, so its caller got 502 in the first second of a cut. Up to three such attempts no longer count; what may run once is still not repeated. A VM that was asked about an ended target suspected it, and asked others in turn: one crash made all VMs ask five others every half second. Now only VMs with requests for the target ask.

--- a/src/balsamcleat/decisions/live_attempts.py
+++ b/src/balsamcleat/decisions/live_attempts.py
@@ -18,6 +18,9 @@
 HEDGE_OBJECTIVE_SHARE = 0.5
 # A rejection costs a target nothing, but a request must not try all targets of a service.
 MAX_REJECTIONS = 4
+# Attempts that ended with their lost links don't count against the limit of the route, up to this
+# number: other VMs reach the targets, so the next attempt goes through one of them.
+MAX_LOST_LINKS = 3
 # Maximum number of rounds over the targets, so that a request doesn't loop while all of them
 # reject work whatever their load is.
 MAX_ROUNDS = 3
@@ -48,6 +51,7 @@
         tried_targets: Targets that the request was sent to in this round.
         possibly_run_count: Number of attempts that may have run the request.
         rejected_count: Number of attempts in this round that certainly did not run the request.
+        lost_link_count: Number of attempts that may have run and whose links were lost.
         has_timed_out: Whether an attempt ended without any response in time.
         round_count: Number of rounds over the targets, with a wait between two rounds.
         retry_after_s: Retry delay of the last target that sent one, in seconds.
@@ -60,6 +64,7 @@
     tried_targets: set[TargetId] = field(default_factory=set)
     possibly_run_count: int = 0
     rejected_count: int = 0
+    lost_link_count: int = 0
     has_timed_out: bool = False
     round_count: int = 1
     retry_after_s: float | None = None
@@ -73,6 +78,8 @@
 
     def record_failure(self, failure: AttemptFailedError) -> None:
         """Record the failure of an attempt."""
+        if failure.perhaps_sent and failure.kind is FailureKind.LINK_LOST:
+            self.lost_link_count += 1
         if failure.perhaps_sent:
             self.has_timed_out = self.has_timed_out or failure.kind is FailureKind.SILENT
             return
@@ -85,7 +92,8 @@
         """Return whether the request may be sent to one more target."""
         if self.is_blocked or (self.possibly_run_count and not self.repeatable):
             return False
-        return self.possibly_run_count < self.max_runs and self.rejected_count < MAX_REJECTIONS
+        run_count = self.possibly_run_count - min(self.lost_link_count, MAX_LOST_LINKS)
+        return run_count < self.max_runs and self.rejected_count < MAX_REJECTIONS
 
     def was_rejected_by_all(self) -> bool:
         """Return whether every attempt was rejected by its target without running."""
--- a/src/balsamcleat/decisions/target_path.py
+++ b/src/balsamcleat/decisions/target_path.py
@@ -63,6 +63,7 @@
         is_suspected: Whether a request got no answer since the last check.
         condition: Condition of the target at the last check.
         relays: VMs that reach the target, while this VM does not.
+        missed_at_s: Time at which the target took no connection that another VM had asked for.
     """
 
     answered_at_s: float = float("-inf")
@@ -70,6 +71,7 @@
     is_suspected: bool = False
     condition: TargetCondition = TargetCondition.REACHED
     relays: list[VmRow] = field(default_factory=list)
+    missed_at_s: float = float("-inf")
 
     def record_answer(self, now_s: float) -> None:
         """Record a direct answer of the target."""
@@ -91,6 +93,14 @@
         """Return whether the result of the last check can still be used."""
         return now_s - self.checked_at_s < CHECK_LIFETIME_S
 
+    def is_known(self, now_s: float) -> bool:
+        """Return whether another VM's question can be answered without a connection."""
+        return (
+            self.has_answered_lately(now_s)
+            or self.has_fresh_check(now_s)
+            or now_s - self.missed_at_s < RECHECK_INTERVAL_S
+        )
+
     def is_check_due(self, now_s: float) -> bool:
         """Return whether the target is to be checked now."""
         if self.is_suspected:
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -282,7 +282,10 @@
         self.is_start_certain_at_relay = result.is_start_certain
         if result.failure is not None:
             self.perhaps_sent = result.perhaps_sent
-            raise self.failure("the VM that passed the request on got no response", result.failure)
+            # That VM judges itself whether the target crashed, since it has the link.
+            is_cut = result.failure in (FailureKind.CUT, FailureKind.SILENT)
+            kind = FailureKind.FAULT if is_cut else result.failure
+            raise self.failure("the VM that passed the request on got no response", kind)
 
     def record_limit(self) -> None:
         """Record the limit that the target names, or that it names none."""
--- a/src/balsamcleat/tasks/target_paths.py
+++ b/src/balsamcleat/tasks/target_paths.py
@@ -347,18 +347,14 @@
         now_s = anyio.current_time()
         listed = [self.directory.entries.get(TargetId(target_id)) for target_id in target_ids]
         replicas = [replica for replica in listed if replica is not None]
-        unknown = [
-            replica
-            for replica in replicas
-            if not self.path(replica).has_answered_lately(now_s)
-            and not self.path(replica).has_fresh_check(now_s)
-        ]
+        unknown = [replica for replica in replicas if not self.path(replica).is_known(now_s)]
         connected = await self.probe(unknown)
         for replica in unknown:
             if replica.target_id in connected:
                 self.record_check(replica, TargetCondition.REACHED, [])
             else:
-                self.suspect(replica)
+                # Only VMs with requests for the target ask others, or all would ask each other.
+                self.path(replica).missed_at_s = anyio.current_time()
         return [
             replica.target_id
             for replica in replicas
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -135,6 +135,21 @@
 
 
 class TestAttemptTracker:
+    def test_attempts_whose_links_were_lost_leave_room_for_others(self) -> None:
+        """Both attempts of a route hang on links that are cut; a third one can be passed on."""
+        tracker = AttemptTracker(repeatable=True, max_runs=2)
+        for number in range(2):
+            tracker.record_start(TargetId(f"t{number}"))
+        assert not tracker.can_start()
+        tracker.record_failure(failure(sent=True, kind=FailureKind.LINK_LOST))
+        assert tracker.can_start()
+
+    def test_request_that_may_run_once_is_not_repeated_after_a_lost_link(self) -> None:
+        tracker = AttemptTracker(repeatable=False, max_runs=3)
+        tracker.record_start(TargetId("t0"))
+        tracker.record_failure(failure(sent=True, kind=FailureKind.LINK_LOST))
+        assert not tracker.can_start()
+
     @pytest.mark.parametrize(
         ("ends", "expected"),
         [
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -282,6 +282,21 @@
         assert 1 <= crashed <= CRASHES_TO_BLOCK
 
 
+async def test_question_about_an_ended_target_makes_no_other_vm_ask(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each VM that is asked would ask others in turn, so that one crash made all VMs ask."""
+    network = LinkedNetwork(monkeypatch)
+    async with live_world([answer_all] * 2, CALL, vm_count=4, network=network) as world:
+        await world.targets[0].crash()
+        for links in world.links:
+            await links[0].cut_off(Cut.REFUSE)
+        replica = replicas_of(world, 0)[0]
+        assert await world.vms[0].paths.examine(replica.target_id) is TargetCondition.ENDED
+        await anyio.sleep(0.3)
+        assert not any(vm.paths.has_open_checks() for vm in world.vms[1:])
+
+
 class TestJudgement:
     def judge(self, **fields: bool) -> TargetCondition:
         facts = {"connects": False, "has_peers": True, "has_relay": False, "has_witness": False}
