ORDER: a target that names no start serves streams, which none continues

Found by reading the fix: before a caller's stream on a young connection, the target is asked for its start. One that answers 404, or ends the connection with the answer, got no stream at all: the question failed, and the attempt with it, so callers of a service that is no engine would get 503. Now the stream is sent on a new connection, a target that names no start isn't asked again, and its streams go on nowhere while that is not certain. Both tests fail before.

--- a/src/balsamcleat/decisions/replica_directory.py
+++ b/src/balsamcleat/decisions/replica_directory.py
@@ -64,6 +64,8 @@
         # Time until which this VM knows the list, and when it no longer showed a start.
         self.read_at_s = float("-inf")
         self.ended_at_s: dict[TargetStart, float] = {}
+        # Starts of targets that name no start when they are asked.
+        self.unnamed_starts: dict[TargetStart, None] = {}
         # Time of the last departure of a target, by its software.
         self.departed_at_s: dict[StreamSoftware, float] = {}
 
@@ -94,6 +96,16 @@
         if len(self.ended_at_s) > MAX_RECORDED_ENDS:
             del self.ended_at_s[next(iter(self.ended_at_s))]
 
+    def record_unnamed(self, replica: Replica) -> None:
+        """Record that a target names no start when it is asked."""
+        self.unnamed_starts[replica.start] = None
+        if len(self.unnamed_starts) > MAX_RECORDED_ENDS:
+            del self.unnamed_starts[next(iter(self.unnamed_starts))]
+
+    def is_unnamed(self, replica: Replica) -> bool:
+        """Return whether a target is known to name no start."""
+        return replica.start in self.unnamed_starts
+
     def software_versions(self, service: ServiceName) -> set[str]:
         """Return the software versions of the targets of a service that take new work."""
         return {replica.software_version for replica in self.ready_replicas(service)}
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -388,7 +388,7 @@
         question = Exchange(self.pool, self.address, request)
         question.connection = self.connection
         response: Response | None = None
-        reason = f"no response within {timeout_s:.3f} s"
+        reason = f"no response within {timeout_s:.3f} s, or the connection ends with it"
         with anyio.move_on_after(timeout_s):
             try:
                 await question.send_request()
@@ -399,6 +399,19 @@
             raise self.failure(f"a question before the request: {reason}", FailureKind.UNREACHED)
         return response
 
+    async def reconnect(self) -> None:
+        """Replace the connection by a new one, before the request is sent.
+
+        Raises:
+            AttemptFailedError: No connection could be opened; nothing was sent.
+        """
+        assert self.connection is not None
+        self.connection.stream.close()
+        correlation_id = self.pool.correlation_id(self.request.headers)
+        self.connection = await self.pool.acquire(
+            self.address, correlation_id, force_new_connection=True
+        )
+
     async def next_event(self) -> object:
         """Return the parser's next event; receives data until there is one."""
         assert self.connection is not None
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -205,8 +205,9 @@
             return
         if self.directory.has_reached(self.replica.start, self.connection.opened_at_s):
             return
-        response = await self.ask_server(report_request(self.replica), REPORT_TIMEOUT_S)
-        started_ms = parse_started_ms(response)
+        if self.start_check is StartCheck.WANTED and self.directory.is_unnamed(self.replica):
+            return
+        started_ms = await self.ask_start()
         if started_ms == self.replica.started_ms:
             self.connection.server_identity = start_identity(self.replica)
         elif started_ms is not None and self.replica.started_ms:
@@ -214,6 +215,25 @@
         elif self.start_check is StartCheck.REQUIRED:
             raise self.failure("the target names no start", FailureKind.UNREACHED)
 
+    async def ask_start(self) -> int | None:
+        """Return the start that the target names, in Unix milliseconds, or None if it names none.
+
+        Raises:
+            AttemptFailedError: The connection can't be used after the question, and the start is
+                required or no other connection could be opened; nothing was sent.
+        """
+        try:
+            response = await self.ask_server(report_request(self.replica), REPORT_TIMEOUT_S)
+        except AttemptFailedError:
+            if self.start_check is StartCheck.REQUIRED:
+                raise
+            await self.reconnect()
+            return None
+        started_ms = parse_started_ms(response)
+        if started_ms is None:
+            self.directory.record_unnamed(self.replica)
+        return started_ms
+
     def handle_other_start(self, started_ms: int) -> None:
         """Record that the target has started again, which the list does not show yet.
 
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -25,6 +25,8 @@
     # Start time that the target reports; reports are no requests.
     started_ms: int = 0
     report_count: int = 0
+    # Whether the target answers questions for its state; if not, it closes the connection.
+    names_start: bool = True
     streams: set[anyio.abc.SocketStream] = field(default_factory=set)
 
     async def crash(self) -> None:
@@ -63,6 +65,11 @@
         data = await self.read_message(stream)
         while data.startswith(b"GET /report "):
             self.report_count += 1
+            if not self.names_start:
+                await stream.send(
+                    b"HTTP/1.1 404 Not Found\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+                )
+                raise anyio.EndOfStream
             body = f'{{"born":{self.started_ms}}}'.encode()
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
             await stream.send(head.encode() + body)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -91,6 +91,27 @@
         assert not world.targets[1].requests
 
 
+@pytest.mark.anyio
+async def test_target_that_names_no_start_serves_streams() -> None:
+    """It may be no engine; a question that ends the connection must not end the stream."""
+    async with live_world([stream_script()], STREAM) as world:
+        world.targets[0].names_start = False
+        for number in range(3):
+            caller = await world.connect()
+            assert (await caller.request(f"a{number}"))[2] == ALL_EVENTS
+
+
+@pytest.mark.anyio
+async def test_stream_of_a_target_that_names_no_start_is_not_continued() -> None:
+    async with live_world([stream_script(cut_after=3)] * 2, STREAM) as world:
+        for target in world.targets:
+            target.names_start = False
+        caller = await world.connect()
+        with anyio.fail_after(1.0), pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            await caller.request("a")
+        assert sum(len(target.requests) for target in world.targets) == 1
+
+
 @pytest.mark.anyio
 async def test_caller_goes_on_at_another_vm_at_the_software_that_began_its_stream() -> None:
     scripts = [cut_once(cut_after=4), stream_script()]
