ORDER: a target that still runs confirms the text of a young connection

But a target that still names the start that the list showed has run under it all the while. So it is asked once for its start, directly or by the VM that passes requests on, and its answer settles all streams from it; samples wait for that, 0.5 s at most, and begin anew without it, as when it crashed.

The three tests fail before.

--- a/src/balsamcleat/decisions/replica_directory.py
+++ b/src/balsamcleat/decisions/replica_directory.py
@@ -64,6 +64,8 @@
         # Time until which this VM knows the list, and when it no longer showed a start.
         self.read_at_s = float("-inf")
         self.ended_at_s: dict[TargetStart, float] = {}
+        # Time at which each start was last known to run, because the target named it.
+        self.alive_at_s: dict[TargetStart, float] = {}
         # Starts of targets that name no start when they are asked.
         self.unnamed_starts: dict[TargetStart, None] = {}
         # Time of the last departure of a target, by its software.
@@ -85,8 +87,19 @@
             return None
         return origin.software
 
+    def record_alive(self, start: TargetStart, now_s: float) -> None:
+        """Record that a target named a start that the list shows, so it still runs."""
+        self.alive_at_s[start] = now_s
+        if len(self.alive_at_s) > MAX_RECORDED_ENDS:
+            del self.alive_at_s[next(iter(self.alive_at_s))]
+
     def has_reached(self, start: TargetStart, connected_at_s: float) -> bool:
-        """Return whether a connection that was opened then certainly led to this start."""
+        """Return whether a connection that was opened then certainly led to this start.
+
+        A start that the list showed before and that ran later ran in between, too.
+        """
+        if self.alive_at_s.get(start, float("-inf")) >= connected_at_s:
+            return True
         settled_s = connected_at_s + LIST_DELAY_S
         return self.read_at_s >= settled_s and self.ended_at_s.get(start, settled_s) >= settled_s
 
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -165,6 +165,9 @@
     ),
     event("sample has no scorer", "No route takes the request; it is tried again.", "sample host"),
     event("sample not scored", "Its scorer failed too often; it is given up.", "step sample"),
+    event(
+        "start not confirmed", "A target whose stream broke off does not answer.", "target reason"
+    ),
     event(
         "sample begun anew",
         "No target continues it; its events so far are lost.",
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -96,7 +96,9 @@
         self.sample_runner = sample_runner
         self.step_scorer = StepScorer(scorer, table, self.may_send)
         self.table = table
-        self.resumption = SampleResumption(directory)
+        self.resumption = SampleResumption(
+            directory, sample_runner.confirm_start, self.start_task, self.wake
+        )
         self.view = PlacementView(directory, stats_registry, zone, loading)
         self.pause_guard = pause_guard
         pause_guard.on_confirmed = self.wake
--- a/src/balsamcleat/tasks/sample_resumption.py
+++ b/src/balsamcleat/tasks/sample_resumption.py
@@ -1,7 +1,8 @@
 """Begins interrupted samples anew where no target of their software can continue them."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping
 from dataclasses import replace
+from typing import Any
 
 import anyio
 import structlog
@@ -9,8 +10,9 @@
 from balsamcleat.decisions.engine_ranking import EngineView, can_take
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.sample_placement import WaitingSample
+from balsamcleat.decisions.stream_origin import StreamOrigin
 from balsamcleat.model import ServiceName, StepId
-from balsamcleat.model.replicas import StreamSoftware
+from balsamcleat.model.replicas import Replica, StreamSoftware, TargetStart
 from balsamcleat.tasks.owned_step import OwnedStep
 
 __all__ = ["SampleResumption"]
@@ -19,6 +21,11 @@
 # that it would lose, in seconds: about the time that the event took. It then costs at most twice
 # what the better choice would have cost.
 PATIENCE_PER_EVENT_S = 0.04
+# A sample whose target is being asked for its start is looked at again after this time.
+ASK_AGAIN_S = 0.05
+# A target that did not confirm its start is asked again for streams that break off later than this.
+UNCONFIRMED_LIFETIME_S = 2.0
+MAX_UNCONFIRMED_STARTS = 1000
 
 log = structlog.get_logger()
 
@@ -28,10 +35,26 @@
 
     Args:
         directory: Directory of the targets.
+        confirm_start: Asks a target for its start; returns whether the list shows that one.
+        start_task: Starts a task that is not cancelled with its caller.
+        wake: Triggers a placement of samples.
     """
 
-    def __init__(self, directory: ReplicaDirectory) -> None:
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        confirm_start: Callable[[Replica], Awaitable[bool]],
+        start_task: Callable[[Callable[[Replica], Coroutine[Any, Any, None]], Replica], None],
+        wake: Callable[[], None],
+    ) -> None:
         self.directory = directory
+        self.confirm_start = confirm_start
+        self.start_task = start_task
+        self.wake = wake
+        # Starts of targets that are being asked, and those that did not confirm themselves,
+        # with the time of that.
+        self.asked_starts: set[TargetStart] = set()
+        self.unconfirmed_at_s: dict[TargetStart, float] = {}
 
     def begin_anew_where_stranded(self, step: OwnedStep, service: ServiceName) -> None:
         """Discard the events of a step's waiting samples that no target is going to continue."""
@@ -42,10 +65,43 @@
                 continue
             step.resume_wait_began_s.setdefault(sample_id, now_s)
             software = self.directory.certain_software(progress.origin)
+            if software is None and self.may_be_confirmed(progress.origin):
+                step.retry_not_before_s[sample_id] = now_s + ASK_AGAIN_S
+                continue
             reason = self.reason_to_begin_anew(software, service, versions)
             if reason:
                 self.begin_anew(step, sample_id, reason)
 
+    def may_be_confirmed(self, origin: StreamOrigin | None) -> bool:
+        """Return whether the target that began a stream is being asked for its start.
+
+        A target that still runs under the start that the list shows has begun the stream under it.
+        """
+        if origin is None:
+            return False
+        unconfirmed_at_s = self.unconfirmed_at_s.get(origin.start, float("-inf"))
+        if anyio.current_time() - unconfirmed_at_s < UNCONFIRMED_LIFETIME_S:
+            return False
+        replica = self.directory.entries.get(origin.start.target_id)
+        if replica is None or replica.start != origin.start:
+            return False
+        if origin.start not in self.asked_starts:
+            self.asked_starts.add(origin.start)
+            self.start_task(self.ask_start, replica)
+        return True
+
+    async def ask_start(self, replica: Replica) -> None:
+        """Ask a target for its start, which settles the origin of all streams from it."""
+        try:
+            if not await self.confirm_start(replica):
+                self.unconfirmed_at_s.pop(replica.start, None)
+                self.unconfirmed_at_s[replica.start] = anyio.current_time()
+                if len(self.unconfirmed_at_s) > MAX_UNCONFIRMED_STARTS:
+                    del self.unconfirmed_at_s[next(iter(self.unconfirmed_at_s))]
+        finally:
+            self.asked_starts.discard(replica.start)
+            self.wake()
+
     def end_long_waits(
         self,
         steps: Mapping[StepId, OwnedStep],
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -18,7 +18,9 @@
 from balsamcleat.model.rollout import RolloutStep, SampleTask
 from balsamcleat.platform import (
     parse_response_metadata,
+    parse_started_ms,
     parse_weight_version,
+    report_request,
     sample_request_headers,
 )
 from balsamcleat.tasks.hop_messages import StartCheck
@@ -29,6 +31,8 @@
 
 # Longest wait for the response head; longer, since the sample may wait in the target's queue.
 RESPONSE_HEAD_TIMEOUT_S = 2.5
+# Longest wait for a target to name its start, after streams from it were interrupted.
+CONFIRM_TIMEOUT_S = 0.5
 OK = 200
 UNPROCESSABLE_CONTENT = 422
 INTERNAL_SERVER_ERROR = 500
@@ -164,6 +168,33 @@
             return StartCheck.WANTED
         return StartCheck.NONE
 
+    async def confirm_start(self, replica: Replica) -> bool:
+        """Return whether a target names the start that the list shows, asked by any way to it."""
+        request = report_request(replica)
+        exchange = TargetExchange(
+            self.pool,
+            self.directory,
+            replica,
+            request,
+            lambda: True,
+            self.stats_registry.limits,
+            is_live=False,
+            paths=self.paths,
+            takes_limit=False,
+        )
+        started_ms: int | None = None
+        with anyio.move_on_after(CONFIRM_TIMEOUT_S):
+            try:
+                await exchange.begin()
+                started_ms = parse_started_ms(await exchange.read_response())
+            except AttemptFailedError as error:
+                log.info("start not confirmed", target=replica.target_id, reason=error.message)
+        exchange.end()
+        if started_ms is None or started_ms != replica.started_ms:
+            return False
+        self.directory.record_alive(replica.start, anyio.current_time())
+        return True
+
     def build_request(self, assignment: SampleAssignment, progress: SampleProgress) -> Request:
         """Return the request that runs a sample, resuming after its last event."""
         headers = sample_request_headers(
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -210,6 +210,7 @@
         started_ms = await self.ask_start()
         if started_ms == self.replica.started_ms:
             self.connection.server_identity = start_identity(self.replica)
+            self.directory.record_alive(self.replica.start, anyio.current_time())
         elif started_ms is not None and self.replica.started_ms:
             self.handle_other_start(started_ms)
         elif self.start_check is StartCheck.REQUIRED:
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -149,10 +149,12 @@
         self.writers: dict[str, list[str]] = {}
         # Number of events after which a sample's stream is cut once, by sample id.
         self.cuts: dict[str, int] = {}
+        self.generated = 0
         self.on_cut: Callable[[Replica], None] = lambda _: None
         # Time of the connection to each engine, and whether engines are asked for their starts.
         self.connected_at_s: dict[TargetId, float] = {}
         self.names_starts = True
+        self.confirms_starts = False
 
     def send(self, replica: Replica) -> bool:
         """Send a request as the exchange does, if the engine's limit allows it."""
@@ -163,6 +165,11 @@
         limits.record_response(replica.target_id, replica.service, self.limit_per_s, now_s)
         return True
 
+    async def confirm_start(self, replica: Replica) -> bool:
+        """Name the start of an engine that is still listed, if engines do that."""
+        await anyio.sleep(0.005)
+        return self.confirms_starts
+
     async def run(self, assignment: SampleAssignment, progress: SampleProgress) -> SampleRunOutcome:
         sample_id = assignment.sample.sample_id
         self.runs.append(sample_id)
@@ -198,6 +205,7 @@
                 number = len(progress.events) + 1
                 assert progress.append_event(number, f"{sample_id}:{number}", None)
                 writers.append(assignment.replica.software_version)
+                self.generated += 1
                 stats.record_event_interval(event_s, anyio.current_time())
             return SampleRunOutcome(SampleEnd.COMPLETE)
         finally:
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -33,6 +33,7 @@
             "rollout_handler",
             "rollout_runner",
             "sample_resumption",
+            "sample_run",
             "sample_scorer",
             "step_scorer",
             "routing_keeper",
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -242,6 +242,38 @@
     run_in_virtual_time(sample_with_an_engine_of_its_software)
 
 
+async def interrupted_on_a_young_connection(still_runs: bool) -> list[int]:
+    """Lose the link to an engine before the list can tell which start of it answered."""
+    async with anyio.create_task_group() as tasks:
+        world = StepWorld(tasks, engines=1, event_count=lambda _: 40)
+        vm = await world.start("a")
+        vm.engines.names_starts = False
+        vm.engines.cuts[SAMPLE] = 20
+        asked: list[str] = []
+
+        async def confirm(replica: Replica) -> bool:
+            asked.append(replica.target_id)
+            await anyio.sleep(0.01)
+            if still_runs:
+                world.directory.record_alive(replica.start, anyio.current_time())
+            return still_runs
+
+        vm.runner.resumption.confirm_start = confirm
+        await vm.submit(make_submission(1, 1, 1))
+        await world.wait_for_results(1, 12.0)
+        check_one_writer(world)
+        tasks.cancel_scope.cancel()
+    return [len(asked), vm.engines.generated]
+
+
+@pytest.mark.parametrize(("still_runs", "generated"), [(True, 40), (False, 60)])
+def test_engine_that_still_runs_confirms_the_text_of_a_young_connection(
+    still_runs: bool, generated: int
+) -> None:
+    """Its start has run all the while, so it began the stream; else the text is lost."""
+    assert run_in_virtual_time(interrupted_on_a_young_connection, still_runs) == [1, generated]
+
+
 async def step_taken_over() -> None:
     """Kill the owner of a step whose samples are saved, when the engines are replaced."""
     async with anyio.create_task_group() as tasks:
@@ -359,6 +391,13 @@
         directory.record_read(self.settled_s + 1.0)
         assert self.software(directory) == expected
 
+    def test_a_start_that_ran_later_ran_all_the_while(self) -> None:
+        directory = self.directory()
+        directory.record_alive(listed().start, self.connected_at_s - 0.1)
+        assert self.software(directory) is None
+        directory.record_alive(listed().start, self.connected_at_s + 0.1)
+        assert self.software(directory) == "v1"
+
     def test_an_entry_that_lapsed_and_came_back_is_the_same_start(self) -> None:
         directory = self.directory()
         directory.apply_removal(TargetId("engine-0"), self.connected_at_s + 1.0)
