--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -249,9 +249,13 @@
 
 
 async def test_sample_of_a_stranded_vm_is_generated(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def serve_streams(target: RawTarget, stream) -> None:
+        """Keep connections: one that a target closes just then interrupts a sample, too."""
+        while True:
+            await weighted_stream(target, stream)
+
     network = LinkedNetwork(monkeypatch)
-    scripts = [weighted_stream] * 2
-    async with live_world(scripts, STREAM, vm_count=2, network=network) as world:
+    async with live_world([serve_streams] * 2, STREAM, vm_count=2, network=network) as world:
         await strand_and_notice(world, 0)
         vm = world.vms[0]
         runner = SampleRunner(vm.pool, vm.directory, ReplicaStatsRegistry(), vm.paths)
