Teams: decode teams and public routes, find teams by key digest

Requests need the key of a team once the configuration has teams.

An empty list of teams counts as none: a document of a deployment without teams must not refuse all callers.

--- a/src/balsamcleat/decisions/access.py
+++ b/src/balsamcleat/decisions/access.py
@@ -1,11 +1,11 @@
 """Authentication and authorization of HTTP requests by teams' bearer tokens."""
 
-import hashlib
 from dataclasses import dataclass
 from enum import Enum
 
 from balsamcleat.configuration import Configuration, RoleName
 from balsamcleat.model import TeamName
+from balsamcleat.model.team_keys import KeyIndex, bearer_key_digest
 
 __all__ = ["AccessControl", "Area", "Principal"]
 
@@ -78,12 +78,12 @@
     def __init__(self, *, allow_anonymous: bool, bootstrap_token_sha256: str | None) -> None:
         self.allow_anonymous = allow_anonymous
         self.bootstrap_token_sha256 = bootstrap_token_sha256
-        self.principals: dict[str, Principal] = {}
+        self.principals: KeyIndex[Principal] = KeyIndex()
         self.has_operator = False
 
     def configure(self, configuration: Configuration) -> None:
         """Apply the teams of a configuration."""
-        principals: dict[str, Principal] = {}
+        principals: list[tuple[Principal, tuple[str, ...]]] = []
         self.has_operator = False
         for name, team in configuration.teams.items():
             deployments = frozenset(
@@ -94,10 +94,10 @@
             principal = Principal(
                 TeamName(name), frozenset(team.roles), frozenset(team.services), deployments
             )
-            for digest in team.token_sha256:
-                principals[digest.lower()] = principal
-                self.has_operator = self.has_operator or RoleName.OPERATOR in team.roles
-        self.principals = principals
+            principals.append((principal, tuple(team.token_sha256)))
+            if team.token_sha256 and RoleName.OPERATOR in team.roles:
+                self.has_operator = True
+        self.principals = KeyIndex(principals)
 
     def authenticate(self, authorization: str | None) -> Principal | None:
         """Return the principal of the header's bearer token.
@@ -108,13 +108,10 @@
         Args:
             authorization: Value of the ``Authorization`` header, if the request has one.
         """
-        scheme, _, token = (authorization or "").partition(" ")
-        if scheme.lower() == "bearer" and token:
-            # Looking up a digest instead of the token leaks nothing about the token by timing.
-            digest = hashlib.sha256(token.strip().encode()).hexdigest()
-            principal = self.principals.get(digest)
-            if principal is not None:
-                return principal
-            if digest == self.bootstrap_token_sha256 and not self.has_operator:
-                return Principal(BOOTSTRAP_TEAM, frozenset({RoleName.OPERATOR}))
+        digest = bearer_key_digest(authorization)
+        principal = self.principals.find(digest)
+        if principal is not None:
+            return principal
+        if digest is not None and digest == self.bootstrap_token_sha256 and not self.has_operator:
+            return Principal(BOOTSTRAP_TEAM, frozenset({RoleName.OPERATOR}))
         return ANONYMOUS if self.allow_anonymous else None
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -60,6 +60,11 @@
         "The caller got an answer of ours: 503 not run, 502 or 504 outcome unknown.",
         "request status reason retry_after_s",
     ),
+    event(
+        "key refused",
+        "No team has the key: 401, or 503 if the key may be newer than the configuration.",
+        "request status reason key version age_s",
+    ),
     event(
         "call waited",
         "It got a place at a plain service after it had waited here.",
@@ -147,6 +152,11 @@
     event("process was paused", "Its steps are asked about before they go on.", "seconds steps"),
     event("step confirmed", "The store said what became of it.", "step ended lost"),
     event("step not confirmed yet", "The store failed; no sample is started.", "step reason"),
+    event(
+        "step waits for its team",
+        "It was stored with a key that no team of the configuration has.",
+        "step key",
+    ),
     event("step given up", "All that is left is listed as given up.", "step reason"),
     # Samples.
     event("text carried over", "Text of the step before serves this one.", "step groups"),
@@ -178,7 +188,7 @@
     event("results listed", "They are kept and may be read.", "step position results"),
     event("results not listed yet", "The store failed.", "step position results reason"),
     # What is believed.
-    event("configuration in force", "A newer one.", "version before row_version routes"),
+    event("configuration in force", "A newer one.", "version before row_version routes teams"),
     event("document refused", "It can't be read.", "key reason"),
     event("version named", "A trainer named a weight version.", "model version"),
     *(
--- a/src/balsamcleat/model/ids.py
+++ b/src/balsamcleat/model/ids.py
@@ -6,6 +6,7 @@
     "AttemptId",
     "ConfigurationVersion",
     "DeploymentName",
+    "KeyDigest",
     "RequestId",
     "ServiceName",
     "StepId",
@@ -21,6 +22,8 @@
 TargetId = NewType("TargetId", str)
 ServiceName = NewType("ServiceName", str)
 TeamName = NewType("TeamName", str)
+# SHA-256 digest of a team's key, in lower-case hexadecimal digits.
+KeyDigest = NewType("KeyDigest", str)
 DeploymentName = NewType("DeploymentName", str)
 RequestId = NewType("RequestId", str)
 AttemptId = NewType("AttemptId", str)
--- a/src/balsamcleat/model/routing.py
+++ b/src/balsamcleat/model/routing.py
@@ -1,9 +1,10 @@
-"""Routes, services and limits of a numbered configuration, in the form that entry VMs use."""
+"""Routes, services, teams and limits of a numbered configuration, as entry VMs use them."""
 
 from dataclasses import dataclass, field
 from enum import Enum
 
-from balsamcleat.model.ids import ConfigurationVersion, ServiceName
+from balsamcleat.model.ids import ConfigurationVersion, KeyDigest, ServiceName, TeamName
+from balsamcleat.model.team_keys import KeyIndex
 
 __all__ = [
     "CallerLimits",
@@ -12,6 +13,7 @@
     "RouteKind",
     "RoutingTable",
     "ServiceSpec",
+    "TeamSpec",
     "WeightedService",
 ]
 
@@ -53,6 +55,7 @@
         step_expiry_s: Time after acceptance at which the unfinished samples of a step may be
             given up, in seconds; 0 for no expiry.
         single_version: Whether one weight version must generate a complete sample.
+        public: Whether requests need no key of a team, if the configuration has teams.
     """
 
     name: str
@@ -69,6 +72,7 @@
     step_deadline_s: float = 0.0
     step_expiry_s: float = 0.0
     single_version: bool = False
+    public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -109,6 +113,22 @@
     engine: EngineSpec | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class TeamSpec:
+    """A team that sends requests.
+
+    Attributes:
+        name: Name of the team.
+        key_digests: Digests of the team's keys.
+        rank: Priority of the team's requests, which replaces that of their route; 0 is the
+            highest, None keeps the route's.
+    """
+
+    name: TeamName
+    key_digests: frozenset[KeyDigest] = frozenset()
+    rank: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Size and time limits for the requests of callers."""
@@ -121,12 +141,27 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingTable:
-    """The routes, services and limits of one configuration version."""
+    """The routes, services, teams and limits of one configuration version."""
 
     version: ConfigurationVersion
     routes: tuple[Route, ...]
     services: dict[ServiceName, ServiceSpec] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    teams: tuple[TeamSpec, ...] = ()
+    teams_by_key: KeyIndex[TeamSpec] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        index = KeyIndex((team, team.key_digests) for team in self.teams)
+        object.__setattr__(self, "teams_by_key", index)
+
+    @property
+    def has_teams(self) -> bool:
+        """Whether requests need the key of a team, except on public routes."""
+        return bool(self.teams)
+
+    def team_of(self, digest: KeyDigest | None) -> TeamSpec | None:
+        """Return the team that has the key with a digest, or None if no team has it."""
+        return self.teams_by_key.find(digest)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path, or None."""
--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -3,7 +3,14 @@
 import msgspec
 
 from balsamcleat.errors import ProtocolError
-from balsamcleat.model import ConfigurationVersion, ServiceName, TargetId, WeightVersion, ZoneName
+from balsamcleat.model import (
+    ConfigurationVersion,
+    ServiceName,
+    TargetId,
+    TeamName,
+    WeightVersion,
+    ZoneName,
+)
 from balsamcleat.model.replicas import Replica, ReplicaState
 from balsamcleat.model.routing import (
     CallerLimits,
@@ -12,8 +19,10 @@
     RouteKind,
     RoutingTable,
     ServiceSpec,
+    TeamSpec,
     WeightedService,
 )
+from balsamcleat.model.team_keys import key_digest
 
 __all__ = [
     "NAMED_VERSION_PREFIX",
@@ -71,6 +80,7 @@
     # not a time limit in a queue.
     queue_ttl_s: float = msgspec.field(name="queueTtlS", default=0.0)
     single_version: bool = False
+    public: bool = False
 
 
 class ModelFields(msgspec.Struct, frozen=True):
@@ -96,6 +106,14 @@
     engine: EngineFields | None = None
 
 
+class TenantFields(msgspec.Struct, frozen=True, rename="camel"):
+    """Team of the configuration document."""
+
+    name: str
+    api_keys: list[str] = []
+    prio: int | None = None
+
+
 class LimitFields(msgspec.Struct, frozen=True, rename="camel"):
     """Limits on the size and the timing of callers' requests."""
 
@@ -112,6 +130,7 @@
     routes: list[RouteFields] = []
     services: list[ServiceFields] = []
     limits: LimitFields = LimitFields()
+    tenants: list[TenantFields] | None = None
 
 
 class NamedVersionFields(msgspec.Struct, frozen=True):
@@ -152,7 +171,8 @@
     """Return the routing table of a configuration document.
 
     Raises:
-        ProtocolError: The document can't be decoded.
+        ProtocolError: The document can't be decoded. The message does not quote the document,
+            which contains keys.
     """
     try:
         fields = msgspec.json.decode(value, type=RoutingFields)
@@ -170,6 +190,7 @@
             header_timeout_s=fields.limits.header_timeout_ms / MS_PER_S,
             idle_timeout_s=fields.limits.idle_timeout_ms / MS_PER_S,
         ),
+        teams=tuple(decode_team(tenant) for tenant in fields.tenants or ()),
     )
 
 
@@ -193,6 +214,16 @@
         step_deadline_s=fields.due_ms / MS_PER_S,
         step_expiry_s=fields.queue_ttl_s,
         single_version=fields.single_version,
+        public=fields.public,
+    )
+
+
+def decode_team(fields: TenantFields) -> TeamSpec:
+    """Return a team, which keeps only the digests of its keys."""
+    return TeamSpec(
+        name=TeamName(fields.name),
+        key_digests=frozenset(key_digest(key) for key in fields.api_keys),
+        rank=fields.prio,
     )
 
 
--- a/src/balsamcleat/tasks/routing_keeper.py
+++ b/src/balsamcleat/tasks/routing_keeper.py
@@ -14,6 +14,7 @@
     decode_routing,
 )
 from balsamcleat.ports.rows import RowChange
+from balsamcleat.tasks.store_clock import boot_clock_s
 from balsamcleat.tasks.table_follower import TableObserver
 
 __all__ = ["RoutingKeeper"]
@@ -28,10 +29,19 @@
 
     Args:
         on_change: Called after each change of the configuration or of a named version.
+        clock: Returns local time in seconds, including time in which the process was suspended.
+
+    Attributes:
+        is_newest_readable: Whether the newest configuration document could be decoded.
     """
 
-    def __init__(self, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self, on_change: Callable[[], None], clock: Callable[[], float] = boot_clock_s
+    ) -> None:
         self.on_change = on_change
+        self.clock = clock
+        self.confirmed_at_s = float("-inf")
+        self.is_newest_readable = True
         self.table: RoutingTable | None = None
         self.named_versions: dict[str, WeightVersion] = {}
 
@@ -49,6 +59,17 @@
     def on_store_recovered(self) -> None:
         """Do nothing: documents do not expire while the store is unavailable."""
 
+    def record_read(self) -> None:
+        """Record that all documents until now were read."""
+        self.confirmed_at_s = self.clock()
+
+    def confirmed_age_s(self) -> float:
+        """Return the time since the configuration was known to be the newest, in seconds.
+
+        It is infinite while the newest document can't be decoded.
+        """
+        return self.clock() - self.confirmed_at_s if self.is_newest_readable else float("inf")
+
     def apply_document(self, key: str, value: bytes, row_version: int) -> None:
         """Apply one document.
 
@@ -56,7 +77,9 @@
             ProtocolError: The document can't be decoded.
         """
         if key == ROUTING_KEY:
+            self.is_newest_readable = False
             self.apply_routing(decode_routing(value), row_version)
+            self.is_newest_readable = True
         elif key.startswith(NAMED_VERSION_PREFIX):
             named = decode_named_version(value)
             if named.version > self.named_versions.get(named.model, 0):
@@ -75,4 +98,5 @@
             before=previous_version,
             row_version=row_version,
             routes=len(table.routes),
+            teams=len(table.teams),
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -37,7 +37,7 @@
 WIRE_NAMES = re.compile(
     r"rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|callSeq|kvUsed|kvCapTokens|coldLeftMs"
     r"|Server-Stamp|Not-Run|Expect-Instance|Attempt-Id|Deadline-Ms|Weight-Versions|Prompt-Prefix"
-    r"|Token-Usage|queueTtlS|targetGroups|minVersion|totalCount|/lots/|/items/|Wait-Ms"
+    r"|Token-Usage|queueTtlS|targetGroups|minVersion|totalCount|/lots/|/items/|Wait-Ms|\bTenant\b|apiKeys"
 )
 SETTINGS = {
     "node": "front-a-1",
