Teams: name the team to targets and keep the key from them

Requests to targets name the team that sent them, and no longer contain its key. The team is added after the hop-by-hop headers are removed, since a caller could otherwise remove it with a Connection header.

A request that is passed on for another VM names the team in a header between VMs. A Tenant header alone proves nothing there, because the previous build forwards that of its caller. The header reuses the name Hop-Unframed, so far one of responses only: the previous build removes it from requests of callers and from those that it passes on, while it would let a new name through to targets. Weighed against a new name and against trusting Tenant whenever Authorization is missing, which a caller can forge.

--- a/src/balsamcleat/http1/server_connection.py
+++ b/src/balsamcleat/http1/server_connection.py
@@ -64,15 +64,18 @@
     Attributes:
         has_started: Whether any part of the response may have been sent.
         has_finished: Whether the response was sent completely.
+        status: Status of the response; 0 before it has started.
     """
 
     def __init__(self, connection: "ServerConnection") -> None:
         self.connection = connection
         self.has_started = False
         self.has_finished = False
+        self.status = 0
 
     async def send(self, response: Response) -> None:
         """Send a complete response."""
+        self.status = response.status
         headers = (*response.headers, ("Content-Length", str(len(response.body))))
         await self.write_events(
             h11.Response(status_code=response.status, headers=self.with_connection_header(headers)),
@@ -83,6 +86,7 @@
 
     async def start_chunked(self, status: int, headers: Headers) -> None:
         """Start a response of unknown length, which is sent with chunked transfer coding."""
+        self.status = status
         chunked = (*headers, ("Transfer-Encoding", "chunked"))
         await self.write_events(
             h11.Response(status_code=status, headers=self.with_connection_header(chunked))
--- a/src/balsamcleat/platform/__init__.py
+++ b/src/balsamcleat/platform/__init__.py
@@ -17,10 +17,12 @@
     CORRELATION_HEADER,
     ResponseMetadata,
     announces_departure,
+    authorization,
     error_response_headers,
     forwarded_request_headers,
     forwarded_response_headers,
     is_misdirected,
+    key_refusal_headers,
     parse_announced_limit,
     parse_caller_timeout_s,
     parse_last_event_id,
@@ -29,6 +31,8 @@
     prompt_ids,
     request_id,
     stand_in_response_headers,
+    with_team,
+    without_team_headers,
 )
 from balsamcleat.platform.orders import (
     OrderOutcome,
@@ -48,6 +52,7 @@
     sample_body,
     sample_request_headers,
     scoring_request,
+    without_sample_credentials,
 )
 from balsamcleat.platform.store import PlatformRowStore
 
@@ -66,6 +71,7 @@
     "StepCall",
     "StepCallKind",
     "announces_departure",
+    "authorization",
     "classify_step_call",
     "decode_named_version",
     "decode_replica",
@@ -76,6 +82,7 @@
     "forwarded_request_headers",
     "forwarded_response_headers",
     "is_misdirected",
+    "key_refusal_headers",
     "load_platform_settings",
     "parse_announced_limit",
     "parse_caller_timeout_s",
@@ -91,4 +98,7 @@
     "sample_request_headers",
     "scoring_request",
     "stand_in_response_headers",
+    "with_team",
+    "without_sample_credentials",
+    "without_team_headers",
 ]
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -5,16 +5,18 @@
 
 from balsamcleat.http1 import Headers, header_value, without_headers
 from balsamcleat.http1.messages import end_to_end_headers
-from balsamcleat.model import TargetId, WeightVersion
+from balsamcleat.model import TargetId, TeamName, WeightVersion
 
 __all__ = [
     "CORRELATION_HEADER",
     "ResponseMetadata",
     "announces_departure",
+    "authorization",
     "error_response_headers",
     "forwarded_request_headers",
     "forwarded_response_headers",
     "is_misdirected",
+    "key_refusal_headers",
     "parse_announced_limit",
     "parse_caller_timeout_s",
     "parse_last_event_id",
@@ -23,8 +25,12 @@
     "prompt_ids",
     "request_id",
     "stand_in_response_headers",
+    "with_team",
+    "without_team_headers",
 ]
 
+AUTHORIZATION_HEADER = "Authorization"
+CHALLENGE_HEADER = "WWW-Authenticate"
 # Identifies one attempt of a caller; targets repeat it in their responses.
 CORRELATION_HEADER = "Attempt-Id"
 DEADLINE_HEADER = "Deadline-Ms"
@@ -41,6 +47,8 @@
 RETRY_AFTER_HEADER = "Retry-After"
 # Proves that a target produced the body; this header must reach the caller unchanged.
 STAMP_HEADER = "Server-Stamp"
+# Names the team that sent the request. Targets trust it, so it never comes from a caller.
+TEAM_HEADER = "Tenant"
 VERSION_HEADER = "Weight-Versions"
 MISDIRECTED_STATUS = 421
 MS_PER_S = 1000.0
@@ -57,6 +65,7 @@
         "Kv-Hold",
     )
 )
+TEAM_HEADERS = frozenset((AUTHORIZATION_HEADER.lower(), TEAM_HEADER.lower()))
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +100,21 @@
     return header_value(headers, CORRELATION_HEADER) or ""
 
 
+def authorization(headers: Headers) -> str | None:
+    """Return the credentials of a request, or None if it has none; the first of several count."""
+    return header_value(headers, AUTHORIZATION_HEADER)
+
+
+def without_team_headers(headers: Headers) -> Headers:
+    """Return the headers without credentials and without the name of a team."""
+    return without_headers(headers, TEAM_HEADERS)
+
+
+def with_team(headers: Headers, team: TeamName | None) -> Headers:
+    """Return the headers of a request of a team; unchanged if it has no team."""
+    return headers if team is None else (*without_team_headers(headers), (TEAM_HEADER, team))
+
+
 def parse_caller_timeout_s(headers: Headers) -> float | None:
     """Return the caller's remaining time in seconds, or None if it states none."""
     value = parse_number(header_value(headers, DEADLINE_HEADER))
@@ -104,6 +128,7 @@
     remaining_s: float,
     priority: int,
     last_event: int | None = None,
+    team: TeamName | None = None,
 ) -> Headers:
     """Return the headers of an attempt that sends a caller's request to a target.
 
@@ -114,8 +139,10 @@
         priority: Priority of the request from 0 (highest) to 9.
         last_event: Number of the last event of the stream that was received; the target resumes
             after it.
+        team: Team that sent the request, if it has one.
     """
-    forwarded = without_headers(end_to_end_headers(headers), REPLACED_HEADERS)
+    # The team is added last, so that a caller's ``Connection`` header can't remove it.
+    forwarded = with_team(without_headers(end_to_end_headers(headers), REPLACED_HEADERS), team)
     if last_event is not None:
         forwarded = without_headers(forwarded, {LAST_EVENT_HEADER.lower()})
         forwarded = (*forwarded, (LAST_EVENT_HEADER, str(last_event)))
@@ -142,6 +169,17 @@
     return headers
 
 
+def key_refusal_headers(attempt_id: str, retry_after_s: float | None) -> Headers:
+    """Return the headers of the response to a request without a valid key.
+
+    Args:
+        attempt_id: Id of the caller's attempt.
+        retry_after_s: Delay after which the key may be valid, in seconds; None for a final refusal.
+    """
+    headers = error_response_headers(attempt_id, retry_after_s)
+    return headers if retry_after_s is not None else (*headers, (CHALLENGE_HEADER, "Bearer"))
+
+
 def stand_in_response_headers(headers: Headers) -> Headers:
     """Return the headers of a stand-in target's response to a request with these headers."""
     return ((CORRELATION_HEADER, request_id(headers)), (STAMP_HEADER, "stand-in"))
--- a/src/balsamcleat/platform/settings.py
+++ b/src/balsamcleat/platform/settings.py
@@ -41,6 +41,8 @@
     lease_ms: float = 3000.0
     # How long the results of a step stay readable after its submission.
     status_s: float = 120.0
+    # Time within which an accepted configuration version must be in force at every VM.
+    apply_ms: float = 3000.0
 
 
 class SettingsFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -91,6 +93,8 @@
             the first order of the next.
         results_kept_s: How long the results of a step stay readable after its submission, in
             seconds.
+        apply_s: Time within which an accepted configuration version must be in force at every VM,
+            in seconds.
     """
 
     vm: VmId
@@ -104,6 +108,7 @@
     grace_s: float
     order_gap_s: float
     results_kept_s: float
+    apply_s: float
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -139,4 +144,5 @@
         grace_s=fields.bounds.grace_s,
         order_gap_s=fields.bounds.lease_ms / MS_PER_S,
         results_kept_s=fields.bounds.status_s,
+        apply_s=fields.bounds.apply_ms / MS_PER_S,
     )
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -8,7 +8,7 @@
 
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.http1 import Headers, Request, StreamEvent, header_value, without_headers
-from balsamcleat.model import StepId, TargetId, WeightVersion
+from balsamcleat.model import StepId, TargetId, TeamName, WeightVersion
 from balsamcleat.model.rollout import (
     PromptPart,
     RolloutStep,
@@ -25,9 +25,11 @@
     MS_PER_S,
     PRIORITY_HEADER,
     PROMPT_HEADER,
+    TEAM_HEADERS,
     VERSION_HEADER,
     parse_number,
     request_id,
+    with_team,
 )
 
 __all__ = [
@@ -41,6 +43,7 @@
     "sample_body",
     "sample_request_headers",
     "scoring_request",
+    "without_sample_credentials",
 ]
 
 RESULTS_PREFIX = "/lots/"
@@ -208,6 +211,27 @@
     )
 
 
+def without_sample_credentials(body: bytes, step: RolloutStep) -> bytes:
+    """Return the body of a submission without the credentials in the headers of its samples.
+
+    Args:
+        body: Body of the submission.
+        step: Step that was decoded from the body.
+    """
+    if not any(
+        name.lower() in TEAM_HEADERS for sample in step.samples for name, _ in sample.headers
+    ):
+        return body
+    # Decoded without a type, so that fields unknown to this build are kept.
+    fields = msgspec.json.decode(body)
+    for item in fields["requests"]:
+        headers = item.get("headers", {})
+        item["headers"] = {
+            name: value for name, value in headers.items() if name.lower() not in TEAM_HEADERS
+        }
+    return msgspec.json.encode(fields)
+
+
 def decode_scoring(fields: ScorerFields | None) -> ScoringRequest | None:
     """Return the request that scores a sample, or None if the sample has no score."""
     if fields is None:
@@ -249,6 +273,8 @@
     remaining_s: float,
     priority: int,
     last_event: int | None,
+    team: TeamName | None = None,
+    has_teams: bool = False,
 ) -> Headers:
     """Return the headers of a request that generates a sample or resumes its generation.
 
@@ -259,6 +285,9 @@
         remaining_s: Time that the target has until the deadline, in seconds.
         priority: Priority of the request from 0 (highest) to 9.
         last_event: Number of the last event that was received; None to generate from the start.
+        team: Team that submitted the sample's step, if it has one.
+        has_teams: Whether the configuration has teams, so that the trainer's own credentials and
+            team are removed.
     """
     replaced = {
         "host",
@@ -267,6 +296,8 @@
         "connection",
         DEADLINE_HEADER.lower(),
     }
+    if has_teams:
+        replaced |= TEAM_HEADERS
     headers = (
         ("Host", host),
         (CORRELATION_HEADER, sample.sample_id),
@@ -277,6 +308,7 @@
         (EXPECTED_TARGET_HEADER, target_id),
         (PRIORITY_HEADER, str(priority)),
     )
+    headers = with_team(headers, team)
     if last_event is None:
         return headers
     return (*headers, (LAST_EVENT_HEADER, str(last_event)))
--- a/src/balsamcleat/tasks/hop_messages.py
+++ b/src/balsamcleat/tasks/hop_messages.py
@@ -5,7 +5,7 @@
 
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import Headers, Request, Response, header_value, without_headers
-from balsamcleat.model import FailureKind, TargetId
+from balsamcleat.model import FailureKind, TargetId, TeamName
 from balsamcleat.model.replicas import Replica, TargetStart
 
 __all__ = [
@@ -29,6 +29,10 @@
 FAILURE_HEADER = "Hop-Failure"
 CERTAIN_START_HEADER = "Hop-Start-Certain"
 UNFRAMED_HEADER = "Hop-Unframed"
+# In a request, this header names the team that the sender has authenticated. It has the name of a
+# header of responses, because the previous build removes that from the requests of callers and
+# from those that it passes on. It would let a new name through in both.
+TEAM_HEADER = UNFRAMED_HEADER
 HOP_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -66,6 +70,7 @@
         needs_new_connection: Whether it must not be sent on a connection that was used before.
         start_check: Whether the start of the target must be certain.
         is_live: Whether a live caller waits for the response.
+        team: Team that the sender has authenticated and named in the request, or None.
     """
 
     request: Request
@@ -73,6 +78,7 @@
     needs_new_connection: bool
     start_check: StartCheck
     is_live: bool
+    team: TeamName | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +107,7 @@
     *,
     needs_new_connection: bool,
     is_live: bool,
+    team: TeamName | None = None,
 ) -> Request:
     """Return the request that asks another VM to pass a request on to a target."""
     headers = (
@@ -112,6 +119,8 @@
         headers = (*headers, (NEW_CONNECTION_HEADER, "1"))
     if is_live:
         headers = (*headers, (LIVE_HEADER, "1"))
+    if team is not None:
+        headers = (*headers, (TEAM_HEADER, team))
     return Request(request.method, HOP_PATH + request.target, headers, request.body)
 
 
@@ -131,7 +140,15 @@
     needs_new_connection = header_value(request.headers, NEW_CONNECTION_HEADER) is not None
     start = TargetStart(TargetId(target_id), int(started))
     is_live = header_value(request.headers, LIVE_HEADER) is not None
-    return HopRequest(original, start, needs_new_connection, StartCheck(check), is_live)
+    team = header_value(request.headers, TEAM_HEADER)
+    return HopRequest(
+        original,
+        start,
+        needs_new_connection,
+        StartCheck(check),
+        is_live,
+        None if team is None else TeamName(team),
+    )
 
 
 def failure_response(error: AttemptFailedError) -> Response:
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -10,7 +10,7 @@
 from balsamcleat.decisions.live_queue import Ticket, background_ticket, new_ticket
 from balsamcleat.decisions.request_content import content_digest, request_parts
 from balsamcleat.http1 import Request
-from balsamcleat.model import ServiceName
+from balsamcleat.model import ServiceName, TeamName
 from balsamcleat.model.replicas import Replica, StreamSoftware
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import parse_caller_timeout_s, request_id
@@ -24,7 +24,7 @@
 
     Attributes:
         request: Request of the caller.
-        route: Route that the request matched.
+        route: Route that the request matched, with the rank of the team.
         service: Service chosen from the shares of the route.
         deadline_s: Latest time at which the response may begin, on the monotonic clock, in seconds.
         attempts: Attempts made so far.
@@ -35,6 +35,7 @@
         is_background: Whether this VM itself makes the call and no caller waits for it.
         is_wanted: Returns whether the call may still be sent; asked before each attempt.
         software: Software that began the stream and must continue it; None if none began it.
+        team: Team that sent the request; None if it has none, as calls of this VM itself.
         computed_digest: Digest of the request once it was needed; bodies may be large.
     """
 
@@ -49,6 +50,7 @@
     is_background: bool = False
     is_wanted: Callable[[], bool] = lambda: True
     software: StreamSoftware | None = None
+    team: TeamName | None = None
     computed_digest: str = ""
 
     @property
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -14,7 +14,7 @@
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response
-from balsamcleat.model import ZoneName
+from balsamcleat.model import TeamName, ZoneName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import (
@@ -96,7 +96,12 @@
         self.paths = paths
 
     async def answer(
-        self, request: Request, route: Route, responder: Responder, version: int
+        self,
+        request: Request,
+        route: Route,
+        responder: Responder,
+        version: int,
+        team: TeamName | None = None,
     ) -> None:
         """Answer a live request with a target's response or with an error response.
 
@@ -105,8 +110,9 @@
             route: Route that the request matched.
             responder: Writes the response to the caller.
             version: Number of the configuration that contains the route.
+            team: Team that sent the request, if it has one.
         """
-        call = await self.admit(request, route, responder)
+        call = await self.admit(request, route, responder, team)
         if call is None:
             return
         outcome = await self.queue_and_send(call)
@@ -125,9 +131,11 @@
             request, responder, call.attempts.failure_status(), reason, self.generator
         )
 
-    async def admit(self, request: Request, route: Route, responder: Responder) -> LiveCall | None:
+    async def admit(
+        self, request: Request, route: Route, responder: Responder, team: TeamName | None
+    ) -> LiveCall | None:
         """Return the call to forward, or None after an error response if it can't be forwarded."""
-        call = self.create_call(request, route)
+        call = self.create_call(request, route, team)
         if call is None:
             status, reason = FailureStatus.NOT_RUN, "the route has no service"
         elif await self.crash_guard.admit(call):
@@ -137,7 +145,7 @@
         await send_error_response(request, responder, status, reason, self.generator)
         return None
 
-    def create_call(self, request: Request, route: Route) -> LiveCall | None:
+    def create_call(self, request: Request, route: Route, team: TeamName | None) -> LiveCall | None:
         """Return the call with its service and deadline, or None if the route has no service."""
         share = choose_service(route.shares, self.generator.random())
         if share is None:
@@ -153,6 +161,7 @@
             deadline_s=request.received_at_s + timeout_s - RESPONSE_MARGIN_S,
             attempts=AttemptTracker(route.is_repeatable, route.attempts),
             prompt_ids=prompt_ids(request.headers) if route.sticky else (),
+            team=team,
         )
 
     async def reject(self, call: LiveCall, responder: Responder, rejection: Rejected) -> None:
@@ -331,6 +340,7 @@
             target_id=replica.target_id,
             remaining_s=call.remaining_s(),
             priority=live_priority(call.route),
+            team=call.team,
         )
         request = Request(call.request.method, call.request.target, headers, call.request.body)
         exchange = TargetExchange(
@@ -343,6 +353,7 @@
             is_live=not call.is_background,
             paths=self.paths,
             can_repeat=call.route.is_repeatable,
+            team=call.team,
         )
         try:
             await exchange.begin(force_new_connection=not call.route.is_repeatable)
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -11,7 +11,7 @@
 from balsamcleat.decisions.stream_stall import StallTimer, caller_patience_s, resume_pause_s
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import EventParser, Exchange, Request, Responder, Response
-from balsamcleat.model import FailureKind
+from balsamcleat.model import FailureKind, TeamName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import (
@@ -147,7 +147,12 @@
         self.register = register
 
     async def answer(
-        self, request: Request, route: Route, responder: Responder, version: int
+        self,
+        request: Request,
+        route: Route,
+        responder: Responder,
+        version: int,
+        team: TeamName | None = None,
     ) -> None:
         """Answer a request with a target's stream or with an error response.
 
@@ -156,8 +161,9 @@
             route: Route that the request matched.
             responder: Writes the response to the caller.
             version: Number of the configuration that contains the route.
+            team: Team that sent the request, if it has one.
         """
-        call = await self.forwarder.admit(request, route, responder)
+        call = await self.forwarder.admit(request, route, responder, team)
         if call is None:
             return
         if route.resumable and not await self.require_software(call):
@@ -294,6 +300,7 @@
             start_check=self.start_check(call),
             paths=self.forwarder.paths,
             can_repeat=call.route.is_repeatable,
+            team=call.team,
         )
         stats.in_flight += 1
         try:
@@ -367,6 +374,7 @@
             remaining_s=call.stream_remaining_s(),
             priority=live_priority(call.route),
             last_event=relay.last_event,
+            team=call.team,
         )
         return Request(call.request.method, call.request.target, headers, call.request.body)
 
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -11,7 +11,7 @@
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import CONNECT_STEP, ConnectionPool, Exchange, Request
-from balsamcleat.model import FailureKind
+from balsamcleat.model import FailureKind, TeamName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.platform import (
     announces_departure,
@@ -56,6 +56,7 @@
         can_be_passed_on: Whether another VM may pass the request on; one that was passed on may not
             be again.
         takes_limit: Whether the request counts as one of this VM's for the target's limit.
+        team: Team that the request names to the target, if any.
 
     Attributes:
         relay: VM that passes the request on, or None if it is sent directly.
@@ -77,6 +78,7 @@
         can_repeat: bool = False,
         can_be_passed_on: bool = True,
         takes_limit: bool = True,
+        team: TeamName | None = None,
     ) -> None:
         super().__init__(pool, replica.address, request, is_permitted)
         self.directory = directory
@@ -88,6 +90,7 @@
         self.can_repeat = can_repeat
         self.can_be_passed_on = can_be_passed_on
         self.takes_limit = takes_limit
+        self.team = team
         self.patience_s = LIVE_PATIENCE_S if is_live else SAMPLE_PATIENCE_S
         self.progress_at_s = anyio.current_time()
         self.relay: VmRow | None = None
@@ -131,6 +134,7 @@
                 self.start_check,
                 needs_new_connection=needs_new_connection,
                 is_live=self.is_live,
+                team=self.team,
             )
         elif self.paths.is_unreachable(self.replica) and not self.pool.has_idle(self.address):
             raise self.failure("no VM reaches the target", FailureKind.UNREACHED)
--- a/src/balsamcleat/tasks/target_relay.py
+++ b/src/balsamcleat/tasks/target_relay.py
@@ -1,5 +1,8 @@
 """Passes requests on to targets for VMs that have lost their links to them."""
 
+from collections.abc import Callable
+from dataclasses import replace
+
 import structlog
 
 from balsamcleat.decisions.crash_suspects import TargetRun
@@ -9,9 +12,11 @@
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response
 from balsamcleat.http1.messages import end_to_end_headers
-from balsamcleat.model import FailureKind
+from balsamcleat.model import FailureKind, TeamName
 from balsamcleat.model.replicas import Replica
-from balsamcleat.platform import request_id
+from balsamcleat.model.routing import RoutingTable
+from balsamcleat.model.team_keys import bearer_key_digest
+from balsamcleat.platform import authorization, request_id, with_team, without_team_headers
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.hop_messages import (
     HopRequest,
@@ -39,6 +44,7 @@
         pool: Connections to the targets.
         detector: Records the crashes that this VM sees.
         paths: Watches the links of this VM.
+        table: Returns the routing table in force, or None before there is one.
     """
 
     def __init__(
@@ -48,12 +54,14 @@
         pool: ConnectionPool,
         detector: CrashDetector,
         paths: TargetPaths,
+        table: Callable[[], RoutingTable | None] = lambda: None,
     ) -> None:
         self.directory = directory
         self.stats_registry = stats_registry
         self.pool = pool
         self.detector = detector
         self.paths = paths
+        self.table = table
         self.running_count = 0
 
     async def handle(self, request: Request, responder: Responder) -> None:
@@ -71,7 +79,7 @@
         stats = self.stats_registry.for_target(replica.target_id)
         stats.in_flight += 1
         try:
-            await self.pass_on(hop, replica, responder)
+            await self.pass_on(self.with_team_headers(hop), replica, responder)
         finally:
             stats.in_flight -= 1
             self.running_count -= 1
@@ -86,6 +94,26 @@
             kind=FailureKind.UNREACHED,
         )
 
+    def with_team_headers(self, hop: HopRequest) -> HopRequest:
+        """Return a request that names the team which sent it, and has no key.
+
+        The VM that received the request may be of a build, or have a configuration, without teams.
+        It forwards the headers of its caller, among which the name of a team proves nothing.
+        """
+        table = self.table()
+        if table is None or not table.has_teams:
+            return hop
+        headers = hop.request.headers
+        team = hop.team or self.team_by_key(hop.request, table)
+        request = replace(hop.request, headers=with_team(without_team_headers(headers), team))
+        return replace(hop, request=request)
+
+    def team_by_key(self, request: Request, table: RoutingTable) -> TeamName | None:
+        """Return the team whose key a request contains; None on a public route."""
+        route = table.match(request.host, request.path)
+        team = table.team_of(bearer_key_digest(authorization(request.headers)))
+        return None if team is None or (route is not None and route.public) else team.name
+
     async def pass_on(self, hop: HopRequest, replica: Replica, responder: Responder) -> None:
         """Send a request to its target and relay the response.
 
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -41,6 +41,7 @@
             "step_transfer",
             "step_feed",
             "stream_forwarder",
+            "team_guard",
             "stream_register",
             "shared_crash_history",
             "table_follower",
