Teams: steps belong to a team, and no stored row contains a key

The owner record and the stored submission name the team. A submission for which no key was checked keeps the digest of its key, so that its team is found once the configuration has teams. Keys in the headers of samples are removed from the stored body, which stays byte for byte the same if there are none.

A VM of the previous build rewrites an owner row without the team, and stores submissions with the key: the team is then found through the submission. If no team has the key, the step waits until a configuration has it or the step expires, and calls about it get 503, because 404 would make its own trainer give it up. A step without any key was accepted while none was checked and runs without a team.

Text carried to a trainer's next step is kept by team, since teams may share a route and it is matched by sample ids alone. Without teams all rows are as before.

--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+import msgspec
 
 from balsamcleat.decisions.sample_progress import (
     FIRST_EVENT_NUMBER,
@@ -14,9 +15,11 @@
 )
 from balsamcleat.decisions.step_order import SampleRank, rank_samples
 from balsamcleat.decisions.stream_origin import StreamOrigin
-from balsamcleat.model import StepId, TargetId
+from balsamcleat.decisions.team_access import StepSubmitter, team_of_step
+from balsamcleat.model import StepId, TargetId, TeamName
 from balsamcleat.model.replicas import StreamSoftware
 from balsamcleat.model.rollout import RolloutStep, SampleResult, SampleState, SampleTask
+from balsamcleat.model.routing import Route, RoutingTable
 from balsamcleat.tasks.rollout_records import OwnerRecord
 
 __all__ = ["OwnedStep", "SampleRun"]
@@ -56,6 +59,10 @@
         record: Owner record that this VM wrote to the row store.
         row_version: Version of the owner row; every commit of results is conditional on it.
         accepted_s: Time of the step's submission, on the process clock, in seconds.
+        submitter: Sender of the submission, by which the team is found.
+        team: Team for which the samples run, if the step has one.
+        has_teams: Whether the configuration has teams.
+        waits_for_team: Whether the step has a key that no team has.
         listed: Results stored in the row store, ordered by position.
         finished: Finished results that are not stored in the row store yet.
         progress: Text generated so far of each unfinished sample, by sample id.
@@ -89,6 +96,10 @@
     record: OwnerRecord
     row_version: int
     accepted_s: float
+    submitter: StepSubmitter = field(default_factory=StepSubmitter)
+    team: TeamName | None = None
+    has_teams: bool = False
+    waits_for_team: bool = False
     listed: list[SampleResult] = field(default_factory=list)
     finished: deque[SampleResult] = field(default_factory=deque)
     progress: dict[str, SampleProgress] = field(default_factory=dict)
@@ -171,6 +182,19 @@
             if saved.complete:
                 self.add_complete_text(sample_id)
 
+    def update_team(self, route: Route, table: RoutingTable) -> None:
+        """Find the step's team in the configuration in force.
+
+        A team that was found by a key is kept when the key is removed.
+        """
+        found = team_of_step(self.submitter, route, table)
+        self.team = found.name
+        self.has_teams = table.has_teams
+        self.waits_for_team = not found.is_certain
+        if found.name is not None and not self.submitter.team:
+            self.submitter = StepSubmitter(found.name)
+            self.record = msgspec.structs.replace(self.record, team=found.name)
+
     def update_ranks(self, tokens_per_event: float) -> None:
         """Recompute the placement order of the samples.
 
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -14,8 +14,8 @@
     ProtocolError,
 )
 from balsamcleat.http1 import Request, Responder, Response
-from balsamcleat.model import StepId
-from balsamcleat.model.rollout import SampleResult
+from balsamcleat.model import StepId, TeamName
+from balsamcleat.model.rollout import RolloutStep, SampleResult
 from balsamcleat.model.routing import Route, RoutingTable
 from balsamcleat.platform import (
     ResultsQuery,
@@ -26,12 +26,15 @@
     error_response_headers,
     request_id,
     sample_body,
+    without_sample_credentials,
 )
 from balsamcleat.ports.rows import RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep
-from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords, StepSubmission
+from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords
 from balsamcleat.tasks.rollout_runner import RolloutRunner
+from balsamcleat.tasks.step_access import StepAccess
 from balsamcleat.tasks.step_feed import KnownStep
+from balsamcleat.tasks.step_submission import StepSubmission
 
 __all__ = ["RolloutHandler"]
 
@@ -90,8 +93,11 @@
         # answered, and without this set the VM would take over its own new step and conflict with
         # itself.
         self.pending_step_ids: set[StepId] = set()
+        self.access = StepAccess(records, runner.steps, known_steps, table)
 
-    async def submit(self, request: Request, route: Route, responder: Responder) -> None:
+    async def submit(
+        self, request: Request, route: Route, responder: Responder, team: TeamName | None = None
+    ) -> None:
         """Accept a step at most once, storing it before the response is sent."""
         try:
             step = decode_step(request.headers, request.body)
@@ -100,7 +106,7 @@
             await responder.send(Response(400, error_response_headers("")))
             return
         if step.step_id in self.known_steps():
-            await self.send_accepted(responder, step.step_id, "already known")
+            await self.answer_repeated(responder, step.step_id, team, "already known")
             return
         if not self.accepting:
             await self.send_unavailable(responder, step.step_id, "leaving")
@@ -108,7 +114,7 @@
         if self.is_store_unavailable():
             await self.send_unavailable(responder, step.step_id, STORE_UNAVAILABLE_REASON)
             return
-        vm, boot = self.preferred_owner(route, request)
+        vm, boot = self.preferred_owner(route, request, team)
         record = OwnerRecord(
             vm=vm,
             boot=boot,
@@ -119,8 +125,9 @@
             model=step.model,
             oldest_version=step.oldest_version,
             work=sum(expected_remaining_tokens(sample, 0.0) for sample in step.samples),
+            team=team or "",
         )
-        submission = StepSubmission(request.headers, request.body)
+        submission = self.submission(request, step, team)
         self.pending_step_ids.add(step.step_id)
         try:
             outcome = await self.records.create_step(step.step_id, record, submission)
@@ -136,7 +143,7 @@
             return
         if isinstance(outcome, RowConflict):
             self.pending_step_ids.discard(step.step_id)
-            await self.send_accepted(responder, step.step_id, "already stored")
+            await self.answer_repeated(responder, step.step_id, team, "already stored")
             return
         if vm == self.vm:
             owned = OwnedStep(
@@ -144,6 +151,7 @@
                 record=record,
                 row_version=outcome.version,
                 accepted_s=request.received_at_s,
+                submitter=submission.submitter,
             )
             # The step is started outside of this request's task, which is cancelled when the
             # trainer closes its connection.
@@ -152,17 +160,41 @@
             self.pending_step_ids.discard(step.step_id)
         await self.send_accepted(responder, step.step_id, f"new, owned by {vm}")
 
-    def preferred_owner(self, route: Route, request: Request) -> tuple[str, str]:
+    def submission(
+        self, request: Request, step: RolloutStep, team: TeamName | None
+    ) -> StepSubmission:
+        """Return the submission to store, without keys."""
+        table = self.table()
+        body = request.body
+        if table is not None and table.has_teams:
+            body = without_sample_credentials(body, step)
+        return StepSubmission.received(request.headers, body, team)
+
+    async def answer_repeated(
+        self, responder: Responder, step_id: StepId, team: TeamName | None, how: str
+    ) -> None:
+        """Answer a submission of a step that exists, whose id another team may have used."""
+        try:
+            if await self.access.is_allowed(step_id, team):
+                await self.send_accepted(responder, step_id, how)
+            else:
+                await self.send_not_found(responder, step_id)
+        except (PlatformError, ProtocolError) as error:
+            await self.send_unavailable(responder, step_id, str(error))
+
+    def preferred_owner(
+        self, route: Route, request: Request, team: TeamName | None
+    ) -> tuple[str, str]:
         """Return the VM, and the start of its process, that shall own a trainer's new step.
 
         The VM that ran the trainer's previous step is preferred if it is alive, since it has
         connections to the targets and measurements of their pace. Otherwise it is this VM.
         """
-        part = carryover_part(route.host, request.path)
+        part = carryover_part(route.host, request.path, team or "")
         earlier_owners = [
             step.owner
             for step in self.known_steps().values()
-            if carryover_part(step.owner.host, step.owner.path) == part
+            if carryover_part(step.owner.host, step.owner.path, step.owner.team) == part
         ]
         latest_owner = max(earlier_owners, key=lambda owner: owner.accepted_ms, default=None)
         if latest_owner is None or not self.failure_detector.accepts_steps(
@@ -176,7 +208,7 @@
         try:
             with anyio.move_on_after(CARRYOVER_TIMEOUT_S):
                 saved = await self.records.load_progress(
-                    carryover_part(owned.record.host, owned.record.path)
+                    carryover_part(owned.record.host, owned.record.path, owned.record.team)
                 )
                 owned.restore_progress(saved, carried=True, single=route.single_version)
         except (PlatformError, ProtocolError) as error:
@@ -209,13 +241,17 @@
         log.warning("step's outcome unknown", step=step_id, reason=reason, status=504)
         await responder.send(Response(504, error_response_headers("")))
 
-    async def answer_call(self, call: StepCall, responder: Responder) -> None:
-        """Answer a call about an accepted step."""
+    async def answer_call(
+        self, call: StepCall, responder: Responder, team: TeamName | None = None
+    ) -> None:
+        """Answer a call about an accepted step; it does not exist for other teams than its own."""
         if self.is_store_unavailable() and not self.can_answer_without_store(call):
             await self.send_unavailable(responder, call.step_id, STORE_UNAVAILABLE_REASON)
             return
         try:
-            if call.kind is StepCallKind.RESULTS and call.query is not None:
+            if not await self.access.is_allowed(call.step_id, team):
+                await self.send_not_found(responder, call.step_id)
+            elif call.kind is StepCallKind.RESULTS and call.query is not None:
                 await self.send_results(call.step_id, call.query, responder)
             elif call.kind is StepCallKind.BODY:
                 await self.send_sample_body(call.step_id, call.sample_id, responder)
@@ -255,11 +291,8 @@
 
     async def sample_count(self, step_id: StepId) -> int | None:
         """Return the number of a step's samples, or None for an unknown step."""
-        known = self.known_steps().get(step_id)
-        if known is not None:
-            return known.owner.samples
-        owner_row = await self.records.owner(step_id)
-        return None if owner_row is None else owner_row[0].samples
+        record = await self.access.find_owner(step_id)
+        return None if record is None else record.samples
 
     async def read_results(self, step_id: StepId, position: int) -> tuple[SampleResult, ...]:
         """Return stored results from a position on."""
@@ -309,10 +342,13 @@
         await responder.send(Response(404, error_response_headers("")))
 
 
-def carryover_part(host: str, path: str) -> str:
-    """Return the part of the progress table for text carried to a trainer's next step."""
+def carryover_part(host: str, path: str, team: str = "") -> str:
+    """Return the part of the progress table for text carried to a trainer's next step.
+
+    Teams that share a route don't get each other's text.
+    """
     prefix = path.strip("/").partition("/")[0]
-    return f"carry/{host}/{prefix}"[:200]
+    return f"carry/{host}/{prefix}{f'/{team}' if team else ''}"[:200]
 
 
 def first_page(results: tuple[SampleResult, ...]) -> tuple[SampleResult, ...]:
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -19,6 +19,7 @@
     RowStore,
     RowWrite,
 )
+from balsamcleat.tasks.step_submission import StepSubmission
 
 __all__ = [
     "STEPS_TABLE",
@@ -26,7 +27,6 @@
     "VM_PART",
     "OwnerRecord",
     "RolloutRecords",
-    "StepSubmission",
     "decode_owner",
     "is_end_key",
     "is_owner_key",
@@ -62,6 +62,8 @@
         model: Model that generates the samples.
         oldest_version: Oldest weight version allowed for the samples.
         work: Expected number of tokens of all samples together.
+        team: Team that submitted the step. Empty if no key was checked, and also after a VM of the
+            previous build owned the step.
     """
 
     vm: str
@@ -73,19 +75,13 @@
     model: str = ""
     oldest_version: WeightVersion = WeightVersion(0)
     work: float = 0.0
+    team: str = ""
 
     def with_owner(self, vm: str, boot: str) -> "OwnerRecord":
         """Return a copy of the record with another owner."""
         return msgspec.structs.replace(self, vm=vm, boot=boot)
 
 
-class StepSubmission(msgspec.Struct, frozen=True):
-    """Headers and body of a trainer's submission, unchanged."""
-
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
 class StoredResult(msgspec.Struct, frozen=True, array_like=True):
     """Stored form of a sample's result."""
 
@@ -114,6 +110,14 @@
         return None
 
 
+def encode_owner(owner: OwnerRecord) -> bytes:
+    """Return the stored form of an owner record, which names a team only if the step has one."""
+    fields = msgspec.structs.asdict(owner)
+    if not owner.team:
+        del fields["team"]
+    return msgspec.json.encode(fields)
+
+
 def encode_value(value: object) -> bytes:
     """Return the stored form of a value: compressed MessagePack."""
     return zlib.compress(msgspec.msgpack.encode(value), ZLIB_LEVEL)
@@ -162,7 +166,7 @@
         for writes in rest:
             # A step exists only with its owner row, which is therefore written last.
             await self.store.commit(RowCommit(writes))
-        write = RowWrite(owner_key(step_id), msgspec.json.encode(owner))
+        write = RowWrite(owner_key(step_id), encode_owner(owner))
         expected = ((owner_key(step_id), ABSENT_VERSION),)
         return await self.store.commit(RowCommit((write, *first), expected))
 
@@ -203,7 +207,7 @@
     ) -> RowsCommitted | RowConflict:
         """Replace a step's owner if the owner row still has the given version."""
         key = owner_key(step_id)
-        write = RowWrite(key, msgspec.json.encode(owner))
+        write = RowWrite(key, encode_owner(owner))
         return await self.store.commit(RowCommit((write,), ((key, row_version),)))
 
     async def submission(self, step_id: StepId) -> StepSubmission | None:
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -19,9 +19,10 @@
     place_samples,
 )
 from balsamcleat.errors import PlatformError, ProtocolError
-from balsamcleat.model import ServiceName, StepId, TargetId, ZoneName
+from balsamcleat.model import KeyDigest, ServiceName, StepId, TargetId, ZoneName
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
+from balsamcleat.model.team_keys import loggable_digest
 from balsamcleat.ports.rows import RowChange, RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep, SampleRun
 from balsamcleat.tasks.pause_guard import PauseGuard
@@ -223,9 +224,20 @@
             if route.step_expiry_s and now_s - step.accepted_s > route.step_expiry_s:
                 self.give_up_step(step, "the step expired")
                 continue
+            if not self.knows_team(step, route, table):
+                continue
             steps_by_service.setdefault(route.shares[0].service, []).append((step, route))
         return steps_by_service
 
+    def knows_team(self, step: OwnedStep, route: Route, table: RoutingTable) -> bool:
+        """Return whether a step's team is known; if not, the step waits for a configuration."""
+        has_waited = step.waits_for_team
+        step.update_team(route, table)
+        if step.waits_for_team and not has_waited:
+            key = loggable_digest(KeyDigest(step.submitter.key_digest))
+            log.warning("step waits for its team", step=step.step_id, key=key)
+        return not step.waits_for_team
+
     def give_up_step(self, step: OwnedStep, reason: str) -> None:
         """Record every unfinished sample of a step as given up."""
         log.warning("step given up", step=step.step_id, reason=reason)
@@ -250,6 +262,8 @@
             priority=SPARE_PRIORITY if rank.is_spare else REQUIRED_PRIORITY,
             single_version=route.single_version,
             is_wanted=lambda: self.may_send(step),
+            team=step.team,
+            has_teams=step.has_teams,
         )
         stats = self.stats_registry.for_target(replica.target_id)
         now_s = anyio.current_time()
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -13,7 +13,7 @@
 from balsamcleat.decisions.stream_stall import SAMPLE_PAUSE_S, StallTimer
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, EventParser, Exchange, Request, StreamEvent
-from balsamcleat.model import FailureKind, WeightVersion
+from balsamcleat.model import FailureKind, TeamName, WeightVersion
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.rollout import RolloutStep, SampleTask
 from balsamcleat.platform import (
@@ -84,6 +84,8 @@
         priority: Request priority from 0 to 9, 0 being the highest.
         single_version: Whether one weight version must generate the whole sample.
         is_wanted: Returns whether this VM may still send the sample.
+        team: Team that submitted the step, if it has one.
+        has_teams: Whether the configuration has teams.
     """
 
     step: RolloutStep
@@ -94,6 +96,8 @@
     priority: int
     single_version: bool
     is_wanted: Callable[[], bool]
+    team: TeamName | None = None
+    has_teams: bool = False
 
 
 class SampleRunner:
@@ -138,6 +142,7 @@
             start_check=self.start_check(assignment.replica, progress),
             paths=self.paths,
             can_repeat=True,
+            team=assignment.team,
         )
         stats.in_flight += 1
         try:
@@ -205,6 +210,8 @@
             remaining_s=assignment.remaining_s,
             priority=assignment.priority,
             last_event=progress.last_event,
+            team=assignment.team,
+            has_teams=assignment.has_teams,
         )
         return Request("POST", assignment.sample.path, headers, assignment.sample.body)
 
--- a/src/balsamcleat/tasks/step_transfer.py
+++ b/src/balsamcleat/tasks/step_transfer.py
@@ -4,6 +4,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 import structlog
 
 from balsamcleat.errors import PlatformError
@@ -55,7 +56,9 @@
         step = self.runner.steps.get(step_id)
         if step is not None and tasks is not None:
             tasks.start_soon(
-                self.runner.end_step, step, carryover_part(step.record.host, step.record.path)
+                self.runner.end_step,
+                step,
+                carryover_part(step.record.host, step.record.path, step.record.team),
             )
 
     def handle_owner_change(self, step_id: StepId, known: KnownStep) -> None:
@@ -99,17 +102,20 @@
         if submission is None:
             return None
         age_s = max(0.0, (self.store_now_ms() - record.accepted_ms) / 1000)
+        submitter = submission.submitter
         owned = OwnedStep(
             step=decode_step(submission.headers, submission.body),
-            record=record,
+            # A VM of the previous build writes the record without the team.
+            record=msgspec.structs.replace(record, team=record.team or submitter.team),
             row_version=row_version,
             accepted_s=anyio.current_time() - age_s,
+            submitter=submitter,
             listed=list(await self.records.results(step_id, all_pages=True)),
         )
         table = self.table()
         route = table.match(record.host, record.path) if table else None
         single = route is not None and route.single_version
-        carryover = carryover_part(record.host, record.path)
+        carryover = carryover_part(record.host, record.path, owned.record.team)
         for part, carried in ((carryover, True), (step_id, False)):
             owned.restore_progress(
                 await self.records.load_progress(part), carried=carried, single=single
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -25,6 +25,7 @@
     ServiceName,
     StepId,
     TargetId,
+    TeamName,
     ZoneName,
 )
 from balsamcleat.model.replicas import Replica, ReplicaState
@@ -137,6 +138,7 @@
         self.stats_registry = stats_registry
         self.event_count = event_count
         self.runs: list[str] = []
+        self.teams: list[TeamName | None] = []
         self.slowdown: dict[TargetId, float] = {}
         self.scripted_ends: dict[str, list[SampleEnd]] = {}
         # Times at which requests were sent, and the limit that all engines name in the responses.
@@ -172,6 +174,7 @@
     async def run(self, assignment: SampleAssignment, progress: SampleProgress) -> SampleRunOutcome:
         sample_id = assignment.sample.sample_id
         self.runs.append(sample_id)
+        self.teams.append(assignment.team)
         stats = self.stats_registry.for_target(assignment.replica.target_id)
         if not self.send(assignment.replica):
             return SampleRunOutcome(SampleEnd.INTERRUPTED, "limited")
@@ -242,9 +245,11 @@
 
     def __init__(self) -> None:
         self.has_started = False
+        self.status = 0
         self.response = Response(0)
 
     async def send(self, response: Response) -> None:
+        self.status = response.status
         self.response = response
 
 
@@ -274,22 +279,25 @@
     clock: SuspendableClock
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
-    async def submit(self, request: Request) -> int:
+    async def submit(self, request: Request, team: TeamName | None = None) -> int:
         responder = RecordingResponder()
-        await self.handler.submit(request, ROUTE, responder)
+        await self.handler.submit(request, ROUTE, responder, team)
         return responder.response.status
 
-    async def read(self, step_id: str, position: int = 0) -> int:
-        responder = RecordingResponder()
+    async def read(self, step_id: str, position: int = 0, team: TeamName | None = None) -> int:
         query = ResultsQuery(position, 0.0)
-        await self.handler.answer_call(
-            StepCall(StepCallKind.RESULTS, StepId(step_id), query), responder
-        )
-        return responder.response.status
+        return await self.call(StepCall(StepCallKind.RESULTS, StepId(step_id), query), team)
+
+    async def read_body(self, step_id: str, sample_id: str, team: TeamName | None = None) -> int:
+        call = StepCall(StepCallKind.BODY, StepId(step_id), sample_id=sample_id)
+        return await self.call(call, team)
+
+    async def end(self, step_id: str, team: TeamName | None = None) -> int:
+        return await self.call(StepCall(StepCallKind.END, StepId(step_id)), team)
 
-    async def end(self, step_id: str) -> int:
+    async def call(self, call: StepCall, team: TeamName | None) -> int:
         responder = RecordingResponder()
-        await self.handler.answer_call(StepCall(StepCallKind.END, StepId(step_id)), responder)
+        await self.handler.answer_call(call, responder, team)
         return responder.response.status
 
 
