Teams: authenticate each request by the key of a team

The dispatcher authenticates every request, also those on open connections, and passes the team on. An unknown key gets 401, or 503 while this VM can't confirm that its configuration is current: a read of the configuration was answered within applyMs and the store answers, directly or through another VM. A call about a step needs a key unless the step's own route is public.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -13,6 +13,7 @@
 from balsamcleat.decisions.readiness import Readiness, StoreView, decide_readiness, should_ask_peers
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
+from balsamcleat.decisions.team_access import is_configuration_current
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.entry.drain import drain_callers
 from balsamcleat.entry.reload import SettingsWatcher
@@ -67,6 +68,7 @@
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.target_paths import REACH_PATH, TargetPaths
 from balsamcleat.tasks.target_relay import TargetRelay
+from balsamcleat.tasks.team_guard import TeamGuard
 from balsamcleat.tasks.version_orders import VersionLoadController
 from balsamcleat.tasks.vm_presence import VmPresence
 
@@ -290,16 +292,25 @@
             self.target_pool,
             self.crash_detector,
             self.target_paths,
+            lambda: self.routing_keeper.table,
         )
         self.dispatcher = RequestDispatcher(
             lambda: self.routing_keeper.table,
             forwarder,
             StreamForwarder(forwarder, self.stream_register),
             self.rollout_handler,
+            TeamGuard(
+                self.is_configuration_current, self.routing_keeper.confirmed_age_s, self.metrics
+            ),
         )
         self.table_followers = [
             TableFollower(
-                self.store, OPERATOR_TABLE, self.routing_keeper, generator, single_part=True
+                self.store,
+                OPERATOR_TABLE,
+                self.routing_keeper,
+                generator,
+                single_part=True,
+                on_read=self.routing_keeper.record_read,
             ),
             TableFollower(
                 self.store,
@@ -356,6 +367,12 @@
         silence_s = max(0.0, anyio.current_time() - self.direct_store.answered_at_s)
         return StoreView(silence_s, is_failing=self.store.path.is_failing)
 
+    def is_configuration_current(self) -> bool:
+        """Return whether the configuration in force is known to be the newest."""
+        return is_configuration_current(
+            self.routing_keeper.confirmed_age_s(), self.store_view(), self.settings.apply_s
+        )
+
     def reaches_store(self) -> bool:
         """Return whether the store has answered this VM directly within the last moments."""
         return not should_ask_peers(self.direct_store_view())
--- a/src/balsamcleat/tasks/request_dispatcher.py
+++ b/src/balsamcleat/tasks/request_dispatcher.py
@@ -1,16 +1,25 @@
 """Dispatches the requests of callers and trainers to the component that answers them."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import anyio
 import structlog
 
+from balsamcleat.decisions.team_access import route_for_team
 from balsamcleat.http1 import Request, Responder, Response, ServerLimits
-from balsamcleat.model.routing import RouteKind, RoutingTable
-from balsamcleat.platform import classify_step_call, error_response_headers, request_id
+from balsamcleat.model import StepId, TeamName
+from balsamcleat.model.routing import Route, RouteKind, RoutingTable
+from balsamcleat.platform import (
+    classify_step_call,
+    error_response_headers,
+    request_id,
+    without_team_headers,
+)
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.rollout_handler import RolloutHandler
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
+from balsamcleat.tasks.team_guard import TeamGuard
 
 __all__ = ["RequestDispatcher"]
 
@@ -29,6 +38,7 @@
         forwarder: Answers live requests.
         streams: Answers live streams.
         rollouts: Answers the requests of trainers.
+        guard: Authenticates requests by the keys of teams.
     """
 
     def __init__(
@@ -37,11 +47,13 @@
         forwarder: LiveForwarder,
         streams: StreamForwarder,
         rollouts: RolloutHandler,
+        guard: TeamGuard,
     ) -> None:
         self.current_table = current_table
         self.forwarder = forwarder
         self.streams = streams
         self.rollouts = rollouts
+        self.guard = guard
 
     def limits(self) -> ServerLimits:
         """Return the limits on requests that the configuration in force sets."""
@@ -90,23 +102,54 @@
         route = table.match(request.host, request.path)
         if route is None:
             await self.answer_unrouted(request, responder, table)
-        elif route.kind is RouteKind.ROLLOUT and request.method == SUBMIT_METHOD:
-            await self.rollouts.submit(request, route, responder)
+            return
+        access = self.guard.authenticate(request, table, is_public=route.public)
+        if access.refusal is not None:
+            await self.guard.refuse(request, responder, table, access.refusal)
+            return
+        if table.has_teams:
+            request = replace(request, headers=without_team_headers(request.headers))
+        team = access.team_name
+        try:
+            await self.answer_routed(
+                request, route_for_team(route, access.team), responder, table, team
+            )
+        finally:
+            self.guard.count_request(team, responder.status)
+
+    async def answer_routed(
+        self,
+        request: Request,
+        route: Route,
+        responder: Responder,
+        table: RoutingTable,
+        team: TeamName | None,
+    ) -> None:
+        """Answer an authenticated request by its route."""
+        if route.kind is RouteKind.ROLLOUT and request.method == SUBMIT_METHOD:
+            await self.rollouts.submit(request, route, responder, team)
         elif route.kind is RouteKind.STREAM:
-            await self.streams.answer(request, route, responder, table.version)
+            await self.streams.answer(request, route, responder, table.version, team)
         else:
-            await self.forwarder.answer(request, route, responder, table.version)
+            await self.forwarder.answer(request, route, responder, table.version, team)
 
     async def answer_unrouted(
         self, request: Request, responder: Responder, table: RoutingTable
     ) -> None:
         """Answer a request that matches no route: a call about a step, or 404."""
         call = classify_step_call(request)
-        serves_steps = any(
-            route.kind is RouteKind.ROLLOUT and route.host == request.host for route in table.routes
-        )
-        if call is not None and serves_steps:
-            await self.rollouts.answer_call(call, responder)
+        step_routes = [
+            route
+            for route in table.routes
+            if route.kind is RouteKind.ROLLOUT and route.host == request.host
+        ]
+        if call is not None and step_routes:
+            is_public = self.is_step_public(call.step_id, step_routes, table)
+            access = self.guard.authenticate(request, table, is_public=is_public)
+            if access.refusal is not None:
+                await self.guard.refuse(request, responder, table, access.refusal)
+                return
+            await self.rollouts.answer_call(call, responder, access.team_name)
             return
         attempt_id = request_id(request.headers)
         log.info(
@@ -117,3 +160,16 @@
             version=table.version,
         )
         await responder.send(Response(404, error_response_headers(attempt_id)))
+
+    def is_step_public(
+        self, step_id: StepId, host_routes: list[Route], table: RoutingTable
+    ) -> bool:
+        """Return whether calls about a step need no key.
+
+        A step that is not known here yet needs one, unless all steps of the host need none.
+        """
+        known = self.rollouts.known_steps().get(step_id)
+        if known is None:
+            return all(route.public for route in host_routes)
+        route = table.match(known.owner.host, known.owner.path)
+        return route is not None and route.public
