Relayed store: end long polls on a lost link when other calls fail

A key that a new configuration version removes must be refused by every VM within 3 s. A VM whose link to the store was lost without a reset learned of the version only when its long poll timed out, after 2.0 s and the timeout of a call, which grows up to 2.5 s. Weighed against shorter long polls, which would cost the store more reads at all times.

--- a/src/balsamcleat/tasks/relayed_store.py
+++ b/src/balsamcleat/tasks/relayed_store.py
@@ -139,6 +139,8 @@
         self.is_relaying = False
         # Time of the last answer of the store, direct or relayed, on the event loop's clock.
         self.answered_at_s = float("-inf")
+        # Direct long polls in progress.
+        self.long_polls: set[anyio.CancelScope] = set()
 
     async def commit(self, commit: RowCommit) -> RowsCommitted | RowConflict:
         """Apply all writes of a commit or none of them."""
@@ -191,12 +193,17 @@
     async def changes(self, table: str, after: int, wait_s: float) -> FeedPage:
         """Return the changes of a table after a version."""
         if self.should_call_directly():
-            try:
-                # A call that probes a failing direct connection must not block in a long poll.
-                direct_wait_s = 0.0 if self.path.is_failing else wait_s
-                return self.record_success(await self.store.changes(table, after, direct_wait_s))
-            except PlatformUnavailableError as error:
-                self.record_failure(error)
+            with anyio.CancelScope() as scope:
+                self.long_polls.add(scope)
+                try:
+                    # A call that probes a failing direct connection must not block in a long poll.
+                    direct_wait_s = 0.0 if self.path.is_failing else wait_s
+                    page = await self.store.changes(table, after, direct_wait_s)
+                    return self.record_success(page)
+                except PlatformUnavailableError as error:
+                    self.record_failure(error)
+                finally:
+                    self.long_polls.discard(scope)
         wait_s = min(wait_s, RELAYED_FEED_WAIT_S)
         body = msgspec.msgpack.encode(ChangesArguments(table, after, wait_s))
         return await self.call_through_relay("changes", body, FeedPage, RELAY_TIMEOUT_S + wait_s)
@@ -218,12 +225,18 @@
     def record_failure(self, error: PlatformUnavailableError) -> None:
         """Record that a direct call took no effect.
 
+        Long polls that were sent before the link was lost are ended, so that they are relayed at
+        once: a change must be in force within the 3 s that the platform allows, and waiting for
+        them takes up to 4.5 s.
+
         Raises:
             PlatformUnavailableError: The call can't be relayed.
         """
         self.path.record_failure()
         if not self.path.is_failing or not self.find_relays():
             raise error
+        for scope in self.long_polls:
+            scope.cancel()
 
     async def call_through_relay(
         self, operation: str, body: bytes, reply_type: type[ReplyT], timeout_s: float
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import anyio
 import pytest
@@ -21,6 +21,7 @@
 from balsamcleat.http1.streams import listen
 from balsamcleat.ports.rows import (
     HistoryExpiredError,
+    RowChange,
     RowCommit,
     RowConflict,
     RowKey,
@@ -117,6 +118,33 @@
         assert not cut_off.is_relaying
 
 
+async def test_long_poll_on_a_lost_link_is_relayed_as_soon_as_other_calls_fail() -> None:
+    """A key that is removed meanwhile must be refused here within 3 s, not after the poll's end."""
+    async with cut_off_vm(RowStoreFlaws()) as (store, flaws, cut_off):
+        flaws.down = False
+        cut_off.path.failures = 0
+        pages = []
+
+        async def poll() -> None:
+            pages.append(await cut_off.changes("table", 0, 30.0))
+
+        with anyio.fail_after(2.0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(poll)
+                await anyio.sleep(0.1)
+                flaws.down = True
+                # A lost link delivers nothing to the poll that was sent before.
+                store.changed = anyio.Event()
+                store.rows[KEY] = (b"value", 1)
+                store.history.append(RowChange(KEY, b"value", 1))
+                store.version = 1
+                for _ in range(2):
+                    with suppress(PlatformUnavailableError):
+                        await cut_off.read("table", "part")
+        assert [row.key for row in pages[0].rows] == [KEY]
+        assert not cut_off.long_polls
+
+
 async def test_a_direct_commit_with_unknown_outcome_is_not_relayed() -> None:
     """A commit whose answer was lost may have taken effect, and a relay would apply it twice."""
     async with cut_off_vm(RowStoreFlaws()) as (store, flaws, cut_off):
