Usage: count live calls and streams of teams, and publish the counts in VMs' rows

A caller's attempt counts once: a stream at its first event, a plain call at the earliest time at which a target began to run it, known once the call has ended. A failed attempt counts if its target did not state that it did not run it and the whole request had arrived; the kernel's count of unacknowledged bytes tells a request that was cut off at work from one that was lost on a broken link. A failure after which the same call ran elsewhere does not count again.

The heartbeat row gets two optional fields, decoded apart from the rest. With usage, a new process reads its row before it writes it, and writes it on the condition of the version that it knows: a write of the previous process that takes effect late is then found as a conflict and taken over. Taking over on reads alone misses one that is overwritten between two reads. Without usage rows and intervals are as before; writes of one VM's row no longer overlap.

--- a/src/balsamcleat/decisions/vm_watch.py
+++ b/src/balsamcleat/decisions/vm_watch.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 
 from balsamcleat.decisions.limit_parts import LimitReport
+from balsamcleat.decisions.published_usage import PublishedUsage
+from balsamcleat.decisions.true_time import ClockVote
 
 __all__ = ["MAX_EXCUSED_SILENCE_S", "VM_DEAD_AFTER_S", "VmFailureDetector", "VmRow"]
 
@@ -36,6 +38,8 @@
         version: Version of the row.
         leaving: Whether the VM accepts no new steps.
         limits: What the VM publishes about the limits of targets.
+        usage: Counts of requests that the VM publishes, or None.
+        clock: What the VM publishes about its wall clock, or None.
     """
 
     vm: str
@@ -45,6 +49,8 @@
     version: int
     leaving: bool = False
     limits: LimitReport = field(default_factory=LimitReport)
+    usage: PublishedUsage | None = None
+    clock: ClockVote | None = None
 
 
 @dataclass(slots=True)
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -236,6 +236,7 @@
 
     Attributes:
         perhaps_sent: Whether any byte of the request may have been sent.
+        is_sent: Whether the whole request was handed to the connection.
         is_complete: Whether the response was read to its end.
         is_at_eof: Whether the server closed its side of the connection.
         status: Status code of the response; 0 until a response's head was read.
@@ -256,6 +257,7 @@
         self.connection: PooledConnection | None = None
         self.parser = h11.Connection(h11.CLIENT)
         self.perhaps_sent = False
+        self.is_sent = False
         self.is_complete = False
         self.is_at_eof = False
         self.status = 0
@@ -308,6 +310,7 @@
             raise self.failure(
                 f"the connection failed while the request was sent: {error}", FailureKind.CUT
             ) from error
+        self.is_sent = True
         await self.read_matching_head()
 
     def check_permission(self) -> None:
@@ -506,6 +509,14 @@
             except AttemptFailedError as error:
                 log.info("connection not kept", peer=self.address, reason=error.message)
 
+    def has_arrived(self) -> bool:
+        """Return whether the whole request has arrived at the server; asked before ``end``."""
+        if self.status:
+            return True
+        if not self.is_sent or self.connection is None:
+            return False
+        return self.connection.stream.is_acknowledged()
+
     def end(self) -> None:
         """Release the connection if the exchange is complete and reuse is safe, else close it.
 
--- a/src/balsamcleat/http1/streams.py
+++ b/src/balsamcleat/http1/streams.py
@@ -1,8 +1,10 @@
 """Non-blocking TCP streams that detect a silent remote end and can check for unread input."""
 
 import errno
+import fcntl
 import socket
 import struct
+import termios
 
 import anyio
 import anyio.lowlevel
@@ -19,6 +21,8 @@
 BACKLOG = 512
 # A remote end that sends without pause must not keep the event loop from other tasks and timeouts.
 MAX_BYTES_WITHOUT_YIELD = 256 * 1024
+# Number of bytes in a socket's send queue, as the kernel returns it.
+QUEUED_BYTES = struct.Struct("i")
 
 
 def set_socket_options(sock: socket.socket) -> None:
@@ -124,6 +128,16 @@
         except OSError:
             return False
 
+    def is_acknowledged(self) -> bool:
+        """Return whether the remote end has acknowledged all bytes that were sent."""
+        if self.closed:
+            return False
+        try:
+            queued = fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(QUEUED_BYTES.size))
+        except OSError:
+            return False
+        return QUEUED_BYTES.unpack(queued) == (0,)
+
     def send_eof(self) -> None:
         """Shut down the sending side, so that the remote end reads EOF."""
         if not self.closed:
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -208,6 +208,10 @@
         for what in ("began", "changed", "ended")
     ),
     event("limits not read", "Another VM's row has them in a form unknown here.", "reason"),
+    event("row field not read", "Another VM's row has it in a form unknown here.", "type reason"),
+    # Usage reports.
+    event("usage taken over", "From the row of this VM's earlier process.", "first complete"),
+    event("clock jumped", "The wall clock of this VM, by so many seconds.", "by_s"),
     event("target limit ignored", "Its value is no number of 0 or more.", "target reason"),
     event(
         "turned away for a limit",
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -1,7 +1,7 @@
 """A live request that is being forwarded."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -9,8 +9,9 @@
 from balsamcleat.decisions.live_attempts import AttemptTracker
 from balsamcleat.decisions.live_queue import Ticket, background_ticket, new_ticket
 from balsamcleat.decisions.request_content import content_digest, request_parts
+from balsamcleat.decisions.usage_windows import CallRuns
 from balsamcleat.http1 import Request
-from balsamcleat.model import ServiceName
+from balsamcleat.model import ServiceName, TeamName
 from balsamcleat.model.replicas import Replica, StreamSoftware
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import parse_caller_timeout_s, request_id
@@ -36,6 +37,8 @@
         is_wanted: Returns whether the call may still be sent; asked before each attempt.
         software: Software that began the stream and must continue it; None if none began it.
         computed_digest: Digest of the request once it was needed; bodies may be large.
+        team: Team of the caller; None on a public route or without teams.
+        runs: Runs of the call at targets, for the usage of its team.
     """
 
     request: Request
@@ -50,6 +53,8 @@
     is_wanted: Callable[[], bool] = lambda: True
     software: StreamSoftware | None = None
     computed_digest: str = ""
+    team: TeamName | None = None
+    runs: CallRuns = field(default_factory=CallRuns)
 
     @property
     def digest(self) -> str:
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -44,6 +44,8 @@
 from balsamcleat.tasks.target_chooser import TargetChooser
 from balsamcleat.tasks.target_exchange import FAILURES_OF_THIS_VM, TargetExchange
 from balsamcleat.tasks.target_paths import TargetPaths
+from balsamcleat.tasks.usage_counter import UsageCounter
+from balsamcleat.tasks.usage_recorder import UsageRecorder
 
 __all__ = ["LiveForwarder", "live_priority"]
 
@@ -73,6 +75,7 @@
         crash_guard: Blocks requests that crash targets.
         queues: Queues in which calls wait for a slot.
         paths: Tells which targets this VM reaches; None calls all of them directly.
+        usage: Counts the requests of teams; None if usage is not reported.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         crash_guard: CrashGuard,
         queues: LiveQueues,
         paths: TargetPaths | None = None,
+        usage: UsageCounter | None = None,
     ) -> None:
         self.directory = directory
         self.stats_registry = stats_registry
@@ -94,6 +98,7 @@
         self.crash_guard = crash_guard
         self.queues = queues
         self.paths = paths
+        self.usage = UsageRecorder(usage)
 
     async def answer(
         self, request: Request, route: Route, responder: Responder, version: int
@@ -109,7 +114,10 @@
         call = await self.admit(request, route, responder)
         if call is None:
             return
-        outcome = await self.queue_and_send(call)
+        try:
+            outcome = await self.queue_and_send(call)
+        finally:
+            self.usage.record_end(call)
         self.crash_guard.record_answer(call)
         if isinstance(outcome, Rejected):
             await self.reject(call, responder, outcome)
@@ -344,6 +352,8 @@
             paths=self.paths,
             can_repeat=call.route.is_repeatable,
         )
+        run = self.usage.watch(call, replica, exchange)
+        outcome: Result[Response, AttemptFailedError] | None = None
         try:
             await exchange.begin(force_new_connection=not call.route.is_repeatable)
             response = await exchange.read_response()
@@ -360,6 +370,7 @@
             self.crash_guard.record_cancellation(call, replica)
             raise
         finally:
+            run.record_end(outcome)
             exchange.end()
             stats.in_flight -= 1
             self.crash_guard.end_run(call)
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -53,11 +53,13 @@
         call: Request of the caller.
         responder: Writes the events to the caller.
         on_begin: Called with the origin of a stream when its first event is relayed.
+        on_run: Called when the first event of this answer arrives, also if it resumes a stream.
 
     Attributes:
         last_event: Number of the last event that the caller has, or None.
         origin: Target that began the stream, if it began in this answer.
         has_events: Whether the caller has events of the stream.
+        has_run: Whether a target has produced an event of this answer.
     """
 
     def __init__(
@@ -65,10 +67,13 @@
         call: LiveCall,
         responder: Responder,
         on_begin: Callable[[StreamOrigin | None], None],
+        on_run: Callable[[], None],
     ) -> None:
         self.call = call
         self.responder = responder
         self.on_begin = on_begin
+        self.on_run = on_run
+        self.has_run = False
         self.last_event = parse_last_event_id(call.request.headers)
         self.origin: StreamOrigin | None = None
         self.has_events = bool(self.last_event)
@@ -125,6 +130,9 @@
                 raise exchange.failure("an event is out of order", FailureKind.MALFORMED)
             self.last_event = event.event_id
             event_count += 1
+        if event_count and not self.has_run:
+            self.has_run = True
+            self.on_run()
         if event_count and not self.has_events:
             self.has_events = True
             self.origin = exchange.origin()
@@ -226,7 +234,12 @@
 
     async def send(self, call: LiveCall, responder: Responder, version: int) -> None:
         """Send a call to targets in turn, and relay their stream or an error response."""
-        relay = StreamRelay(call, responder, lambda origin: self.record_begin(call, origin))
+        relay = StreamRelay(
+            call,
+            responder,
+            lambda origin: self.record_begin(call, origin),
+            lambda: self.forwarder.usage.record_first_event(call),
+        )
         error = no_target_error(call.service)
         while not responder.has_finished and self.can_go_on(call, relay):
             replica = await self.begin_attempt(call, relay)
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -60,6 +60,8 @@
     Attributes:
         relay: VM that passes the request on, or None if it is sent directly.
         is_given_up: Whether the request was ended because its link was lost.
+        had_arrived: Whether the request had arrived at the target when it was given up.
+        on_send: Called right before the request is sent.
     """
 
     def __init__(
@@ -92,6 +94,8 @@
         self.progress_at_s = anyio.current_time()
         self.relay: VmRow | None = None
         self.is_given_up = False
+        self.had_arrived = False
+        self.on_send: Callable[[], None] = lambda: None
         self.is_unframed = False
         self.is_start_certain_at_relay = False
 
@@ -154,10 +158,15 @@
 
     def give_up(self) -> None:
         """End the exchange, since its link is lost; the task that reads from it gets an error."""
+        self.had_arrived = super().has_arrived()
         self.is_given_up = True
         if self.connection is not None:
             self.connection.stream.close()
 
+    def has_arrived(self) -> bool:
+        """Return whether the whole request has arrived; that of a lost link as far as is known."""
+        return self.had_arrived if self.is_given_up else super().has_arrived()
+
     async def next_event(self) -> object:
         """Return the parser's next event, and record the progress of the request."""
         event = await super().next_event()
@@ -270,6 +279,7 @@
                 perhaps_sent=False,
                 kind=FailureKind.LIMITED,
             )
+        self.on_send()
 
     async def read_head(self) -> None:
         """Read the head of a response and record what the target says of itself in it."""
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -2,18 +2,30 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import anyio
 import msgspec
 import structlog
 
 from balsamcleat.decisions.limit_parts import LimitReport
+from balsamcleat.decisions.published_usage import PublishedUsage
+from balsamcleat.decisions.true_time import ClockVote
 from balsamcleat.decisions.vm_watch import VmFailureDetector, VmRow
-from balsamcleat.errors import PlatformError
-from balsamcleat.ports.rows import RowChange, RowCommit, RowKey, RowStore, RowWrite
+from balsamcleat.errors import PlatformError, PlatformUnavailableError
+from balsamcleat.ports.rows import (
+    ABSENT_VERSION,
+    RowChange,
+    RowCommit,
+    RowKey,
+    RowsCommitted,
+    RowStore,
+    RowWrite,
+)
 from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.rollout_records import VM_PART, VMS_TABLE
 from balsamcleat.tasks.store_clock import StoreClock
+from balsamcleat.tasks.usage_counter import UsageCounter
 
 __all__ = ["VmPresence"]
 
@@ -23,16 +35,21 @@
 IDLE_HEARTBEAT_INTERVAL_S = 1.0
 READ_INTERVAL_S = 0.5
 JITTER = 0.2
+# Each conflict is a write of this VM that had no answer, or of its previous process.
+MAX_ROW_CONFLICTS = 4
 # Replaces the identifier of the process start in the row of a VM that has shut down.
 STOPPED_BOOT = ""
 
+FieldT = TypeVar("FieldT")
+
 log = structlog.get_logger()
 
 
 class VmRowValue(msgspec.Struct, frozen=True, omit_defaults=True):
     """Value of a VM's row; ``beat`` is a counter that makes every heartbeat change the row.
 
-    ``limits`` is a limit report, which is checked apart from the rest.
+    ``limits`` is a limit report, ``usage`` are counts of requests, and ``clock`` is a vote on true
+    time. They are checked apart from the rest.
     """
 
     boot: str
@@ -41,6 +58,8 @@
     beat: int
     leaving: bool = False
     limits: object = None
+    usage: object = None
+    clock: object = None
 
 
 class VmPresence:
@@ -53,6 +72,8 @@
         is_needed: Returns whether other VMs depend on the liveness of this VM.
         generator: Draws the jitter of the intervals.
         limit_sharing: Publishes and applies what VMs know of targets' limits, in the same rows.
+        usage: Publishes the counts of requests and the vote on true time, in the same rows; None
+            if usage is not reported.
     """
 
     def __init__(
@@ -63,10 +84,12 @@
         is_needed: Callable[[], bool],
         generator: random.Random,
         limit_sharing: LimitSharing,
+        usage: UsageCounter | None = None,
     ) -> None:
         self.store = store
         self.row = row
         self.limit_sharing = limit_sharing
+        self.usage = usage
         self.boot = row.boot
         self.store_clock = store_clock
         self.is_needed = is_needed
@@ -75,6 +98,9 @@
         self.heartbeat_count = 0
         self.is_leaving = False
         self.failing_calls: set[str] = set()
+        self.renewal_lock = anyio.Lock()
+        # Version of this VM's row as last written or read.
+        self.row_version = ABSENT_VERSION
 
     async def run(self) -> None:
         """Send heartbeats and read the VMs' rows until cancelled."""
@@ -84,11 +110,25 @@
 
     async def run_renewals(self) -> None:
         """Renew this VM's row at intervals until cancelled."""
+        if self.usage is not None:
+            # The first heartbeat overwrites the counts of the VM's previous process.
+            await self.usage.has_read.wait()
         while True:
-            await self.try_call("presence renewal", self.renew)
-            is_needed = self.is_needed() or self.limit_sharing.is_active
-            wait_s = HEARTBEAT_INTERVAL_S if is_needed else IDLE_HEARTBEAT_INTERVAL_S
-            await anyio.sleep(self.add_jitter(wait_s))
+            is_renewed = await self.try_call("presence renewal", self.renew)
+            await self.wait_for_renewal(is_renewed=is_renewed)
+
+    async def wait_for_renewal(self, *, is_renewed: bool) -> None:
+        """Wait until the next heartbeat is due; counts that are not stored make it due early."""
+        is_needed = self.is_needed() or self.limit_sharing.is_active
+        if is_needed or (self.usage is not None and not is_renewed):
+            await anyio.sleep(self.add_jitter(HEARTBEAT_INTERVAL_S))
+        elif self.usage is None:
+            await anyio.sleep(self.add_jitter(IDLE_HEARTBEAT_INTERVAL_S))
+        else:
+            idle_until_s = anyio.current_time() + self.add_jitter(IDLE_HEARTBEAT_INTERVAL_S)
+            await anyio.sleep(self.add_jitter(HEARTBEAT_INTERVAL_S))
+            with anyio.move_on_at(idle_until_s):
+                await self.usage.has_counts.wait()
 
     async def run_reads(self) -> None:
         """Read the rows of all VMs at intervals until cancelled."""
@@ -121,6 +161,31 @@
 
     async def renew(self) -> None:
         """Write this VM's row with the next heartbeat number."""
+        async with self.renewal_lock:
+            await self.write_row()
+
+    async def write_row(self) -> None:
+        """Write this VM's row; one write at a time, as an older one must not replace a newer.
+
+        With counts of requests, the row is written on the condition that nobody else has written
+        it: a late write of the previous process may hold counts that must be taken over first.
+        """
+        key = RowKey(VMS_TABLE, VM_PART, self.row.vm)
+        for _ in range(MAX_ROW_CONFLICTS):
+            usage = None if self.usage is None else self.usage.publish()
+            write = RowWrite(key, self.next_value(usage))
+            expected = () if self.usage is None else ((key, self.row_version),)
+            outcome = await self.store.commit(RowCommit((write,), expected))
+            if isinstance(outcome, RowsCommitted):
+                self.row_version = outcome.version
+                if self.usage is not None:
+                    self.usage.record_published(usage)
+                return
+            self.adopt_row(outcome.rows[0])
+        raise PlatformUnavailableError("the VM's row keeps changing", step="presence.write")
+
+    def next_value(self, usage: PublishedUsage | None) -> bytes:
+        """Return the value of the row with the next heartbeat number."""
         self.heartbeat_count += 1
         row_value = VmRowValue(
             self.boot,
@@ -129,9 +194,21 @@
             self.heartbeat_count,
             self.is_leaving,
             self.limit_sharing.report(),
+            usage,
+            None if self.usage is None else self.usage.clock.vote(),
         )
-        key = RowKey(VMS_TABLE, VM_PART, self.row.vm)
-        await self.store.commit(RowCommit((RowWrite(key, msgspec.json.encode(row_value)),)))
+        return msgspec.json.encode(row_value)
+
+    def adopt_row(self, row: RowChange) -> None:
+        """Go on from this VM's row as it is now: this or the previous process has written it."""
+        self.row_version = row.version
+        if self.usage is not None and row.value is not None:
+            self.usage.apply_own_row(decode_vm(row), self.own_boots)
+
+    @property
+    def own_boots(self) -> set[str]:
+        """Identifiers under which this process writes its row."""
+        return {self.row.boot, self.boot}
 
     async def read(self) -> None:
         """Read the rows of all VMs and update their liveness."""
@@ -140,6 +217,10 @@
         self.store_clock.synchronize(page.store_ms)
         self.watch.apply_read([decode_vm(row) for row in page.rows], self.store_clock.clock())
         self.limit_sharing.apply(self.watch)
+        if self.usage is not None:
+            if not self.usage.has_read.is_set() and self.row.vm in self.watch.observations:
+                self.row_version = self.watch.observations[self.row.vm].row.version
+            self.usage.apply(self.watch, self.own_boots)
 
     async def announce_leaving(self) -> None:
         """Announce that this VM accepts no new steps."""
@@ -166,6 +247,8 @@
         row.version,
         row_value.leaving,
         decode_limits(row_value.limits),
+        decode_optional(row_value.usage, PublishedUsage),
+        decode_optional(row_value.clock, ClockVote),
     )
 
 
@@ -178,3 +261,14 @@
     except msgspec.ValidationError as error:
         log.warning("limits not read", reason=str(error))
         return LimitReport()
+
+
+def decode_optional(value: object, field_type: type[FieldT]) -> FieldT | None:
+    """Return a field of a VM's row; an unreadable one must not make its VM count as stopped."""
+    if value is None:
+        return None
+    try:
+        return msgspec.convert(value, field_type)
+    except msgspec.ValidationError as error:
+        log.warning("row field not read", type=field_type.__name__, reason=str(error))
+        return None
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -48,6 +48,8 @@
             "target_relay",
             "crash_detector",
             "target_exchange",
+            "true_clock",
+            "usage_counter",
             "version_orders",
             "vm_presence",
         )
