--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -16,6 +16,7 @@
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.entry.drain import drain_callers
 from balsamcleat.entry.reload import SettingsWatcher
+from balsamcleat.entry.usage import UsageParts, UsageSettings
 from balsamcleat.errors import PlatformError
 from balsamcleat.http1 import (
     ConnectionPool,
@@ -67,6 +68,7 @@
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.target_paths import REACH_PATH, TargetPaths
 from balsamcleat.tasks.target_relay import TargetRelay
+from balsamcleat.tasks.usage_reporter import UsageReporter
 from balsamcleat.tasks.version_orders import VersionLoadController
 from balsamcleat.tasks.vm_presence import VmPresence
 
@@ -87,6 +89,8 @@
 # Upper limit of the reported store silence in seconds; the silence of a store that has never
 # answered is infinite.
 MAX_REPORTED_SILENCE_S = 999.0
+# Part of the time that is reserved at the end of the grace period.
+LAST_COUNTS_TIMEOUT_S = 0.4
 
 log = structlog.get_logger()
 
@@ -99,6 +103,7 @@
         settings: Settings of this VM as read from that file.
         metrics: Registry of this process's metrics.
         output: Buffered output of log lines.
+        usage_settings: Settings of usage reports; None if there are no reports.
     """
 
     def __init__(
@@ -107,6 +112,7 @@
         settings: PlatformSettings,
         metrics: TextMetrics,
         output: BoundedOutput,
+        usage_settings: UsageSettings | None = None,
     ) -> None:
         self.settings = settings
         self.settings_watcher = SettingsWatcher(path, settings, self.apply_settings)
@@ -141,6 +147,10 @@
             lambda target_id, started_ms: self.crash_detector.on_target_end(target_id, started_ms),
         )
         self.store_clock = StoreClock()
+        self.usage: UsageParts | None = None
+        if usage_settings is not None:
+            self.usage = UsageParts(settings.vm, usage_settings, self.store_clock)
+        self.usage_reporter: UsageReporter | None = None
         self.presence = VmPresence(
             self.store,
             VmRow(settings.vm, self.boot, settings.peer_address, settings.zone, 0),
@@ -153,6 +163,7 @@
                 self.replica_directory,
                 lambda: self.peer_poller.view.is_isolated,
             ),
+            self.usage.counter if self.usage else None,
         )
         self.order_lease_keeper = OrderLeaseKeeper(
             self.store,
@@ -210,6 +221,7 @@
             CrashGuard(self.crash_detector),
             self.live_queues,
             self.target_paths,
+            self.usage.counter if self.usage else None,
         )
         self.runner = RolloutRunner(
             self.records,
@@ -344,6 +356,8 @@
 
     def wake_schedulers(self) -> None:
         """Wake the components that schedule work by the configuration and the targets."""
+        if self.usage is not None and self.routing_keeper.table is not None:
+            self.usage.counter.start()
         self.runner.wake()
         self.load_controller.wake()
 
@@ -416,6 +430,8 @@
                 self.run_housekeeping,
             ):
                 tasks.start_soon(component_run)
+            if self.usage_reporter is not None:
+                tasks.start_soon(self.usage_reporter.run)
             await self.wait_for_stop()
             await self.shut_down()
             tasks.cancel_scope.cancel()
@@ -466,6 +482,9 @@
             await drain_callers(self.front_server, started_s, self.settings.grace_s)
             tasks.cancel_scope.cancel()
         self.front_server.stop_accepting()
+        if self.usage is not None:
+            with anyio.move_on_after(LAST_COUNTS_TIMEOUT_S):
+                await self.presence.try_call("presence renewal", self.presence.renew)
 
     async def release_ownership(self) -> None:
         """Hand over all steps and release the lease on orders; a store failure ends the attempt."""
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -33,6 +33,7 @@
 
 
 CONTENT = "content known_crashes"
+USAGE = "window requests teams vms after_end_s late_s"
 ATTEMPT = "request route target candidates load load_age_s took_s"
 
 EVENTS = (
@@ -210,6 +211,18 @@
     event("limits not read", "Another VM's row has them in a form unknown here.", "reason"),
     event("row field not read", "Another VM's row has it in a form unknown here.", "type reason"),
     # Usage reports.
+    event("usage reported", "The platform accepted the report of a window.", USAGE),
+    event("usage delayed", "Reports wait. Once for each reason in a row.", "reason"),
+    event(
+        "usage incomplete",
+        "A report lacks the last counts of VMs that are silent; it can't wait any longer.",
+        "window awaited",
+    ),
+    event(
+        "usage report rejected", "The platform takes it for invalid; it is not repeated.", "window"
+    ),
+    event("usage report given up", "It was not accepted within 600 s.", "window"),
+    event("usage report unreadable", "Its row is broken; it is not replaced.", "window reason"),
     event("usage taken over", "From the row of this VM's earlier process.", "first complete"),
     event("clock jumped", "The wall clock of this VM, by so many seconds.", "by_s"),
     event("target limit ignored", "Its value is no number of 0 or more.", "target reason"),
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -50,6 +50,8 @@
             "target_exchange",
             "true_clock",
             "usage_counter",
+            "usage_records",
+            "usage_reporter",
             "version_orders",
             "vm_presence",
         )
--- /dev/null
+++ b/tests/test_usage_wiring.py
@@ -0,0 +1,113 @@
+"""The entry process counts usage only if the platform wants reports, and else runs as before."""
+
+import json
+import random
+from pathlib import Path
+
+import anyio
+import pytest
+
+from balsamcleat.adapters.text_metrics import TextMetrics
+from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.shared_limit import TargetLimits
+from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.entry.process import EntryProcess
+from balsamcleat.entry.usage import UsageSettings
+from balsamcleat.log_output import BoundedOutput
+from balsamcleat.model.routing import RoutingTable
+from balsamcleat.platform import load_platform_settings
+from balsamcleat.ports.rows import RowKey
+from balsamcleat.standins.row_store import MemoryRowStore, RowStoreView
+from balsamcleat.tasks.limit_sharing import LimitSharing
+from balsamcleat.tasks.rollout_records import VM_PART, VMS_TABLE
+from balsamcleat.tasks.store_clock import StoreClock
+from balsamcleat.tasks.vm_presence import VmPresence
+from step_world import TABLE, run_in_virtual_time
+from usage_world import FakeClient, FakeLease, FakePlatform
+
+# The metrics port is the same for all processes, so each start needs an address of its own.
+SETTINGS = {
+    "node": "front-a-1",
+    "zone": "a",
+    "listen": {"front": "", "ready": ""},
+    "platform": {"address": "127.0.0.1:9"},
+}
+
+
+def entry_process(folder: Path, ip: str, usage: UsageSettings | None) -> EntryProcess:
+    listen = {"front": f"{ip}:18080", "ready": f"{ip}:18081"}
+    path = folder / "settings.json"
+    path.write_text(
+        json.dumps(SETTINGS | {"ip": ip, "listen": listen, "portRange": [18082, 18089]})
+    )
+    settings = load_platform_settings(path)
+    return EntryProcess(path, settings, TextMetrics(), BoundedOutput(2), usage)
+
+
+def close(process: EntryProcess) -> None:
+    for server in (
+        process.front_server,
+        process.ready_server,
+        process.peer_server,
+        process.metrics_server,
+    ):
+        server.listener.close()
+
+
+@pytest.mark.anyio
+async def test_process_without_usage_settings_has_none_of_it(tmp_path: Path) -> None:
+    process = entry_process(tmp_path, "127.0.0.71", None)
+    try:
+        assert process.usage is process.usage_reporter is process.presence.usage is None
+        assert process.dispatcher.forwarder.usage.counter is None
+        process.routing_keeper.table = TABLE
+        process.wake_schedulers()
+    finally:
+        close(process)
+
+
+@pytest.mark.anyio
+async def test_process_with_usage_settings_counts_from_its_first_configuration_on(
+    tmp_path: Path,
+) -> None:
+    process = entry_process(tmp_path, "127.0.0.72", UsageSettings(5.0, 10.0))
+    try:
+        assert process.usage is not None
+        counter = process.usage.counter
+        assert process.presence.usage is counter
+        assert process.dispatcher.forwarder.usage.counter is counter
+        process.wake_schedulers()
+        assert counter.configured_at_s is None
+        process.routing_keeper.table = RoutingTable(TABLE.version, ())
+        process.wake_schedulers()
+        assert counter.configured_at_s is not None
+        process.usage_reporter = process.usage.create_reporter(
+            process.store,
+            FakeLease(),
+            FakeClient(FakePlatform()),
+            process.presence.watch,
+            process.metrics,
+        )
+        assert process.usage_reporter.counter is counter
+    finally:
+        close(process)
+
+
+def test_heartbeat_row_without_usage_is_as_before() -> None:
+    """Guards against rows that the previous build has never seen where nothing is enabled."""
+
+    async def scenario() -> None:
+        store = MemoryRowStore()
+        presence = VmPresence(
+            RowStoreView(store),
+            VmRow("a", "5f1c", "10.0.0.7:80", "bern-a", 0),
+            StoreClock(anyio.current_time),
+            lambda: False,
+            random.Random(1),
+            LimitSharing("a", TargetLimits(), ReplicaDirectory()),
+        )
+        await presence.renew()
+        row = store.change_of(RowKey(VMS_TABLE, VM_PART, "a"))
+        assert row.value == b'{"boot":"5f1c","address":"10.0.0.7:80","zone":"bern-a","beat":1}'
+
+    run_in_virtual_time(scenario)
