--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -1,7 +1,7 @@
 """A live request that is being forwarded."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -9,6 +9,7 @@
 from balsamcleat.decisions.live_attempts import AttemptTracker
 from balsamcleat.decisions.live_queue import Ticket, background_ticket, new_ticket
 from balsamcleat.decisions.request_content import content_digest, request_parts
+from balsamcleat.decisions.usage_windows import CallRuns
 from balsamcleat.http1 import Request
 from balsamcleat.model import ServiceName, TeamName
 from balsamcleat.model.replicas import Replica, StreamSoftware
@@ -37,6 +38,7 @@
         software: Software that began the stream and must continue it; None if none began it.
         team: Team that sent the request; None if it has none, as calls of this VM itself.
         computed_digest: Digest of the request once it was needed; bodies may be large.
+        runs: Runs of the call at targets, for the usage of its team.
     """
 
     request: Request
@@ -52,6 +54,7 @@
     software: StreamSoftware | None = None
     team: TeamName | None = None
     computed_digest: str = ""
+    runs: CallRuns = field(default_factory=CallRuns)
 
     @property
     def digest(self) -> str:
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -49,6 +49,10 @@
             "target_relay",
             "crash_detector",
             "target_exchange",
+            "true_clock",
+            "usage_counter",
+            "usage_records",
+            "usage_reporter",
             "version_orders",
             "vm_presence",
         )
