Platform: decode the limits and prices of ordered targets, and reclaimable targets

The controller that orders targets needs a service's `autoscale` entry, and has to tell reclaimable targets from others and see when they are about to be taken away. The new fields of a target's entry and the whole `autoscale` entry are decoded apart from the rest: an unknown form of them must not take a serving target off the list or refuse a configuration document. Strict decoding of the new fields was ruled out for that reason. Limits that contradict each other count as none, so nothing is ordered.

`draining` as a flag beside the state counts as draining, so that placement, which already leaves draining targets alone, covers reclaimable targets that are about to leave.

Tests: tests/test_platform.py passes.

--- a/src/balsamcleat/model/replicas.py
+++ b/src/balsamcleat/model/replicas.py
@@ -60,6 +60,10 @@
         software_version: Version of the target's software, unrelated to its weights; versions have
             no order. Empty if it is unknown.
         entry_version: Version of the entry, increased by each write to the list.
+        reclaimable: Whether the platform may take the target away at short notice, together with
+            all other reclaimable targets of its availability zone.
+        leaves_s: Time until the platform takes the target away, at the time of the entry, in
+            seconds; None if none is announced.
     """
 
     target_id: TargetId
@@ -73,6 +77,8 @@
     versions: dict[str, WeightVersion] = field(default_factory=dict)
     software_version: str = ""
     entry_version: int = 0
+    reclaimable: bool = False
+    leaves_s: float | None = None
 
     @property
     def start(self) -> TargetStart:
--- a/src/balsamcleat/model/routing.py
+++ b/src/balsamcleat/model/routing.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from balsamcleat.model.ids import ConfigurationVersion, ServiceName
+from balsamcleat.model.ids import ConfigurationVersion, ServiceName, ZoneName
 
 __all__ = [
+    "AutoscaleSpec",
     "CallerLimits",
     "EngineSpec",
     "Route",
@@ -93,6 +94,25 @@
     models: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AutoscaleSpec:
+    """Limits and prices of a service whose number of targets is ordered.
+
+    Attributes:
+        min_targets: Lowest number of targets in each availability zone.
+        max_targets: Highest number of targets of both kinds together in each availability zone.
+        startup_s: Time that a new target needs before it serves, in seconds.
+        reclaimable_price: Price of a reclaimable target, as a fraction of the zone's price.
+        zone_prices: Price of a target's second in each availability zone.
+    """
+
+    min_targets: int
+    max_targets: int
+    startup_s: float
+    reclaimable_price: float = 1.0
+    zone_prices: dict[ZoneName, float] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
     """A service to which requests are routed.
@@ -102,11 +122,13 @@
         max_connections: Maximum number of connections that a target accepts from all clients
             together.
         engine: Engine properties if the targets are model engines, else None.
+        autoscale: Limits and prices if the number of targets is ordered, else None.
     """
 
     name: ServiceName
     max_connections: int
     engine: EngineSpec | None = None
+    autoscale: AutoscaleSpec | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -6,6 +6,7 @@
 from balsamcleat.model import ConfigurationVersion, ServiceName, TargetId, WeightVersion, ZoneName
 from balsamcleat.model.replicas import Replica, ReplicaState
 from balsamcleat.model.routing import (
+    AutoscaleSpec,
     CallerLimits,
     EngineSpec,
     Route,
@@ -88,12 +89,27 @@
     models: list[ModelFields] = []
 
 
+class AutoscaleFields(msgspec.Struct, frozen=True, rename="camel"):
+    """Limits and prices of a service whose number of targets is ordered.
+
+    ``min`` and ``max`` are per availability zone, and a price is that of one target's second.
+    """
+
+    max: int
+    min: int = 1
+    startup_s: float = msgspec.field(name="startupS", default=4.0)
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
+
+
 class ServiceFields(msgspec.Struct, frozen=True, rename="camel"):
     """Service of the configuration document."""
 
     name: str
     max_conns: int = 100
     engine: EngineFields | None = None
+    # Decoded apart from the rest, so that an unknown form does not make the document unreadable.
+    autoscale: object = None
 
 
 class LimitFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -139,6 +155,11 @@
     # Start of the target's process in Unix milliseconds.
     born: int = 0
     models: list[ModelFields] = []
+    # The last three are decoded apart from the rest, so that an unknown form of them does not
+    # remove the target from the list.
+    spot: object = None
+    draining: object = None
+    leaves_ms: object = msgspec.field(name="leaves_ms", default=None)
 
 
 class NamedVersion(msgspec.Struct, frozen=True):
@@ -203,6 +224,26 @@
         name=ServiceName(fields.name),
         max_connections=fields.max_conns,
         engine=None if engine is None else decode_engine(engine),
+        autoscale=decode_autoscale(fields.autoscale),
+    )
+
+
+def decode_autoscale(value: object) -> AutoscaleSpec | None:
+    """Return the limits and prices of ordered targets, or None if there are none to rely on."""
+    if value is None:
+        return None
+    try:
+        fields = msgspec.convert(value, AutoscaleFields)
+    except msgspec.ValidationError:
+        return None
+    if fields.max < 1 or not 0 <= fields.min <= fields.max:
+        return None
+    return AutoscaleSpec(
+        min_targets=fields.min,
+        max_targets=fields.max,
+        startup_s=max(0.0, fields.startup_s),
+        reclaimable_price=max(0.0, fields.spot_price),
+        zone_prices={ZoneName(zone): price for zone, price in fields.zone_prices.items()},
     )
 
 
@@ -237,7 +278,7 @@
     """
     try:
         fields = msgspec.json.decode(value, type=ReplicaFields)
-        state = ReplicaState(fields.state)
+        state = ReplicaState.DRAINING if fields.draining is True else ReplicaState(fields.state)
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError):
         return None
     host, _, port = fields.address.rpartition(":")
@@ -255,4 +296,13 @@
         versions={model.name: WeightVersion(model.version) for model in fields.models},
         software_version=fields.version,
         entry_version=version,
+        reclaimable=fields.spot is True,
+        leaves_s=decode_leaving_time_s(fields.leaves_ms),
     )
+
+
+def decode_leaving_time_s(value: object) -> float | None:
+    """Return the time until a target is taken away in seconds, or None if none is stated."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return max(0.0, value / MS_PER_S)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,10 +14,10 @@
 from balsamcleat.entry.reload import SettingsWatcher
 from balsamcleat.errors import InvalidInputError, ProtocolError
 from balsamcleat.http1 import EventParser, Request
-from balsamcleat.model import StepId, TargetId
+from balsamcleat.model import ServiceName, StepId, TargetId, ZoneName
 from balsamcleat.model.replicas import ReplicaState
 from balsamcleat.model.rollout import SampleResult, SampleState
-from balsamcleat.model.routing import RouteKind
+from balsamcleat.model.routing import AutoscaleSpec, RouteKind
 from balsamcleat.platform import (
     StepCallKind,
     classify_step_call,
@@ -38,6 +38,7 @@
     r"rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|callSeq|kvUsed|kvCapTokens|coldLeftMs"
     r"|Server-Stamp|Not-Run|Expect-Instance|Attempt-Id|Deadline-Ms|Weight-Versions|Prompt-Prefix"
     r"|Token-Usage|queueTtlS|targetGroups|minVersion|totalCount|/lots/|/items/|Wait-Ms"
+    r"|startupS|spotPrice|zonePrices|leaves_ms"
 )
 SETTINGS = {
     "node": "front-a-1",
@@ -140,6 +141,46 @@
         assert decode_replica("i-1", json.dumps(other_entry).encode(), 3) is None
 
 
+def test_reclaimable_target_and_its_departure_are_decoded() -> None:
+    """A missed departure would place samples on a target that is about to be taken away."""
+    entry = {"svc": "s", "address": "10.0.0.1:80", "state": "draining", "spot": True}
+    replica = decode_replica("i-1", json.dumps({**entry, "leaves_ms": 1500}).encode(), 3)
+    assert replica is not None
+    assert (replica.reclaimable, replica.leaves_s) == (True, 1.5)
+    flagged = {**entry, "state": "ready", "draining": True}
+    replica = decode_replica("i-1", json.dumps(flagged).encode(), 3)
+    assert replica is not None
+    assert (replica.state, replica.leaves_s) == (ReplicaState.DRAINING, None)
+
+
+def test_unknown_forms_of_the_departure_keep_the_target_listed() -> None:
+    """A new form of an optional field must not take a serving target off the list."""
+    entry = {"svc": "s", "address": "10.0.0.1:80", "state": "ready"}
+    odd = {**entry, "spot": "yes", "draining": {"by": "x"}, "leaves_ms": "soon"}
+    for document in (entry, odd):
+        replica = decode_replica("i-1", json.dumps(document).encode(), 3)
+        assert replica is not None
+        assert (replica.state, replica.reclaimable, replica.leaves_s) == (
+            ReplicaState.READY,
+            False,
+            None,
+        )
+
+
+def test_autoscale_limits_are_decoded_and_unusable_ones_order_nothing() -> None:
+    """Limits that can't be relied on must neither order targets nor refuse the document."""
+    limits = {"min": 1, "max": 15, "startupS": 4.0, "spotPrice": 0.18, "zonePrices": {"a": 0.8}}
+
+    def decode(value: object) -> AutoscaleSpec | None:
+        services = [{"name": "s", "autoscale": value}]
+        document = json.dumps({"version": 1, "services": services}).encode()
+        return decode_routing(document).services[ServiceName("s")].autoscale
+
+    assert decode(limits) == AutoscaleSpec(1, 15, 4.0, 0.18, {ZoneName("a"): 0.8})
+    for unusable in (None, 7, {}, {"min": 3, "max": 2}, {"max": "many"}):
+        assert decode(unusable) is None
+
+
 @given(st.binary(max_size=200))
 def test_decoders_reject_undecodable_bytes(data: bytes) -> None:
     """An unexpected exception type would end the task that reads a table or a submission."""
