Decisions: stand-ins for reclaimed targets follow the number without reclaimable ones

A zone whose reclaimable targets were taken away got as many others, at more than five times the price, for two minutes. The steps do with a slot for two thirds of their samples at once, which is also the number ordered where no reclaimable targets are to be had; the zone now gets its share of that number.

--- a/src/balsamcleat/decisions/target_mix.py
+++ b/src/balsamcleat/decisions/target_mix.py
@@ -94,7 +94,8 @@
     }
     firm_goal = max(goal.firm, sum(lowest.values()))
     shares = {
-        mix.zone: replaced_share(mix, spec, goal.total - firm_goal, len(mixes)) for mix in mixes
+        mix.zone: replaced_share(mix, spec, goal.least_total - firm_goal, len(mixes))
+        for mix in mixes
     }
     firm = resize(
         {mix.zone: mix.firm - shares[mix.zone] for mix in mixes}, firm_goal, lowest, firm_limits
@@ -121,11 +122,14 @@
     return counts | {Pool(zone, True): count for zone, count in reclaimable.items()}
 
 
-def replaced_share(mix: ZoneMix, spec: AutoscaleSpec, reclaimable: int, zones: int) -> int:
-    """Return how many other targets a zone gets for the reclaimable ones that it may not have."""
+def replaced_share(mix: ZoneMix, spec: AutoscaleSpec, substitutes: int, zones: int) -> int:
+    """Return how many other targets a zone gets for the reclaimable ones that it may not have.
+
+    They are the zone's share of those that all zones would get if none had reclaimable targets.
+    """
     if not mix.was_reclaimed or not is_reclaimable_worthwhile(spec):
         return 0
-    return max(0, reclaimable) // zones
+    return max(0, substitutes) // zones
 
 
 def lowest_firm(mix: ZoneMix, spec: AutoscaleSpec) -> int:
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -250,6 +250,21 @@
     event("weights not loaded", "It says that it loads nothing.", "target"),
     event("no report", "It did not say its state.", "target reason"),
     event("orders wait for the store", "They are given later.", "reason"),
+    # The number of targets.
+    event(
+        "targets ordered",
+        "The platform was told how many targets of a kind to run in a zone; with the inputs.",
+        "service zone kind before count reason outcome fence ready loaded_all slots "
+        "slots_together busy_slots steps_late steps_slow learned demand_age_s list_age_s",
+    ),
+    event(
+        "reclaimable targets taken away",
+        "The zone gets others for a while.",
+        "service zone",
+    ),
+    event("target orders taken over", "This VM gives them; it read the last ones.", "fence rows"),
+    event("target orders changed by another VM", "They are read again.", "service zone"),
+    event("target orders wait for the store", "They are given later.", "reason"),
 )
 
 
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -35,6 +35,7 @@
             "sample_resumption",
             "sample_run",
             "sample_scorer",
+            "scaling_controller",
             "step_scorer",
             "routing_keeper",
             "pause_guard",
