--- a/src/balsamcleat/decisions/target_scaling.py
+++ b/src/balsamcleat/decisions/target_scaling.py
@@ -42,9 +42,12 @@
 
 __all__ = ["TargetScaler"]
 
-# Turns in which samples may start if no reclaimable targets are to be had: the last samples start
-# about half a median length later, which costs less than twice the price for the last third.
-WAVES_WITHOUT_RECLAIMABLE = 1.5
+# Turns in which the samples of a step start. Loads of the next weights begin 0.3 s after a step, so
+# a sample without a slot by then finds engines that load and start none.
+TURNS = 1.0
+# If no reclaimable targets are to be had, the last third of the slots costs more than five times as
+# much, and the last samples of a step start about half a median length later without it.
+TURNS_WITHOUT_RECLAIMABLE = 1.5
 # A pool without available targets is tried again after this time, in seconds. They become available
 # within some ten seconds or not for minutes.
 UNAVAILABLE_RETRY_S = 15.0
@@ -150,6 +153,10 @@
         """Repeat an order whose targets did not come, and then let other pools stand in."""
         overdue_s = view.spec.startup_s + LATE_START_S
         is_overdue = now_s - view.zones[pool.zone].order(pool).ordered_s > overdue_s
+        counts = view.count(pool)
+        if not counts.are_leaving and counts.ready + counts.draining >= view.ordered(pool):
+            # The platform replaces these targets, for example by ones of another software version.
+            return
         if not is_overdue or pool in self.repeat_at_s or self.is_blocked(pool, now_s):
             return
         if pool in self.repeated:
@@ -195,12 +202,12 @@
     def mix_goal(self, view: ScalingView, need: SlotNeed, now_s: float) -> MixGoal:
         """Return the wanted numbers of targets in all zones together."""
         hold_s = surplus_hold_s(need)
-        peak = max(need.slots, view.busy_slots) / view.slots_per_target
+        peak = max(need.slots, view.busy_slots) / (view.slots_per_target * TURNS)
         total = min(view.max_targets, self.total.update(peak, now_s, hold_s))
         firm = math.ceil(FIRM_SHARE * total)
         least_total = total
         if not need.is_late:
-            least_total = max(firm, math.ceil(total / WAVES_WITHOUT_RECLAIMABLE))
+            least_total = max(firm, math.ceil(total * TURNS / TURNS_WITHOUT_RECLAIMABLE))
         if not need.is_learned:
             # Nothing is released yet, so only the missing targets are added.
             firm = max(firm, sum(zone.firm.count for zone in view.zones.values()))
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -265,6 +265,7 @@
     event("target orders taken over", "This VM gives them; it read the last ones.", "fence rows"),
     event("target orders changed by another VM", "They are read again.", "service zone"),
     event("target orders wait for the store", "They are given later.", "reason"),
+    event("target orders failed by a fault", "A fault of this program.", "exception"),
 )
 
 
--- a/tests/test_target_scaling.py
+++ b/tests/test_target_scaling.py
@@ -187,6 +187,17 @@
     assert world.counts(Pool(B, False)).ready + world.counts(Pool(C, False)).ready > before
 
 
+def test_replacement_of_targets_by_the_platform_moves_nothing_to_other_zones() -> None:
+    """A release of new software drains targets for longer than a target takes to start."""
+    scaler = TargetScaler()
+    rolling = view(5, 5)
+    rolling.counts[Pool(A, False)] = PoolCounts(ready=4, loaded=4, draining=1)
+    scaler.seen_ready[Pool(A, False)] = 5
+    orders = [scaler.decide(rolling, 1000.0 + 0.25 * tick) for tick in range(200)]
+    assert {order.pool for order in orders if order is not None} <= {Pool(A, False)}
+    assert not scaler.blocked_until_s
+
+
 def test_other_targets_are_ordered_where_none_of_a_kind_are_available() -> None:
     """After 409 the steps must not wait for the pool that has none."""
     world = ScalingWorld(initial=7, no_targets={Pool(zone, True) for zone in ZONES}).run(200.0)
