Scaling controller: observe steps while an order waits for its response

An order to a slow platform, or a write to a slow store, took the loop that observes the steps with it: the ends of steps were seen seconds late, and after a gap of 2 s their durations did not count, so nothing was learned. Observation and orders are two tasks now. Shorter time limits were ruled out; they belong to the client and the store. tests/test_scaling_controller.py passes, with a test in which each order takes 3.5 s.

--- a/src/balsamcleat/tasks/scaling_controller.py
+++ b/src/balsamcleat/tasks/scaling_controller.py
@@ -1,6 +1,6 @@
 """Orders the number of targets of services, while this VM holds the lease on that duty."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import structlog
@@ -83,27 +83,42 @@
 
     async def run(self) -> None:
         """Observe and, while this VM holds the lease, decide and order, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            # A slow platform or store must not make the ends of steps seem late.
+            tasks.start_soon(self.repeat, self.observe)
+            tasks.start_soon(self.repeat, self.act)
+
+    async def repeat(self, action: Callable[[RoutingTable], Awaitable[None]]) -> None:
+        """Perform an action at intervals until cancelled."""
         while True:
             await anyio.sleep(DECISION_INTERVAL_S)
             table = self.current_table()
             if table is None or not self.store_clock.synchronized_ms:
                 continue
             try:
-                self.inputs.observe(table, self.now_s())
-                await self.act(table)
-                self.is_failing = False
-            except PlatformError as error:
-                # A write without a response may have taken effect, so the records are read again.
-                self.must_read = True
-                if not self.is_failing:
-                    log.warning("target orders wait for the store", reason=str(error))
-                self.is_failing = True
+                await action(table)
             except Exception:
                 # The VM must go on serving its callers with the targets that there are.
                 self.must_read = True
                 log.exception("target orders failed by a fault")
                 await anyio.sleep(FAULT_PAUSE_S)
 
+    async def observe(self, table: RoutingTable) -> None:
+        """Record how steps and targets are now."""
+        self.inputs.observe(table, self.now_s())
+
+    async def act(self, table: RoutingTable) -> None:
+        """Send the next orders, if this VM holds the lease and the store answers."""
+        try:
+            await self.send_orders(table)
+            self.is_failing = False
+        except PlatformError as error:
+            # A write without a response may have taken effect, so the records are read again.
+            self.must_read = True
+            if not self.is_failing:
+                log.warning("target orders wait for the store", reason=str(error))
+            self.is_failing = True
+
     def now_s(self) -> float:
         """Return the time of the store's clock, in seconds."""
         return self.store_clock.now_ms() / 1000.0
@@ -112,7 +127,7 @@
         """Return the age of the list of targets, in seconds."""
         return anyio.current_time() - self.inputs.directory.read_at_s
 
-    async def act(self, table: RoutingTable) -> None:
+    async def send_orders(self, table: RoutingTable) -> None:
         """Send at most one order for each service, if this VM holds the lease."""
         stamp = self.lease.stamp
         if stamp is None:
--- a/tests/test_scaling_controller.py
+++ b/tests/test_scaling_controller.py
@@ -113,6 +113,7 @@
         self.calls: list[tuple[float, TargetCountOrder, DutyStamp]] = []
         # Calls whose number was not stored, or that the lease does not know of.
         self.premature_calls: list[TargetCountOrder] = []
+        self.delay_s = 0.01
 
     async def report_usage(self, report: UsageReport, stamp: DutyStamp) -> DutyOutcome:
         raise AssertionError("not this duty")
@@ -122,7 +123,7 @@
         if stored != order.count or self.world.lease.open_calls != 1:
             self.premature_calls.append(order)
         self.calls.append((anyio.current_time(), order, stamp))
-        await anyio.sleep(0.01)
+        await anyio.sleep(self.delay_s)
         outcome = self.outcomes.popleft() if self.outcomes else DutyOutcome.ACCEPTED
         if outcome is DutyOutcome.ACCEPTED:
             self.world.set_targets(order.zone, order.reclaimable, order.count)
@@ -482,6 +483,20 @@
     play(script)
 
 
+def test_slow_platform_does_not_make_steps_seem_late() -> None:
+    """While an order waits for its response, steps end and are not seen."""
+
+    async def script(world: ControllerWorld) -> None:
+        world.client.delay_s = 3.5
+        await anyio.sleep(60.0)
+        history = world.controller.inputs.histories[ENGINES]
+        durations = [record.duration_s for record in history.records.values() if record.closed_s]
+        assert len(durations) >= 14
+        assert all(duration is not None and duration <= 3.5 for duration in durations)
+
+    play(script)
+
+
 def test_gauges_name_wanted_and_ready_targets() -> None:
     """Operators compare them; two VMs that both report them would count all targets twice."""
 
