Duties: settings of the platform's interface for duties, its client and a stand-in

Usage reports and orders of targets are sent to an interface of its own, which `cloudApi` in the settings names. `PlatformSettings.duties` is None without it.

The client sends a call only if the lease still has the stamp that the call contains, asked right before the bytes are sent: a VM that was frozen while a connection was opened may have lost the lease, or hold it anew with another token. Checking `can_call` alone would let a call with the old token out.

A connection whose response never came is reset instead of closed. The kernel delivers the data of a closed connection when a broken link is restored, up to 2.5 s later and so after a newer call of the same holder; weighed against waiting that long before the next call, which would cost half of the time in which a usage report is due. Only the pool of duty calls does so.

--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -45,6 +45,8 @@
         max_idle_connections: Maximum number of idle connections, over all addresses.
         max_response_bytes: Maximum size of a response body that is read as a whole.
         max_buffered_bytes: Maximum size of all response bodies that are being read as a whole.
+        resets_abandoned: Whether a connection whose response was not received is reset instead of
+            closed. A closed one still delivers a request that waits for a broken link.
     """
 
     connect_timeout_s: float = 1.0
@@ -52,6 +54,7 @@
     max_idle_connections: int = 64
     max_response_bytes: int = 8 * 1024 * 1024
     max_buffered_bytes: int = 16 * 1024 * 1024
+    resets_abandoned: bool = False
 
 
 @dataclass(slots=True)
@@ -515,7 +518,9 @@
         if connection is None:
             return
         idle_timeout_s = self.keep_alive_timeout_s()
-        if idle_timeout_s <= 0.0 or connection.stream.has_input():
+        if not self.is_complete and self.pool.limits.resets_abandoned:
+            connection.stream.reset()
+        elif idle_timeout_s <= 0.0 or connection.stream.has_input():
             connection.stream.close()
         else:
             self.pool.release(self.address, connection, idle_timeout_s)
--- a/src/balsamcleat/platform/__init__.py
+++ b/src/balsamcleat/platform/__init__.py
@@ -13,6 +13,7 @@
     decode_replica,
     decode_routing,
 )
+from balsamcleat.platform.duties import DUTY_POOL_LIMITS, DutyChannel, PlatformDutyClient
 from balsamcleat.platform.headers import (
     CORRELATION_HEADER,
     ResponseMetadata,
@@ -36,7 +37,11 @@
     parse_started_ms,
     report_request,
 )
-from balsamcleat.platform.settings import PlatformSettings, load_platform_settings
+from balsamcleat.platform.settings import (
+    DutySettings,
+    PlatformSettings,
+    load_platform_settings,
+)
 from balsamcleat.platform.steps import (
     ResultsQuery,
     StepCall,
@@ -53,11 +58,15 @@
 
 __all__ = [
     "CORRELATION_HEADER",
+    "DUTY_POOL_LIMITS",
     "NAMED_VERSION_PREFIX",
     "OPERATOR_TABLE",
     "REPLICA_TABLE",
     "ROUTING_KEY",
+    "DutyChannel",
+    "DutySettings",
     "OrderOutcome",
+    "PlatformDutyClient",
     "PlatformRowStore",
     "PlatformSettings",
     "ReplicaControl",
--- a/src/balsamcleat/platform/settings.py
+++ b/src/balsamcleat/platform/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -9,10 +10,12 @@
 from balsamcleat.model import VmId, ZoneName
 from balsamcleat.ports.rows import StoreLimits
 
-__all__ = ["PlatformSettings", "StoreAccess", "load_platform_settings"]
+__all__ = ["DutySettings", "PlatformSettings", "StoreAccess", "load_platform_settings"]
 
 SETTINGS_VARIABLE = "BALSAMCLEAT_CONFIG"
 MS_PER_S = 1000.0
+USAGE_DUTY = "usage"
+SCALING_DUTY = "autoscale"
 
 
 class ListenFields(msgspec.Struct, frozen=True):
@@ -41,6 +44,19 @@
     lease_ms: float = 3000.0
     # How long the results of a step stay readable after its submission.
     status_s: float = 120.0
+    # Length of a window of usage reports; the windows are numbered from the start of 1970.
+    report_window_s: Annotated[float, msgspec.Meta(gt=0.0)] = 5.0
+    # Time after the end of a window by which the platform must have its report.
+    usage_late_s: float = 10.0
+
+
+class DutyFields(msgspec.Struct, frozen=True, rename="camel"):
+    """Address of the interface for duties, and the duties that this deployment performs."""
+
+    address: str
+    duties: list[str] = []
+    # Limit of all VMs together; ``ratePerS`` is that of an interface that this project doesn't use.
+    duty_per_s: float = 0.0
 
 
 class SettingsFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -54,6 +70,7 @@
     zones: dict[str, str] = {}
     port_range: tuple[int, int] = (0, 0)
     bounds: BoundFields = BoundFields()
+    cloud_api: DutyFields | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +90,27 @@
     reads_per_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Settings of the duties that one VM performs at a time.
+
+    Attributes:
+        address: Address of the platform's interface for duties as ``IP:PORT``.
+        usage: Whether the VMs report the usage of teams.
+        scaling: Whether the VMs order numbers of targets.
+        calls_per_s: Limit on the calls per second of all VMs together; 0 if none is set.
+        report_window_s: Length of a window of usage reports, in seconds.
+        usage_deadline_s: Time after the end of a window by which its report is due, in seconds.
+    """
+
+    address: str
+    usage: bool
+    scaling: bool
+    calls_per_s: float
+    report_window_s: float
+    usage_deadline_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
     """Settings that the platform gives to a process.
@@ -88,9 +126,10 @@
         store: Address and limits of the platform's store.
         grace_s: Time between the stop signal and the kill, in seconds.
         order_gap_s: Time in seconds that must pass between the last order of one lease holder and
-            the first order of the next.
+            the first order of the next; it applies to the calls of all duties.
         results_kept_s: How long the results of a step stay readable after its submission, in
             seconds.
+        duties: Settings of the duties of one VM; None if the platform has no interface for them.
     """
 
     vm: VmId
@@ -104,6 +143,7 @@
     grace_s: float
     order_gap_s: float
     results_kept_s: float
+    duties: DutySettings | None = None
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -139,4 +179,19 @@
         grace_s=fields.bounds.grace_s,
         order_gap_s=fields.bounds.lease_ms / MS_PER_S,
         results_kept_s=fields.bounds.status_s,
+        duties=decode_duties(fields.cloud_api, fields.bounds),
+    )
+
+
+def decode_duties(fields: DutyFields | None, bounds: BoundFields) -> DutySettings | None:
+    """Return the settings of duties; names of unknown duties are ignored."""
+    if fields is None:
+        return None
+    return DutySettings(
+        address=fields.address,
+        usage=USAGE_DUTY in fields.duties,
+        scaling=SCALING_DUTY in fields.duties,
+        calls_per_s=fields.duty_per_s,
+        report_window_s=bounds.report_window_s,
+        usage_deadline_s=bounds.usage_late_s,
     )
--- a/src/balsamcleat/ports/duties.py
+++ b/src/balsamcleat/ports/duties.py
@@ -7,6 +7,7 @@
 from balsamcleat.model import ServiceName, TeamName, VmId, ZoneName
 
 __all__ = [
+    "Duty",
     "DutyClient",
     "DutyLease",
     "DutyOutcome",
@@ -16,6 +17,14 @@
 ]
 
 
+class Duty(Enum):
+    """Duty that one VM performs at a time; the value is the key of its lease's row."""
+
+    ORDERS = "orders"
+    USAGE = "usage"
+    SCALING = "scaling"
+
+
 class DutyOutcome(Enum):
     """Outcome of a call to the platform's interface for duties."""
 
@@ -88,7 +97,7 @@
 
 
 class DutyLease(ABC):
-    """Lease that allows its holder to perform one duty."""
+    """Lease that allows its holder to perform one duty; no method raises if the store fails."""
 
     @property
     @abstractmethod
@@ -97,12 +106,19 @@
 
     @abstractmethod
     async def begin_calls(self) -> bool:
-        """Record in the lease that calls are about to be sent; return whether they may be."""
+        """Record in the lease that calls are about to be sent; return whether they may be.
+
+        After a takeover, calls are only allowed some seconds later: ask ``can_call`` as well.
+        """
 
     @abstractmethod
     async def end_calls(self) -> None:
-        """Record in the lease that the last call was sent and when."""
+        """Record in the lease that the last call has ended and when; no call may follow it."""
 
     @abstractmethod
     def can_call(self) -> bool:
         """Return whether a call may be sent at this moment."""
+
+    def permits(self, stamp: DutyStamp) -> bool:
+        """Return whether a call with this identification may be sent at this moment."""
+        return self.stamp == stamp and self.can_call()
