Leases: one mechanism for weight orders, usage reports and orders of targets

`DutyLeases` keeps a lease for each duty. Each is renewed by a task of its own, so that a slow write of one row doesn't delay another; the rows of all leases that a VM lacks are read at once. The row `orders` keeps its format, and a VM without any lease still makes one store call per interval.

Faults of the previous keeper that more duties would make worse, now closed:

- The end of calls was recorded with a time computed before waiting for the lock, and calls could be sent until the write was acknowledged.
Calls are now forbidden right before the write, and its time is taken then.
- After an end whose response was lost, `begin` returned without a write; the late write then declared calls ended that were being sent.
A lease is now open only after a successful write that says so.
- The recorded time came from an estimate of the store's clock that is slow by as long as a response took or lay unread in a frozen VM.
The latest possible time is recorded instead.
- A release whose write failed was forgotten; it is tried again.
- A release during an acquisition left the lease held.
- A lost response to an acquisition cost 2 s; the VM now takes its own row.
- An unreadable row counted as free; it now counts as held.

One commit for the renewals of all leases was weighed: a conflict on one row would fail all, so that losing one duty would lose the others.

`begin_calls` and `end_calls` report a failing store in the log and don't raise, so that a duty can't end the process. Events of the lease on orders keep their names; `orders wait for the store` is now written by the keeper.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -31,21 +31,26 @@
 from balsamcleat.logs import bounded_logs
 from balsamcleat.platform import (
     CORRELATION_HEADER,
+    DUTY_POOL_LIMITS,
     OPERATOR_TABLE,
     REPLICA_TABLE,
+    DutyChannel,
+    PlatformDutyClient,
     PlatformRowStore,
     PlatformSettings,
     ReplicaControl,
     load_platform_settings,
 )
+from balsamcleat.ports.duties import Duty
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
+from balsamcleat.tasks.duty_lease_keeper import LeaseHolder
+from balsamcleat.tasks.duty_leases import DutyLeases
 from balsamcleat.tasks.hop_messages import HOP_PATH
 from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.model_usage import ModelUsageReader
-from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
 from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.peers import PeerPoller, PeerRequestHandler, PeerState
 from balsamcleat.tasks.relayed_store import RELAY_PREFIX, RelayedRowStore, StoreRelay
@@ -145,7 +150,7 @@
             self.store,
             VmRow(settings.vm, self.boot, settings.peer_address, settings.zone, 0),
             self.store_clock,
-            lambda: bool(self.runner.steps) or self.order_lease_keeper.lease is not None,
+            lambda: bool(self.runner.steps) or self.duty_leases.orders.is_held,
             generator,
             LimitSharing(
                 settings.vm,
@@ -154,17 +159,18 @@
                 lambda: self.peer_poller.view.is_isolated,
             ),
         )
-        self.order_lease_keeper = OrderLeaseKeeper(
+        self.duty_leases = DutyLeases(
             self.store,
-            settings.vm,
-            self.boot,
+            LeaseHolder(settings.vm, self.boot),
             settings.order_gap_s,
             self.store_clock,
             generator,
             lambda: not self.target_paths.has_lost_links(self.load_controller.engines()),
+            lambda: self.settings.duties,
         )
+        self.duty_client = self.create_duty_client()
         self.load_controller = VersionLoadController(
-            self.order_lease_keeper,
+            self.duty_leases.orders,
             ReplicaControl(self.target_pool, settings.vm),
             self.replica_directory,
             self.stats_registry,
@@ -250,7 +256,7 @@
             self.records,
             lambda: self.step_feed.steps,
             self.presence.watch,
-            lambda: self.order_lease_keeper.lease is not None,
+            lambda: self.duty_leases.orders.is_held,
             self.store_clock.now_ms,
             settings.results_kept_s,
         )
@@ -342,6 +348,22 @@
         self.is_leaving = False
         self.tasks: anyio.abc.TaskGroup | None = None
 
+    def create_duty_client(self) -> PlatformDutyClient:
+        """Return the client of the platform's interface for duties."""
+
+        def current_address() -> str | None:
+            return None if self.settings.duties is None else self.settings.duties.address
+
+        leases = self.duty_leases
+        return PlatformDutyClient(
+            current_address,
+            ConnectionPool(DUTY_POOL_LIMITS),
+            {
+                Duty.USAGE: DutyChannel(leases.usage, leases.usage_fitness),
+                Duty.SCALING: DutyChannel(leases.scaling, leases.scaling_fitness),
+            },
+        )
+
     def wake_schedulers(self) -> None:
         """Wake the components that schedule work by the configuration and the targets."""
         self.runner.wake()
@@ -402,7 +424,7 @@
                 self.stream_register.run,
                 self.target_paths.run,
                 self.presence.run,
-                self.order_lease_keeper.run,
+                self.duty_leases.run,
                 self.runner.run,
                 self.load_controller.run,
                 self.step_feed.run,
@@ -435,6 +457,8 @@
         self.metrics.gauge("connections.opened", self.target_pool.opened_connections)
         self.metrics.gauge("answers.foreign", self.target_pool.mismatched_responses)
         self.metrics.gauge("limits.targets", self.stats_registry.limits.limited_count)
+        for keeper in self.duty_leases.keepers:
+            self.metrics.gauge(f"leases.held.{keeper.duty.value}", keeper.is_held)
         self.metrics.gauge("log.bytes_waiting", self.output.waiting_bytes)
         await responder.send(Response(200, METRICS_HEADERS, self.metrics.render()))
 
@@ -442,7 +466,7 @@
         """Apply new settings; changed listen addresses take effect only after a restart."""
         self.settings = settings
         self.direct_store.apply_access(settings.store)
-        self.order_lease_keeper.order_gap_s = settings.order_gap_s
+        self.duty_leases.apply_gap(settings.order_gap_s)
 
     async def wait_for_stop(self) -> None:
         """Wait for SIGTERM or SIGINT; SIGHUP reloads the settings file."""
@@ -463,6 +487,7 @@
         self.front_server.start_draining()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.release_ownership)
+            tasks.start_soon(self.duty_leases.release_platform_duties)
             await drain_callers(self.front_server, started_s, self.settings.grace_s)
             tasks.cancel_scope.cancel()
         self.front_server.stop_accepting()
@@ -472,7 +497,7 @@
         try:
             await self.presence.announce_leaving()
             await self.step_transfer.hand_over()
-            await self.order_lease_keeper.release()
+            await self.duty_leases.orders.release()
             await self.presence.announce_stopped()
         except PlatformError as error:
             log.warning("not all handed over", reason=str(error))
@@ -482,9 +507,7 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.output.drain()
-            self.crash_history.remove_expired(
-                deletes_rows=self.order_lease_keeper.lease is not None
-            )
+            self.crash_history.remove_expired(deletes_rows=self.duty_leases.orders.is_held)
             now_s = anyio.current_time()
             for step in list(self.runner.steps.values()):
                 if step.ended and now_s - step.ended_at_s > ENDED_STEP_RETENTION_S:
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -241,6 +241,19 @@
     event("lease on orders lost", "Another VM has it.", "fence"),
     event("lease on orders not tended", "The store failed.", "reason"),
     event("lease on orders tended again", "It answers."),
+    # Other duties of one VM; the last two lines are also written for orders.
+    event(
+        "duty lease taken",
+        "This VM performs the duty; its first call is sent after the wait.",
+        "duty fence before before_calling first_call_in_ms",
+    ),
+    event("duty lease given up", "This VM's calls got no responses for 2 s.", "duty fence"),
+    event("duty lease lost", "Another VM has it.", "duty fence"),
+    event("duty lease not renewed or read", "The store failed.", "duty reason"),
+    event("duty lease renewed or read again", "It answers.", "duty"),
+    event("duty calls wait for the store", "The lease is not written.", "duty reason"),
+    event("duty lease renewed late", "Over 1 s after the previous renewal.", "duty fence after_s"),
+    event("duty lease released", "It is free for another VM.", "duty fence"),
     event(
         "weight order",
         "An engine was ordered to load a version.",
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -18,13 +18,13 @@
     ModelDemand,
     next_load_orders,
 )
-from balsamcleat.errors import AttemptFailedError, PlatformError
+from balsamcleat.errors import AttemptFailedError
 from balsamcleat.model import ServiceName, TargetId, WeightVersion
 from balsamcleat.model.replicas import Replica, ReplicaReport
 from balsamcleat.model.routing import RouteKind, RoutingTable
 from balsamcleat.platform import OrderOutcome, ReplicaControl
 from balsamcleat.platform.orders import OrderResult
-from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
+from balsamcleat.ports.duties import DutyLease
 
 __all__ = ["ModelUsage", "VersionLoadController"]
 
@@ -73,7 +73,7 @@
     """Compares the named versions with those that engines run, and orders the missing loads.
 
     Args:
-        lease: Keeps the lease on orders.
+        lease: Lease on weight orders.
         control: Sends orders to targets and requests their reports.
         directory: Directory of the targets.
         stats_registry: Statistics of the targets.
@@ -85,7 +85,7 @@
 
     def __init__(
         self,
-        lease: OrderLeaseKeeper,
+        lease: DutyLease,
         control: ReplicaControl,
         directory: ReplicaDirectory,
         stats_registry: ReplicaStatsRegistry,
@@ -129,15 +129,12 @@
                 with anyio.move_on_after(BUSY_INTERVAL_S if self.is_busy() else IDLE_INTERVAL_S):
                     await self.changed.wait()
                 self.changed = anyio.Event()
-                try:
-                    await self.give_pending_orders()
-                except PlatformError as error:
-                    log.warning("orders wait for the store", reason=str(error))
+                await self.give_pending_orders()
                 await anyio.sleep(delay_after_pass(self.planning_took_s))
 
     def is_busy(self) -> bool:
         """Return whether this VM holds the lease and has orders in flight, pending or due soon."""
-        if self.lease.lease is None:
+        if self.lease.stamp is None:
             return False
         return bool(self.in_flight) or self.has_pending_orders or self.has_orders_due_soon()
 
@@ -221,7 +218,7 @@
 
     async def give_pending_orders(self) -> None:
         """Give all pending orders, if this VM holds the lease."""
-        if self.lease.lease is None or self.tasks is None:
+        if self.lease.stamp is None or self.tasks is None:
             return
         began_s = anyio.current_time()
         orders = self.pending_orders()
@@ -229,9 +226,9 @@
         self.has_pending_orders = bool(orders)
         if not orders:
             if not self.orders_sending:
-                await self.lease.end_orders()
+                await self.lease.end_calls()
             return
-        if not await self.lease.begin_orders() or not self.lease.can_order():
+        if not await self.lease.begin_calls() or not self.lease.can_call():
             return
         for order in orders:
             replica = self.directory.entries.get(order.target_id)
@@ -269,9 +266,10 @@
     async def send_order(self, order: LoadOrder, replica: Replica) -> OrderOutcome:
         """Send one order with the target's order count, if the lease still allows it."""
         count = await self.order_count(replica)
-        if count is None or not self.lease.can_order() or self.lease.lease is None:
+        stamp = self.lease.stamp
+        if count is None or stamp is None or not self.lease.can_call():
             return OrderOutcome(OrderResult.NOT_SENT)
-        fence = self.lease.lease.fencing_token
+        fence = stamp.fencing_token
         outcome = await self.control.order_load(
             replica,
             order.model,
@@ -279,7 +277,7 @@
             fencing_token=fence,
             order_count=count,
             continue_samples=not self.requires_single_version(replica.service),
-            is_permitted=self.lease.can_order,
+            is_permitted=lambda: self.lease.permits(stamp),
         )
         log.info(
             "weight order",
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -25,7 +25,7 @@
             "attempt_log",
             "crash_guard",
             "live_forwarder",
-            "order_lease_keeper",
+            "duty_lease_log",
             "peers",
             "relayed_store",
             "replica_keeper",
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -7,9 +7,12 @@
 import pytest
 import trio.testing
 
-from balsamcleat.decisions.order_lease import HOLDER_ORDER_WINDOW_S, OrderLeaseState, first_order_ms
+from balsamcleat.decisions.duty_fitness import LinkFitness
+from balsamcleat.decisions.duty_lease import HOLDER_CALL_WINDOW_S, DutyLeaseState, first_call_ms
+from balsamcleat.model import VmId
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
-from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
+from balsamcleat.tasks.duty_lease_keeper import LeaseHolder
+from balsamcleat.tasks.duty_leases import DutyLeases
 from balsamcleat.tasks.store_clock import StoreClock
 
 GAP_S = 3.0
@@ -29,31 +32,29 @@
         self.orders = orders
         self.pause_s = 0.0
         view = RowStoreView(store, self.flaws)
-        self.keeper = OrderLeaseKeeper(
-            view, name, "boot", GAP_S, StoreClock(anyio.current_time), random.Random(name)
+        self.leases = DutyLeases(
+            view,
+            LeaseHolder(VmId(name), "boot"),
+            GAP_S,
+            StoreClock(anyio.current_time),
+            random.Random(name),
         )
+        self.keeper = self.leases.orders
 
     async def send_orders(self, interval_s: float = 0.3) -> None:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.keeper.run)
+            tasks.start_soon(self.leases.run)
             while True:
                 await anyio.sleep(interval_s)
-                try:
-                    can_begin = await self.keeper.begin_orders()
-                except Exception:
-                    # The store failed; a real holder logs the error and waits as well.
-                    continue
+                can_begin = await self.keeper.begin_calls()
                 # A pause is most harmful here, right after the lease was confirmed.
                 await anyio.sleep(self.pause_s)
-                if can_begin and self.keeper.can_order():
+                if can_begin and self.keeper.can_call():
                     assert self.keeper.lease is not None
                     self.orders.append(
                         (anyio.current_time(), self.name, self.keeper.lease.fencing_token)
                     )
-                try:
-                    await self.keeper.end_orders()
-                except Exception:
-                    continue
+                await self.keeper.end_calls()
 
 
 def assert_orders_keep_gap(orders: list[tuple[float, str, int]]) -> None:
@@ -66,11 +67,11 @@
 
 
 def test_new_holder_waits_only_for_the_rest_of_the_gap_if_the_previous_one_finished() -> None:
-    finished = OrderLeaseState("a", "boot", False, 10_000)
-    unfinished = OrderLeaseState("a", "boot", True, 10_000)
-    assert first_order_ms(finished, 12_000, GAP_S) == 13_200
-    assert first_order_ms(unfinished, 12_000, GAP_S) == 15_200
-    assert first_order_ms(None, 12_000, GAP_S) == 12_000
+    finished = DutyLeaseState("a", "boot", False, 10_000)
+    unfinished = DutyLeaseState("a", "boot", True, 10_000)
+    assert first_call_ms(finished, 12_000, GAP_S) == 13_200
+    assert first_call_ms(unfinished, 12_000, GAP_S) == 15_200
+    assert first_call_ms(None, 12_000, GAP_S) == 12_000
 
 
 @pytest.mark.parametrize("pause_s", [0.5, 2.0, 6.0])
@@ -113,13 +114,13 @@
     async def test() -> None:
         store = MemoryRowStore()
         vm = OrderingVm(store, "a", [])
-        await vm.keeper.renew_or_acquire()
+        await vm.leases.read_and_acquire()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(vm.keeper.renew_or_acquire)
-            tasks.start_soon(vm.keeper.begin_orders)
+            tasks.start_soon(vm.keeper.renew)
+            tasks.start_soon(vm.keeper.begin_calls)
         assert vm.keeper.lease is not None
-        assert vm.keeper.lease.state.ordering
-        await vm.keeper.renew_or_acquire()
+        assert vm.keeper.lease.state.calling
+        await vm.keeper.renew()
         page = await RowStoreView(store).read("leases", "")
         assert b'"ordering":true' in (page.rows[0].value or b"")
 
@@ -142,7 +143,7 @@
         last = max(at_s for at_s, name, _ in orders if name == "a")
         assert GAP_S <= second_order_times[0] - last < GAP_S + 1.0
         assert_orders_keep_gap(orders)
-        assert HOLDER_ORDER_WINDOW_S < GAP_S
+        assert HOLDER_CALL_WINDOW_S < GAP_S
 
     run(test)
 
@@ -156,7 +157,7 @@
         cut_off: set[str] = set()
         vms = {name: OrderingVm(store, name, orders) for name in ("a", "b")}
         for vm in vms.values():
-            vm.keeper.reaches_targets = lambda name=vm.name: name not in cut_off
+            vm.keeper.fitness = LinkFitness(lambda name=vm.name: name not in cut_off)
         async with anyio.create_task_group() as tasks:
             for vm in vms.values():
                 tasks.start_soon(vm.send_orders)
--- a/tests/test_version_orders.py
+++ b/tests/test_version_orders.py
@@ -3,15 +3,15 @@
 import anyio
 import anyio.abc
 
-from balsamcleat.decisions.order_lease import OrderLease, OrderLeaseState
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.weight_rollout import STEP_PLACEMENT_S
-from balsamcleat.model import ConfigurationVersion, WeightVersion
+from balsamcleat.model import ConfigurationVersion, VmId, WeightVersion
 from balsamcleat.model.replicas import Replica, ReplicaReport
 from balsamcleat.model.routing import EngineSpec, RoutingTable, ServiceSpec
 from balsamcleat.platform import OrderOutcome
 from balsamcleat.platform.orders import OrderResult
+from balsamcleat.ports.duties import DutyLease, DutyStamp
 from balsamcleat.tasks.version_orders import ModelUsage, VersionLoadController
 from step_world import MODEL, SERVICE, make_engine, run_in_virtual_time
 
@@ -22,18 +22,20 @@
 )
 
 
-class HeldLease:
+class HeldLease(DutyLease):
     """Lease on orders that this VM holds all the time."""
 
-    lease = OrderLease(OrderLeaseState("vm-1", "boot", True, 0), 1, 1, float("inf"), 0)
+    @property
+    def stamp(self) -> DutyStamp:
+        return DutyStamp(VmId("vm-1"), 1)
 
-    async def begin_orders(self) -> bool:
+    async def begin_calls(self) -> bool:
         return True
 
-    async def end_orders(self) -> None:
+    async def end_calls(self) -> None:
         return None
 
-    def can_order(self) -> bool:
+    def can_call(self) -> bool:
         return True
 
 
@@ -71,7 +73,7 @@
             directory.apply_entry(make_engine(number))
         versions: dict[str, WeightVersion] = {}
         controller = VersionLoadController(
-            HeldLease(),  # type: ignore[arg-type]
+            HeldLease(),
             engines,  # type: ignore[arg-type]
             directory,
             ReplicaStatsRegistry(),
