--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -17,7 +17,8 @@
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.entry.drain import drain_callers
 from balsamcleat.entry.reload import SettingsWatcher
-from balsamcleat.entry.usage import UsageParts, UsageSettings
+from balsamcleat.entry.scaling import build_scaling_controller
+from balsamcleat.entry.usage import UsageParts, usage_settings
 from balsamcleat.errors import PlatformError
 from balsamcleat.http1 import (
     ConnectionPool,
@@ -33,21 +34,26 @@
 from balsamcleat.logs import bounded_logs
 from balsamcleat.platform import (
     CORRELATION_HEADER,
+    DUTY_POOL_LIMITS,
     OPERATOR_TABLE,
     REPLICA_TABLE,
+    DutyChannel,
+    PlatformDutyClient,
     PlatformRowStore,
     PlatformSettings,
     ReplicaControl,
     load_platform_settings,
 )
+from balsamcleat.ports.duties import Duty
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
+from balsamcleat.tasks.duty_lease_keeper import LeaseHolder
+from balsamcleat.tasks.duty_leases import DutyLeases
 from balsamcleat.tasks.hop_messages import HOP_PATH
 from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.model_usage import ModelUsageReader
-from balsamcleat.tasks.order_lease_keeper import OrderLeaseKeeper
 from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.peers import PeerPoller, PeerRequestHandler, PeerState
 from balsamcleat.tasks.relayed_store import RELAY_PREFIX, RelayedRowStore, StoreRelay
@@ -60,6 +66,7 @@
 from balsamcleat.tasks.row_garbage_collector import RowGarbageCollector
 from balsamcleat.tasks.sample_run import SampleRunner
 from balsamcleat.tasks.sample_scorer import SampleScorer
+from balsamcleat.tasks.scaling_controller import ScalingController
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.step_transfer import StepTransfer
@@ -105,7 +112,6 @@
         settings: Settings of this VM as read from that file.
         metrics: Registry of this process's metrics.
         output: Buffered output of log lines.
-        usage_settings: Settings of usage reports; None if there are no reports.
     """
 
     def __init__(
@@ -114,7 +120,6 @@
         settings: PlatformSettings,
         metrics: TextMetrics,
         output: BoundedOutput,
-        usage_settings: UsageSettings | None = None,
     ) -> None:
         self.settings = settings
         self.settings_watcher = SettingsWatcher(path, settings, self.apply_settings)
@@ -149,15 +154,13 @@
             lambda target_id, started_ms: self.crash_detector.on_target_end(target_id, started_ms),
         )
         self.store_clock = StoreClock()
-        self.usage: UsageParts | None = None
-        if usage_settings is not None:
-            self.usage = UsageParts(settings.vm, usage_settings, self.store_clock)
-        self.usage_reporter: UsageReporter | None = None
+        reports = usage_settings(settings.duties)
+        self.usage = UsageParts(settings.vm, reports, self.store_clock) if reports else None
         self.presence = VmPresence(
             self.store,
             VmRow(settings.vm, self.boot, settings.peer_address, settings.zone, 0),
             self.store_clock,
-            lambda: bool(self.runner.steps) or self.order_lease_keeper.lease is not None,
+            lambda: bool(self.runner.steps) or self.duty_leases.orders.is_held,
             generator,
             LimitSharing(
                 settings.vm,
@@ -167,17 +170,19 @@
             ),
             self.usage.counter if self.usage else None,
         )
-        self.order_lease_keeper = OrderLeaseKeeper(
+        self.duty_leases = DutyLeases(
             self.store,
-            settings.vm,
-            self.boot,
+            LeaseHolder(settings.vm, self.boot),
             settings.order_gap_s,
             self.store_clock,
             generator,
             lambda: not self.target_paths.has_lost_links(self.load_controller.engines()),
+            lambda: self.settings.duties,
         )
+        self.duty_client = self.create_duty_client()
+        self.usage_reporter = self.create_usage_reporter()
         self.load_controller = VersionLoadController(
-            self.order_lease_keeper,
+            self.duty_leases.orders,
             ReplicaControl(self.target_pool, settings.vm),
             self.replica_directory,
             self.stats_registry,
@@ -260,11 +265,12 @@
             lambda row: self.peer_poller.is_running(row),
         )
         self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
+        self.scaling_controller = self.create_scaling_controller()
         self.row_garbage_collector = RowGarbageCollector(
             self.records,
             lambda: self.step_feed.steps,
             self.presence.watch,
-            lambda: self.order_lease_keeper.lease is not None,
+            lambda: self.duty_leases.orders.is_held,
             self.store_clock.now_ms,
             settings.results_kept_s,
         )
@@ -337,14 +343,37 @@
                 self.store, SUSPECTS_TABLE, self.crash_history, generator, single_part=False
             ),
         ]
+        self.create_servers(target_relay)
+        self.readiness = Readiness.NO_CONFIGURATION
+        self.is_leaving = False
+        self.tasks: anyio.abc.TaskGroup | None = None
+
+    def create_duty_client(self) -> PlatformDutyClient:
+        """Return the client of the platform's interface for duties."""
+
+        def current_address() -> str | None:
+            return None if self.settings.duties is None else self.settings.duties.address
+
+        leases = self.duty_leases
+        return PlatformDutyClient(
+            current_address,
+            ConnectionPool(DUTY_POOL_LIMITS),
+            {
+                Duty.USAGE: DutyChannel(leases.usage, leases.usage_fitness),
+                Duty.SCALING: DutyChannel(leases.scaling, leases.scaling_fitness),
+            },
+        )
+
+    def create_servers(self, target_relay: TargetRelay) -> None:
+        """Create the servers of callers, of the load balancer, of other VMs and of metrics."""
         self.front_server = HttpServer(
-            listen(settings.front_address), self.dispatcher.answer, self.dispatcher.limits
+            listen(self.settings.front_address), self.dispatcher.answer, self.dispatcher.limits
         )
         self.ready_server = HttpServer(
-            listen(settings.ready_address), self.answer_readiness_check, lambda: ServerLimits()
+            listen(self.settings.ready_address), self.answer_readiness_check, lambda: ServerLimits()
         )
         self.peer_server = HttpServer(
-            listen(settings.peer_address),
+            listen(self.settings.peer_address),
             PeerRequestHandler(
                 self.peer_state,
                 {
@@ -357,13 +386,37 @@
             lambda: PEER_SERVER_LIMITS,
         )
         self.metrics_server = HttpServer(
-            listen(f"{settings.ip}:{METRICS_PORT}"),
+            listen(f"{self.settings.ip}:{METRICS_PORT}"),
             self.answer_metrics_scrape,
             lambda: ServerLimits(),
         )
-        self.readiness = Readiness.NO_CONFIGURATION
-        self.is_leaving = False
-        self.tasks: anyio.abc.TaskGroup | None = None
+
+    def create_usage_reporter(self) -> UsageReporter | None:
+        """Return the reporter of usage, or None if the settings do not name the duty."""
+        if self.usage is None:
+            return None
+        return self.usage.create_reporter(
+            self.store,
+            self.duty_leases.usage,
+            self.duty_client,
+            self.presence.watch,
+            self.metrics,
+        )
+
+    def create_scaling_controller(self) -> ScalingController | None:
+        """Return the controller of targets, or None if the settings do not name the duty."""
+        duties = self.settings.duties
+        return build_scaling_controller(
+            self.duty_leases.scaling if duties is not None and duties.scaling else None,
+            self.duty_client,
+            self.store,
+            self.store_clock,
+            self.routing_keeper,
+            self.replica_directory,
+            self.stats_registry,
+            self.runner.view,
+            lambda: self.step_feed.steps,
+        )
 
     def wake_schedulers(self) -> None:
         """Wake the components that schedule work by the configuration and the targets."""
@@ -433,7 +486,7 @@
                 self.stream_register.run,
                 self.target_paths.run,
                 self.presence.run,
-                self.order_lease_keeper.run,
+                self.duty_leases.run,
                 self.runner.run,
                 self.load_controller.run,
                 self.step_feed.run,
@@ -449,6 +502,8 @@
                 tasks.start_soon(component_run)
             if self.usage_reporter is not None:
                 tasks.start_soon(self.usage_reporter.run)
+            if self.scaling_controller is not None:
+                tasks.start_soon(self.scaling_controller.run)
             await self.wait_for_stop()
             await self.shut_down()
             tasks.cancel_scope.cancel()
@@ -468,6 +523,10 @@
         self.metrics.gauge("connections.opened", self.target_pool.opened_connections)
         self.metrics.gauge("answers.foreign", self.target_pool.mismatched_responses)
         self.metrics.gauge("limits.targets", self.stats_registry.limits.limited_count)
+        for keeper in self.duty_leases.keepers:
+            self.metrics.gauge(f"leases.held.{keeper.duty.value}", keeper.is_held)
+        if self.scaling_controller is not None:
+            self.scaling_controller.report_gauges(self.metrics)
         self.metrics.gauge("log.bytes_waiting", self.output.waiting_bytes)
         await responder.send(Response(200, METRICS_HEADERS, self.metrics.render()))
 
@@ -475,7 +534,7 @@
         """Apply new settings; changed listen addresses take effect only after a restart."""
         self.settings = settings
         self.direct_store.apply_access(settings.store)
-        self.order_lease_keeper.order_gap_s = settings.order_gap_s
+        self.duty_leases.apply_gap(settings.order_gap_s)
 
     async def wait_for_stop(self) -> None:
         """Wait for SIGTERM or SIGINT; SIGHUP reloads the settings file."""
@@ -496,6 +555,7 @@
         self.front_server.start_draining()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.release_ownership)
+            tasks.start_soon(self.duty_leases.release_platform_duties)
             await drain_callers(self.front_server, started_s, self.settings.grace_s)
             tasks.cancel_scope.cancel()
         self.front_server.stop_accepting()
@@ -508,7 +568,7 @@
         try:
             await self.presence.announce_leaving()
             await self.step_transfer.hand_over()
-            await self.order_lease_keeper.release()
+            await self.duty_leases.orders.release()
             await self.presence.announce_stopped()
         except PlatformError as error:
             log.warning("not all handed over", reason=str(error))
@@ -518,9 +578,7 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.output.drain()
-            self.crash_history.remove_expired(
-                deletes_rows=self.order_lease_keeper.lease is not None
-            )
+            self.crash_history.remove_expired(deletes_rows=self.duty_leases.orders.is_held)
             now_s = anyio.current_time()
             for step in list(self.runner.steps.values()):
                 if step.ended and now_s - step.ended_at_s > ENDED_STEP_RETENTION_S:
--- a/src/balsamcleat/entry/usage.py
+++ b/src/balsamcleat/entry/usage.py
@@ -4,6 +4,7 @@
 
 from balsamcleat.decisions.vm_watch import VmFailureDetector
 from balsamcleat.model import VmId
+from balsamcleat.platform import DutySettings
 from balsamcleat.ports.duties import DutyClient, DutyLease
 from balsamcleat.ports.metrics import Metrics
 from balsamcleat.ports.rows import RowStore
@@ -13,7 +14,7 @@
 from balsamcleat.tasks.usage_records import UsageRecords
 from balsamcleat.tasks.usage_reporter import UsageReporter
 
-__all__ = ["UsageParts", "UsageSettings"]
+__all__ = ["UsageParts", "UsageSettings", "usage_settings"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +30,13 @@
     deadline_s: float
 
 
+def usage_settings(duties: DutySettings | None) -> UsageSettings | None:
+    """Return the settings of usage reports, or None if the platform wants none."""
+    if duties is None or not duties.usage:
+        return None
+    return UsageSettings(duties.report_window_s, duties.usage_deadline_s)
+
+
 class UsageParts:
     """Components that count and report usage.
 
--- a/tests/test_usage_wiring.py
+++ b/tests/test_usage_wiring.py
@@ -12,7 +12,6 @@
 from balsamcleat.decisions.shared_limit import TargetLimits
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.entry.process import EntryProcess
-from balsamcleat.entry.usage import UsageSettings
 from balsamcleat.log_output import BoundedOutput
 from balsamcleat.model.routing import RoutingTable
 from balsamcleat.platform import load_platform_settings
@@ -23,7 +22,6 @@
 from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.vm_presence import VmPresence
 from step_world import TABLE, run_in_virtual_time
-from usage_world import FakeClient, FakeLease, FakePlatform
 
 # The metrics port is the same for all processes, so each start needs an address of its own.
 SETTINGS = {
@@ -34,14 +32,17 @@
 }
 
 
-def entry_process(folder: Path, ip: str, usage: UsageSettings | None) -> EntryProcess:
+DUTIES = {"cloudApi": {"address": "127.0.0.1:9", "duties": ["usage"]}}
+
+
+def entry_process(folder: Path, ip: str, duties: dict) -> EntryProcess:
     listen = {"front": f"{ip}:18080", "ready": f"{ip}:18081"}
     path = folder / "settings.json"
     path.write_text(
-        json.dumps(SETTINGS | {"ip": ip, "listen": listen, "portRange": [18082, 18089]})
+        json.dumps(SETTINGS | duties | {"ip": ip, "listen": listen, "portRange": [18082, 18089]})
     )
     settings = load_platform_settings(path)
-    return EntryProcess(path, settings, TextMetrics(), BoundedOutput(2), usage)
+    return EntryProcess(path, settings, TextMetrics(), BoundedOutput(2))
 
 
 def close(process: EntryProcess) -> None:
@@ -56,7 +57,7 @@
 
 @pytest.mark.anyio
 async def test_process_without_usage_settings_has_none_of_it(tmp_path: Path) -> None:
-    process = entry_process(tmp_path, "127.0.0.71", None)
+    process = entry_process(tmp_path, "127.0.0.71", {})
     try:
         assert process.usage is process.usage_reporter is process.presence.usage is None
         assert process.dispatcher.forwarder.usage.counter is None
@@ -70,7 +71,7 @@
 async def test_process_with_usage_settings_counts_from_its_first_configuration_on(
     tmp_path: Path,
 ) -> None:
-    process = entry_process(tmp_path, "127.0.0.72", UsageSettings(5.0, 10.0))
+    process = entry_process(tmp_path, "127.0.0.72", DUTIES)
     try:
         assert process.usage is not None
         counter = process.usage.counter
@@ -81,14 +82,9 @@
         process.routing_keeper.table = RoutingTable(TABLE.version, ())
         process.wake_schedulers()
         assert counter.configured_at_s is not None
-        process.usage_reporter = process.usage.create_reporter(
-            process.store,
-            FakeLease(),
-            FakeClient(FakePlatform()),
-            process.presence.watch,
-            process.metrics,
-        )
+        assert process.usage_reporter is not None
         assert process.usage_reporter.counter is counter
+        assert process.usage_reporter.lease is process.duty_leases.usage
     finally:
         close(process)
 
