Scaling: wait until all targets of a new deployment are listed before the first order

Without a row in the table, the number of listed targets counts as ordered, so nothing is ordered now until no further target was listed for the time that a target takes to start. The new test fails without the change.

--- a/src/balsamcleat/tasks/scaling_controller.py
+++ b/src/balsamcleat/tasks/scaling_controller.py
@@ -172,9 +172,14 @@
             await self.execute(spec.name, planned, scaler, stamp)
 
     async def current_view(self, spec: ServiceSpec) -> ScalingView | None:
-        """Return the state of a service, or None while none of its targets is listed."""
+        """Return the state of a service, or None while its targets are not known."""
         if spec.autoscale is None or not self.inputs.directory.ready_replicas(spec.name):
             return None
+        # Without a row, the listed targets count as ordered: from an incomplete list, the next
+        # order would release those that are missing in it.
+        has_rows = any(service == spec.name for service, _ in self.orders)
+        if not has_rows and not self.inputs.is_list_complete(spec, self.now_s()):
+            return None
         zones = self.inputs.zones(spec.name, spec.autoscale)
         orders = {zone: self.orders.get((spec.name, zone), ZoneOrders()) for zone in zones}
         view = self.inputs.view(spec, orders, self.now_s())
--- a/src/balsamcleat/tasks/scaling_inputs.py
+++ b/src/balsamcleat/tasks/scaling_inputs.py
@@ -11,7 +11,7 @@
 from balsamcleat.decisions.slot_need import DEMAND_WINDOW_S, SlotNeed, determine_need
 from balsamcleat.decisions.step_history import HISTORY_S, StepHistory, StepSighting
 from balsamcleat.decisions.target_mix import Pool
-from balsamcleat.model import ServiceName, StepId, WeightVersion, ZoneName
+from balsamcleat.model import ServiceName, StepId, TargetId, WeightVersion, ZoneName
 from balsamcleat.model.replicas import Replica, ReplicaState
 from balsamcleat.model.routing import AutoscaleSpec, RouteKind, RoutingTable, ServiceSpec
 from balsamcleat.tasks.step_feed import KnownStep
@@ -51,6 +51,8 @@
         self.seen_versions: dict[str, WeightVersion] = {}
         # Requests at the targets of a service at earlier times, of the demand window.
         self.busy: dict[ServiceName, deque[tuple[float, int]]] = {}
+        # Listed targets of a service, and the time since which there have been no others.
+        self.listed: dict[ServiceName, tuple[frozenset[TargetId], float]] = {}
 
     def observe(self, table: RoutingTable, now_s: float) -> None:
         """Record the steps and the load of the services whose targets are ordered."""
@@ -66,6 +68,7 @@
                 history.record_named(model, now_s)
             history.observe(sightings[name], now_s)
             self.observe_load(name, now_s)
+            self.observe_list(name, now_s)
         self.seen_versions = dict(self.named_versions())
 
     def newly_named(self) -> list[str]:
@@ -108,6 +111,22 @@
         while busy[0][0] < now_s - DEMAND_WINDOW_S:
             busy.popleft()
 
+    def observe_list(self, service: ServiceName, now_s: float) -> None:
+        """Record since when no further target of a service has been listed."""
+        targets = frozenset(replica.target_id for replica in self.replicas(service))
+        known, since_s = self.listed.get(service, (frozenset(), now_s))
+        self.listed[service] = (targets, since_s if targets <= known else now_s)
+
+    def is_list_complete(self, spec: ServiceSpec, now_s: float) -> bool:
+        """Return whether all targets that a new deployment starts with are listed.
+
+        They register one after the other, the last ones after the time that a target takes to
+        start.
+        """
+        if spec.autoscale is None or spec.name not in self.listed:
+            return False
+        return now_s - self.listed[spec.name][1] >= spec.autoscale.startup_s
+
     def view(
         self, spec: ServiceSpec, zones: dict[ZoneName, ZoneOrders], now_s: float
     ) -> ScalingView | None:
--- a/tests/test_scaling_controller.py
+++ b/tests/test_scaling_controller.py
@@ -247,6 +247,28 @@
     ]
 
 
+def test_no_order_before_all_targets_of_a_new_deployment_are_listed() -> None:
+    """Targets register one after the other, and an order for a zone releases those not yet listed.
+
+    A controller that decided at the first sight of two targets ordered one target for a zone of
+    eight.
+    """
+
+    async def script(world: ControllerWorld) -> None:
+        for zone in ZONES:
+            world.set_targets(zone, False, 0)
+        for zone in ZONES:
+            for count in range(1, 8):
+                await anyio.sleep(0.2)
+                world.set_targets(zone, False, count)
+                assert not world.client.calls and not world.rows.rows
+        await anyio.sleep(4.5)
+        assert [world.row(zone)["firm"] for zone in ZONES] == [7, 7, 7]
+        assert all(reclaimable or count >= 7 for _, reclaimable, count in sent(world))
+
+    play(script)
+
+
 def test_missing_targets_are_ordered_after_their_number_was_stored() -> None:
     """A number that was sent and not stored is unknown to the next holder."""
 
