--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -38,6 +38,7 @@
     r"rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|callSeq|kvUsed|kvCapTokens|coldLeftMs"
     r"|Server-Stamp|Not-Run|Expect-Instance|Attempt-Id|Deadline-Ms|Weight-Versions|Prompt-Prefix"
     r"|Token-Usage|queueTtlS|targetGroups|minVersion|totalCount|/lots/|/items/|Wait-Ms"
+    r"|Duty-Holder|Fence-Token|windowId|cloudApi|dutyPerS|reportWindowS|usageLateS"
 )
 SETTINGS = {
     "node": "front-a-1",
