--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -39,6 +39,7 @@
     r"|Server-Stamp|Not-Run|Expect-Instance|Attempt-Id|Deadline-Ms|Weight-Versions|Prompt-Prefix"
     r"|Token-Usage|queueTtlS|targetGroups|minVersion|totalCount|/lots/|/items/|Wait-Ms|\bTenant\b|apiKeys"
     r"|startupS|spotPrice|zonePrices|leaves_ms"
+    r"|Duty-Holder|Fence-Token|windowId|cloudApi|dutyPerS|reportWindowS|usageLateS"
 )
 SETTINGS = {
     "node": "front-a-1",
