--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -145,7 +145,9 @@
         await send_error_response(request, responder, status, reason, self.generator)
         return None
 
-    def create_call(self, request: Request, route: Route, team: TeamName | None) -> LiveCall | None:
+    def create_call(
+        self, request: Request, route: Route, team: TeamName | None = None
+    ) -> LiveCall | None:
         """Return the call with its service and deadline, or None if the route has no service."""
         share = choose_service(route.shares, self.generator.random())
         if share is None:
--- a/src/balsamcleat/tasks/request_dispatcher.py
+++ b/src/balsamcleat/tasks/request_dispatcher.py
@@ -149,7 +149,10 @@
             if access.refusal is not None:
                 await self.guard.refuse(request, responder, table, access.refusal)
                 return
-            await self.rollouts.answer_call(call, responder, access.team_name)
+            try:
+                await self.rollouts.answer_call(call, responder, access.team_name)
+            finally:
+                self.guard.count_request(access.team_name, responder.status)
             return
         attempt_id = request_id(request.headers)
         log.info(
--- a/src/balsamcleat/tasks/team_guard.py
+++ b/src/balsamcleat/tasks/team_guard.py
@@ -63,7 +63,8 @@
         attempt_id = request_id(request.headers)
         digest = bearer_key_digest(authorization(request.headers))
         self.metrics.count("teams.keys.refused")
-        log.warning(
+        # Not a warning: a flood of such requests must not displace the warnings about others.
+        log.info(
             "key refused",
             request=attempt_id,
             status=status,
