Load header: count the load of targets that report a pace, and keep its distribution

A Server-Load header with a fourth figure was dropped whole, so VMs had no load of such targets at all and placed samples on engines that they took for empty.

The fourth figure is decoded as pace_ratio. The expected event interval is the usual one, which is that of the best times, prolonged to the mean of the reported pace; an engine counts as slow now only beyond the spread of its pace. Using the last value was ruled out, because it is outdated before a sample arrives.

--- a/src/balsamcleat/decisions/replica_stats.py
+++ b/src/balsamcleat/decisions/replica_stats.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from balsamcleat.decisions.pace_distribution import PaceDistribution
 from balsamcleat.decisions.shared_limit import TargetLimits
 from balsamcleat.model import TargetId
 
@@ -51,6 +52,7 @@
             seconds; 0 before the first measurement.
         usual_interval_at_s: Time at which the usual event interval was measured.
         recent_prompts: Ids of the prompts sent to the target recently, the newest last.
+        pace: Distribution of the pace that the target reported.
     """
 
     in_flight: int = 0
@@ -65,6 +67,7 @@
     usual_interval_s: float = 0.0
     usual_interval_at_s: float = 0.0
     recent_prompts: dict[str, None] = field(default_factory=dict)
+    pace: PaceDistribution = field(default_factory=PaceDistribution)
 
     def load(self, now_s: float) -> float:
         """Return the estimated number of requests at the target now."""
@@ -79,10 +82,17 @@
         """Return whether the target failed so recently that other targets are preferred."""
         return now_s < self.avoid_until_s
 
-    def record_load(self, running: int, waiting: int, now_s: float) -> None:
-        """Record the load that the target reported, without this VM's own requests."""
+    def record_load(
+        self, running: int, waiting: int, now_s: float, pace_ratio: float | None = None
+    ) -> None:
+        """Record the load that the target reported, without this VM's own requests, and its pace.
+
+        ``pace_ratio`` is relative to the usual time; None if the target did not report it.
+        """
         self.others_in_flight = max(0, running + waiting - self.in_flight)
         self.load_reported_at_s = now_s
+        if pace_ratio is not None:
+            self.pace.record(pace_ratio, now_s)
 
     def record_success(self) -> None:
         """Record a complete response."""
@@ -153,12 +163,15 @@
     def expected_interval_s(self, now_s: float) -> float:
         """Return the event interval to expect of a new stream in seconds, or 0 if unknown.
 
-        The recent interval is noisy, so it only counts while it shows that the target is slow now.
+        The recent interval is noisy, so it only counts while it shows that the target is slow now,
+        beyond the spread of the pace that the target reports. The usual interval is that of the
+        target's best times, so it is prolonged to the mean of the reported pace.
         """
         recent_s = self.recent_event_interval_s(now_s)
-        if not self.usual_interval_s or recent_s > SLOW_NOW_RATIO * self.usual_interval_s:
+        slow_s = SLOW_NOW_RATIO * self.pace.spread(now_s) * self.usual_interval_s
+        if not self.usual_interval_s or recent_s > slow_s:
             return recent_s
-        return self.usual_interval_s
+        return self.usual_interval_s * self.pace.slowdown(now_s)
 
     def record_prompt(self, prompt_id: str) -> None:
         """Record that a prompt was sent to the target."""
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -44,6 +44,9 @@
 VERSION_HEADER = "Weight-Versions"
 MISDIRECTED_STATUS = 421
 MS_PER_S = 1000.0
+PERCENT = 100.0
+# The load header begins with the numbers of running requests, waiting requests and slots.
+LOAD_FIGURES = 3
 
 # Set anew for each attempt, so the values that a caller sent are not forwarded.
 REPLACED_HEADERS = frozenset(
@@ -59,6 +62,15 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """Load of a target as its response states it; the fields are those of ResponseMetadata."""
+
+    running_count: int | None = None
+    waiting_count: int = 0
+    pace_ratio: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """Information in the headers and the status of a target's response.
@@ -69,6 +81,8 @@
             from an intermediary.
         running_count: Number of requests that the target is running; None if it is not stated.
         waiting_count: Number of requests in the target's queue.
+        pace_ratio: Time that work takes on the target's machine at this moment, relative to the
+            usual time; None if it is not stated.
         weight_version: Weight version of the model at the start of the response.
         retry_after_s: Time until the target asks to be called again, in seconds.
     """
@@ -77,6 +91,7 @@
     target_stamp: str | None
     running_count: int | None = None
     waiting_count: int = 0
+    pace_ratio: float | None = None
     weight_version: WeightVersion | None = None
     retry_after_s: float | None = None
 
@@ -149,13 +164,14 @@
 
 def parse_response_metadata(status: int, headers: Headers) -> ResponseMetadata:
     """Return the information in the status and the headers of a target's response."""
-    running, waiting = parse_load(header_value(headers, LOAD_HEADER))
+    load = parse_load(header_value(headers, LOAD_HEADER))
     version = parse_number(header_value(headers, VERSION_HEADER))
     return ResponseMetadata(
         is_not_run=is_misdirected(status) or header_value(headers, NOT_RUN_HEADER) is not None,
         target_stamp=header_value(headers, STAMP_HEADER),
-        running_count=running,
-        waiting_count=waiting,
+        running_count=load.running_count,
+        waiting_count=load.waiting_count,
+        pace_ratio=load.pace_ratio,
         weight_version=None if version is None else WeightVersion(int(version)),
         retry_after_s=parse_number(header_value(headers, RETRY_AFTER_HEADER)),
     )
@@ -205,13 +221,21 @@
     return tuple(entry.strip().partition(":")[0] for entry in value.split(",") if entry.strip())
 
 
-def parse_load(value: str | None) -> tuple[int | None, int]:
-    """Return the numbers of running and waiting requests; the first is None if it is not stated."""
-    fields = (value or "").split(",")
-    if len(fields) != 3 or not all(part.strip().isdecimal() for part in fields):
-        return None, 0
-    running, waiting, _slots = (int(part) for part in fields)
-    return running, waiting
+def parse_load(value: str | None) -> TargetLoad:
+    """Return the load in a header's value; an empty one if there is none or it is malformed.
+
+    The value is ``RUNNING,WAITING,SLOTS`` or ``RUNNING,WAITING,SLOTS,PACE``. Later figures are
+    ignored, and so is a pace that is no positive number, as the load counts without them.
+    """
+    fields = [part.strip() for part in (value or "").split(",")]
+    if len(fields) < LOAD_FIGURES or not all(part.isdecimal() for part in fields[:LOAD_FIGURES]):
+        return TargetLoad()
+    pace_percent = parse_number(fields[LOAD_FIGURES]) if len(fields) > LOAD_FIGURES else None
+    return TargetLoad(
+        running_count=int(fields[0]),
+        waiting_count=int(fields[1]),
+        pace_ratio=pace_percent / PERCENT if pace_percent and pace_percent > 0.0 else None,
+    )
 
 
 def parse_number(value: str | None) -> float | None:
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -374,7 +374,9 @@
         stats = self.stats_registry.for_target(replica.target_id)
         now_s = anyio.current_time()
         if metadata.running_count is not None:
-            stats.record_load(metadata.running_count, metadata.waiting_count, now_s)
+            stats.record_load(
+                metadata.running_count, metadata.waiting_count, now_s, metadata.pace_ratio
+            )
         if metadata.is_not_run:
             stats.record_rejection(now_s, metadata.retry_after_s)
             return Err(rejection_error(replica, response.status, metadata.retry_after_s))
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -223,7 +223,9 @@
         metadata = parse_response_metadata(exchange.status, exchange.headers)
         now_s = anyio.current_time()
         if metadata.running_count is not None:
-            stats.record_load(metadata.running_count, metadata.waiting_count, now_s)
+            stats.record_load(
+                metadata.running_count, metadata.waiting_count, now_s, metadata.pace_ratio
+            )
         if exchange.status != OK:
             await exchange.discard_body()
         if metadata.is_not_run:
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -301,7 +301,9 @@
             metadata = parse_response_metadata(exchange.status, exchange.headers)
             now_s = anyio.current_time()
             if metadata.running_count is not None:
-                stats.record_load(metadata.running_count, metadata.waiting_count, now_s)
+                stats.record_load(
+                    metadata.running_count, metadata.waiting_count, now_s, metadata.pace_ratio
+                )
             if metadata.is_not_run:
                 await exchange.discard_body()
                 stats.record_rejection(now_s, metadata.retry_after_s)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -203,6 +203,27 @@
         raise AssertionError(value) from error
 
 
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        ("3,1,8", (3, 1, None)),
+        ("3,1,8,100", (3, 1, 1.0)),
+        ("3, 1, 8, 163", (3, 1, 1.63)),
+        ("3,1,8,0", (3, 1, None)),
+        ("3,1,8,fast", (3, 1, None)),
+        ("3,1,8,120,later", (3, 1, 1.2)),
+        ("3,1", (None, 0, None)),
+        ("3,x,8,100", (None, 0, None)),
+    ],
+)
+def test_load_counts_with_and_without_a_pace(
+    value: str, load: tuple[int | None, int, float | None]
+) -> None:
+    """Guards against dropping the load of targets that state a fourth figure."""
+    metadata = parse_response_metadata(200, (("Server-Load", value),))
+    assert (metadata.running_count, metadata.waiting_count, metadata.pace_ratio) == load
+
+
 def test_event_parser_reassembles_events_split_at_any_byte() -> None:
     """A network read may end inside an event, a line or a UTF-8 character."""
     stream = b"weight-versions: 3\nid: 1\ndata: a\ndata: b\n\n: note\n\nid: 2\ndata: \xc3\xa9\n\n"
