Pace: use the reported distribution to tell a slow engine from a changing one, not to prolong its interval

The mean stays available to other decisions; the placement does not use it. Without a reported pace nothing changes.

--- a/src/balsamcleat/decisions/pace_distribution.py
+++ b/src/balsamcleat/decisions/pace_distribution.py
@@ -73,9 +73,3 @@
     def spread(self, now_s: float) -> float:
         """Return by which factor the pace varies; 1.0 if it is unknown."""
         return self.high_ratio / self.low_ratio if self.is_known(now_s) else 1.0
-
-    def slowdown(self, now_s: float) -> float:
-        """Return the factor from the target's shortest times to its expected ones, at least 1.0."""
-        if not self.is_known(now_s):
-            return 1.0
-        return max(1.0, self.expected_ratio(now_s) / self.low_ratio)
--- a/src/balsamcleat/decisions/replica_stats.py
+++ b/src/balsamcleat/decisions/replica_stats.py
@@ -164,14 +164,13 @@
         """Return the event interval to expect of a new stream in seconds, or 0 if unknown.
 
         The recent interval is noisy, so it only counts while it shows that the target is slow now,
-        beyond the spread of the pace that the target reports. The usual interval is that of the
-        target's best times, so it is prolonged to the mean of the reported pace.
+        beyond the spread of the pace that the target reports.
         """
         recent_s = self.recent_event_interval_s(now_s)
         slow_s = SLOW_NOW_RATIO * self.pace.spread(now_s) * self.usual_interval_s
         if not self.usual_interval_s or recent_s > slow_s:
             return recent_s
-        return self.usual_interval_s * self.pace.slowdown(now_s)
+        return self.usual_interval_s
 
     def record_prompt(self, prompt_id: str) -> None:
         """Record that a prompt was sent to the target."""
