Placement: a run without events says nothing of the weight version of its engine

A resumed sample then still has the version of the stream that the engine before sent, and as the newest version seen counts, the engine was taken for newer than it is for good.

The version is recorded only if the run brought events. The new test fails without the change (5 instead of 4).

--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -328,7 +328,8 @@
             version=run.version,
             software=assignment.replica.software_version,
         )
-        if progress.current_version is not None:
+        # A run without events leaves the version of the stream that an earlier target sent.
+        if progress.current_version is not None and len(progress.events) > events_before:
             self.view.record_version(
                 assignment.replica.target_id, step.step.model, progress.current_version
             )
--- a/tests/test_step_ownership.py
+++ b/tests/test_step_ownership.py
@@ -1,11 +1,14 @@
 """Tests of step ownership: races, lost responses, dead owners and owners that shut down."""
 
+from dataclasses import replace
+
 import anyio
 import msgspec
 import pytest
 
 import step_world as w
 from balsamcleat.model import StepId
+from balsamcleat.model.replicas import Replica
 from balsamcleat.ports.rows import RowChange
 from balsamcleat.tasks.rollout_records import RolloutRecords, owner_key
 from balsamcleat.tasks.row_garbage_collector import RowGarbageCollector
@@ -219,6 +222,40 @@
     run_test(test, event_count=lambda _: 40)
 
 
+def test_rejection_of_a_begun_sample_says_nothing_of_the_engines_version() -> None:
+    """Guards against an engine that is taken for newer than it is, by the version of another one.
+
+    Samples of a newer step were then sent to it over and over, and answered as too old.
+    """
+
+    async def test(world: w.StepWorld) -> None:
+        for number, version in ((0, 5), (1, 4)):
+            entry = w.make_engine(number, version=version)
+            world.directory.apply_entry(replace(entry, entry_version=2))
+        vm = await world.start("a")
+        sample_id = "0-0"
+        vm.engines.cuts[sample_id] = 2
+
+        def reject_next_run(replica: Replica) -> None:
+            vm.runner.stats_registry.for_target(replica.target_id).record_failure(
+                anyio.current_time()
+            )
+            vm.engines.scripted_ends[sample_id] = [SampleEnd.REJECTED]
+
+        vm.engines.on_cut = reject_next_run
+        first, second = (world.directory.entries[w.make_engine(n).target_id] for n in (0, 1))
+        vm.runner.stats_registry.for_target(second.target_id).avoid_until_s = (
+            anyio.current_time() + 0.1
+        )
+        assert await vm.submit(w.make_submission(1, 1, 1)) == 202
+        await world.wait_for_results(1, 5.0)
+        assert len(vm.engines.runs) == 3
+        assert vm.runner.view.versions(first)[w.MODEL] == 5
+        assert vm.runner.view.versions(second)[w.MODEL] == 4
+
+    run_test(test, engines=2)
+
+
 def test_store_outage_delays_results_and_loses_none() -> None:
     async def test(world: w.StepWorld) -> None:
         vm = await world.start("a")
