Late steps: start the groups of a step that can't be whole in time one after the other

Where the slots don't suffice, a step that starts its longest samples first completes all its groups at about the same time, and if that is after the due time, none of them is in time.

The owner forecasts the end of each of its steps from the work left, that of its older steps, the slots that its samples hold now and the pace of the fastest engine. A step whose forecast is later than its due time starts the groups with the least work left first, after those that returned from an earlier step. Engines or steps without a due time or a measured pace are not affected.

New log lines "step expected late" and "step expected in time", gauge steps.expected_late. The test of log events reads the new module, too.

--- a/src/balsamcleat/decisions/sample_placement.py
+++ b/src/balsamcleat/decisions/sample_placement.py
@@ -45,6 +45,7 @@
         prompt_id: Identifier of the prompt, which the samples of a group share.
         rank: Sort key; the lowest is placed first.
         goal: Engine to which the sample was moved; None if it was not moved.
+        group_position: Position in which its group is started if the step will be late, else 0.
     """
 
     step_id: StepId
@@ -53,6 +54,7 @@
     prompt_id: str
     rank: tuple[float, SampleRank]
     goal: TargetId | None = None
+    group_position: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,13 +105,20 @@
     return placements
 
 
-def placement_key(sample: WaitingSample) -> tuple[bool, bool, tuple[float, SampleRank]]:
+def placement_key(sample: WaitingSample) -> tuple[bool, bool, float, int, SampleRank]:
     """Return the key by which samples are placed: moved ones, those that have begun, by rank.
 
     A moved sample was taken off its engine for the sake of a free slot elsewhere, which another
     sample would take.
     """
-    return sample.goal is None, sample.requirements.software_version is None, sample.rank
+    submitted_s, rank = sample.rank
+    return (
+        sample.goal is None,
+        sample.requirements.software_version is None,
+        submitted_s,
+        sample.group_position,
+        rank,
+    )
 
 
 def find_moves(running: Iterable[RunningSample], engines: Sequence[EngineView]) -> list[Placement]:
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -428,6 +428,8 @@
             await responder.send(Response(404))
             return
         self.metrics.gauge("steps.owned", len(self.runner.steps))
+        late_steps = sum(bool(step.group_positions) for step in self.runner.steps.values())
+        self.metrics.gauge("steps.expected_late", late_steps)
         running_samples = sum(len(step.running) for step in self.runner.steps.values())
         self.metrics.gauge("samples.running", running_samples)
         self.metrics.gauge("requests.active", self.front_server.active_requests)
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -173,6 +173,16 @@
         "No target continues it; its events so far are lost.",
         "step sample lost_events software reason",
     ),
+    event(
+        "step expected late",
+        "Its groups are started one after the other from now on.",
+        "step expected_end_s due_s running unfinished",
+    ),
+    event(
+        "step expected in time",
+        "Its samples are started longest first again.",
+        "step expected_end_s",
+    ),
     event("sample moved", "It leaves a slow target.", "step sample source goal"),
     event("target is behind", "It runs a version that the step doesn't allow.", "target version"),
     event("results listed", "They are kept and may be read.", "step position results"),
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -85,6 +85,8 @@
         saved_as_complete: Ids of the samples whose text is saved in the row store as complete.
         ranks: Placement order of the samples, by sample id.
         samples: Samples of the step, by sample id.
+        group_positions: Positions in which groups are started because the step is expected to be
+            late; empty otherwise.
         move_goals: Target to which each moved sample goes, by sample id, until it is placed.
         resume_wait_began_s: Time since which each interrupted sample waits for a target of its
             software, on the process clock, by sample id.
@@ -116,6 +118,7 @@
     saved_as_complete: set[str] = field(default_factory=set)
     ranks: dict[str, SampleRank] = field(default_factory=dict)
     samples: dict[str, SampleTask] = field(default_factory=dict)
+    group_positions: dict[str, int] = field(default_factory=dict)
     move_goals: dict[str, TargetId] = field(default_factory=dict)
     resume_wait_began_s: dict[str, float] = field(default_factory=dict)
     certain_software: Callable[[StreamOrigin | None], StreamSoftware | None] = lambda _: None
--- a/src/balsamcleat/tasks/placement_view.py
+++ b/src/balsamcleat/tasks/placement_view.py
@@ -102,6 +102,7 @@
                 prompt_id=sample.prompt_id,
                 rank=(step.accepted_s, step.ranks[sample.sample_id]),
                 goal=step.move_goals.get(sample.sample_id),
+                group_position=step.group_positions.get(sample.group, 0),
             )
             for sample in step.waiting_samples(now_s)
         ]
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -9,7 +9,7 @@
 import anyio.abc
 import structlog
 
-from balsamcleat.decisions.engine_ranking import EngineView
+from balsamcleat.decisions.engine_ranking import EngineView, fastest_event_interval_s
 from balsamcleat.decisions.pass_pacing import delay_after_pass
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
@@ -23,6 +23,7 @@
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
 from balsamcleat.ports.rows import RowChange, RowConflict
+from balsamcleat.tasks.late_step_watch import update_group_positions
 from balsamcleat.tasks.owned_step import OwnedStep, SampleRun
 from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.placement_view import TOKENS_PER_EVENT, PlacementView
@@ -187,6 +188,8 @@
                 continue
             backlogs[service] = len(waiting)
             engines = self.view.engines(service, now_s)
+            if may_move:
+                update_group_positions(steps, fastest_event_interval_s(engines), now_s)
             routes = {step.step_id: route for step, route in steps}
             placements = place_samples(waiting, engines)
             for placement in placements:
@@ -199,11 +202,15 @@
                 ]
                 self.resumption.end_long_waits(self.steps, unplaced, engines)
             if may_move:
-                running = [item for step, _ in steps for item in self.view.movable_samples(step)]
-                for move in find_moves(running, engines):
-                    self.move_sample(move)
+                self.move_samples(steps, engines)
         self.stats_registry.limits.record_backlogs(backlogs)
 
+    def move_samples(self, steps: list[tuple[OwnedStep, Route]], engines: list[EngineView]) -> None:
+        """Move running samples of a service's steps to better targets."""
+        running = [item for step, _ in steps for item in self.view.movable_samples(step)]
+        for move in find_moves(running, engines):
+            self.move_sample(move)
+
     def record_waits(self, engines: Iterable[EngineView], now_s: float) -> None:
         """Record at the limits of engines that samples wait for them."""
         for engine in engines:
--- /dev/null
+++ b/tests/test_late_steps.py
@@ -0,0 +1,56 @@
+"""Steps that can't be whole in time: the forecast, the order of groups, and the placement."""
+
+from dataclasses import replace
+
+import anyio
+import msgspec
+
+import step_world as w
+from balsamcleat.decisions.late_steps import StepWork, expected_ends_s, order_groups
+from balsamcleat.model import StepId
+from balsamcleat.model.rollout import SampleTask
+
+
+def test_forecast_counts_the_work_of_older_steps_of_the_owner() -> None:
+    work = [StepWork(4.0, 100.0, 10), StepWork(0.0, 300.0, 0)]
+    assert expected_ends_s(work, 0.05) == [4.5, 2.0]
+
+
+def test_nothing_is_forecast_without_running_samples_or_a_measured_pace() -> None:
+    """Guards against steps that count as late before their first placement."""
+    assert expected_ends_s([StepWork(0.5, 1000.0, 0)], 0.05) == [0.5]
+    assert expected_ends_s([StepWork(0.5, 1000.0, 8)], 0.0) == [0.5]
+
+
+def test_groups_that_return_come_first_and_then_those_with_the_least_work() -> None:
+    samples = [
+        SampleTask(f"{group}{place}", group, "/", (), b"") for group in "abc" for place in range(2)
+    ]
+    left = {"a0": 50.0, "a1": 50.0, "b0": 20.0, "b1": 30.0, "c0": 500.0}
+    assert order_groups(samples, left, {"c"}) == {"c": 0, "b": 1, "a": 2}
+
+
+def test_some_groups_of_an_overloaded_step_are_in_time() -> None:
+    """Guards against groups that are all complete at the same time, after the due time.
+
+    32 samples of 2 s on 4 slots take 16 s; the step is due after 7.5 s. The samples of a group are
+    far apart in the order by length, which is the order of the submission here.
+    """
+
+    async def test() -> None:
+        async with anyio.create_task_group() as tasks:
+            world = w.StepWorld(tasks, engines=1, event_count=lambda _: 40)
+            vm = await world.start("a")
+            request = w.make_submission(8, 4, 8)
+            body = msgspec.json.decode(request.body)
+            body["requests"].sort(key=lambda item: item["id"].split("-")[1])
+            assert await vm.submit(replace(request, body=msgspec.json.encode(body))) == 202
+            await anyio.sleep(7.0)
+            done = {sample_id for sample_id, _ in await world.stored_results()}
+            assert vm.runner.steps[StepId("step-1")].group_positions
+            whole = [n for n in range(8) if all(f"{n}-{place}" in done for place in range(4))]
+            assert len(whole) >= 2
+            await world.wait_for_results(32, 15.0)
+            tasks.cancel_scope.cancel()
+
+    w.run_in_virtual_time(test)
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -21,6 +21,7 @@
         for name in (
             "request_dispatcher",
             "row_garbage_collector",
+            "late_step_watch",
             "live_errors",
             "attempt_log",
             "crash_guard",
--- a/tests/test_trainer_world.py
+++ b/tests/test_trainer_world.py
@@ -67,6 +67,28 @@
     assert all(value > served(before)[model] - 0.02 for model, value in served(after).items())
 
 
+def test_groups_in_turn_serve_trainers_better_where_steps_cannot_be_whole_in_time() -> None:
+    """A quarter of the engines: most steps can't be whole in time, whatever is done."""
+    values = {}
+    for groups_in_turn in (False, True):
+        policy = Policy(pinned_moves=True, groups_in_turn=groups_in_turn)
+        values[groups_in_turn] = served(
+            tuple(
+                TrainerWorld(
+                    three_trainers(),
+                    seed,
+                    ratios=UNEVEN_RATIOS,
+                    policy=policy,
+                    engine_count=6,
+                    period_s=20.0,
+                ).run()
+                for seed in range(2)
+            )
+        )
+    assert min(values[True].values()) > min(values[False].values())
+    assert sum(values[True].values()) > sum(values[False].values()) + 0.1
+
+
 @pytest.mark.parametrize("ratios", [CALM_RATIOS, UNEVEN_RATIOS])
 def test_engines_without_waiting_samples_do_not_make_steps_late(ratios: tuple[float, ...]) -> None:
     """Guards against taking the number of slots for the cause: half of the slots change little."""
--- a/tests/trainer_world.py
+++ b/tests/trainer_world.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from balsamcleat.decisions.engine_ranking import EngineView, SampleRequirements
+from balsamcleat.decisions.late_steps import StepWork, expected_ends_s, order_groups
 from balsamcleat.decisions.replica_stats import ReplicaStats
 from balsamcleat.decisions.sample_placement import (
     RunningSample,
@@ -89,6 +90,7 @@
 
     pinned_moves: bool = False
     pace_reported: bool = False
+    groups_in_turn: bool = False
 
 
 @dataclass(eq=False)
@@ -169,6 +171,17 @@
     steps: list[Step] = field(default_factory=list)
 
 
+def remaining_tokens(step: Step) -> dict[str, float]:
+    """Return the expected number of tokens left of a step's unfinished samples."""
+    return {
+        sample_id: expected_remaining_tokens(
+            sample.task, math.floor(sample.done) * TOKENS_PER_EVENT
+        )
+        for sample_id, sample in step.samples.items()
+        if sample.ended_s is None
+    }
+
+
 class TrainerWorld:
     """Trainers, owners and engines.
 
@@ -474,6 +487,7 @@
         for step in owner.steps:
             generated = {key: item.done * TOKENS_PER_EVENT for key, item in step.samples.items()}
             ranks = rank_samples(step.step, generated, step.carried)
+            positions = self.group_positions(owner, step) if self.policy.groups_in_turn else {}
             samples += [
                 WaitingSample(
                     step_id,
@@ -482,12 +496,27 @@
                     sample.task.group,
                     (step.submitted_s, ranks[sample_id]),
                     sample.goal if self.policy.pinned_moves else None,
+                    positions.get(sample.task.group, 0),
                 )
                 for (step_id, sample_id), sample in waiting.items()
                 if sample.step is step
             ]
         return samples
 
+    def group_positions(self, owner: Owner, step: Step) -> dict[str, int]:
+        """Return the order of a step's groups if it is expected to be late."""
+        work = [
+            StepWork(
+                self.now_s - item.submitted_s,
+                sum(remaining_tokens(item).values()) / TOKENS_PER_EVENT,
+                sum(sample.engine is not None for sample in item.samples.values()),
+            )
+            for item in owner.steps
+        ]
+        if expected_ends_s(work, EVENT_S)[owner.steps.index(step)] <= DUE_S:
+            return {}
+        return order_groups(step.step.samples, remaining_tokens(step), step.carried)
+
     def requirements(self, sample: Sample) -> SampleRequirements:
         """Return what a sample requires of its engine."""
         software = "" if sample.done >= 1.0 else None
