--- a/src/balsamcleat/decisions/weight_rollout.py
+++ b/src/balsamcleat/decisions/weight_rollout.py
@@ -24,6 +24,7 @@
     "LoadOrder",
     "ModelDemand",
     "assign_engines",
+    "engine_quotas",
     "max_concurrent_loads",
     "next_load_orders",
 ]
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -430,6 +430,10 @@
         self.metrics.gauge("steps.owned", len(self.runner.steps))
         late_steps = sum(bool(step.group_positions) for step in self.runner.steps.values())
         self.metrics.gauge("steps.expected_late", late_steps)
+        if self.order_lease_keeper.lease is not None:
+            for division in self.load_controller.divisions.values():
+                for model, engines in division.items():
+                    self.metrics.gauge(f"engines.planned.{model}", engines)
         running_samples = sum(len(step.running) for step in self.runner.steps.values())
         self.metrics.gauge("samples.running", running_samples)
         self.metrics.gauge("requests.active", self.front_server.active_requests)
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -173,6 +173,11 @@
         "No target continues it; its events so far are lost.",
         "step sample lost_events software reason",
     ),
+    event(
+        "engines divided",
+        "The holder of the lease on orders gives models other numbers of engines.",
+        "service engines before work open_steps",
+    ),
     event(
         "step expected late",
         "Its groups are started one after the other from now on.",
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -16,6 +16,7 @@
     EngineWeights,
     LoadOrder,
     ModelDemand,
+    engine_quotas,
     next_load_orders,
 )
 from balsamcleat.errors import AttemptFailedError, PlatformError
@@ -114,6 +115,8 @@
         # Whether the last planning found orders to give.
         self.has_pending_orders = False
         self.planning_took_s = 0.0
+        # Number of engines that the last plan gives each model, by service.
+        self.divisions: dict[ServiceName, dict[str, int]] = {}
         self.changed = anyio.Event()
         self.tasks: anyio.abc.TaskGroup | None = None
 
@@ -159,11 +162,28 @@
 
     def pending_orders(self) -> list[LoadOrder]:
         """Return the orders to give now, for all services."""
-        return [
-            order
-            for service, replicas in self.engines().items()
-            for order in next_load_orders(self.engine_weights(replicas), self.demands(service))
-        ]
+        orders: list[LoadOrder] = []
+        for service, replicas in self.engines().items():
+            demands = self.demands(service)
+            self.record_division(service, len(replicas), demands)
+            orders += next_load_orders(self.engine_weights(replicas), demands)
+        return orders
+
+    def record_division(
+        self, service: ServiceName, engine_count: int, demands: list[ModelDemand]
+    ) -> None:
+        """Record how many engines each model of a service gets, and log a change."""
+        division = engine_quotas(engine_count, demands) if demands else {}
+        if division != self.divisions.get(service, {}):
+            log.info(
+                "engines divided",
+                service=service,
+                engines=division,
+                before=self.divisions.get(service, {}),
+                work={demand.model: round(demand.work_share) for demand in demands},
+                open_steps={demand.model: len(demand.open_step_minimums) for demand in demands},
+            )
+        self.divisions[service] = division
 
     def demands(self, service: ServiceName) -> list[ModelDemand]:
         """Return the demand for each model of a service that has a named version."""
--- a/tests/test_version_orders.py
+++ b/tests/test_version_orders.py
@@ -2,6 +2,7 @@
 
 import anyio
 import anyio.abc
+import structlog.testing
 
 from balsamcleat.decisions.order_lease import OrderLease, OrderLeaseState
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
@@ -92,3 +93,34 @@
         assert STEP_PLACEMENT_S <= first_s < STEP_PLACEMENT_S + 0.2
 
     run_in_virtual_time(test)
+
+
+def test_division_of_engines_is_logged_when_it_changes_only() -> None:
+    """Guards against a line per plan, ten per second, and against changes that nobody sees."""
+    models = ("a", "b")
+    table = RoutingTable(
+        ConfigurationVersion(1), (), {SERVICE: ServiceSpec(SERVICE, 100, EngineSpec(6, 0, models))}
+    )
+    directory, work = ReplicaDirectory(), {"a": 1000.0, "b": 1000.0}
+    for number in range(ENGINES):
+        directory.apply_entry(make_engine(number))
+    controller = VersionLoadController(
+        HeldLease(),  # type: ignore[arg-type]
+        LoadingEngines(),  # type: ignore[arg-type]
+        directory,
+        ReplicaStatsRegistry(),
+        lambda: table,
+        lambda: {model: WeightVersion(1) for model in models},
+        lambda model: ModelUsage((WeightVersion(1),), work[model]),
+    )
+
+    async def test() -> None:
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(3):
+                controller.pending_orders()
+            work["b"] = 3000.0
+            controller.pending_orders()
+        divisions = [line["engines"] for line in lines if line["event"] == "engines divided"]
+        assert divisions == [{"a": 3, "b": 3}, {"a": 2, "b": 4}]
+
+    run_in_virtual_time(test)
