--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -9,7 +9,7 @@
 import anyio.abc
 import structlog
 
-from balsamcleat.decisions.engine_ranking import EngineView
+from balsamcleat.decisions.engine_ranking import EngineView, fastest_event_interval_s
 from balsamcleat.decisions.pass_pacing import delay_after_pass
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
@@ -24,6 +24,7 @@
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
 from balsamcleat.model.team_keys import loggable_digest
 from balsamcleat.ports.rows import RowChange, RowConflict
+from balsamcleat.tasks.late_step_watch import update_group_positions
 from balsamcleat.tasks.owned_step import OwnedStep, SampleRun
 from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.placement_view import TOKENS_PER_EVENT, PlacementView
@@ -188,6 +189,8 @@
                 continue
             backlogs[service] = len(waiting)
             engines = self.view.engines(service, now_s)
+            if may_move:
+                update_group_positions(steps, fastest_event_interval_s(engines), now_s)
             routes = {step.step_id: route for step, route in steps}
             placements = place_samples(waiting, engines)
             for placement in placements:
@@ -200,11 +203,15 @@
                 ]
                 self.resumption.end_long_waits(self.steps, unplaced, engines)
             if may_move:
-                running = [item for step, _ in steps for item in self.view.movable_samples(step)]
-                for move in find_moves(running, engines):
-                    self.move_sample(move)
+                self.move_samples(steps, engines)
         self.stats_registry.limits.record_backlogs(backlogs)
 
+    def move_samples(self, steps: list[tuple[OwnedStep, Route]], engines: list[EngineView]) -> None:
+        """Move running samples of a service's steps to better targets."""
+        running = [item for step, _ in steps for item in self.view.movable_samples(step)]
+        for move in find_moves(running, engines):
+            self.move_sample(move)
+
     def record_waits(self, engines: Iterable[EngineView], now_s: float) -> None:
         """Record at the limits of engines that samples wait for them."""
         for engine in engines:
@@ -277,6 +284,7 @@
         )
         step.running[sample.sample_id] = run
         step.resume_wait_began_s.pop(sample.sample_id, None)
+        step.move_goals.pop(sample.sample_id, None)
         self.start_task(self.run_sample, step, assignment, run, route.attempts)
 
     def remaining_s(self, step: OwnedStep, route: Route) -> float:
@@ -286,10 +294,14 @@
         return max(1.0, step.accepted_s + route.step_expiry_s - anyio.current_time())
 
     def move_sample(self, move: Placement) -> None:
-        """Cancel a sample's run; the next placement resumes the sample on a better target."""
+        """Cancel a sample's run; the next placement resumes the sample on the better target.
+
+        If that target has no free slot any more, the placement chooses another one, mostly the
+        one that the sample left.
+        """
         step = self.steps[move.step_id]
         run = step.running[move.sample_id]
-        run.is_moving = True
+        run.goal = move.target_id
         log.info(
             "sample moved",
             step=move.step_id,
@@ -319,6 +331,8 @@
         finally:
             if step.running.get(sample_id) is run:
                 del step.running[sample_id]
+                if run.goal is not None:
+                    step.move_goals[sample_id] = run.goal
                 step.notify()
         log.info(
             "sample run ended",
@@ -335,7 +349,8 @@
             version=run.version,
             software=assignment.replica.software_version,
         )
-        if progress.current_version is not None:
+        # A run without events leaves the version of the stream that an earlier target sent.
+        if progress.current_version is not None and len(progress.events) > events_before:
             self.view.record_version(
                 assignment.replica.target_id, step.step.model, progress.current_version
             )
