--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -39,6 +39,18 @@
 PEER = PeerState("boot", 0.1)
 
 
+async def poll_until_answered(poller: PeerPoller, row: VmRow) -> None:
+    """Poll a peer until it has answered, and no more, so that a busy machine can't take it away.
+
+    A fixed time was too short for the first answer on a busy machine, and a later poll could time
+    out in the middle of a test.
+    """
+    poller.known_rows[row.vm] = row
+    with anyio.fail_after(10.0):
+        while not poller.view.answered_count:
+            await poller.poll_store_reachability()
+
+
 @asynccontextmanager
 async def cut_off_vm(
     relay_flaws: RowStoreFlaws, state: PeerState = PEER
@@ -58,8 +70,7 @@
         poller = PeerPoller(
             pool, "me", "a", lambda: [row], lambda: StoreView(5.0, True), random.Random(1)
         )
-        tasks.start_soon(poller.run)
-        await anyio.sleep(0.5)
+        await poll_until_answered(poller, row)
         view = RowStoreView(store, flaws)
         relayed_store = RelayedRowStore(view, pool, lambda: poller.vms_reaching_store)
         relayed_store.path.failures = 2
