Weights: a model without a named version keeps its share of the engines

Cause: the division of engines knew only models with a named version.

Models with steps and without a named version count in the division now; they need no loads themselves. The new test fails without the change.

--- a/src/balsamcleat/tasks/model_usage.py
+++ b/src/balsamcleat/tasks/model_usage.py
@@ -41,4 +41,5 @@
                 if not step.ended and now_ms - step.owner.accepted_ms < self.step_lifetime_ms
             ),
             expected_tokens=newest.owner.work if newest else 1.0,
+            has_steps=newest is not None,
         )
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -40,6 +40,8 @@
 # A load that no report has confirmed after this time is ordered again, if the target's state shows
 # that it is missing.
 LOAD_TIMEOUT_S = 6.0
+# Stands for the version of a model whose trainer has not named one; no engine is behind it.
+UNNAMED_VERSION = WeightVersion(0)
 
 log = structlog.get_logger()
 
@@ -64,10 +66,12 @@
     Attributes:
         open_step_minimums: Oldest weight version that each open step allows.
         expected_tokens: Number of tokens expected for the newest step.
+        has_steps: Whether steps of the model were submitted lately, be they open or ended.
     """
 
     open_step_minimums: tuple[WeightVersion, ...]
     expected_tokens: float
+    has_steps: bool = True
 
 
 class VersionLoadController:
@@ -183,14 +187,18 @@
         self.divisions[service] = division
 
     def demands(self, service: ServiceName) -> list[ModelDemand]:
-        """Return the demand for each model of a service that has a named version."""
+        """Return the demand for each model of a service that has a named version or steps.
+
+        A model without a named version needs no loads, but engines for its steps. Without a share
+        of its own, all engines would load the versions of the other models.
+        """
         table = self.current_table()
         traits = table.services[service].engine if table else None
-        models = traits.models if traits else ()
+        named = self.named_versions()
         return [
-            self.demand(model, self.named_versions()[model])
-            for model in models
-            if model in self.named_versions()
+            self.demand(model, named.get(model, UNNAMED_VERSION))
+            for model in (traits.models if traits else ())
+            if model in named or self.model_usage(model).has_steps
         ]
 
     def demand(self, model: str, named_version: WeightVersion) -> ModelDemand:
--- a/tests/test_version_orders.py
+++ b/tests/test_version_orders.py
@@ -6,7 +6,11 @@
 
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
-from balsamcleat.decisions.weight_rollout import STEP_PLACEMENT_S
+from balsamcleat.decisions.weight_rollout import (
+    STEP_PLACEMENT_S,
+    assign_engines,
+    next_load_orders,
+)
 from balsamcleat.model import ConfigurationVersion, VmId, WeightVersion
 from balsamcleat.model.replicas import Replica, ReplicaReport
 from balsamcleat.model.routing import EngineSpec, RoutingTable, ServiceSpec
@@ -97,6 +101,44 @@
     run_in_virtual_time(test)
 
 
+def test_model_without_a_named_version_keeps_engines_for_its_steps() -> None:
+    """Guards against loads of the first named model on all engines while others only run steps.
+
+    When the others then named their versions, these loads were still running on most engines, and
+    steps waited for 3 s for engines with a version that they allow.
+    """
+    models = ("first", "later", "unused")
+    table = RoutingTable(
+        ConfigurationVersion(1), (), {SERVICE: ServiceSpec(SERVICE, 100, EngineSpec(6, 0, models))}
+    )
+    directory = ReplicaDirectory()
+    for number in range(ENGINES):
+        directory.apply_entry(make_engine(number))
+    named = {"first": WeightVersion(2)}
+    controller = VersionLoadController(
+        HeldLease(),
+        LoadingEngines(),  # type: ignore[arg-type]
+        directory,
+        ReplicaStatsRegistry(),
+        lambda: table,
+        lambda: named,
+        lambda model: ModelUsage((WeightVersion(1),), 1000.0, has_steps=model != "unused"),
+    )
+
+    async def test() -> None:
+        demands = controller.demands(SERVICE)
+        assert [demand.model for demand in demands] == ["first", "later"]
+        engines = controller.engine_weights(directory.ready_replicas(SERVICE))
+        assigned = assign_engines(engines, demands)
+        assert len(assigned["later"]) == ENGINES / 2
+        await anyio.sleep(1.0)
+        ordered = next_load_orders(engines, controller.demands(SERVICE))
+        assert {order.model for order in ordered} == {"first"}
+        assert not {order.target_id for order in ordered} & set(assigned["later"])
+
+    run_in_virtual_time(test)
+
+
 def test_division_of_engines_is_logged_when_it_changes_only() -> None:
     """Guards against a line per plan, ten per second, and against changes that nobody sees."""
     models = ("a", "b")
