Entry process: a reload takes no lease on a duty that the process can't perform

The reporter of usage and the controller of targets are created at the start of the process, but the leases followed the settings in force: a VM whose settings gained a duty by a reload took its lease, performed nothing, and kept the VMs that were started with the duty from it. During a replacement of VMs, with the settings changed beforehand, no window would be reported for as long as that VM lived.

The leases now follow the duties that the process was started with and the settings still name. Creating the components at the reload was weighed; it needs tasks that start later, and a VM that takes over its row's counts late, for a change that operators make once.

Both new tests in tests/test_usage_wiring.py failed before and pass now; also run: test_duty_leases, test_processes, test_docs, test_platform, all passed.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import uuid
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
@@ -38,6 +39,7 @@
     OPERATOR_TABLE,
     REPLICA_TABLE,
     DutyChannel,
+    DutySettings,
     PlatformDutyClient,
     PlatformRowStore,
     PlatformSettings,
@@ -177,7 +179,7 @@
             self.store_clock,
             generator,
             lambda: not self.target_paths.has_lost_links(self.load_controller.engines()),
-            lambda: self.settings.duties,
+            self.performed_duties,
         )
         self.duty_client = self.create_duty_client()
         self.usage_reporter = self.create_usage_reporter()
@@ -348,6 +350,21 @@
         self.is_leaving = False
         self.tasks: anyio.abc.TaskGroup | None = None
 
+    def performed_duties(self) -> DutySettings | None:
+        """Return the duties in the settings that this process can perform.
+
+        What performs a duty is created at the start of the process. One that took the lease on a
+        duty which a reload added would only keep others from it.
+        """
+        duties = self.settings.duties
+        if duties is None:
+            return None
+        return replace(
+            duties,
+            usage=duties.usage and self.usage_reporter is not None,
+            scaling=duties.scaling and self.scaling_controller is not None,
+        )
+
     def create_duty_client(self) -> PlatformDutyClient:
         """Return the client of the platform's interface for duties."""
 
--- a/tests/test_usage_wiring.py
+++ b/tests/test_usage_wiring.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
@@ -21,6 +22,7 @@
 from balsamcleat.tasks.rollout_records import VM_PART, VMS_TABLE
 from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.vm_presence import VmPresence
+from duty_world import SETTINGS as SETTINGS_OF_DUTIES
 from step_world import TABLE, run_in_virtual_time
 
 # The metrics port is the same for all processes, so each start needs an address of its own.
@@ -89,6 +91,35 @@
         close(process)
 
 
+@pytest.mark.anyio
+async def test_reload_takes_no_lease_on_a_duty_that_the_process_was_not_started_with(
+    tmp_path: Path,
+) -> None:
+    """The holder would perform nothing, and keep the VMs that could from the duty."""
+    process = entry_process(tmp_path, "127.0.0.73", {})
+    try:
+        process.apply_settings(replace(process.settings, duties=SETTINGS_OF_DUTIES))
+        assert not process.duty_leases.is_usage_enabled()
+        assert not process.duty_leases.is_scaling_enabled()
+    finally:
+        close(process)
+
+
+@pytest.mark.anyio
+async def test_reload_takes_a_duty_away_and_gives_it_back(tmp_path: Path) -> None:
+    process = entry_process(tmp_path, "127.0.0.74", DUTIES)
+    try:
+        settings = process.settings
+        assert process.duty_leases.is_usage_enabled()
+        process.apply_settings(replace(settings, duties=None))
+        assert not process.duty_leases.is_usage_enabled()
+        process.apply_settings(replace(settings, duties=SETTINGS_OF_DUTIES))
+        assert process.duty_leases.is_usage_enabled()
+        assert not process.duty_leases.is_scaling_enabled()
+    finally:
+        close(process)
+
+
 def test_heartbeat_row_without_usage_is_as_before() -> None:
     """Guards against rows that the previous build has never seen where nothing is enabled."""
 
