Soak: VMs of two builds side by side, replaced one after the other and rolled back

The formats alone don't show what happens when real processes of both builds share steps, leases and links.

A replacement was not recorded as a disturbance, as the same restart by the fault 'stop' is; now it is, by the same rule and with the same time to calm down.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,10 +1,13 @@
 """A randomized soak: real entry processes on loopback, faults from outside, promises checked.
 
     python tests/soak.py --seeds 1-50 --seconds 20 --vms 6
+    python tests/soak.py --seeds 1-5 --seconds 40 --other-sources DIR
 
 Callers and a trainer go on all the while; signals, store faults and target faults come in series
-and overlap. It ends only processes that it started. A seed that ever failed is kept in
-``tests/soak_seeds.txt`` with a line on its cause, and is played again by the test suite.
+and overlap. With ``--other-sources``, VMs begin with the sources of another build, and are replaced
+one after the other, forth and back; there are teams then, and usage is reported. It ends only
+processes that it started. A seed that ever failed is kept in ``tests/soak_seeds.txt`` with a line
+on its cause, and is played again by the test suite.
 """
 
 import argparse
@@ -24,7 +27,9 @@
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, PoolLimits, Request, Response
 from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
+from balsamcleat.standins.duty_platform import DutyPlatform
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
+from soak_builds import AUTHORIZATION, TENANTS, broken_duties, replace_vms
 from soak_faults import SoakFaults, SoakVm
 from soak_link import SoakLink
 from soak_poison import MAX_LATE_RUNS, PoisonCaller, late_runs
@@ -34,6 +39,7 @@
 
 HOST = "soak.example"
 MODEL = "m"
+HEADERS = (("Host", HOST), AUTHORIZATION)
 ORDER_GAP_S = 1.0
 READY_AFTER_S = 6.0
 SETTLE_S = 12.0
@@ -67,6 +73,9 @@
     stopping: bool = False
     streams: tuple[int, int, int] = (0, 0, 0)
     call_log: CallLog = field(default_factory=CallLog)
+    # Sources of the build that the VMs begin with, if it is another one.
+    other_sources: Path | None = None
+    duties: DutyPlatform = field(default_factory=DutyPlatform)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -85,6 +94,7 @@
             self.engines.append(self.target(f"engine{number}", 100 + number, "llm", MODEL))
         for number in range(2):
             self.plains.append(self.target(f"plain{number}", 110 + number, "app", ""))
+        serve(self.tasks, self.address(120, 9200), self.duties.handle)
         self.change_configuration()
         for number in range(vms):
             self.vms.append(self.vm(number))
@@ -116,9 +126,11 @@
             "platform": {"address": self.address(200 + number, 9100)},
             "bounds": {"graceS": 6, "leaseMs": ORDER_GAP_S * 1000, "statusS": 120},
         }
+        if self.other_sources is not None:
+            document["cloudApi"] = {"address": self.address(120, 9200), "duties": ["usage"]}
         settings.write_text(json.dumps(document))
         log = self.folder / f"vm{number}.log"
-        return SoakVm(f"vm{number}", ip, door, settings, log, links)
+        return SoakVm(f"vm{number}", ip, door, settings, log, links, self.other_sources)
 
     def vm_link(self, number: int, target: SoakTarget, door: StoreDoor) -> SoakLink:
         """Return a VM's own link to a target, at an address that only this VM is told."""
@@ -150,7 +162,8 @@
         routes += [route(f"/new{number}/", "safe", "app") for number in range(1, version + 1)]
         engine = {"batchSlots": 8, "models": [{"name": MODEL}]}
         services = [{"name": "app"}, {"name": "llm", "engine": engine}]
-        return {"version": version, "routes": routes, "services": services}
+        found = {"version": version, "routes": routes, "services": services}
+        return found if self.other_sources is None else found | {"tenants": TENANTS}
 
     def breaks(self, promise: str, detail: str) -> None:
         self.broken.append(f"{promise}: {detail}")
@@ -177,7 +190,7 @@
             count += 1
             kind = self.rng.choice(("safe", "once"))
             attempt = f"{kind}-{number}-{count}"
-            headers = (("Host", HOST), ("Attempt-Id", attempt), ("Deadline-Ms", "2000"))
+            headers = (*HEADERS, ("Attempt-Id", attempt), ("Deadline-Ms", "2000"))
             body = os.urandom(8).hex().encode()
             self.asked += 1
             vm, sent_s = self.rng.choice(self.vms), anyio.current_time()
@@ -188,6 +201,8 @@
                 self.served += 1
                 if response.body != attempt.encode() + b":" + body:
                     self.breaks("own answer", f"{attempt} got {response.body!r}")
+            if response is not None and response.status == 401:
+                self.breaks("a valid key is accepted", f"{attempt} at {vm.name}")
             if response is not None and response.status in (429, 503):
                 self.refused[attempt] = anyio.current_time()
             await anyio.sleep(self.rng.uniform(0.02, 0.2))
@@ -202,7 +217,7 @@
             vm, version = self.rng.choice(self.vms), self.configurations
             process = vm.process.pid if vm.process else 0
             sent_s = anyio.current_time()
-            headers = (("Host", HOST), ("Attempt-Id", f"probe-{count}"), ("Deadline-Ms", "1000"))
+            headers = (*HEADERS, ("Attempt-Id", f"probe-{count}"), ("Deadline-Ms", "1000"))
             response = await self.ask(Request("GET", f"/new{version}/x", headers), 1.5, vm)
             if response is None or (vm.process is not None and vm.process.pid != process):
                 continue
@@ -248,7 +263,7 @@
             self.write(f"version/{MODEL}", {"model": MODEL, "version": self.version})
 
     async def run_step(self, step: str, body: dict[str, object], count: int) -> None:
-        headers = (("Host", HOST), ("Attempt-Id", step), ("Content-Type", "application/json"))
+        headers = (*HEADERS, ("Attempt-Id", step), ("Content-Type", "application/json"))
         data = json.dumps(body).encode()
         while True:
             response = await self.ask(Request("POST", "/steps/s", headers, data), 2.5)
@@ -265,7 +280,7 @@
             await anyio.sleep(0.2)
         self.steps += found >= count * 0.8
         while not self.stopping:
-            end = await self.ask(Request("DELETE", f"/lots/{step}", headers[:1]), 2.5)
+            end = await self.ask(Request("DELETE", f"/lots/{step}", HEADERS), 2.5)
             if end is not None and end.status == 200:
                 self.ended[step] = anyio.current_time()
                 return
@@ -273,7 +288,7 @@
 
     async def read_results(self, step: str, position: int, count: int, oldest: int) -> int:
         """Read a page and check it; returns the next position."""
-        headers = (("Host", HOST), ("Wait-Ms", "500"))
+        headers = (*HEADERS, ("Wait-Ms", "500"))
         request = Request("GET", f"/lots/{step}?after={position}", headers)
         response = await self.ask(request, 3.0)
         if response is None or response.status == 503:
@@ -328,6 +343,8 @@
             self.change_configuration,
         )
         async with anyio.create_task_group() as harm:
+            if self.other_sources is not None:
+                harm.start_soon(replace_vms, faults, self.other_sources)
             while anyio.current_time() < until_s:
                 harm.start_soon(faults.one)
                 await anyio.sleep(self.rng.expovariate(1.0))
@@ -406,6 +423,8 @@
             self.check_targets()
             self.check_leaving()
             self.check_poison(faults)
+            for broken in broken_duties(self.duties, ORDER_GAP_S):
+                self.breaks("duties", broken)
             self.call_log.disturbances = faults.disturbances
             for stranding in faults.strandings:
                 broken = self.call_log.broken(stranding)
@@ -423,10 +442,12 @@
     return f"{vm.ip}:{VM_PORTS['front']}"
 
 
-async def play_seed(seed: int, seconds: float, vms: int, folder: Path) -> Soak:
+async def play_seed(
+    seed: int, seconds: float, vms: int, folder: Path, other_sources: Path | None = None
+) -> Soak:
     """Play one seed; its logs stay in the folder."""
     async with anyio.create_task_group() as tasks:
-        soak = Soak(seed, seconds, folder, tasks)
+        soak = Soak(seed, seconds, folder, tasks, other_sources=other_sources)
         await soak.play(vms)
         tasks.cancel_scope.cancel()
     return soak
@@ -438,17 +459,21 @@
     parser.add_argument("--seeds", default="1-3", help="FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=20.0, help="of faults a seed")
     parser.add_argument("--vms", type=int, default=6)
+    parser.add_argument("--other-sources", type=Path, help="of the build that VMs begin with")
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = anyio.run(play_seed, seed, options.seconds, options.vms, folder)
+        soak = anyio.run(
+            play_seed, seed, options.seconds, options.vms, folder, options.other_sources
+        )
         verdict = "BROKEN" if soak.broken else "kept"
         poison = sum(len(target.poison_runs) for target in soak.plains)
         print(
             f"seed {seed}: {verdict}; {soak.served} of {soak.asked} calls, {soak.steps} steps,"
-            f" {poison} runs of poison, streams {soak.streams} (whole, resumed, begun anew)"
+            f" {poison} runs of poison, streams {soak.streams} (whole, resumed, begun anew),"
+            f" {len(soak.duties.calls)} usage reports"
         )
         for line in soak.broken[:8]:
             print(f"  {line}")
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -31,6 +31,8 @@
     settings: Path
     log: Path
     links: list[SoakLink] = field(default_factory=list)
+    # Sources of the build that the next start runs; None for those of this repository.
+    sources: Path | None = None
     process: subprocess.Popen | None = None
     frozen: bool = False
     stranded: bool = False
@@ -40,6 +42,8 @@
         if self.process is not None and self.process.poll() is None:
             return
         environment = {**os.environ, "BALSAMCLEAT_CONFIG": str(self.settings)}
+        if self.sources is not None:
+            environment["PYTHONPATH"] = str(self.sources)
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "balsamcleat.entry"],
@@ -110,7 +114,10 @@
             self.target_leaves,
             self.configuration_changes,
         )
-        harm = self.rng.choice(harms)
+        await self.do(self.rng.choice(harms))
+
+    async def do(self, harm: Callable[[], Awaitable[None]]) -> None:
+        """Do a harm and record for which time it disturbed the VMs."""
         if not self.active:
             self.began_s = anyio.current_time()
         self.active += 1
@@ -137,8 +144,11 @@
         self.disturb([vm], began_s)
 
     async def stop(self) -> None:
-        vm, began_s = self.vm(), anyio.current_time()
-        process = vm.process
+        await self.restart(self.vm())
+
+    async def restart(self, vm: SoakVm) -> None:
+        """Ask a process to end, wait until it has, and start the next one."""
+        began_s, process = anyio.current_time(), vm.process
         vm.send(signal.SIGTERM)
         if process is not None:
             await self.gone(vm, process)
--- a/tests/soak_poison.py
+++ b/tests/soak_poison.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from soak_builds import AUTHORIZATION
 from soak_stand import POISON, SoakTarget
 
 # The operators' rule: at most this many runs later than this after the third crash, as far as VMs
@@ -60,7 +61,8 @@
             body = POISON + f"{self.seed}".encode()
             head = (
                 f"POST /{kind}/x HTTP/1.1\r\nHost: {self.host}\r\nAttempt-Id: {attempt}\r\n"
-                f"Deadline-Ms: 1500\r\nContent-Length: {len(body)}\r\n\r\n"
+                f"{': '.join(AUTHORIZATION)}\r\nDeadline-Ms: 1500\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n"
             )
             client = self.rng.choice(CLIENT_ADDRESSES)
             await send(self.choose_vm(), client, head.encode() + body)
--- a/tests/soak_streams.py
+++ b/tests/soak_streams.py
@@ -8,6 +8,7 @@
 import h11
 
 from balsamcleat.http1 import EventParser
+from soak_builds import AUTHORIZATION
 from soak_stand import events_of
 
 CALLERS = 5
@@ -85,7 +86,8 @@
         resumption = f"Resumes: {first_attempt}\r\nLast-Event-Id: {len(events)}\r\n"
         head = (
             f"POST /stream/{name} HTTP/1.1\r\nHost: {self.host}\r\nAttempt-Id: {attempt}\r\n"
-            f"Deadline-Ms: 8000\r\n{resumption if events else ''}Content-Length: 0\r\n\r\n"
+            f"{': '.join(AUTHORIZATION)}\r\nDeadline-Ms: 8000\r\n"
+            f"{resumption if events else ''}Content-Length: 0\r\n\r\n"
         )
         host, _, port = self.choose_vm().rpartition(":")
         client = h11.Connection(h11.CLIENT)
