Pool: close an idle connection as soon as the server sends something on it

A kept connection on which a target sends what nobody asked for was closed only when the pool took it for the next request. Until then the bytes filled the buffers of the connection: up to several megabytes each, on hundreds of connections.

IdleWatch registers idle connections with one epoll object, and one task waits for that. One waiting task for each idle connection was ruled out for its memory, polling for its delay and processor time. A request costs two more system calls. EOF is seen as well, so a connection that the server closed frees its descriptor at once. The check when a connection is taken stays, for what arrives before the watch has run.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -23,6 +23,7 @@
 from balsamcleat.http1 import (
     ConnectionPool,
     HttpServer,
+    IdleWatch,
     PoolLimits,
     Request,
     Responder,
@@ -127,7 +128,10 @@
         self.output = output
         self.boot = uuid.uuid4().hex[:12]
         generator = random.Random()
-        store_pool = ConnectionPool(PoolLimits(connect_timeout_s=0.8, max_idle_connections=16))
+        self.idle_watch = IdleWatch()
+        store_pool = ConnectionPool(
+            PoolLimits(connect_timeout_s=0.8, max_idle_connections=16), idle_watch=self.idle_watch
+        )
         self.target_pool = ConnectionPool(
             PoolLimits(
                 connect_timeout_s=0.5,
@@ -135,11 +139,14 @@
                 max_idle_connections=MAX_IDLE_TARGET_CONNECTIONS,
             ),
             CORRELATION_HEADER,
+            self.idle_watch,
         )
         self.direct_store = PlatformRowStore(
             settings.store, store_pool, lambda: len(self.presence.watch.observations)
         )
-        self.peer_pool = ConnectionPool(PoolLimits(connect_timeout_s=0.3, max_idle_connections=16))
+        self.peer_pool = ConnectionPool(
+            PoolLimits(connect_timeout_s=0.3, max_idle_connections=16), idle_watch=self.idle_watch
+        )
         self.store = RelayedRowStore(
             self.direct_store, self.peer_pool, lambda: self.peer_poller.vms_reaching_store
         )
@@ -200,6 +207,7 @@
                 max_idle_connections=MAX_IDLE_TARGET_CONNECTIONS,
             ),
             CORRELATION_HEADER,
+            self.idle_watch,
         )
         self.target_paths = TargetPaths(
             settings.vm,
@@ -357,7 +365,7 @@
         leases = self.duty_leases
         return PlatformDutyClient(
             current_address,
-            ConnectionPool(DUTY_POOL_LIMITS),
+            ConnectionPool(DUTY_POOL_LIMITS, idle_watch=self.idle_watch),
             {
                 Duty.USAGE: DutyChannel(leases.usage, leases.usage_fitness),
                 Duty.SCALING: DutyChannel(leases.scaling, leases.scaling_fitness),
@@ -479,6 +487,7 @@
             for follower in self.table_followers:
                 tasks.start_soon(follower.run)
             for component_run in (
+                self.idle_watch.run,
                 self.replica_keeper.run,
                 self.live_queues.run,
                 self.crash_history.run,
--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -7,6 +7,7 @@
 
 from balsamcleat.http1.client import CONNECT_STEP, ConnectionPool, Exchange, PoolLimits
 from balsamcleat.http1.events import EventParser, EventTooLargeError, StreamEvent
+from balsamcleat.http1.idle_watch import IdleWatch
 from balsamcleat.http1.messages import (
     Headers,
     Request,
@@ -29,6 +30,7 @@
     "Handler",
     "Headers",
     "HttpServer",
+    "IdleWatch",
     "PoolLimits",
     "Request",
     "Responder",
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -9,6 +9,7 @@
 import structlog
 
 from balsamcleat.errors import AttemptFailedError
+from balsamcleat.http1.idle_watch import IdleWatch
 from balsamcleat.http1.messages import Headers, Request, Response, header_value
 from balsamcleat.http1.streams import ByteStream, connect
 from balsamcleat.model import FailureKind
@@ -57,7 +58,7 @@
     resets_abandoned: bool = False
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class PooledConnection:
     """Connection of a pool, in use or idle.
 
@@ -90,6 +91,8 @@
         limits: Limits of the pool.
         correlation_header: Header that a server copies from the request to its response. A response
             with another request's value is dropped, and the next response is awaited.
+        idle_watch: Reports idle connections on which a server sends or ends; these are closed at
+            once. Without it, they are closed when they would be reused.
 
     Attributes:
         idle_connections: Idle connections by address; the last used address is at the end.
@@ -98,9 +101,15 @@
         buffered_bytes: Size of the response bodies that are being read as a whole.
     """
 
-    def __init__(self, limits: PoolLimits, correlation_header: str | None = None) -> None:
+    def __init__(
+        self,
+        limits: PoolLimits,
+        correlation_header: str | None = None,
+        idle_watch: IdleWatch | None = None,
+    ) -> None:
         self.limits = limits
         self.correlation_header = correlation_header
+        self.idle_watch = idle_watch
         self.idle_connections: OrderedDict[str, list[PooledConnection]] = OrderedDict()
         self.opened_connections = 0
         self.mismatched_responses = 0
@@ -122,9 +131,8 @@
         the new one.
         """
         while connections := self.idle_connections.get(address):
-            connection = connections.pop()
-            if not connections:
-                del self.idle_connections[address]
+            connection = connections[-1]
+            self.remove_idle(address, connection)
             is_usable = (
                 anyio.current_time() < connection.expires_at_s
                 and correlation_id not in connection.sent_ids
@@ -170,11 +178,34 @@
         connection.expires_at_s = anyio.current_time() + idle_timeout_s
         self.idle_connections.setdefault(address, []).append(connection)
         self.idle_connections.move_to_end(address)
+        if self.idle_watch is not None:
+            self.idle_watch.add(
+                connection.stream, lambda: self.close_with_input(address, connection)
+            )
         if sum(map(len, self.idle_connections.values())) > self.limits.max_idle_connections:
             oldest_address = next(iter(self.idle_connections))
-            self.idle_connections[oldest_address].pop(0).stream.close()
-            if not self.idle_connections[oldest_address]:
-                del self.idle_connections[oldest_address]
+            oldest = self.idle_connections[oldest_address][0]
+            self.remove_idle(oldest_address, oldest)
+            oldest.stream.close()
+
+    def remove_idle(self, address: str, connection: PooledConnection) -> None:
+        """Remove a connection from the idle ones, to use or to close it."""
+        if self.idle_watch is not None:
+            self.idle_watch.remove(connection.stream)
+        connections = self.idle_connections[address]
+        connections.remove(connection)
+        if not connections:
+            del self.idle_connections[address]
+
+    def close_with_input(self, address: str, connection: PooledConnection) -> None:
+        """Close an idle connection on which the server sent something or which has ended.
+
+        No request expects what was sent. Left unread, it would fill the connection's buffers.
+        """
+        if connection.stream.has_data():
+            log.warning("unsolicited bytes", peer=address)
+        self.remove_idle(address, connection)
+        connection.stream.close()
 
     def has_idle(self, address: str) -> bool:
         """Return whether there is an idle connection to an address, which may have ended."""
@@ -182,7 +213,8 @@
 
     def close_idle_connections(self, address: str) -> None:
         """Close the idle connections to an address that is no longer used."""
-        for connection in self.idle_connections.pop(address, []):
+        for connection in list(self.idle_connections.get(address, ())):
+            self.remove_idle(address, connection)
             connection.stream.close()
 
     def close(self) -> None:
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -73,6 +73,11 @@
     ),
     event("request failed by a fault", "A fault of this program.", "request path exception"),
     event("connection not kept", "The rest of a target's answer was broken.", "peer reason"),
+    event(
+        "unsolicited bytes",
+        "A server sent on an idle connection what nobody asked for; it was closed.",
+        "peer",
+    ),
     event("caller gone", "The caller closed before its answer.", "request path took_s"),
     event("no route", "No route of the configuration takes it.", "request host path version"),
     event("attempt answered", "A target answered whole.", f"{ATTEMPT} status"),
--- a/tests/test_http1_pool.py
+++ b/tests/test_http1_pool.py
@@ -1,11 +1,20 @@
 """Tests of the idle connections of the HTTP/1.1 connection pool."""
 
 import socket
+import time
 
+import anyio
+import anyio.abc
 import pytest
 
-from balsamcleat.http1 import ByteStream, ConnectionPool, PoolLimits
+from balsamcleat.http1 import ByteStream, ConnectionPool, IdleWatch, PoolLimits, Request
 from balsamcleat.http1.client import PooledConnection
+from raw_target import RawTarget, Script, raw_target
+
+REQUEST = Request("GET", "/", (("Host", "host.example"),))
+GOOD_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+# Time in which loopback delivers what was sent, and the event loop has handled it.
+SOON_S = 0.1
 
 
 def make_connection() -> tuple[PooledConnection, socket.socket]:
@@ -58,3 +67,114 @@
     server_socket.send(b"HTTP/1.1 200 OK\r\n\r\n")
     assert pool.pop_idle_connection("a:1") is None
     assert idle.stream.closed
+
+
+def sends_later(extra: bytes, delay_s: float = 0.05) -> Script:
+    """Return a script that responds, then sends what nobody asked for until it is cut off."""
+
+    async def script(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
+        await target.read_request(stream)
+        await stream.send(GOOD_RESPONSE)
+        await anyio.sleep(delay_s)
+        while True:
+            await stream.send(extra)
+
+    return script
+
+
+async def answers_and_keeps(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
+    while True:
+        await target.read_request(stream)
+        await stream.send(GOOD_RESPONSE)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("extra", [b"x", GOOD_RESPONSE, b"y" * 65536])
+async def test_idle_connection_with_unsolicited_bytes_is_closed_at_once(extra: bytes) -> None:
+    """A target that sends without being asked fills buffers until the connection is closed."""
+    watch = IdleWatch()
+    pool = ConnectionPool(PoolLimits(), idle_watch=watch)
+    async with raw_target(sends_later(extra)) as target, anyio.create_task_group() as tasks:
+        tasks.start_soon(watch.run)
+        assert (await pool.fetch(target.address, REQUEST, 1.0)).body == b"ok"
+        assert pool.has_idle(target.address)
+        with anyio.fail_after(0.05 + SOON_S):
+            await target.closed.wait()
+        assert not pool.has_idle(target.address)
+        assert not watch.callbacks
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_unsolicited_bytes_on_one_connection_leave_the_others() -> None:
+    watch = IdleWatch()
+    pool = ConnectionPool(PoolLimits(), idle_watch=watch)
+    async with (
+        raw_target(sends_later(b"x")) as bad,
+        raw_target(answers_and_keeps) as good,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(watch.run)
+        await pool.fetch(good.address, REQUEST, 1.0)
+        await pool.fetch(bad.address, REQUEST, 1.0)
+        with anyio.fail_after(1.0):
+            await bad.closed.wait()
+        await pool.fetch(good.address, REQUEST, 1.0)
+        assert good.connections == 1
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_watched_connection_is_reused_and_not_taken_for_idle_during_a_response() -> None:
+    """A response to a request must not count as unsolicited."""
+    watch = IdleWatch()
+    pool = ConnectionPool(PoolLimits(max_idle_connections=4), idle_watch=watch)
+    async with raw_target(answers_and_keeps) as target, anyio.create_task_group() as tasks:
+        tasks.start_soon(watch.run)
+        for _ in range(50):
+            assert (await pool.fetch(target.address, REQUEST, 1.0)).body == b"ok"
+            await anyio.lowlevel.checkpoint()
+        assert target.connections == 1
+        async with anyio.create_task_group() as fetches:
+            for _ in range(12):
+                fetches.start_soon(pool.fetch, target.address, REQUEST, 1.0)
+        assert len(watch.callbacks) == 4
+        pool.close()
+        assert not watch.callbacks
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_idle_connection_that_ended_frees_its_descriptor_at_once() -> None:
+    async def answer_once(target: RawTarget, stream: anyio.abc.SocketStream) -> None:
+        await target.read_request(stream)
+        await stream.send(GOOD_RESPONSE)
+
+    watch = IdleWatch()
+    pool = ConnectionPool(PoolLimits(), idle_watch=watch)
+    async with raw_target(answer_once) as target, anyio.create_task_group() as tasks:
+        tasks.start_soon(watch.run)
+        await pool.fetch(target.address, REQUEST, 1.0)
+        await anyio.sleep(SOON_S)
+        assert not pool.has_idle(target.address)
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_watching_many_idle_connections_costs_no_processor_time() -> None:
+    """Half a core serves a VM; hundreds of idle connections must not be polled."""
+    watch = IdleWatch()
+    pool = ConnectionPool(PoolLimits(max_idle_connections=300), idle_watch=watch)
+    pairs = [make_connection() for _ in range(200)]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch.run)
+        for connection, _ in pairs:
+            pool.release("a:1", connection, 10.0)
+        await anyio.sleep(SOON_S)
+        began_s = time.process_time()
+        await anyio.sleep(0.5)
+        assert time.process_time() - began_s < 0.05
+        tasks.cancel_scope.cancel()
+    pool.close()
+    for _, server_socket in pairs:
+        server_socket.close()
