Bound the bytes of bodies by the memory of the VM

A response was counted only while it was read, so one that a caller read slowly held up to 8 MiB without a bound on their number; so did request bodies, of up to 32 MiB each. limits.ramMb of the settings now sets a budget of an eighth of the memory: a body may exist three times while it is joined and sent. Without the setting nothing is bounded beyond what was.

A request body reserves its declared length. Where there is no room, a body of more than 64 KiB waits for 1 s, unread, and then gets 503 with Retry-After; a fifth of the budget is left to small bodies. Large responses of targets wait as long, since a target cuts off what is not read for some seconds. Only if others need the room are clients cut off that have not read or sent for 1 s, those with most bytes first. Counting bodies as they arrive was tried: bodies that began together then stopped each other. A body above the budget is taken when only small ones are held, so that a small VM still serves it.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -21,6 +21,7 @@
 from balsamcleat.entry.usage import UsageParts, usage_settings
 from balsamcleat.errors import PlatformError
 from balsamcleat.http1 import (
+    ByteBudget,
     ConnectionPool,
     HttpServer,
     IdleWatch,
@@ -101,6 +102,9 @@
 MAX_REPORTED_SILENCE_S = 999.0
 # Part of the time that is reserved at the end of the grace period.
 LAST_COUNTS_TIMEOUT_S = 0.4
+# Part of the VM's memory for the bodies that are held. A body may exist three times while it is
+# joined and sent, and the rest of the process needs memory, too.
+BODY_MEMORY_SHARE = 1 / 8
 
 log = structlog.get_logger()
 
@@ -129,6 +133,7 @@
         self.boot = uuid.uuid4().hex[:12]
         generator = random.Random()
         self.idle_watch = IdleWatch()
+        self.byte_budget = ByteBudget(byte_limit(settings))
         store_pool = ConnectionPool(
             PoolLimits(connect_timeout_s=0.8, max_idle_connections=16), idle_watch=self.idle_watch
         )
@@ -140,6 +145,7 @@
             ),
             CORRELATION_HEADER,
             self.idle_watch,
+            self.byte_budget,
         )
         self.direct_store = PlatformRowStore(
             settings.store, store_pool, lambda: len(self.presence.watch.observations)
@@ -208,6 +214,7 @@
             ),
             CORRELATION_HEADER,
             self.idle_watch,
+            self.byte_budget,
         )
         self.target_paths = TargetPaths(
             settings.vm,
@@ -375,7 +382,11 @@
     def create_servers(self, target_relay: TargetRelay) -> None:
         """Create the servers of callers, of the load balancer, of other VMs and of metrics."""
         self.front_server = HttpServer(
-            listen(self.settings.front_address), self.dispatcher.answer, self.dispatcher.limits
+            listen(self.settings.front_address),
+            self.dispatcher.answer,
+            self.dispatcher.limits,
+            self.byte_budget,
+            overload_response=self.dispatcher.overload_response,
         )
         self.ready_server = HttpServer(
             listen(self.settings.ready_address), self.answer_readiness_check, lambda: ServerLimits()
@@ -392,6 +403,8 @@
                 },
             ).handle,
             lambda: PEER_SERVER_LIMITS,
+            self.byte_budget,
+            refuses_bodies=False,
         )
         self.metrics_server = HttpServer(
             listen(f"{self.settings.ip}:{METRICS_PORT}"),
@@ -531,6 +544,10 @@
         self.metrics.gauge("connections.callers", len(self.front_server.connections))
         self.metrics.gauge("connections.opened", self.target_pool.opened_connections)
         self.metrics.gauge("answers.foreign", self.target_pool.mismatched_responses)
+        self.metrics.gauge("bytes.held", self.byte_budget.held_bytes)
+        self.metrics.gauge("bytes.limit", self.byte_budget.limit_bytes or 0)
+        self.metrics.gauge("bytes.bodies_refused", self.byte_budget.refused_bodies)
+        self.metrics.gauge("bytes.clients_cut_off", self.byte_budget.cut_off_connections)
         self.metrics.gauge("limits.targets", self.stats_registry.limits.limited_count)
         for keeper in self.duty_leases.keepers:
             self.metrics.gauge(f"leases.held.{keeper.duty.value}", keeper.is_held)
@@ -542,6 +559,7 @@
     def apply_settings(self, settings: PlatformSettings) -> None:
         """Apply new settings; changed listen addresses take effect only after a restart."""
         self.settings = settings
+        self.byte_budget.limit_bytes = byte_limit(settings)
         self.direct_store.apply_access(settings.store)
         self.duty_leases.apply_gap(settings.order_gap_s)
 
@@ -594,6 +612,13 @@
                     del self.runner.steps[step.step_id]
 
 
+def byte_limit(settings: PlatformSettings) -> int | None:
+    """Return how many bytes of bodies this VM may hold, or None for no limit."""
+    if settings.memory_bytes is None:
+        return None
+    return int(settings.memory_bytes * BODY_MEMORY_SHARE)
+
+
 async def run_entry(settings_path: Path) -> None:
     """Run the process of an entry VM with the settings in the platform's file."""
     settings = load_platform_settings(settings_path)
--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -5,6 +5,7 @@
 parses messages with ``h11`` and handles the sockets itself.
 """
 
+from balsamcleat.http1.byte_budget import ByteBudget
 from balsamcleat.http1.client import CONNECT_STEP, ConnectionPool, Exchange, PoolLimits
 from balsamcleat.http1.events import EventParser, EventTooLargeError, StreamEvent
 from balsamcleat.http1.idle_watch import IdleWatch
@@ -22,6 +23,7 @@
 
 __all__ = [
     "CONNECT_STEP",
+    "ByteBudget",
     "ByteStream",
     "ConnectionPool",
     "EventParser",
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -9,6 +9,7 @@
 import structlog
 
 from balsamcleat.errors import AttemptFailedError
+from balsamcleat.http1.byte_budget import ByteBudget
 from balsamcleat.http1.idle_watch import IdleWatch
 from balsamcleat.http1.messages import Headers, Request, Response, header_value
 from balsamcleat.http1.streams import ByteStream, connect
@@ -26,6 +27,9 @@
 MAX_INTERIM_RESPONSES = 16
 # A response of up to this size is read whatever other responses the pool is reading.
 GUARANTEED_RESPONSE_BYTES = 256 * 1024
+# A response waits this long for room in the budget of the process. Servers cut off a response that
+# is not read for some seconds.
+ROOM_TIMEOUT_S = 1.0
 # Step of the errors for connections that could not be opened.
 CONNECT_STEP = "http.connect"
 # Number of correlation ids that a connection remembers.
@@ -93,6 +97,7 @@
             with another request's value is dropped, and the next response is awaited.
         idle_watch: Reports idle connections on which a server sends or ends; these are closed at
             once. Without it, they are closed when they would be reused.
+        budget: Budget of the bytes of responses that are being read as a whole.
 
     Attributes:
         idle_connections: Idle connections by address; the last used address is at the end.
@@ -106,10 +111,12 @@
         limits: PoolLimits,
         correlation_header: str | None = None,
         idle_watch: IdleWatch | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         self.limits = limits
         self.correlation_header = correlation_header
         self.idle_watch = idle_watch
+        self.budget = budget or ByteBudget()
         self.idle_connections: OrderedDict[str, list[PooledConnection]] = OrderedDict()
         self.opened_connections = 0
         self.mismatched_responses = 0
@@ -498,10 +505,13 @@
             while data := await self.next_body_chunk():
                 size += len(data)
                 self.pool.buffered_bytes += len(data)
+                self.pool.budget.add(len(data))
                 self.check_body_size(size)
+                await self.wait_for_room(size)
                 parts.append(data)
         finally:
             self.pool.buffered_bytes -= size
+            self.pool.budget.remove(size)
         return Response(self.status, self.headers, b"".join(parts))
 
     def check_body_size(self, size: int) -> None:
@@ -521,6 +531,18 @@
                 FailureKind.MALFORMED,
             )
 
+    async def wait_for_room(self, size: int) -> None:
+        """Wait until the budget of the process has room for the body read so far.
+
+        Raises:
+            AttemptFailedError: There is no room.
+        """
+        budget = self.pool.budget
+        if size <= GUARANTEED_RESPONSE_BYTES or not budget.missing_bytes(0, size):
+            return
+        if not await budget.wait_for_room(0, size, ROOM_TIMEOUT_S):
+            raise self.failure("no memory is left for the response body", FailureKind.MALFORMED)
+
     async def drop_body(self, max_bytes: int) -> None:
         """Read and drop the body.
 
--- a/src/balsamcleat/http1/server.py
+++ b/src/balsamcleat/http1/server.py
@@ -6,6 +6,8 @@
 import anyio
 import anyio.abc
 
+from balsamcleat.http1.byte_budget import ByteBudget
+from balsamcleat.http1.messages import Headers, Response
 from balsamcleat.http1.server_connection import Handler, ServerConnection, ServerLimits
 from balsamcleat.http1.streams import ByteStream
 
@@ -14,6 +16,7 @@
 ACCEPT_RETRY_DELAY_S = 0.05
 # A connection that is younger than this may be about to get its first request.
 FIRST_REQUEST_GRACE_S = 1.0
+OVERLOAD_RESPONSE = Response(503, (("Retry-After", "1"),))
 
 
 class HttpServer:
@@ -25,6 +28,10 @@
             it returns without a response, the connection is closed without one.
         get_limits: Returns the current limits. It is called for each request, so that changed
             limits apply at once.
+        budget: Budget of the bytes of requests and responses.
+        refuses_bodies: Whether bodies for which the budget has no room are refused.
+        overload_response: Returns the response to a request with these headers whose body is
+            refused.
 
     Attributes:
         connections: Open connections.
@@ -37,10 +44,17 @@
         listener: socket.socket,
         handler: Handler,
         get_limits: Callable[[], ServerLimits],
+        budget: ByteBudget | None = None,
+        *,
+        refuses_bodies: bool = True,
+        overload_response: Callable[[Headers], Response] = lambda headers: OVERLOAD_RESPONSE,
     ) -> None:
         self.listener = listener
         self.handler = handler
         self.get_limits = get_limits
+        self.budget = budget or ByteBudget()
+        self.refuses_bodies = refuses_bodies
+        self.overload_response = overload_response
         self.connections: set[ServerConnection] = set()
         self.is_draining = False
         self.is_closed = False
@@ -102,6 +116,7 @@
             pass
         finally:
             self.connections.discard(connection)
+            connection.release_body()
             connection.stream.close()
 
     def start_draining(self) -> None:
--- a/src/balsamcleat/http1/server_connection.py
+++ b/src/balsamcleat/http1/server_connection.py
@@ -7,7 +7,9 @@
 import anyio
 import anyio.abc
 import h11
+import structlog
 
+from balsamcleat.http1.byte_budget import PendingBytes
 from balsamcleat.http1.messages import Headers, Request, Response
 from balsamcleat.http1.streams import ByteStream
 
@@ -20,6 +22,11 @@
 # read. Closing a socket with unread input resets it, and the client could lose the response.
 LINGER_TIMEOUT_S = 1.0
 MAX_PIPELINED_BYTES = 1024 * 1024
+# A body waits this long for room in the budget of bytes before it is refused. Its bytes stay with
+# the client meanwhile.
+ROOM_TIMEOUT_S = 1.0
+
+log = structlog.get_logger()
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,10 +54,12 @@
     Args:
         status: Status code of the error response.
         reason: Text of the error response's body.
+        response: Error response, if it is not made from the status and the reason.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, status: int, reason: str, response: Response | None = None) -> None:
         super().__init__(reason)
+        self.response = response
         self.status = status
         self.reason = reason
 
@@ -111,7 +120,7 @@
         """Serialize ``h11`` events and send them together."""
         self.has_started = True
         parts = [self.connection.parser.send(event) for event in events]
-        await self.connection.stream.send(b"".join(part for part in parts if part))
+        await self.connection.send(b"".join(part for part in parts if part))
 
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
@@ -130,6 +139,7 @@
         opened_at_s: Time at which the connection was accepted, on the event loop's clock.
         is_rejected: Whether a request was rejected, so that the connection is closed.
         pipelined_data: Bytes of later requests that were received while a handler was running.
+        body: Bytes of the current request's body, which are held until it is answered.
     """
 
     def __init__(self, server: "HttpServer", stream: ByteStream) -> None:
@@ -142,6 +152,7 @@
         self.opened_at_s = anyio.current_time()
         self.is_rejected = False
         self.pipelined_data = b""
+        self.body: PendingBytes | None = None
 
     def has_open_request(self) -> bool:
         """Return whether a request is being handled, is being read, or waits to be read."""
@@ -171,16 +182,50 @@
                 return
             if request is None or not await self.handle_request(request):
                 return
+            self.release_body()
             self.limits = self.server.get_limits()
             self.parser.start_next_cycle()
 
+    def record_body_data(self, size: int) -> None:
+        """Record that a body has been received up to a size, which may exceed what is counted."""
+        assert self.body is not None
+        self.body.progress_s = anyio.current_time()
+        if size > self.body.size:
+            self.server.budget.grow(self.body, size - self.body.size)
+
+    def release_body(self) -> None:
+        """Count the body of the current request as no longer held."""
+        if self.body is not None:
+            self.server.budget.end(self.body)
+            self.body = None
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes to the client; they count as held until the kernel has taken them."""
+        budget = self.server.budget
+        write = budget.begin(len(data), self.cut_off)
+
+        def record_progress() -> None:
+            write.progress_s = anyio.current_time()
+
+        try:
+            await self.stream.send(data, record_progress)
+        finally:
+            budget.end(write)
+
+    def cut_off(self) -> None:
+        """Reset the connection of a client that has stopped in its request or its response."""
+        log.warning("slow client cut off", client=self.stream.remote_address)
+        self.stream.reset()
+
     async def reject(self, rejection: RequestRejectedError) -> None:
         """Send an error response if still possible, then drop input until EOF or the timeout."""
         self.is_rejected = True
+        self.release_body()
         if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = f"{rejection.reason}\n".encode()
             headers = (("Content-Type", "text/plain"),)
-            await Responder(self).send(Response(rejection.status, headers, body))
+            response = rejection.response or Response(rejection.status, headers, body)
+            await Responder(self).send(response)
         self.stream.send_eof()
         with anyio.move_on_after(LINGER_TIMEOUT_S):
             while await self.stream.receive():
@@ -281,6 +326,8 @@
         declared_length = dict(head.headers).get(b"content-length", b"0")
         if int(declared_length) > limit:
             raise RequestRejectedError(413, f"a body may have {limit} bytes")
+        await self.wait_for_room(head, int(declared_length), int(declared_length))
+        self.body = self.server.budget.begin(int(declared_length), self.cut_off)
         if self.parser.they_are_waiting_for_100_continue:
             await self.stream.send(
                 self.parser.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
@@ -288,18 +335,41 @@
         while True:
             event = self.next_event()
             if isinstance(event, h11.EndOfMessage):
+                self.server.budget.settle(self.body)
                 return b"".join(parts)
             if isinstance(event, h11.Data):
                 size += len(event.data)
+                self.record_body_data(size)
                 parts.append(bytes(event.data))
                 if size > limit:
                     raise RequestRejectedError(413, f"a body may have {limit} bytes")
+                if size > int(declared_length):
+                    await self.wait_for_room(head, 0, size)
                 continue
             if not await self.feed_parser_body():
                 raise ConnectionAbortedError(
                     "the client disconnected before the request body was complete"
                 )
 
+    async def wait_for_room(self, head: h11.Request, size: int, body_size: int) -> None:
+        """Wait until the budget has room for more of a body.
+
+        Raises:
+            RequestRejectedError: There is no room; the client may send the request again later.
+        """
+        server = self.server
+        if not body_size or not server.refuses_bodies:
+            return
+        if not server.budget.missing_bytes(size, body_size):
+            return
+        if await server.budget.wait_for_room(size, body_size, ROOM_TIMEOUT_S):
+            return
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers.raw_items()
+        )
+        raise RequestRejectedError(503, "no room for the body", server.overload_response(headers))
+
     async def feed_parser_body(self) -> bool:
         """Pass data of a body to the parser; return False at EOF.
 
--- a/src/balsamcleat/http1/streams.py
+++ b/src/balsamcleat/http1/streams.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 
 import anyio
 import anyio.lowlevel
@@ -87,9 +88,13 @@
                 errno.ECONNABORTED, "the connection was closed locally"
             ) from error
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, on_progress: Callable[[], None] = lambda: None) -> None:
         """Send all of ``data``.
 
+        Args:
+            data: Bytes to send.
+            on_progress: Called when the kernel takes bytes after the remote end made room.
+
         Raises:
             OSError: The connection failed or was closed locally.
         """
@@ -108,6 +113,7 @@
                     raise ConnectionAbortedError(
                         errno.ECONNABORTED, "the connection was closed locally"
                     ) from error
+                on_progress()
 
     def has_input(self) -> bool:
         """Return whether there is data, EOF or an error to read; doesn't consume it."""
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -73,6 +73,11 @@
     ),
     event("request failed by a fault", "A fault of this program.", "request path exception"),
     event("connection not kept", "The rest of a target's answer was broken.", "peer reason"),
+    event(
+        "slow client cut off",
+        "It had stopped in its request or response, and others needed the memory.",
+        "client",
+    ),
     event(
         "unsolicited bytes",
         "A server sent on an idle connection what nobody asked for; it was closed.",
--- a/src/balsamcleat/platform/settings.py
+++ b/src/balsamcleat/platform/settings.py
@@ -14,6 +14,7 @@
 
 SETTINGS_VARIABLE = "BALSAMCLEAT_CONFIG"
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1024 * 1024
 USAGE_DUTY = "usage"
 SCALING_DUTY = "autoscale"
 
@@ -61,6 +62,12 @@
     duty_per_s: float = 0.0
 
 
+class LimitFields(msgspec.Struct, frozen=True, rename="camel"):
+    """Limits of this VM."""
+
+    ram_mb: Annotated[float, msgspec.Meta(gt=0.0)] | None = None
+
+
 class SettingsFields(msgspec.Struct, frozen=True, rename="camel"):
     """Fields of the settings file that this project uses; other fields are ignored."""
 
@@ -73,6 +80,7 @@
     port_range: tuple[int, int] = (0, 0)
     bounds: BoundFields = BoundFields()
     cloud_api: DutyFields | None = None
+    limits: LimitFields | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +142,7 @@
         apply_s: Time within which an accepted configuration version must be in force at every VM,
             in seconds.
         duties: Settings of the duties of one VM; None if the platform has no interface for them.
+        memory_bytes: Memory of this VM; None if it is not stated.
     """
 
     vm: VmId
@@ -149,6 +158,7 @@
     results_kept_s: float
     apply_s: float
     duties: DutySettings | None = None
+    memory_bytes: int | None = None
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -186,9 +196,17 @@
         results_kept_s=fields.bounds.status_s,
         apply_s=fields.bounds.apply_ms / MS_PER_S,
         duties=decode_duties(fields.cloud_api, fields.bounds),
+        memory_bytes=decode_memory(fields.limits),
     )
 
 
+def decode_memory(fields: LimitFields | None) -> int | None:
+    """Return the memory of this VM in bytes, or None if it is not stated."""
+    if fields is None or fields.ram_mb is None:
+        return None
+    return int(fields.ram_mb * BYTES_PER_MB)
+
+
 def decode_duties(fields: DutyFields | None, bounds: BoundFields) -> DutySettings | None:
     """Return the settings of duties; names of unknown duties are ignored."""
     if fields is None:
--- a/src/balsamcleat/tasks/request_dispatcher.py
+++ b/src/balsamcleat/tasks/request_dispatcher.py
@@ -6,8 +6,9 @@
 import anyio
 import structlog
 
+from balsamcleat.decisions.live_attempts import FailureStatus
 from balsamcleat.decisions.team_access import route_for_team
-from balsamcleat.http1 import Request, Responder, Response, ServerLimits
+from balsamcleat.http1 import Headers, Request, Responder, Response, ServerLimits
 from balsamcleat.model import StepId, TeamName
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
 from balsamcleat.platform import (
@@ -16,6 +17,7 @@
     request_id,
     without_team_headers,
 )
+from balsamcleat.tasks.live_errors import problem_body
 from balsamcleat.tasks.live_forwarder import LiveForwarder
 from balsamcleat.tasks.rollout_handler import RolloutHandler
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
@@ -25,6 +27,8 @@
 
 # Retry delay while this VM has not loaded a configuration yet.
 NO_CONFIGURATION_RETRY_S = 0.5
+# Shortest retry delay while no memory is left for a body; the longest is twice that.
+OVERLOAD_RETRY_S = 0.5
 SUBMIT_METHOD = "POST"
 
 log = structlog.get_logger()
@@ -68,6 +72,23 @@
             idle_timeout_s=limits.idle_timeout_s,
         )
 
+    def overload_response(self, headers: Headers) -> Response:
+        """Return the response to a request whose body finds no room in memory."""
+        attempt_id = request_id(headers)
+        retry_after_s = OVERLOAD_RETRY_S * (1.0 + self.forwarder.generator.random())
+        log.warning(
+            "request refused",
+            request=attempt_id,
+            status=FailureStatus.NOT_RUN.value,
+            reason="no memory is left for the body",
+            retry_after_s=retry_after_s,
+        )
+        return Response(
+            FailureStatus.NOT_RUN.value,
+            error_response_headers(attempt_id, retry_after_s),
+            problem_body(FailureStatus.NOT_RUN),
+        )
+
     async def answer(self, request: Request, responder: Responder) -> None:
         """Answer one request; an internal error fails this request only."""
         try:
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -16,6 +16,7 @@
 ENTRY_MODULES = (
     *SOURCE.glob("entry/*.py"),
     SOURCE / "http1" / "client.py",
+    SOURCE / "http1" / "server_connection.py",
     *(
         SOURCE / "tasks" / f"{name}.py"
         for name in (
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -82,6 +82,16 @@
     assert check_file(path) == []
 
 
+def test_memory_of_the_vm_is_optional(tmp_path: Path) -> None:
+    """Settings files without it must load, and leave the bytes of bodies without a limit."""
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({**SETTINGS, "limits": {"ramMb": 512, "cpus": 0.5}}))
+    assert load_platform_settings(path).memory_bytes == 512 * 1024 * 1024
+    for limits in ({}, {"limits": {}}, {"limits": None}):
+        path.write_text(json.dumps({**SETTINGS, **limits}))
+        assert load_platform_settings(path).memory_bytes is None
+
+
 @pytest.mark.parametrize("missing", ["node", "listen", "platform", "zone"])
 def test_error_for_a_missing_setting_names_the_setting(missing: str, tmp_path: Path) -> None:
     """Without the name, the operator can't find the fault in the settings file."""
