Streams: read a target on while its caller does not read, and cut the caller off

A relayed stream was read from its target only as fast as its caller took it. A caller that stopped left the target's connection unread for 2.9 s, until the kernel gave the caller up, and one that read a little now and then for as long as it liked. Targets cut off a response that is not read for some seconds, so the caller's fault counted as the target's, and the stream was begun again elsewhere.

Up to 1 MiB of events (64 KiB while the budget of bytes is used up) now waits for a caller; then the target waits for at most 1 s, and the caller's connection is reset. A task that sends what waits exists only while something does, so that callers who read cost no more than before. A stream that was read to its end frees its target's connection and slot before the caller has read the rest.

--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -5,6 +5,7 @@
 parses messages with ``h11`` and handles the sockets itself.
 """
 
+from balsamcleat.http1.buffered_writer import BufferedWriter, ReaderTooSlowError
 from balsamcleat.http1.byte_budget import ByteBudget
 from balsamcleat.http1.client import CONNECT_STEP, ConnectionPool, Exchange, PoolLimits
 from balsamcleat.http1.events import EventParser, EventTooLargeError, StreamEvent
@@ -23,6 +24,7 @@
 
 __all__ = [
     "CONNECT_STEP",
+    "BufferedWriter",
     "ByteBudget",
     "ByteStream",
     "ConnectionPool",
@@ -34,6 +36,7 @@
     "HttpServer",
     "IdleWatch",
     "PoolLimits",
+    "ReaderTooSlowError",
     "Request",
     "Responder",
     "Response",
--- a/src/balsamcleat/http1/server_connection.py
+++ b/src/balsamcleat/http1/server_connection.py
@@ -105,6 +105,10 @@
         """Send a part of the body of a response that was started."""
         await self.write_events(h11.Data(data))
 
+    def encode(self, data: bytes) -> bytes:
+        """Return a part of the body of a response that was started, as it is to be sent."""
+        return self.connection.parser.send(h11.Data(data)) or b""
+
     async def finish(self) -> None:
         """End the body of a response that was started; the client reads it as complete."""
         await self.write_events(h11.EndOfMessage())
--- a/src/balsamcleat/http1/streams.py
+++ b/src/balsamcleat/http1/streams.py
@@ -115,6 +115,19 @@
                     ) from error
                 on_progress()
 
+    def send_now(self, data: bytes) -> int:
+        """Send what the kernel takes without waiting, and return the number of bytes.
+
+        Raises:
+            OSError: The connection failed or was closed locally.
+        """
+        if self.closed:
+            raise ConnectionAbortedError(errno.ECONNABORTED, "the connection was closed locally")
+        try:
+            return self.sock.send(data)
+        except BlockingIOError:
+            return 0
+
     def has_input(self) -> bool:
         """Return whether there is data, EOF or an error to read; doesn't consume it."""
         if self.closed:
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -73,6 +73,11 @@
     ),
     event("request failed by a fault", "A fault of this program.", "request path exception"),
     event("connection not kept", "The rest of a target's answer was broken.", "peer reason"),
+    event(
+        "stream reader too slow",
+        "The caller did not read its stream; it was cut off, and its target is not to blame.",
+        "request reason",
+    ),
     event(
         "slow client cut off",
         "It had stopped in its request or response, and others needed the memory.",
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -10,7 +10,15 @@
 from balsamcleat.decisions.stream_origin import StreamOrigin
 from balsamcleat.decisions.stream_stall import StallTimer, caller_patience_s, resume_pause_s
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.http1 import EventParser, Exchange, Request, Responder, Response
+from balsamcleat.http1 import (
+    BufferedWriter,
+    EventParser,
+    Exchange,
+    ReaderTooSlowError,
+    Request,
+    Responder,
+    Response,
+)
 from balsamcleat.model import FailureKind, TeamName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import Route
@@ -51,7 +59,8 @@
 
     Args:
         call: Request of the caller.
-        responder: Writes the events to the caller.
+        responder: Writes the response to the caller.
+        writer: Writes the events of that response.
         on_begin: Called with the origin of a stream when its first event is relayed.
         on_run: Called when the first event of this answer arrives, also if it resumes a stream.
 
@@ -60,17 +69,20 @@
         origin: Target that began the stream, if it began in this answer.
         has_events: Whether the caller has events of the stream.
         has_run: Whether a target has produced an event of this answer.
+        finished: Whether a target's stream was read to its end.
     """
 
     def __init__(
         self,
         call: LiveCall,
         responder: Responder,
+        writer: BufferedWriter,
         on_begin: Callable[[StreamOrigin | None], None],
         on_run: Callable[[], None],
     ) -> None:
         self.call = call
         self.responder = responder
+        self.writer = writer
         self.on_begin = on_begin
         self.on_run = on_run
         self.has_run = False
@@ -106,7 +118,6 @@
             timer.record_events(event_count, anyio.current_time())
         if not exchange.has_explicit_framing or parser.buffer.strip():
             raise exchange.failure("the stream may be truncated", FailureKind.CUT)
-        await self.responder.finish()
         self.finished = True
 
     async def relay_events(self, exchange: TargetExchange, parser: EventParser, data: bytes) -> int:
@@ -138,7 +149,7 @@
             self.origin = exchange.origin()
             self.on_begin(self.origin)
         if output:
-            await self.responder.write(output)
+            await self.writer.write(output)
         return event_count
 
 
@@ -239,15 +250,38 @@
         return True
 
     async def send(self, call: LiveCall, responder: Responder, version: int) -> None:
+        """Send a call to targets in turn, and relay their stream or an error response.
+
+        Raises:
+            OSError: The caller's connection failed, or the caller reads too slowly.
+        """
+        failure: OSError | None = None
+        async with anyio.create_task_group() as tasks:
+            try:
+                await self.send_to_targets(
+                    call, responder, BufferedWriter(responder, tasks), version
+                )
+            except OSError as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if isinstance(failure, ReaderTooSlowError):
+            log.warning("stream reader too slow", request=call.attempt_id, reason=str(failure))
+        if failure is not None:
+            raise failure
+
+    async def send_to_targets(
+        self, call: LiveCall, responder: Responder, writer: BufferedWriter, version: int
+    ) -> None:
         """Send a call to targets in turn, and relay their stream or an error response."""
         relay = StreamRelay(
             call,
             responder,
+            writer,
             lambda origin: self.record_begin(call, origin),
             lambda: self.forwarder.usage.record_first_event(call),
         )
         error = no_target_error(call.service)
-        while not responder.has_finished and self.can_go_on(call, relay):
+        while not (responder.has_finished or relay.finished or not self.can_go_on(call, relay)):
             replica = await self.begin_attempt(call, relay)
             if replica is None:
                 break
@@ -262,6 +296,9 @@
                 self.forwarder.crash_guard.record_cancellation(call, replica)
                 raise
         self.forwarder.crash_guard.record_answer(call)
+        if relay.finished:
+            # The target's connection and slot are free by now, however slowly the caller reads.
+            await writer.finish()
         if responder.has_finished:
             log_answered(call, OK, version)
             return
