--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -5,8 +5,11 @@
 parses messages with ``h11`` and handles the sockets itself.
 """
 
+from balsamcleat.http1.buffered_writer import BufferedWriter, ReaderTooSlowError
+from balsamcleat.http1.byte_budget import ByteBudget
 from balsamcleat.http1.client import CONNECT_STEP, ConnectionPool, Exchange, PoolLimits
 from balsamcleat.http1.events import EventParser, EventTooLargeError, StreamEvent
+from balsamcleat.http1.idle_watch import IdleWatch
 from balsamcleat.http1.messages import (
     Headers,
     Request,
@@ -21,6 +24,8 @@
 
 __all__ = [
     "CONNECT_STEP",
+    "BufferedWriter",
+    "ByteBudget",
     "ByteStream",
     "ConnectionPool",
     "EventParser",
@@ -29,7 +34,9 @@
     "Handler",
     "Headers",
     "HttpServer",
+    "IdleWatch",
     "PoolLimits",
+    "ReaderTooSlowError",
     "Request",
     "Responder",
     "Response",
