Live queue: fair queueing over teams, and a flood leaves slots to the other teams

A team that sends a hundred times its mean rate filled all slots that became free, so calls of other teams waited or were rejected. Calls of one rank now take turns by team (start-time fair queueing) and go by deadline within a team. A team that sends more than an equal part and far more than usual, compared with the growth of the other teams, leaves the targets' queues and a third of the slots free for the others, whatever their rank, and its calls are rejected first. VMs need no messages for this, as all of them see the targets' load.

Weighed: demand by team in the heartbeat rows (up to 0.9 s old, while a flood fills the slots in 0.05 s); a limit on the slots of each team (below one slot for 76 teams); a sixth of the slots as reserve (too little).

`create_call` takes the team as an optional argument, since the replays of bursts call it without one and failed.

--- a/src/balsamcleat/decisions/fair_share.py
+++ b/src/balsamcleat/decisions/fair_share.py
@@ -1,12 +1,12 @@
-"""Weighted fair queueing of samples when several deployments share engines."""
+"""Weighted fair queueing of flows that share slots: deployments at engines, teams at services."""
 
 import heapq
 import itertools
 from collections.abc import Hashable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
-__all__ = ["FairQueue"]
+__all__ = ["FairClock", "FairQueue"]
 
 Ticket = TypeVar("Ticket", bound=Hashable)
 
@@ -21,6 +21,33 @@
     ticket: Ticket
 
 
+@dataclass(slots=True)
+class FairClock:
+    """Virtual time of start-time fair queueing; an idle flow accumulates no credit.
+
+    Attributes:
+        virtual_time: Virtual start time of the work that began last.
+        last_finish: Virtual finish time of the last work of each flow.
+    """
+
+    virtual_time: float = 0.0
+    last_finish: dict[str, float] = field(default_factory=dict)
+
+    def next_start(self, flow: str) -> float:
+        """Return the virtual start time that the next work of a flow has."""
+        return max(self.virtual_time, self.last_finish.get(flow, 0.0))
+
+    def add(self, flow: str, work: float) -> float:
+        """Add work, divided by the flow's share, and return its virtual start time."""
+        start = self.next_start(flow)
+        self.last_finish[flow] = start + work
+        return start
+
+    def begin(self, start: float) -> None:
+        """Record that the work with a virtual start time begins."""
+        self.virtual_time = max(self.virtual_time, start)
+
+
 class FairQueue(Generic[Ticket]):
     """Start-time fair queueing: each deployment gets engine work in proportion to its share.
 
@@ -28,8 +55,7 @@
     """
 
     def __init__(self) -> None:
-        self.virtual_time = 0.0
-        self.last_finish: dict[str, float] = {}
+        self.clock = FairClock()
         self.queue: list[Entry[Ticket]] = []
         self.sequence = itertools.count()
         self.cancelled: set[Ticket] = set()
@@ -43,9 +69,8 @@
             cost: Expected work, in tokens.
             ticket: Value that ``pop`` returns.
         """
-        start = max(self.virtual_time, self.last_finish.get(deployment, 0.0))
-        finish = start + cost / share
-        self.last_finish[deployment] = finish
+        start = self.clock.add(deployment, cost / share)
+        finish = self.clock.last_finish[deployment]
         heapq.heappush(self.queue, Entry(start, next(self.sequence), finish, ticket))
 
     def cancel(self, ticket: Ticket) -> None:
@@ -59,6 +84,6 @@
             if entry.ticket in self.cancelled:
                 self.cancelled.discard(entry.ticket)
                 continue
-            self.virtual_time = max(self.virtual_time, entry.start)
+            self.clock.begin(entry.start)
             return entry.ticket
         return None
--- a/src/balsamcleat/decisions/live_queue.py
+++ b/src/balsamcleat/decisions/live_queue.py
@@ -1,12 +1,14 @@
 """Priority queue for live calls of a plain service, with load shedding.
 
 Load pattern: for some seconds callers send several times what the targets can process, through
-many VMs that each see a part of it, while a target is slow or unreachable. Forwarding every call
-at once fills the targets' own queues, costs each call up to four rejections and lets chance decide
-which calls are served; the rejected callers then retry at the same time. Here calls wait in the
-order of their rank and deadline, a call that can't be answered in time is rejected as soon as that
-is known, and rejected callers get retry delays that are spaced at the rate at which slots become
-free.
+many VMs that each see a part of it, while a target is slow or unreachable; most of it may come from
+one team. Forwarding every call at once fills the targets' own queues, costs each call up to four
+rejections and lets chance decide which calls are served; the rejected callers then retry at the
+same time. Here calls wait in the order of their rank, of fair queueing over teams and of their
+deadline, a call that can't be answered in time is rejected as soon as that is known, and rejected
+callers get retry delays that are spaced at the rate at which slots become free. A team that exceeds
+its share (``decisions/team_shares.py``) leaves some slots free, and its calls are rejected before
+those of the other teams.
 
 VMs don't coordinate. Each VM estimates the other VMs' load at a target from the target's last
 responses, with a weight that decays with age, so that several VMs reach similar decisions from
@@ -17,6 +19,9 @@
 from bisect import insort
 from dataclasses import dataclass, field
 
+from balsamcleat.decisions.fair_share import FairClock
+from balsamcleat.decisions.team_shares import RESERVED_SHARE, TeamShares
+
 __all__ = [
     "Admitted",
     "Decision",
@@ -48,6 +53,9 @@
 # While calls of several ranks wait, one of this many admissions goes to a lower rank, so that no
 # rank starves.
 ADMISSIONS_PER_LOWER_RANK = 8
+# Calls of teams above their share that a VM admits between two releases. Two let their number grow
+# when there is room; more would let many VMs that see the same free slots fill them all.
+MAX_SURPLUS_ADMISSIONS = 1
 # Callers honour a retry delay of up to this share of their remaining time.
 MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
 MIN_RETRY_AFTER_S = 0.05
@@ -65,12 +73,20 @@
         own_in_flight: Number of calls of this VM that hold a slot.
         min_interval_s: Shortest interval at which this VM may send requests, in seconds, where all
             targets name a rate limit.
+        queued: Number of requests of ``capacity`` that the targets accept but don't run; 0 where
+            targets name a rate limit, which must not be exceeded.
     """
 
     capacity: float
     others_in_flight: float
     own_in_flight: int
     min_interval_s: float = 0.0
+    queued: float = 0.0
+
+    @property
+    def reserved(self) -> float:
+        """Number of slots that teams above their share leave free; they queue no requests."""
+        return self.queued + RESERVED_SHARE * (self.capacity - self.queued)
 
     @property
     def free(self) -> float:
@@ -87,11 +103,13 @@
         deadline_s: Time on the process's clock at which the caller stops waiting.
         answer_by_s: Time on the process's clock by which an answer must be expected for the call
             to stay in the queue.
+        team: Team that sent the call; empty if it has none.
     """
 
     rank: int
     deadline_s: float
     answer_by_s: float
+    team: str = ""
 
     def __lt__(self, other: "Ticket") -> bool:
         """Order by rank, then by deadline: callers that retry have less time left."""
@@ -120,15 +138,16 @@
     retry_after_s: float
 
 
-def new_ticket(rank: int, deadline_s: float, requested_at_s: float, objective_s: float) -> Ticket:
+def new_ticket(
+    rank: int, deadline_s: float, requested_at_s: float, objective_s: float, team: str | None = None
+) -> Ticket:
     """Return the ticket of a call.
 
     ``deadline_s`` and ``requested_at_s`` are times on the process's clock; ``objective_s`` is a
     duration.
     """
-    return Ticket(
-        rank, deadline_s, min(deadline_s, requested_at_s + WAIT_OBJECTIVE_SHARE * objective_s)
-    )
+    answer_by_s = min(deadline_s, requested_at_s + WAIT_OBJECTIVE_SHARE * objective_s)
+    return Ticket(rank, deadline_s, answer_by_s, team or "")
 
 
 def background_ticket(rank: int, deadline_s: float) -> Ticket:
@@ -149,27 +168,40 @@
 
     Attributes:
         generator: Random number generator for the jitter of retry delays.
-        waiting: Tickets of the waiting calls, in the order in which they are admitted.
+        waiting: Tickets of the waiting calls, by rank and deadline.
         service_time_s: Smoothed time between the admission of a call and its answer, in seconds.
         last_free_at_s: Time at which a slot was last released or seen free.
+        last_admission_at_s: Time of the last admission.
         paused_until_s: Time before which no call is admitted, because all targets rejected one.
         last_retry_at_s: Time at which the last rejected caller was told to retry.
         admissions_since_lower_rank: Number of admissions, while calls of several ranks waited,
             since the last one of a lower rank.
+        shares: Loads of the teams.
+        clock: Virtual time of the fair queueing over teams.
+        surplus_admissions: Number of calls of teams above their share that may be admitted before
+            the next release.
     """
 
     generator: random.Random
     waiting: list[Ticket] = field(default_factory=list)
     service_time_s: float = INITIAL_SERVICE_TIME_S
     last_free_at_s: float = float("-inf")
+    last_admission_at_s: float = float("-inf")
     paused_until_s: float = float("-inf")
     last_retry_at_s: float = float("-inf")
     admissions_since_lower_rank: int = 0
+    shares: TeamShares = field(default_factory=TeamShares)
+    clock: FairClock = field(default_factory=FairClock)
+    surplus_admissions: int = MAX_SURPLUS_ADMISSIONS
 
     def enqueue(self, ticket: Ticket) -> None:
         """Add a call to the queue; ``decide`` returns what happens to the call."""
         insort(self.waiting, ticket)
 
+    def record_arrival(self, ticket: Ticket, now_s: float) -> None:
+        """Record that a team sent a call, for the shares of the teams."""
+        self.shares.record_arrival(ticket.team, now_s)
+
     def remove(self, ticket: Ticket) -> None:
         """Remove a call whose caller disconnected."""
         self.waiting = [other for other in self.waiting if other is not ticket]
@@ -177,6 +209,7 @@
     def record_release(self, took_s: float | None, now_s: float) -> None:
         """Record that a call released its slot; ``took_s`` is set if the call was answered."""
         self.last_free_at_s = now_s
+        self.surplus_admissions = MAX_SURPLUS_ADMISSIONS
         if took_s is not None:
             weight = FASTER_WEIGHT if took_s < self.service_time_s else SLOWER_WEIGHT
             self.service_time_s += weight * (took_s - self.service_time_s)
@@ -188,33 +221,94 @@
     def decide(self, slots: SlotEstimate, now_s: float) -> list[Decision]:
         """Admit calls while slots are free, then reject those that can't be answered in time."""
         decisions: list[Decision] = []
-        free_slots = slots.free if now_s >= self.paused_until_s else 0.0
+        is_paused = now_s < self.paused_until_s
+        free_slots = self.usable_slots(slots, now_s, is_paused=is_paused)
         own_in_flight = slots.own_in_flight
         while self.waiting and free_slots >= 1.0:
-            decisions.append(Admitted(self.pop_next()))
+            unreserved_slots = 0.0 if is_paused else free_slots - slots.reserved
+            candidates = self.admissible(unreserved_slots)
+            if not candidates:
+                break
+            decisions.append(Admitted(self.pop_next(candidates)))
             free_slots -= 1.0
             own_in_flight += 1
+            self.last_admission_at_s = now_s
         if free_slots >= 1.0:
             self.last_free_at_s = now_s
+        self.shares.update(now_s, has_room=not self.waiting)
         if self.waiting:
             interval_s = max(slots.min_interval_s, self.slot_interval_s(own_in_flight, now_s))
             decisions += self.reject_late(interval_s, now_s)
         return decisions
 
-    def pop_next(self) -> Ticket:
-        """Remove and return the next ticket: the first one, or at times the first of lower rank."""
-        lower_ranked = next(
-            (ticket for ticket in self.waiting if ticket.rank > self.waiting[0].rank), None
-        )
+    def usable_slots(self, slots: SlotEstimate, now_s: float, *, is_paused: bool) -> float:
+        """Return the number of slots that calls of this VM may take now.
+
+        A flood fills the targets until it is noticed. Only its own calls pause for that, and they
+        leave slots free within a service time, of which a VM that holds no slot learns nothing: it
+        tries one then.
+        """
+        if not self.shares.has_surplus:
+            return 0.0 if is_paused else slots.free
+        if slots.queued and now_s - self.last_admission_at_s >= self.service_time_s:
+            return max(1.0, slots.free)
+        return slots.free
+
+    def has_surplus(self, ticket: Ticket) -> bool:
+        """Return whether the team of a call has more than its share."""
+        return self.shares.exceeds_share(ticket.team)
+
+    def can_hedge(self, team: str) -> bool:
+        """Return whether a call may take a second slot: no call waits, or only those of a flood."""
+        if not self.waiting:
+            return True
+        return not self.shares.exceeds_share(team) and all(map(self.has_surplus, self.waiting))
+
+    def admissible(self, unreserved_slots: float) -> list[Ticket]:
+        """Return the waiting calls that may be admitted, in the order of their admission.
+
+        Calls of teams above their share leave the reserved slots free. VMs that see the same free
+        slots must not all fill them, so each admits few such calls between two releases.
+        """
+        ordered = self.in_fair_order(self.waiting)
+        if unreserved_slots >= 1.0 and self.surplus_admissions > 0:
+            return ordered
+        return [ticket for ticket in ordered if not self.has_surplus(ticket)]
+
+    def in_fair_order(self, tickets: list[Ticket]) -> list[Ticket]:
+        """Return tickets by rank, by the virtual start time of the team's turn, by deadline."""
+        if not self.shares.has_several_teams:
+            return tickets
+        turns: dict[tuple[int, str], int] = {}
+        order: list[tuple[int, float, float, int]] = []
+        for index, ticket in enumerate(tickets):
+            key = (ticket.rank, ticket.team)
+            turn = turns[key] = turns.get(key, -1) + 1
+            start = self.clock.next_start(ticket.team) + turn
+            order.append((ticket.rank, start, ticket.deadline_s, index))
+        return [tickets[entry[-1]] for entry in sorted(order)]
+
+    def pop_next(self, candidates: list[Ticket] | None = None) -> Ticket:
+        """Remove and return the next ticket: the first one, or at times the first of lower rank.
+
+        ``candidates`` are the tickets to choose from, in their order; None for all that wait.
+        """
+        candidates = candidates or self.in_fair_order(self.waiting)
+        ticket = candidates[0]
+        lower_ranked = next((other for other in candidates if other.rank > ticket.rank), None)
         if lower_ranked is None:
             self.admissions_since_lower_rank = 0
-            return self.waiting.pop(0)
-        self.admissions_since_lower_rank += 1
-        if self.admissions_since_lower_rank < ADMISSIONS_PER_LOWER_RANK:
-            return self.waiting.pop(0)
-        self.admissions_since_lower_rank = 0
-        self.remove(lower_ranked)
-        return lower_ranked
+        else:
+            self.admissions_since_lower_rank += 1
+            if self.admissions_since_lower_rank >= ADMISSIONS_PER_LOWER_RANK:
+                self.admissions_since_lower_rank = 0
+                ticket = lower_ranked
+        self.remove(ticket)
+        if self.shares.has_several_teams:
+            self.clock.begin(self.clock.add(ticket.team, 1.0))
+        if self.has_surplus(ticket):
+            self.surplus_admissions -= 1
+        return ticket
 
     def slot_interval_s(self, own_in_flight: int, now_s: float) -> float:
         """Return the expected interval between two releases of slots at this VM, in seconds.
@@ -227,17 +321,24 @@
         return max(mean_interval_s, min(stalled_s, MAX_STALL_S))
 
     def reject_late(self, slot_interval_s: float, now_s: float) -> list[Decision]:
-        """Reject the calls whose expected answer comes too late."""
+        """Reject the calls whose expected answer comes too late.
+
+        Calls of teams above their share wait behind all others, which get the slots that such
+        teams release at all VMs, hence within a service time.
+        """
         rejected: list[Decision] = []
         kept: list[Ticket] = []
-        for ticket in self.waiting:
+        has_surplus = self.shares.has_surplus
+        for ticket in sorted(self.in_fair_order(self.waiting), key=self.has_surplus):
             wait_s = slot_interval_s * (len(kept) + 1)
+            if has_surplus and not self.has_surplus(ticket):
+                wait_s = min(wait_s, self.service_time_s / 2.0)
             if now_s + wait_s + self.service_time_s <= ticket.answer_by_s:
                 kept.append(ticket)
             else:
                 retry_after_s = self.retry_after_s(ticket, wait_s, slot_interval_s, now_s)
                 rejected.append(Rejected(ticket, wait_s, retry_after_s))
-        self.waiting = kept
+        self.waiting = sorted(kept)
         return rejected
 
     def retry_after_s(
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -70,7 +70,9 @@
         """Return the ticket with which the call waits for a slot from now on."""
         if self.is_background:
             return background_ticket(self.route.rank, self.deadline_s)
-        return new_ticket(self.route.rank, self.deadline_s, now_s, self.route.objective_s)
+        return new_ticket(
+            self.route.rank, self.deadline_s, now_s, self.route.objective_s, self.team
+        )
 
     def run_at(self, replica: Replica) -> TargetRun:
         """Return the run of the request at a target."""
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -153,7 +153,9 @@
         await send_error_response(request, responder, status, reason, self.generator)
         return None
 
-    def create_call(self, request: Request, route: Route, team: TeamName | None) -> LiveCall | None:
+    def create_call(
+        self, request: Request, route: Route, team: TeamName | None = None
+    ) -> LiveCall | None:
         """Return the call with its service and deadline, or None if the route has no service."""
         share = choose_service(route.shares, self.generator.random())
         if share is None:
@@ -315,7 +317,8 @@
             The outcome; None once the hedge delay or the deadline has passed.
         """
         wait_s = call.remaining_s()
-        if can_hedge and call.attempts.repeatable and self.queues.can_hedge(call.service):
+        may_copy = can_hedge and call.attempts.repeatable
+        if may_copy and self.queues.can_hedge(call.service, call.team):
             wait_s = min(wait_s, hedge_delay_s(call.route.objective_s))
         with anyio.move_on_after(max(0.0, wait_s)):
             return await receive_stream.receive()
--- a/src/balsamcleat/tasks/live_queues.py
+++ b/src/balsamcleat/tasks/live_queues.py
@@ -16,7 +16,7 @@
 )
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
-from balsamcleat.model import ServiceName
+from balsamcleat.model import ServiceName, TeamName
 from balsamcleat.model.replicas import Replica
 
 __all__ = ["LiveQueues"]
@@ -87,13 +87,15 @@
         usable = [
             r for r in replicas if not self.stats_registry.for_target(r.target_id).is_avoided(now_s)
         ] or replicas
+        queued = float(QUEUED_PER_TARGET * len(usable))
         return SlotEstimate(
-            capacity=sum(replica.slots + QUEUED_PER_TARGET for replica in usable),
+            capacity=queued + sum(replica.slots for replica in usable),
             others_in_flight=sum(
                 self.stats_registry.for_target(r.target_id).estimated_others_in_flight(now_s)
                 for r in usable
             ),
             own_in_flight=held_slots,
+            queued=queued,
         )
 
     def has_limits(self, service: ServiceName) -> bool:
@@ -137,9 +139,11 @@
         Every call that got a slot must return it with ``release``.
         """
         state = self.state_of(service)
-        if self.estimate_slots(service, state.held_slots, anyio.current_time()) is None:
+        now_s = anyio.current_time()
+        if self.estimate_slots(service, state.held_slots, now_s) is None:
             state.held_slots += 1
             return None
+        state.queue.record_arrival(ticket, now_s)
         state.queue.enqueue(ticket)
         self.decide_waiting(service)
         if ticket not in state.decisions:
@@ -185,9 +189,12 @@
         """Return whether calls of a service wait in this queue rather than at its targets."""
         return self.estimate_slots(service, 0, anyio.current_time()) is not None
 
-    def can_hedge(self, service: ServiceName) -> bool:
-        """Return whether a call may hold a second slot, which requires that no call waits."""
-        return not self.state_of(service).queue.waiting
+    def can_hedge(self, service: ServiceName, team: TeamName | None = None) -> bool:
+        """Return whether a call may hold a second slot, which requires that no call waits for it.
+
+        Calls of teams above their share don't count.
+        """
+        return self.state_of(service).queue.can_hedge(team or "")
 
     def decide_waiting(self, service: ServiceName) -> None:
         """Admit or reject the waiting calls of a service and wake them."""
--- a/tests/burst_world.py
+++ b/tests/burst_world.py
@@ -11,7 +11,7 @@
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import Request, Response
-from balsamcleat.model import ServiceName, TargetId, ZoneName
+from balsamcleat.model import ServiceName, TargetId, TeamName, ZoneName
 from balsamcleat.model.replicas import Replica, ReplicaState
 from balsamcleat.model.routing import Route, RouteKind, WeightedService
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreView
@@ -123,6 +123,7 @@
 
     rank: int
     started_after_s: float
+    team: str = ""
     took_s: float = 0.0
     served: bool = False
     has_retried: bool = False
@@ -176,27 +177,37 @@
                     await anyio.sleep(self.arrivals.expovariate(rate_per_s(elapsed_s)))
             tasks.cancel_scope.cancel()
 
-    async def run_caller(self, rank: int) -> None:
+    async def run_caller(
+        self, rank: int, team: str = "", vms: list[SimulatedForwarder] | None = None
+    ) -> None:
         """Send a call, and retry once after the delay if the call is rejected."""
         started_at_s = anyio.current_time()
-        outcome = Outcome(rank, started_at_s - self.started_at_s)
-        retry_after_s = await self.send_call(rank, TIMEOUT_S, outcome)
+        outcome = Outcome(rank, started_at_s - self.started_at_s, team)
+        retry_after_s = await self.send_call(rank, TIMEOUT_S, outcome, vms)
         if retry_after_s is not None:
             outcome.has_retried = True
             outcome.first_rejection_s = anyio.current_time() - started_at_s
             remaining_s = TIMEOUT_S - outcome.first_rejection_s
             await anyio.sleep(min(retry_after_s, remaining_s / 3))
             remaining_s = TIMEOUT_S - (anyio.current_time() - started_at_s)
-            await self.send_call(rank, remaining_s, outcome)
+            await self.send_call(rank, remaining_s, outcome, vms)
         outcome.took_s = anyio.current_time() - started_at_s
         self.outcomes.append(outcome)
 
-    async def send_call(self, rank: int, remaining_s: float, outcome: Outcome) -> float | None:
+    async def send_call(
+        self,
+        rank: int,
+        remaining_s: float,
+        outcome: Outcome,
+        vms: list[SimulatedForwarder] | None = None,
+    ) -> float | None:
         """Send a call to a random VM; return the retry delay in seconds if it is rejected."""
-        forwarder = self.rng.choice(self.forwarders)
+        forwarder = self.rng.choice(vms or self.forwarders)
         headers = (("Deadline-Ms", str(int(remaining_s * 1000))),)
         request = Request("POST", "/x", headers, b"", anyio.current_time())
-        call = forwarder.create_call(request, route(rank))
+        call = forwarder.create_call(
+            request, route(rank), TeamName(outcome.team) if outcome.team else None
+        )
         assert call is not None
         answer = await forwarder.queue_and_send(call)
         if isinstance(answer, Ok):
