Soak: a fault that moves the wall clock of a process

VMs' wall clocks may jump by seconds and back, and nothing may depend on them but the time of usage reports. The soak could not show that: moving the clock of the machine needs its administrator's rights, and a time namespace has no wall clock of its own. The soak now starts each process through soak_clock.py, which replaces time.time before the program is imported by a clock with an offset in a mapped file. No dependency is added, and the program is unchanged.

The settings of the soak name no duties, so the clock of usage reports does not run in it yet.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -11,7 +11,9 @@
 
 import anyio
 
+import soak_clock
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws
+from soak_clock import ClockOffset
 from soak_link import SoakLink
 from soak_stand import SoakTarget, StoreDoor
 from soak_strand import Disturbance, Stranding, cut, heal
@@ -42,12 +44,17 @@
         environment = {**os.environ, "BALSAMCLEAT_CONFIG": str(self.settings)}
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "balsamcleat.entry"],
+                [sys.executable, soak_clock.__file__, str(self.clock_file)],
                 env=environment,
                 stdout=log,
                 stderr=log,
             )
 
+    @property
+    def clock_file(self) -> Path:
+        """File with the offset of the process's wall clock; it outlives the process."""
+        return self.settings.with_suffix(".clock")
+
     def send(self, number: int) -> None:
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
@@ -109,6 +116,7 @@
             self.strand_vms,
             self.target_leaves,
             self.configuration_changes,
+            self.clock_jumps,
         )
         harm = self.rng.choice(harms)
         if not self.active:
@@ -285,6 +293,13 @@
     async def configuration_changes(self) -> None:
         self.change_configuration()
 
+    async def clock_jumps(self) -> None:
+        """Move the wall clock of a VM by seconds, and back; nothing may be disturbed by it."""
+        clock = ClockOffset(self.vm().clock_file)
+        clock.set(self.rng.choice((-1.0, 1.0)) * self.rng.uniform(0.5, 8.0))
+        await anyio.sleep(self.for_s())
+        clock.set(0.0)
+
     async def plain_answers_twice(self) -> None:
         plain = self.rng.choice(self.plains)
         plain.answer_twice = True
