Entry process: the parts of duties in a module of their own

The leases, the client, usage and the ordering of targets added a hundred lines to the composition of the entry process. DutyParts owns them now, and one task runs them; behaviour is the same. The tests of the wiring name the new place.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -3,7 +3,6 @@
 import random
 import signal
 import uuid
-from dataclasses import replace
 from pathlib import Path
 
 import anyio
@@ -17,9 +16,9 @@
 from balsamcleat.decisions.team_access import is_configuration_current
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.entry.drain import drain_callers
+from balsamcleat.entry.duty_parts import DutyParts
 from balsamcleat.entry.reload import SettingsWatcher
 from balsamcleat.entry.scaling import build_scaling_controller
-from balsamcleat.entry.usage import UsageParts, usage_settings
 from balsamcleat.errors import PlatformError
 from balsamcleat.http1 import (
     ByteBudget,
@@ -37,22 +36,15 @@
 from balsamcleat.logs import bounded_logs
 from balsamcleat.platform import (
     CORRELATION_HEADER,
-    DUTY_POOL_LIMITS,
     OPERATOR_TABLE,
     REPLICA_TABLE,
-    DutyChannel,
-    DutySettings,
-    PlatformDutyClient,
     PlatformRowStore,
     PlatformSettings,
     ReplicaControl,
     load_platform_settings,
 )
-from balsamcleat.ports.duties import Duty
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
-from balsamcleat.tasks.duty_lease_keeper import LeaseHolder
-from balsamcleat.tasks.duty_leases import DutyLeases
 from balsamcleat.tasks.hop_messages import HOP_PATH
 from balsamcleat.tasks.limit_sharing import LimitSharing
 from balsamcleat.tasks.live_forwarder import LiveForwarder
@@ -70,7 +62,6 @@
 from balsamcleat.tasks.row_garbage_collector import RowGarbageCollector
 from balsamcleat.tasks.sample_run import SampleRunner
 from balsamcleat.tasks.sample_scorer import SampleScorer
-from balsamcleat.tasks.scaling_controller import ScalingController
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.step_transfer import StepTransfer
@@ -81,7 +72,6 @@
 from balsamcleat.tasks.target_paths import REACH_PATH, TargetPaths
 from balsamcleat.tasks.target_relay import TargetRelay
 from balsamcleat.tasks.team_guard import TeamGuard
-from balsamcleat.tasks.usage_reporter import UsageReporter
 from balsamcleat.tasks.version_orders import VersionLoadController
 from balsamcleat.tasks.vm_presence import VmPresence
 
@@ -102,7 +92,7 @@
 # Upper limit of the reported store silence in seconds; the silence of a store that has never
 # answered is infinite.
 MAX_REPORTED_SILENCE_S = 999.0
-# Part of the time that is reserved at the end of the grace period.
+# At the end of the grace period, the last counts are written for at most this time, in seconds.
 LAST_COUNTS_TIMEOUT_S = 0.4
 # Part of the VM's memory for the bodies that are held. A body may exist three times while it is
 # joined and sent, and the rest of the process needs memory, too.
@@ -169,13 +159,20 @@
             lambda target_id, started_ms: self.crash_detector.on_target_end(target_id, started_ms),
         )
         self.store_clock = StoreClock()
-        reports = usage_settings(settings.duties)
-        self.usage = UsageParts(settings.vm, reports, self.store_clock) if reports else None
+        self.duties = DutyParts(
+            lambda: self.settings,
+            self.boot,
+            self.store,
+            self.store_clock,
+            generator,
+            lambda: not self.target_paths.has_lost_links(self.load_controller.engines()),
+            self.idle_watch,
+        )
         self.presence = VmPresence(
             self.store,
             VmRow(settings.vm, self.boot, settings.peer_address, settings.zone, 0),
             self.store_clock,
-            lambda: bool(self.runner.steps) or self.duty_leases.orders.is_held,
+            lambda: bool(self.runner.steps) or self.duties.leases.orders.is_held,
             generator,
             LimitSharing(
                 settings.vm,
@@ -183,21 +180,10 @@
                 self.replica_directory,
                 lambda: self.peer_poller.view.is_isolated,
             ),
-            self.usage.counter if self.usage else None,
+            self.duties.usage_counter,
         )
-        self.duty_leases = DutyLeases(
-            self.store,
-            LeaseHolder(settings.vm, self.boot),
-            settings.order_gap_s,
-            self.store_clock,
-            generator,
-            lambda: not self.target_paths.has_lost_links(self.load_controller.engines()),
-            self.performed_duties,
-        )
-        self.duty_client = self.create_duty_client()
-        self.usage_reporter = self.create_usage_reporter()
         self.load_controller = VersionLoadController(
-            self.duty_leases.orders,
+            self.duties.leases.orders,
             ReplicaControl(self.target_pool, settings.vm),
             self.replica_directory,
             self.stats_registry,
@@ -245,7 +231,7 @@
             CrashGuard(self.crash_detector),
             self.live_queues,
             self.target_paths,
-            self.usage.counter if self.usage else None,
+            self.duties.usage_counter,
         )
         self.runner = RolloutRunner(
             self.records,
@@ -282,12 +268,12 @@
             lambda row: self.peer_poller.is_running(row),
         )
         self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
-        self.scaling_controller = self.create_scaling_controller()
+        self.create_duty_performers()
         self.row_garbage_collector = RowGarbageCollector(
             self.records,
             lambda: self.step_feed.steps,
             self.presence.watch,
-            lambda: self.duty_leases.orders.is_held,
+            lambda: self.duties.leases.orders.is_held,
             self.store_clock.now_ms,
             settings.results_kept_s,
         )
@@ -365,37 +351,6 @@
         self.is_leaving = False
         self.tasks: anyio.abc.TaskGroup | None = None
 
-    def performed_duties(self) -> DutySettings | None:
-        """Return the duties in the settings that this process can perform.
-
-        What performs a duty is created at the start of the process. One that took the lease on a
-        duty which a reload added would only keep others from it.
-        """
-        duties = self.settings.duties
-        if duties is None:
-            return None
-        return replace(
-            duties,
-            usage=duties.usage and self.usage_reporter is not None,
-            scaling=duties.scaling and self.scaling_controller is not None,
-        )
-
-    def create_duty_client(self) -> PlatformDutyClient:
-        """Return the client of the platform's interface for duties."""
-
-        def current_address() -> str | None:
-            return None if self.settings.duties is None else self.settings.duties.address
-
-        leases = self.duty_leases
-        return PlatformDutyClient(
-            current_address,
-            ConnectionPool(DUTY_POOL_LIMITS, idle_watch=self.idle_watch),
-            {
-                Duty.USAGE: DutyChannel(leases.usage, leases.usage_fitness),
-                Duty.SCALING: DutyChannel(leases.scaling, leases.scaling_fitness),
-            },
-        )
-
     def create_servers(self, target_relay: TargetRelay) -> None:
         """Create the servers of callers, of the load balancer, of other VMs and of metrics."""
         self.front_server = HttpServer(
@@ -429,24 +384,19 @@
             lambda: ServerLimits(),
         )
 
-    def create_usage_reporter(self) -> UsageReporter | None:
-        """Return the reporter of usage, or None if the settings do not name the duty."""
-        if self.usage is None:
-            return None
-        return self.usage.create_reporter(
-            self.store,
-            self.duty_leases.usage,
-            self.duty_client,
-            self.presence.watch,
-            self.metrics,
-        )
-
-    def create_scaling_controller(self) -> ScalingController | None:
-        """Return the controller of targets, or None if the settings do not name the duty."""
-        duties = self.settings.duties
-        return build_scaling_controller(
-            self.duty_leases.scaling if duties is not None and duties.scaling else None,
-            self.duty_client,
+    def create_duty_performers(self) -> None:
+        """Create what performs the duties that the settings name."""
+        if self.duties.usage is not None:
+            self.duties.usage_reporter = self.duties.usage.create_reporter(
+                self.store,
+                self.duties.leases.usage,
+                self.duties.client,
+                self.presence.watch,
+                self.metrics,
+            )
+        self.duties.scaling_controller = build_scaling_controller(
+            self.duties.scaling_lease,
+            self.duties.client,
             self.store,
             self.store_clock,
             self.routing_keeper,
@@ -458,8 +408,8 @@
 
     def wake_schedulers(self) -> None:
         """Wake the components that schedule work by the configuration and the targets."""
-        if self.usage is not None and self.routing_keeper.table is not None:
-            self.usage.counter.start()
+        if self.duties.usage_counter is not None and self.routing_keeper.table is not None:
+            self.duties.usage_counter.start()
         self.runner.wake()
         self.load_controller.wake()
 
@@ -525,7 +475,7 @@
                 self.stream_register.run,
                 self.target_paths.run,
                 self.presence.run,
-                self.duty_leases.run,
+                self.duties.run,
                 self.runner.run,
                 self.load_controller.run,
                 self.step_feed.run,
@@ -539,10 +489,6 @@
                 self.run_housekeeping,
             ):
                 tasks.start_soon(component_run)
-            if self.usage_reporter is not None:
-                tasks.start_soon(self.usage_reporter.run)
-            if self.scaling_controller is not None:
-                tasks.start_soon(self.scaling_controller.run)
             await self.wait_for_stop()
             await self.shut_down()
             tasks.cancel_scope.cancel()
@@ -557,7 +503,7 @@
         self.metrics.gauge("steps.owned", len(self.runner.steps))
         late_steps = sum(bool(step.group_positions) for step in self.runner.steps.values())
         self.metrics.gauge("steps.expected_late", late_steps)
-        if self.duty_leases.orders.is_held:
+        if self.duties.leases.orders.is_held:
             for division in self.load_controller.divisions.values():
                 for model, engines in division.items():
                     self.metrics.gauge(f"engines.planned.{model}", engines)
@@ -572,10 +518,7 @@
         self.metrics.gauge("bytes.bodies_refused", self.byte_budget.refused_bodies)
         self.metrics.gauge("bytes.clients_cut_off", self.byte_budget.cut_off_connections)
         self.metrics.gauge("limits.targets", self.stats_registry.limits.limited_count)
-        for keeper in self.duty_leases.keepers:
-            self.metrics.gauge(f"leases.held.{keeper.duty.value}", keeper.is_held)
-        if self.scaling_controller is not None:
-            self.scaling_controller.report_gauges(self.metrics)
+        self.duties.report_gauges(self.metrics)
         self.metrics.gauge("log.bytes_waiting", self.output.waiting_bytes)
         await responder.send(Response(200, METRICS_HEADERS, self.metrics.render()))
 
@@ -584,7 +527,7 @@
         self.settings = settings
         self.byte_budget.limit_bytes = byte_limit(settings)
         self.direct_store.apply_access(settings.store)
-        self.duty_leases.apply_gap(settings.order_gap_s)
+        self.duties.leases.apply_gap(settings.order_gap_s)
 
     async def wait_for_stop(self) -> None:
         """Wait for SIGTERM or SIGINT; SIGHUP reloads the settings file."""
@@ -605,11 +548,11 @@
         self.front_server.start_draining()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.release_ownership)
-            tasks.start_soon(self.duty_leases.release_platform_duties)
+            tasks.start_soon(self.duties.leases.release_platform_duties)
             await drain_callers(self.front_server, started_s, self.settings.grace_s)
             tasks.cancel_scope.cancel()
         self.front_server.stop_accepting()
-        if self.usage is not None:
+        if self.duties.usage_counter is not None:
             with anyio.move_on_after(LAST_COUNTS_TIMEOUT_S):
                 await self.presence.try_call("presence renewal", self.presence.renew)
 
@@ -618,7 +561,7 @@
         try:
             await self.presence.announce_leaving()
             await self.step_transfer.hand_over()
-            await self.duty_leases.orders.release()
+            await self.duties.leases.orders.release()
             await self.presence.announce_stopped()
         except PlatformError as error:
             log.warning("not all handed over", reason=str(error))
@@ -628,7 +571,7 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.output.drain()
-            self.crash_history.remove_expired(deletes_rows=self.duty_leases.orders.is_held)
+            self.crash_history.remove_expired(deletes_rows=self.duties.leases.orders.is_held)
             now_s = anyio.current_time()
             for step in list(self.runner.steps.values()):
                 if step.ended and now_s - step.ended_at_s > ENDED_STEP_RETENTION_S:
--- a/tests/test_usage_wiring.py
+++ b/tests/test_usage_wiring.py
@@ -61,7 +61,9 @@
 async def test_process_without_usage_settings_has_none_of_it(tmp_path: Path) -> None:
     process = entry_process(tmp_path, "127.0.0.71", {})
     try:
-        assert process.usage is process.usage_reporter is process.presence.usage is None
+        assert (
+            process.duties.usage is process.duties.usage_reporter is process.presence.usage is None
+        )
         assert process.dispatcher.forwarder.usage.counter is None
         process.routing_keeper.table = TABLE
         process.wake_schedulers()
@@ -75,8 +77,8 @@
 ) -> None:
     process = entry_process(tmp_path, "127.0.0.72", DUTIES)
     try:
-        assert process.usage is not None
-        counter = process.usage.counter
+        assert process.duties.usage is not None
+        counter = process.duties.usage.counter
         assert process.presence.usage is counter
         assert process.dispatcher.forwarder.usage.counter is counter
         process.wake_schedulers()
@@ -84,9 +86,9 @@
         process.routing_keeper.table = RoutingTable(TABLE.version, ())
         process.wake_schedulers()
         assert counter.configured_at_s is not None
-        assert process.usage_reporter is not None
-        assert process.usage_reporter.counter is counter
-        assert process.usage_reporter.lease is process.duty_leases.usage
+        assert process.duties.usage_reporter is not None
+        assert process.duties.usage_reporter.counter is counter
+        assert process.duties.usage_reporter.lease is process.duties.leases.usage
     finally:
         close(process)
 
@@ -99,8 +101,8 @@
     process = entry_process(tmp_path, "127.0.0.73", {})
     try:
         process.apply_settings(replace(process.settings, duties=SETTINGS_OF_DUTIES))
-        assert not process.duty_leases.is_usage_enabled()
-        assert not process.duty_leases.is_scaling_enabled()
+        assert not process.duties.leases.is_usage_enabled()
+        assert not process.duties.leases.is_scaling_enabled()
     finally:
         close(process)
 
@@ -110,12 +112,12 @@
     process = entry_process(tmp_path, "127.0.0.74", DUTIES)
     try:
         settings = process.settings
-        assert process.duty_leases.is_usage_enabled()
+        assert process.duties.leases.is_usage_enabled()
         process.apply_settings(replace(settings, duties=None))
-        assert not process.duty_leases.is_usage_enabled()
+        assert not process.duties.leases.is_usage_enabled()
         process.apply_settings(replace(settings, duties=SETTINGS_OF_DUTIES))
-        assert process.duty_leases.is_usage_enabled()
-        assert not process.duty_leases.is_scaling_enabled()
+        assert process.duties.leases.is_usage_enabled()
+        assert not process.duties.leases.is_scaling_enabled()
     finally:
         close(process)
 
