Faults and unclear texts that two new readers of the changes found

- A restarted process counted requests in windows that its predecessor had published as final; it goes on after them.
- Services whose trainers had all ended never released targets, since nothing counted as learned.
- An order for lost targets that got no answer was repeated without a pause and held up other pools; a release that was not sent counted as one.
- Teams' calls were compared without the same decay, so that a team could look like a flood after a quiet time.
- The team in the part of carried text could be cut off by a long path; known submitters were dropped all at once.
- The end of usage calls is recorded also while the process stops; a heartbeat conflict without rows ended the renewals.
- Clients that were cut off for memory were counted again until their tasks ended, so that too many were cut off.
- The log line on incomplete usage was written before the report was stored; gauges of engines and late steps showed old numbers.

Docstrings and comments of these places are reworded. Moving the forecast of late steps before the placement was tried and taken back: test_late_steps.py showed that a step without running samples then loses its order.

--- a/src/balsamcleat/adapters/text_metrics.py
+++ b/src/balsamcleat/adapters/text_metrics.py
@@ -16,7 +16,7 @@
 MAX_UNITS = 2 * 60 * 1000 * UNITS_PER_MS
 SIGNIFICANT_FIGURES = 2
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
-# Names come from routes, events and teams, of which up to 100 are counted twice; further names are
+# Names come from routes, events and up to 100 teams with two counters each; further names are
 # counted together.
 MAX_NAMES = 600
 OTHER = "other"
--- a/src/balsamcleat/decisions/engine_ranking.py
+++ b/src/balsamcleat/decisions/engine_ranking.py
@@ -137,7 +137,7 @@
         self.engines = engines
         self.fastest_interval_s = fastest_event_interval_s(engines)
         self.heaps: dict[SampleRequirements, list[tuple[float, int]]] = {}
-        # Filled at the first assignment to a certain engine; most passes have none.
+        # Filled at the first assignment to a given engine; most passes have none.
         self.index_by_id: dict[TargetId, int] = {}
         self.engines_by_prompt: dict[str, list[int]] = {prompt: [] for prompt in prompts}
         known_prompts = self.engines_by_prompt.keys()
@@ -164,7 +164,7 @@
     def assign_to(
         self, target_id: TargetId, requirements: SampleRequirements, prompt: str
     ) -> EngineView | None:
-        """Assign a sample to a certain engine; return None if the engine can't take it now."""
+        """Assign a sample to a given engine; return None if the engine can't take it now."""
         if not self.index_by_id:
             self.index_by_id = {
                 engine.target_id: index for index, engine in enumerate(self.engines)
--- a/src/balsamcleat/decisions/late_steps.py
+++ b/src/balsamcleat/decisions/late_steps.py
@@ -1,4 +1,4 @@
-"""Find the steps that can't be whole in time, and complete some of their groups in time instead.
+"""Estimate when open steps will end, and order the groups of a step that will be late.
 
 Load pattern: several trainers overload the engines. Samples start longest first, which ends a whole
 step earliest, but then all groups of a step are complete at about the same time. If that is after
--- a/src/balsamcleat/decisions/live_queue.py
+++ b/src/balsamcleat/decisions/live_queue.py
@@ -53,8 +53,8 @@
 # While calls of several ranks wait, one of this many admissions goes to a lower rank, so that no
 # rank starves.
 ADMISSIONS_PER_LOWER_RANK = 8
-# Calls of teams above their share that a VM admits between two releases. Two let their number grow
-# when there is room; more would let many VMs that see the same free slots fill them all.
+# Calls of teams above their share that a VM admits between two releases of slots: many VMs that see
+# the same free slots would fill them all with more.
 MAX_SURPLUS_ADMISSIONS = 1
 # Callers honour a retry delay of up to this share of their remaining time.
 MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
@@ -221,6 +221,7 @@
     def decide(self, slots: SlotEstimate, now_s: float) -> list[Decision]:
         """Admit calls while slots are free, then reject those that can't be answered in time."""
         decisions: list[Decision] = []
+        self.shares.decay(now_s)
         is_paused = now_s < self.paused_until_s
         free_slots = self.usable_slots(slots, now_s, is_paused=is_paused)
         own_in_flight = slots.own_in_flight
@@ -244,9 +245,9 @@
     def usable_slots(self, slots: SlotEstimate, now_s: float, *, is_paused: bool) -> float:
         """Return the number of slots that calls of this VM may take now.
 
-        A flood fills the targets until it is noticed. Only its own calls pause for that, and they
-        leave slots free within a service time, of which a VM that holds no slot learns nothing: it
-        tries one then.
+        While a team exceeds its share, a rejection by all targets pauses only the calls of that
+        team. A VM that has admitted no call for one service time has no recent report of the
+        targets' load, so it may send one call.
         """
         if not self.shares.has_surplus:
             return 0.0 if is_paused else slots.free
@@ -323,8 +324,8 @@
     def reject_late(self, slot_interval_s: float, now_s: float) -> list[Decision]:
         """Reject the calls whose expected answer comes too late.
 
-        Calls of teams above their share wait behind all others, which get the slots that such
-        teams release at all VMs, hence within a service time.
+        Calls of teams above their share wait behind all others. These get the slots that such teams
+        release at all VMs, on average within half a service time.
         """
         rejected: list[Decision] = []
         kept: list[Ticket] = []
--- a/src/balsamcleat/decisions/sample_placement.py
+++ b/src/balsamcleat/decisions/sample_placement.py
@@ -108,8 +108,8 @@
 def placement_key(sample: WaitingSample) -> tuple[bool, bool, float, int, SampleRank]:
     """Return the key by which samples are placed: moved ones, those that have begun, by rank.
 
-    A moved sample was taken off its engine for the sake of a free slot elsewhere, which another
-    sample would take.
+    A moved sample was stopped because its new engine has a free slot. Placed later, it could lose
+    the slot to another sample.
     """
     submitted_s, rank = sample.rank
     return (
--- a/src/balsamcleat/decisions/slot_need.py
+++ b/src/balsamcleat/decisions/slot_need.py
@@ -20,20 +20,20 @@
 
 # Steps of this time count for the peak, in seconds.
 DEMAND_WINDOW_S = 90.0
-# Steps that ended within this time show how steps fare now, in seconds.
+# Steps submitted within this time show how long steps take now, in seconds.
 RECENT_S = 30.0
 # Number of finished steps of each trainer from which on its demand is known.
 LEARNED_STEPS = 5
-# Share of late steps above which no target is released. Trainers wait for nine groups out of ten,
-# so a single late step is no chance event, but may be one of a fault.
+# Share of late steps above which no target is released. A step is late only if more than a tenth of
+# its groups are, so a single late step points to a fault rather than to too few targets.
 LATE_SHARE = 0.1
-# Some steps are late for want of fast engines, whatever the number of targets is. Only more of them
-# than that show that targets are missing.
+# Some steps are late whatever the number of targets is, since engines differ in pace. Only a larger
+# share of late steps than usual shows that targets are missing.
 USUAL_LATE_FACTOR = 2.0
 # Longest time that a trainer trains after a step, in seconds. A step that leaves less of the
 # interval between two steps delays all later ones.
 TRAINING_S = 1.0
-# Recent steps are slow if they take longer than this multiple of what a quarter of them took.
+# Recent steps are slow if they take longer than this multiple of the durations' lower quartile.
 SLOW_FACTOR = 1.35
 # Assumed before two steps of a trainer are known, in seconds.
 DEFAULT_INTERVAL_S = 4.0
@@ -178,10 +178,10 @@
     needs: tuple[ModelNeed, ...], models: Iterable[str], history: StepHistory, now_s: float
 ) -> bool:
     """Return whether several steps of each trainer were seen, or it was long silent."""
-    if not needs or history.began_s is None:
+    if history.began_s is None:
         return False
     known = {need.model for need in needs}
     has_silent_model = not known.issuperset(models)
-    if has_silent_model and now_s - history.began_s < DEMAND_WINDOW_S:
+    if (has_silent_model or not needs) and now_s - history.began_s < DEMAND_WINDOW_S:
         return False
     return all(need.finished_steps >= LEARNED_STEPS for need in needs)
--- a/src/balsamcleat/decisions/steady_level.py
+++ b/src/balsamcleat/decisions/steady_level.py
@@ -23,7 +23,7 @@
     Attributes:
         value: Current number.
         lower_since_s: Time since which the need has been clearly lower, in seconds.
-        highest_lower: Highest need since then.
+        highest_lower: Highest level (need with headroom) since then.
     """
 
     value: int = 0
--- a/src/balsamcleat/decisions/target_scaling.py
+++ b/src/balsamcleat/decisions/target_scaling.py
@@ -42,11 +42,11 @@
 
 __all__ = ["TargetScaler"]
 
-# Turns in which the samples of a step start. Loads of the next weights begin 0.3 s after a step, so
-# a sample without a slot by then finds engines that load and start none.
+# Batches in which the samples of a step start; 1 means that all start at once. Loads of the next
+# weights begin soon after a step, and an engine that loads starts no samples of that model.
 TURNS = 1.0
-# If no reclaimable targets are to be had, the last third of the slots costs more than five times as
-# much, and the last samples of a step start about half a median length later without it.
+# Without reclaimable targets, the last third of the slots costs several times as much, while the
+# last samples of a step start only as soon as its first short ones have ended.
 TURNS_WITHOUT_RECLAIMABLE = 1.5
 # A pool without available targets is tried again after this time, in seconds. They become available
 # within some ten seconds or not for minutes.
@@ -55,7 +55,7 @@
 # Pause after an order beyond the rate limit, which is counted over one second; doubled each time.
 THROTTLE_PAUSE_S = 1.0
 MAX_THROTTLE_PAUSE_S = 8.0
-# A repeated order for lost targets is sent at most this often, in seconds.
+# Shortest time between two sendings of the same order, in seconds.
 REPEAT_INTERVAL_S = 1.0
 # A target that is not listed this long after the time that it needs to start won't come.
 LATE_START_S = 6.0
@@ -150,7 +150,7 @@
             self.reclaimed_s[pool.zone] = now_s
 
     def note_overdue(self, view: ScalingView, pool: Pool, now_s: float) -> None:
-        """Repeat an order whose targets did not come, and then let other pools stand in."""
+        """Schedule one repetition of an overdue order; if it is overdue again, block its pool."""
         overdue_s = view.spec.startup_s + LATE_START_S
         is_overdue = now_s - view.zones[pool.zone].order(pool).ordered_s > overdue_s
         counts = view.count(pool)
@@ -284,7 +284,7 @@
         return None
 
     def plan_release(self, view: ScalingView, now_s: float) -> PlannedOrder | None:
-        """Return the order of fewer targets of the most expensive surplus, if it is safe."""
+        """Return the release of the most expensive surplus targets, if it is safe."""
         need = view.need
         if need is None or not self.may_release(view, need, now_s):
             return None
@@ -346,7 +346,7 @@
         """
         pool, orders = order.pool, order.zone_orders
         self.unconfirmed.pop(pool, None)
-        if order.reason == "surplus":
+        if order.reason == "surplus" and outcome in (DutyOutcome.ACCEPTED, DutyOutcome.UNKNOWN):
             self.released_at_s = now_s
         if outcome is DutyOutcome.THROTTLED:
             pause_s = THROTTLE_PAUSE_S * 2**self.throttle_count
@@ -361,8 +361,12 @@
             is_unavailable = outcome is DutyOutcome.UNAVAILABLE
             retry_s = UNAVAILABLE_RETRY_S if is_unavailable else INVALID_RETRY_S
             self.blocked_until_s[pool] = now_s + retry_s
-            kept = order.before if order.count > order.before else min(order.before, ready)
+            has_lost = is_unavailable and order.count <= order.before
+            kept = min(order.before, ready) if has_lost else order.before
             return orders.with_order(pool, PoolOrder(kept, now_s))
         else:
             self.unconfirmed[pool] = now_s + REPEAT_INTERVAL_S
+            if pool in self.repeat_at_s:
+                # Orders for other pools are not held up by one that gets no answer.
+                self.repeat_at_s[pool] = now_s + REPEAT_INTERVAL_S
         return orders
--- a/src/balsamcleat/decisions/team_shares.py
+++ b/src/balsamcleat/decisions/team_shares.py
@@ -27,14 +27,15 @@
 LEARNING_TIME_S = 2.0
 # The usual calls are averaged at this interval, in seconds.
 UPDATE_INTERVAL_S = 0.05
-# Up to this factor of the usual calls, and a few more, is no flood: the arrivals of a team vary.
+# A team sends unusually many calls above 2 * mean + 2 * sqrt(mean) + 3: its demand varies, the
+# arrivals are random, and a few calls of a team that sends hardly any are no flood.
 USUAL_VARIATION = 2.0
 USUAL_VARIATION_CALLS = 3.0
 USUAL_DEVIATIONS = 2.0
 # Share of the slots that teams above their share leave free for the others, whose calls would
 # otherwise wait at the targets: VMs that see old loads send calls to targets that are full.
 RESERVED_SHARE = 1.0 / 3.0
-# Teams with fewer calls are forgotten.
+# Teams whose counts have decayed below this are removed.
 MIN_CALLS = 1e-3
 
 
@@ -114,6 +115,13 @@
         load.add_call(now_s)
         self.total.add_call(now_s)
 
+    def decay(self, now_s: float) -> None:
+        """Let the counts of all teams decay to the same time, so that they can be compared."""
+        if self.has_several_teams:
+            self.total.decay(now_s)
+            for load in self.loads.values():
+                load.decay(now_s)
+
     def exceeds_share(self, team: str) -> bool:
         """Return whether a team sends more than an equal part, and many more calls than usual."""
         load = self.loads.get(team)
@@ -125,7 +133,7 @@
     def growth_of_others(self, load: TeamLoad) -> float:
         """Return the factor by which the calls of all other teams have grown; at least 1.
 
-        A burst of all teams is no flood by the largest of them.
+        A burst of all teams must not count as a flood by the largest of them.
         """
         recent_calls = self.total.recent_calls - load.recent_calls
         usual_calls = self.total.usual_calls - load.usual_calls
--- a/src/balsamcleat/decisions/usage_windows.py
+++ b/src/balsamcleat/decisions/usage_windows.py
@@ -89,7 +89,7 @@
 
 
 class UsageWindows:
-    """Counts of one VM.
+    """Requests that began to run at one VM, by window and team.
 
     Args:
         length_ms: Length of a window, in milliseconds.
@@ -144,6 +144,8 @@
                     known = self.inherited.setdefault(usage.first + index, Counter())
                     known[team] = max(known[team], count)
         self.first = usage.first if self.first is None else min(self.first, usage.first)
+        # The report of a window that was final may be stored already.
+        self.complete = max(self.complete, usage.complete)
 
     def publish(self, true_ms: float, undecided_ms: float | None) -> PublishedUsage | None:
         """Return what to publish at a time; None before this VM began to count.
@@ -186,7 +188,7 @@
             self.published_ms.setdefault(window, true_ms)
 
     def drop_old(self, true_ms: float, current: int) -> None:
-        """Drop windows whose counts have been public for long enough, and the oldest beyond all."""
+        """Drop windows published long enough ago, and the oldest beyond the maximum."""
         assert self.first is not None
         first = max(self.first, current - MAX_WINDOWS)
         while (
--- a/src/balsamcleat/entry/duty_parts.py
+++ b/src/balsamcleat/entry/duty_parts.py
@@ -44,8 +44,9 @@
         leases: Leases on all duties.
         client: Client of the platform's interface for duties.
         usage: Components that count usage; None if the settings do not name the duty.
-        usage_reporter: Reports usage; None if the settings do not name the duty.
-        scaling_controller: Orders targets; None if the settings do not name the duty.
+        usage_reporter: Reports usage; None if the settings at the start do not name the duty. Set
+            by the composition, as it needs other components.
+        scaling_controller: Orders targets; None likewise.
     """
 
     def __init__(
@@ -86,8 +87,8 @@
     def performed_duties(self) -> DutySettings | None:
         """Return the duties in the settings that this process can perform.
 
-        What performs a duty is created at the start of the process. One that took the lease on a
-        duty which a reload added would only keep others from it.
+        What performs a duty is created at the start of the process, so a reload can't add one. A
+        process that can't perform a duty must not hold its lease.
         """
         duties = self.current_settings().duties
         if duties is None:
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -501,12 +501,16 @@
             await responder.send(Response(404))
             return
         self.metrics.gauge("steps.owned", len(self.runner.steps))
-        late_steps = sum(bool(step.group_positions) for step in self.runner.steps.values())
+        late_steps = sum(
+            bool(step.group_positions) and not step.ended for step in self.runner.steps.values()
+        )
         self.metrics.gauge("steps.expected_late", late_steps)
-        if self.duties.leases.orders.is_held:
-            for division in self.load_controller.divisions.values():
-                for model, engines in division.items():
-                    self.metrics.gauge(f"engines.planned.{model}", engines)
+        is_planning = self.duties.leases.orders.is_held
+        for service, division in self.load_controller.divisions.items():
+            for model, engines in division.items():
+                self.metrics.gauge(
+                    f"engines.planned.{service}.{model}", engines if is_planning else 0
+                )
         running_samples = sum(len(step.running) for step in self.runner.steps.values())
         self.metrics.gauge("samples.running", running_samples)
         self.metrics.gauge("requests.active", self.front_server.active_requests)
--- a/src/balsamcleat/http1/byte_budget.py
+++ b/src/balsamcleat/http1/byte_budget.py
@@ -26,11 +26,13 @@
         size: Number of bytes.
         progress_s: Time at which the remote end last took or sent some, on the event loop's clock.
         cut_off: Ends the connection of the remote end.
+        is_cut_off: Whether the connection was cut off, so that the bytes are about to be released.
     """
 
     size: int
     progress_s: float
     cut_off: Callable[[], None]
+    is_cut_off: bool = False
 
 
 class ByteBudget:
@@ -51,6 +53,8 @@
         self.held_bytes = 0
         self.refused_bodies = 0
         self.cut_off_connections = 0
+        # Bytes of connections that were cut off and whose tasks have not ended yet.
+        self.releasing_bytes = 0
         self.pending: dict[PendingBytes, None] = {}
         self.freed = anyio.Event()
 
@@ -94,7 +98,7 @@
         with anyio.move_on_after(timeout_s):
             while missing := self.missing_bytes(size, body_size):
                 if anyio.current_time() >= cut_off_at_s:
-                    self.cut_off_stopped(missing)
+                    self.cut_off_stopped(missing - self.releasing_bytes)
                     cut_off_at_s = anyio.current_time() + RECHECK_S
                 with anyio.move_on_after(RECHECK_S):
                     await self.freed.wait()
@@ -115,22 +119,25 @@
         self.add(size)
 
     def shrink(self, pending: PendingBytes, size: int) -> None:
-        """Count bytes of a larger number that the remote end has taken."""
+        """Subtract bytes that the remote end has taken."""
         pending.size -= size
         self.remove(size)
 
     def settle(self, pending: PendingBytes) -> None:
-        """Keep bytes counted that wait for their remote end no longer."""
+        """Exempt a connection from being cut off; its bytes stay counted."""
         self.pending.pop(pending, None)
 
     def end(self, pending: PendingBytes) -> None:
-        """Count bytes that are no longer held."""
+        """Subtract all bytes that are left of a body."""
         self.settle(pending)
+        if pending.is_cut_off:
+            pending.is_cut_off = False
+            self.releasing_bytes -= pending.size
         self.remove(pending.size)
         pending.size = 0
 
     def cut_off_stopped(self, missing_bytes: int) -> None:
-        """Cut off remote ends that have stopped, those with the most bytes first."""
+        """Cut off remote ends that make no progress, those with the most bytes first."""
         now_s = anyio.current_time()
         stopped = [
             pending for pending in self.pending if now_s - pending.progress_s >= STOPPED_AFTER_S
@@ -139,7 +146,9 @@
             if missing_bytes <= 0:
                 return
             missing_bytes -= pending.size
-            # The bytes are counted until their task has ended, but that is cut off only once.
+            # The bytes stay counted until the connection's task has ended.
             self.settle(pending)
+            pending.is_cut_off = True
+            self.releasing_bytes += pending.size
             self.cut_off_connections += 1
             pending.cut_off()
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -80,12 +80,12 @@
     ),
     event(
         "slow client cut off",
-        "It had stopped in its request or response, and others needed the memory.",
+        "A client made no progress for 1 s and was cut off to free memory.",
         "client",
     ),
     event(
         "unsolicited bytes",
-        "A server sent on an idle connection what nobody asked for; it was closed.",
+        "A server sent data on an idle connection; the connection was closed.",
         "peer",
     ),
     event("caller gone", "The caller closed before its answer.", "request path took_s"),
@@ -252,7 +252,11 @@
     event("row field not read", "Another VM's row has it in a form unknown here.", "type reason"),
     # Usage reports.
     event("usage reported", "The platform accepted the report of a window.", USAGE),
-    event("usage delayed", "Reports wait. Once for each reason in a row.", "reason"),
+    event(
+        "usage delayed",
+        "Reports wait; consecutive lines with the same reason are left out.",
+        "reason",
+    ),
     event(
         "usage incomplete",
         "A report lacks the last counts of VMs that are silent; it can't wait any longer.",
@@ -264,7 +268,7 @@
     event("usage report given up", "It was not accepted within 600 s.", "window"),
     event("usage report unreadable", "Its row is broken; it is not replaced.", "window reason"),
     event("usage taken over", "From the row of this VM's earlier process.", "first complete"),
-    event("clock jumped", "The wall clock of this VM, by so many seconds.", "by_s"),
+    event("clock jumped", "This VM's wall clock jumped by so many seconds.", "by_s"),
     event("target limit ignored", "Its value is no number of 0 or more.", "target reason"),
     event(
         "turned away for a limit",
@@ -307,7 +311,7 @@
     event("duty lease given up", "This VM's calls got no responses for 2 s.", "duty fence"),
     event("duty lease lost", "Another VM has it.", "duty fence"),
     event("duty lease not renewed or read", "The store failed.", "duty reason"),
-    event("duty lease renewed or read again", "It answers.", "duty"),
+    event("duty lease renewed or read again", "The store answers again.", "duty"),
     event("duty calls wait for the store", "The lease is not written.", "duty reason"),
     event("duty lease renewed late", "Over 1 s after the previous renewal.", "duty fence after_s"),
     event("duty lease released", "It is free for another VM.", "duty fence"),
@@ -332,7 +336,11 @@
         "The zone gets others for a while.",
         "service zone",
     ),
-    event("target orders taken over", "This VM gives them; it read the last ones.", "fence rows"),
+    event(
+        "target orders taken over",
+        "This VM orders targets from now on; it has read the last orders.",
+        "fence rows",
+    ),
     event("target orders changed by another VM", "They are read again.", "service zone"),
     event("target orders wait for the store", "They are given later.", "reason"),
     event("target orders failed by a fault", "A fault of this program.", "exception"),
--- a/src/balsamcleat/tasks/hop_messages.py
+++ b/src/balsamcleat/tasks/hop_messages.py
@@ -30,8 +30,8 @@
 CERTAIN_START_HEADER = "Hop-Start-Certain"
 UNFRAMED_HEADER = "Hop-Unframed"
 # In a request, this header names the team that the sender has authenticated. It has the name of a
-# header of responses, because the previous build removes that from the requests of callers and
-# from those that it passes on. It would let a new name through in both.
+# header of responses: a VM of the previous build removes that name from what callers send, while it
+# would pass a new name on, which callers could then forge.
 TEAM_HEADER = UNFRAMED_HEADER
 HOP_HEADERS = frozenset(
     name.lower()
--- a/src/balsamcleat/tasks/late_step_watch.py
+++ b/src/balsamcleat/tasks/late_step_watch.py
@@ -1,4 +1,4 @@
-"""Keeps the order of groups of owned steps that are expected to be late."""
+"""Sets the order in which groups of late steps are started."""
 
 import structlog
 
@@ -49,7 +49,7 @@
 
 
 def remaining_tokens(step: OwnedStep) -> dict[str, float]:
-    """Return the expected number of tokens left of each sample without a whole text, by id."""
+    """Return the expected number of tokens left of each unfinished sample, by id."""
     left = {}
     for sample_id, sample in step.samples.items():
         if sample_id not in step.done and sample_id not in step.unscored:
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -46,6 +46,8 @@
 # Longest time that a new step waits to load text of the trainer's previous step; it then starts
 # without that text.
 CARRYOVER_TIMEOUT_S = 0.3
+# The store accepts no longer names of parts.
+MAX_PART_BYTES = 200
 JSON = (("Content-Type", "application/json"),)
 BYTES = (("Content-Type", "application/octet-stream"),)
 
@@ -348,7 +350,8 @@
     Teams that share a route don't get each other's text.
     """
     prefix = path.strip("/").partition("/")[0]
-    return f"carry/{host}/{prefix}{f'/{team}' if team else ''}"[:200]
+    # The team comes first, so that a long path can't cut it off.
+    return f"carry/{f'{team}/' if team else ''}{host}/{prefix}"[:MAX_PART_BYTES]
 
 
 def first_page(results: tuple[SampleResult, ...]) -> tuple[SampleResult, ...]:
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -190,6 +190,8 @@
             backlogs[service] = len(waiting)
             engines = self.view.engines(service, now_s)
             if may_move:
+                # Applies from the next placement on. At the moment when the last runs of a step
+                # have ended, there is no forecast, and its samples must keep their order.
                 update_group_positions(steps, fastest_event_interval_s(engines), now_s)
             routes = {step.step_id: route for step, route in steps}
             placements = place_samples(waiting, engines)
--- a/src/balsamcleat/tasks/step_access.py
+++ b/src/balsamcleat/tasks/step_access.py
@@ -92,5 +92,5 @@
     def remember(self, step_id: StepId, submitter: StepSubmitter) -> None:
         """Remember a step's submitter; a submission is large, and a trainer polls."""
         if len(self.submitters) >= MAX_SUBMITTERS:
-            self.submitters.clear()
+            del self.submitters[next(iter(self.submitters))]
         self.submitters[step_id] = submitter
--- a/src/balsamcleat/tasks/usage_counter.py
+++ b/src/balsamcleat/tasks/usage_counter.py
@@ -14,7 +14,7 @@
 __all__ = ["UsageCounter"]
 
 MS_PER_S = 1000.0
-# Requests that began to run before true time is known, which takes one read of the store.
+# Requests that are kept until true time is known, which takes one read of the store.
 MAX_UNDATED = 10_000
 
 log = structlog.get_logger()
--- a/src/balsamcleat/tasks/usage_reporter.py
+++ b/src/balsamcleat/tasks/usage_reporter.py
@@ -36,9 +36,12 @@
 DONE_RETENTION_S = 60.0
 # A report that the platform does not accept is given up this long after the end of its window.
 UNDELIVERED_RETENTION_S = 600.0
+# Rows deleted by one commit, which the store limits.
 MAX_DELETED_ROWS = 20
 # Time until a report that was not accepted is sent again.
 RETRY_INTERVAL_S = 0.5
+# While this process stops, the end of the last call is recorded for at most this time, in seconds.
+END_TIMEOUT_S = 1.0
 
 log = structlog.get_logger()
 
@@ -152,14 +155,10 @@
     def is_ready(self, window: int, usages: list[VmUsage], now_ms: float) -> bool:
         """Return whether the counts of a window are known as well as they will be in time."""
         assert self.rows_readable_since_s is not None
-        awaited = awaited_vms(window, usages)
-        if not awaited:
+        if not awaited_vms(window, usages):
             return True
         readable_for_s = self.counter.clock.steady_s() - self.rows_readable_since_s
-        if not must_report(self.after_end_s(window, now_ms), readable_for_s):
-            return False
-        log.warning("usage incomplete", window=window, awaited=sorted(awaited))
-        return True
+        return must_report(self.after_end_s(window, now_ms), readable_for_s)
 
     def after_end_s(self, window: int, now_ms: float) -> float:
         """Return the time since the end of a window, in seconds."""
@@ -169,7 +168,10 @@
         """Store the report of a window unless it has one."""
         assert self.known is not None
         report = UsageReport(window, merge_counts(window, usages))
-        await self.records.create(report, len(usages), self.known)
+        was_stored = await self.records.create(report, len(usages), self.known)
+        awaited = awaited_vms(window, usages)
+        if was_stored and awaited:
+            log.warning("usage incomplete", window=window, awaited=sorted(awaited))
         # The row decides also if another holder was faster.
         self.known = await self.records.read()
 
@@ -197,7 +199,8 @@
                     return
                 await self.mark_done(stored)
         finally:
-            await self.lease.end_calls()
+            with anyio.move_on_after(END_TIMEOUT_S, shield=True):
+                await self.lease.end_calls()
 
     def handle_outcome(self, stored: StoredReport, outcome: DutyOutcome) -> bool:
         """Handle the outcome of sending a report; return whether the report is done."""
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -181,7 +181,11 @@
                 if self.usage is not None:
                     self.usage.record_published(usage)
                 return
-            self.adopt_row(outcome.rows[0])
+            row = next((row for row in outcome.rows if row.key == key), None)
+            if row is None:
+                self.row_version = ABSENT_VERSION
+            else:
+                self.adopt_row(row)
         raise PlatformUnavailableError("the VM's row keeps changing", step="presence.write")
 
     def next_value(self, usage: PublishedUsage | None) -> bytes:
