Make: replays of loads run beside the other tests

The new replays need about four minutes of processor time and no sockets, so they and the other tests run at the same time; which tests run and what they check is the same.

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,19 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test format lint types unit bench binary clean
+# Replays of loads in virtual time: no sockets, no clock, minutes of processor time.
+REPLAYS := $(addprefix tests/test_,duty_leases_stateful.py target_scaling.py team_fairness.py \
+	trainer_world.py)
+
+.PHONY: demo test format lint types unit replays bench binary clean
 
 demo: $(STAMP)
 	$(BIN)/balsamcleat demo
 
-test: $(STAMP) lint types unit bench
+# The replays run beside the other tests, which takes half of the time.
+test: $(STAMP) lint types
+	$(MAKE) -j2 --output-sync=target unit replays
+	$(MAKE) bench
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -29,7 +36,10 @@
 	$(BIN)/mypy
 
 unit: $(STAMP)
-	$(BIN)/python -m pytest -m "not bounds"
+	$(BIN)/python -m pytest -m "not bounds" $(addprefix --ignore=,$(REPLAYS))
+
+replays: $(STAMP)
+	$(BIN)/python -m pytest -m "not bounds" $(REPLAYS)
 
 bench: $(STAMP)
 	$(BIN)/python -m pytest -m bounds
