Names that stopped a new reader: reasons of orders as an enum, commands named as such

OrderReason decides what happens after an order, so it is an enum instead of a string. pending_orders and knows_team changed state and are plan_orders and update_team; some constants and attributes got their units or what they hold.

--- a/src/balsamcleat/decisions/scaling_types.py
+++ b/src/balsamcleat/decisions/scaling_types.py
@@ -1,6 +1,7 @@
 """Input and output of the decision on the number of targets."""
 
 from dataclasses import dataclass, field, replace
+from enum import Enum
 
 from balsamcleat.decisions.slot_need import SlotNeed
 from balsamcleat.decisions.target_mix import Pool
@@ -9,8 +10,15 @@
 
 __all__ = ["OrderReason", "PlannedOrder", "PoolCounts", "PoolOrder", "ScalingView", "ZoneOrders"]
 
-# Reason of an order, for the log line.
-OrderReason = str
+
+class OrderReason(Enum):
+    """Why a number of targets is ordered."""
+
+    MORE_SLOTS = "more slots wanted"
+    TARGETS_LOST = "targets lost"
+    OUTCOME_UNKNOWN = "outcome unknown"
+    TAKEN_AWAY = "taken away"
+    SURPLUS = "surplus"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamcleat/decisions/target_scaling.py
+++ b/src/balsamcleat/decisions/target_scaling.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field, replace
 
 from balsamcleat.decisions.scaling_types import (
+    OrderReason,
     PlannedOrder,
     PoolOrder,
     ScalingView,
@@ -243,7 +244,7 @@
         if not candidates:
             return None
         _, _, pool, count = min(candidates)
-        return self.planned(view, pool, count, "more slots wanted", now_s)
+        return self.planned(view, pool, count, OrderReason.MORE_SLOTS, now_s)
 
     def room(self, view: ScalingView, pool: Pool, now_s: float) -> int:
         """Return the highest number of a pool's targets beside the zone's other pool."""
@@ -265,9 +266,9 @@
                 self.repeated.add(pool)
                 # Lost targets that are no longer wanted are not replaced.
                 count = min(ordered, max(ready, self.wanted.get(pool, 0)))
-                return self.planned(view, pool, count, "targets lost", now_s)
+                return self.planned(view, pool, count, OrderReason.TARGETS_LOST, now_s)
             if now_s >= self.unconfirmed.get(pool, float("inf")):
-                return self.planned(view, pool, ordered, "outcome unknown", now_s)
+                return self.planned(view, pool, ordered, OrderReason.OUTCOME_UNKNOWN, now_s)
         return None
 
     def plan_reclaimed(self, view: ScalingView, now_s: float) -> PlannedOrder | None:
@@ -280,7 +281,7 @@
                 and not counts.ready + counts.draining
                 and self.was_reclaimed(view, pool.zone, now_s)
             ):
-                return self.planned(view, pool, 0, "taken away", now_s)
+                return self.planned(view, pool, 0, OrderReason.TAKEN_AWAY, now_s)
         return None
 
     def plan_release(self, view: ScalingView, now_s: float) -> PlannedOrder | None:
@@ -301,7 +302,7 @@
             released = releasable(view, pool, self.wanted.get(pool, 0), sum(self.wanted.values()))
             if released > 0:
                 count = view.ordered(pool) - released
-                return self.planned(view, pool, count, "surplus", now_s)
+                return self.planned(view, pool, count, OrderReason.SURPLUS, now_s)
         return None
 
     def may_release(self, view: ScalingView, need: SlotNeed, now_s: float) -> bool:
@@ -320,7 +321,7 @@
         )
 
     def planned(
-        self, view: ScalingView, pool: Pool, count: int, reason: str, now_s: float
+        self, view: ScalingView, pool: Pool, count: int, reason: OrderReason, now_s: float
     ) -> PlannedOrder:
         """Return an order with the row that the store must have before it is sent."""
         orders = view.zones[pool.zone]
@@ -329,7 +330,7 @@
         orders = replace(
             orders.with_order(pool, PoolOrder(count, now_s)),
             reclaimed_s=reclaimed_s,
-            released_s=now_s if reason == "surplus" else orders.released_s,
+            released_s=now_s if reason is OrderReason.SURPLUS else orders.released_s,
         )
         return PlannedOrder(pool, count, before, reason, orders)
 
@@ -346,7 +347,10 @@
         """
         pool, orders = order.pool, order.zone_orders
         self.unconfirmed.pop(pool, None)
-        if order.reason == "surplus" and outcome in (DutyOutcome.ACCEPTED, DutyOutcome.UNKNOWN):
+        if order.reason is OrderReason.SURPLUS and outcome in (
+            DutyOutcome.ACCEPTED,
+            DutyOutcome.UNKNOWN,
+        ):
             self.released_at_s = now_s
         if outcome is DutyOutcome.THROTTLED:
             pause_s = THROTTLE_PAUSE_S * 2**self.throttle_count
--- a/src/balsamcleat/http1/byte_budget.py
+++ b/src/balsamcleat/http1/byte_budget.py
@@ -10,7 +10,7 @@
 # Bodies up to this size are still taken when the budget is used up, within the reserve.
 SMALL_BODY_BYTES = 64 * 1024
 # Part of the budget that is kept free for small bodies.
-SMALL_BODY_RESERVE = 0.2
+SMALL_BODY_SHARE = 0.2
 # A remote end that has taken or sent nothing for this long may be cut off when the budget is used
 # up. One with a working connection goes on within some round trips.
 STOPPED_AFTER_S = 1.0
@@ -82,7 +82,7 @@
             return 0
         if body_size <= SMALL_BODY_BYTES:
             return max(0, self.held_bytes + size - self.limit_bytes)
-        reserve_bytes = int(self.limit_bytes * SMALL_BODY_RESERVE)
+        reserve_bytes = int(self.limit_bytes * SMALL_BODY_SHARE)
         if self.held_bytes + size - body_size <= reserve_bytes:
             return 0
         return max(0, self.held_bytes + size - self.limit_bytes + reserve_bytes)
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -233,13 +233,13 @@
             if route.step_expiry_s and now_s - step.accepted_s > route.step_expiry_s:
                 self.give_up_step(step, "the step expired")
                 continue
-            if not self.knows_team(step, route, table):
+            if not self.update_team(step, route, table):
                 continue
             steps_by_service.setdefault(route.shares[0].service, []).append((step, route))
         return steps_by_service
 
-    def knows_team(self, step: OwnedStep, route: Route, table: RoutingTable) -> bool:
-        """Return whether a step's team is known; if not, the step waits for a configuration."""
+    def update_team(self, step: OwnedStep, route: Route, table: RoutingTable) -> bool:
+        """Update a step's team by the configuration; return whether the team is known."""
         has_waited = step.waits_for_team
         step.update_team(route, table)
         if step.waits_for_team and not has_waited:
--- a/src/balsamcleat/tasks/scaling_controller.py
+++ b/src/balsamcleat/tasks/scaling_controller.py
@@ -35,8 +35,8 @@
 DECISION_INTERVAL_S = 0.25
 # An older list of targets may miss ones that serve, or show ones that were lost.
 MAX_LIST_AGE_S = 5.0
-# Reclaimable targets that are taken away leave the list within this time, in seconds.
-NEW_RECLAIM_S = 10.0
+# Losses of reclaimable targets in a zone within this time count as one event, in seconds.
+RECLAIM_EVENT_GAP_S = 10.0
 # Pause after a fault of this program, in seconds; the next decision would probably meet it again.
 FAULT_PAUSE_S = 5.0
 # While this process stops, the end of the last call is recorded for at most this time, in seconds.
@@ -166,7 +166,7 @@
         known_s = dict(scaler.reclaimed_s)
         planned = scaler.decide(view, self.now_s())
         for zone, reclaimed_s in scaler.reclaimed_s.items():
-            if reclaimed_s - known_s.get(zone, float("-inf")) > NEW_RECLAIM_S:
+            if reclaimed_s - known_s.get(zone, float("-inf")) > RECLAIM_EVENT_GAP_S:
                 log.warning("reclaimable targets taken away", service=spec.name, zone=zone)
         if planned is not None:
             await self.execute(spec.name, planned, scaler, stamp)
@@ -262,7 +262,7 @@
             kind=kind_name(planned.pool),
             before=planned.before,
             count=planned.count,
-            reason=planned.reason,
+            reason=planned.reason.value,
             outcome=outcome.value,
             fence=stamp.fencing_token,
             ready=view.count(planned.pool).ready,
--- a/src/balsamcleat/tasks/usage_counter.py
+++ b/src/balsamcleat/tasks/usage_counter.py
@@ -15,7 +15,7 @@
 
 MS_PER_S = 1000.0
 # Requests that are kept until true time is known, which takes one read of the store.
-MAX_UNDATED = 10_000
+MAX_UNDATED_REQUESTS = 10_000
 
 log = structlog.get_logger()
 
@@ -42,7 +42,7 @@
         self.configured_at_s: float | None = None
         self.windows = UsageWindows(int(window_s * MS_PER_S))
         self.open_calls: dict[CallRuns, TeamName] = {}
-        self.undated: deque[tuple[TeamName, float]] = deque(maxlen=MAX_UNDATED)
+        self.undated: deque[tuple[TeamName, float]] = deque(maxlen=MAX_UNDATED_REQUESTS)
         self.previous_boot: str | None = None
         self.has_read = anyio.Event()
         self.has_counts = anyio.Event()
--- a/src/balsamcleat/tasks/usage_reporter.py
+++ b/src/balsamcleat/tasks/usage_reporter.py
@@ -85,10 +85,10 @@
         self.watch = watch
         self.deadline_s = deadline_s
         self.metrics = metrics
-        self.known: StoredReports | None = None
-        self.known_by: DutyStamp | None = None
+        self.stored_reports: StoredReports | None = None
+        self.read_under_stamp: DutyStamp | None = None
         self.rows_readable_since_s: float | None = None
-        self.accepted: set[int] = set()
+        self.finished_windows: set[int] = set()
         self.retry_at_s = float("-inf")
         self.delay_reason = ""
 
@@ -100,7 +100,7 @@
                 await self.report_windows()
             except BalsamcleatError as error:
                 # What the store has now must be read again.
-                self.known = None
+                self.stored_reports = None
                 self.log_delay(str(error))
             await anyio.sleep(CHECK_INTERVAL_S)
 
@@ -120,10 +120,10 @@
         """
         stamp, now_ms = self.lease.stamp, self.counter.now_ms()
         if stamp is None or now_ms is None:
-            self.known = None
+            self.stored_reports = None
             return
-        if self.known is None or self.known_by != stamp:
-            self.known, self.known_by = await self.records.read(), stamp
+        if self.stored_reports is None or self.read_under_stamp != stamp:
+            self.stored_reports, self.read_under_stamp = await self.records.read(), stamp
         await self.store_reports(now_ms)
         await self.send_reports()
         await self.delete_reports(now_ms)
@@ -144,12 +144,12 @@
             return
         usages = self.usages()
         first = covered_since(usages)
-        if first is None or self.known is None:
+        if first is None or self.stored_reports is None:
             return
         current = self.counter.windows.window_at(now_ms)
-        first = max(first, self.known.closed_window + 1, current - MAX_WINDOWS)
+        first = max(first, self.stored_reports.closed_window + 1, current - MAX_WINDOWS)
         for window in range(first, current):
-            if window not in self.known.reports and self.is_ready(window, usages, now_ms):
+            if window not in self.stored_reports.reports and self.is_ready(window, usages, now_ms):
                 await self.store_report(window, usages)
 
     def is_ready(self, window: int, usages: list[VmUsage], now_ms: float) -> bool:
@@ -166,23 +166,29 @@
 
     async def store_report(self, window: int, usages: list[VmUsage]) -> None:
         """Store the report of a window unless it has one."""
-        assert self.known is not None
+        assert self.stored_reports is not None
         report = UsageReport(window, merge_counts(window, usages))
-        was_stored = await self.records.create(report, len(usages), self.known)
+        was_stored = await self.records.create(report, len(usages), self.stored_reports)
         awaited = awaited_vms(window, usages)
         if was_stored and awaited:
             log.warning("usage incomplete", window=window, awaited=sorted(awaited))
         # The row decides also if another holder was faster.
-        self.known = await self.records.read()
+        self.stored_reports = await self.records.read()
 
     async def send_reports(self) -> None:
         """Send the stored reports that the platform has not accepted, the oldest first."""
-        assert self.known is not None
-        pending = [stored for _, stored in sorted(self.known.reports.items()) if not stored.is_done]
+        assert self.stored_reports is not None
+        pending = [
+            stored
+            for _, stored in sorted(self.stored_reports.reports.items())
+            if not stored.is_done
+        ]
         for stored in pending:
-            if stored.report.window in self.accepted:
+            if stored.report.window in self.finished_windows:
                 await self.mark_done(stored)
-        pending = [stored for stored in pending if stored.report.window not in self.accepted]
+        pending = [
+            stored for stored in pending if stored.report.window not in self.finished_windows
+        ]
         if not pending or self.counter.clock.steady_s() < self.retry_at_s:
             return
         if not await self.lease.begin_calls():
@@ -213,18 +219,20 @@
             self.log_delay(f"report not accepted: {outcome.value}")
             self.retry_at_s = self.counter.clock.steady_s() + RETRY_INTERVAL_S
             return False
-        self.accepted.add(stored.report.window)
+        self.finished_windows.add(stored.report.window)
         return True
 
     async def mark_done(self, stored: StoredReport) -> None:
         """Mark a report in the store that need not be sent any more."""
-        assert self.known is not None
+        assert self.stored_reports is not None
         window = stored.report.window
         marked = await self.records.mark_done(stored)
         if marked is None:
-            self.known = await self.records.read()
+            self.stored_reports = await self.records.read()
         else:
-            self.known = replace(self.known, reports={**self.known.reports, window: marked})
+            self.stored_reports = replace(
+                self.stored_reports, reports={**self.stored_reports.reports, window: marked}
+            )
 
     def record_accepted(self, stored: StoredReport) -> None:
         """Record that the platform has accepted a report."""
@@ -253,18 +261,18 @@
 
     async def delete_reports(self, now_ms: float) -> None:
         """Delete some of the reports that nobody needs any more."""
-        assert self.known is not None
+        assert self.stored_reports is not None
         expired = [
             window
-            for window, stored in sorted(self.known.reports.items())
+            for window, stored in sorted(self.stored_reports.reports.items())
             if self.after_end_s(window, now_ms)
             >= (DONE_RETENTION_S if stored.is_done else UNDELIVERED_RETENTION_S)
         ][:MAX_DELETED_ROWS]
         if not expired:
             return
         for window in expired:
-            if not self.known.reports[window].is_done:
+            if not self.stored_reports.reports[window].is_done:
                 log.error("usage report given up", window=window)
-        await self.records.delete(expired, self.known)
-        self.accepted.difference_update(expired)
-        self.known = await self.records.read()
+        await self.records.delete(expired, self.stored_reports)
+        self.finished_windows.difference_update(expired)
+        self.stored_reports = await self.records.read()
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -161,7 +161,7 @@
             if traits.engine is not None
         }
 
-    def pending_orders(self) -> list[LoadOrder]:
+    def plan_orders(self) -> list[LoadOrder]:
         """Return the orders to give now, for all services."""
         orders: list[LoadOrder] = []
         for service, replicas in self.engines().items():
@@ -249,7 +249,7 @@
         if self.lease.stamp is None or self.tasks is None:
             return
         began_s = anyio.current_time()
-        orders = self.pending_orders()
+        orders = self.plan_orders()
         self.planning_took_s = anyio.current_time() - began_s
         self.has_pending_orders = bool(orders)
         if not orders:
--- a/tests/test_target_scaling.py
+++ b/tests/test_target_scaling.py
@@ -7,7 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from balsamcleat.decisions.scaling_types import PoolCounts, PoolOrder, ScalingView, ZoneOrders
+from balsamcleat.decisions.scaling_types import (
+    OrderReason,
+    PoolCounts,
+    PoolOrder,
+    ScalingView,
+    ZoneOrders,
+)
 from balsamcleat.decisions.slot_need import ModelNeed, SlotNeed, determine_need
 from balsamcleat.decisions.steady_level import SteadyLevel
 from balsamcleat.decisions.step_history import StepHistory, StepSighting
@@ -32,7 +38,7 @@
     """Assert that releases are rare and small, and that no zone was emptied."""
     last_s: dict[ZoneName, float] = {}
     for at_s, order in world.releases():
-        if order.reason == "taken away":
+        if order.reason is OrderReason.TAKEN_AWAY:
             continue
         zone = order.pool.zone
         assert at_s - last_s.get(zone, float("-inf")) >= MIN_PERIOD_S
@@ -252,7 +258,7 @@
     world.rows[A] = orders.with_order(Pool(A, False), PoolOrder(orders.firm.count + 2, world.now_s))
     world.replace_holder()
     world.run(1.0)
-    repeated = [order for _, order, _ in world.sent if order.reason == "outcome unknown"]
+    repeated = [order for _, order, _ in world.sent if order.reason is OrderReason.OUTCOME_UNKNOWN]
     assert repeated[0].pool == Pool(A, False)
     assert repeated[0].count == orders.firm.count + 2
 
@@ -325,7 +331,9 @@
         planned = [
             scaler.decide(view(12, 2, need=changed), 1000.0 + 0.25 * tick) for tick in range(200)
         ]
-        releases = [order for order in planned if order is not None and order.reason == "surplus"]
+        releases = [
+            order for order in planned if order is not None and order.reason is OrderReason.SURPLUS
+        ]
         assert bool(releases) is not is_held
 
 
--- a/tests/test_version_orders.py
+++ b/tests/test_version_orders.py
@@ -161,9 +161,9 @@
     async def test() -> None:
         with structlog.testing.capture_logs() as lines:
             for _ in range(3):
-                controller.pending_orders()
+                controller.plan_orders()
             work["b"] = 3000.0
-            controller.pending_orders()
+            controller.plan_orders()
         divisions = [line["engines"] for line in lines if line["event"] == "engines divided"]
         assert divisions == [{"a": 3, "b": 3}, {"a": 2, "b": 4}]
 
