Late steps: groups in turn only where targets report their pace

The forecast of late steps was the one change of the order of samples that applied to every deployment: while engines load weights, few samples run, and the forecast is too late.

--- a/src/balsamcleat/tasks/placement_view.py
+++ b/src/balsamcleat/tasks/placement_view.py
@@ -62,6 +62,13 @@
             for replica in self.directory.ready_replicas(service)
         ]
 
+    def reports_pace(self, service: ServiceName, now_s: float) -> bool:
+        """Return whether any target of a service has reported its pace lately."""
+        return any(
+            self.stats_registry.for_target(replica.target_id).pace.is_known(now_s)
+            for replica in self.directory.ready_replicas(service)
+        )
+
     def engine(self, replica: Replica, now_s: float, *, is_replaced: bool) -> EngineView:
         """Return a target as a placement candidate."""
         stats = self.stats_registry.for_target(replica.target_id)
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -189,7 +189,8 @@
                 continue
             backlogs[service] = len(waiting)
             engines = self.view.engines(service, now_s)
-            if may_move:
+            # Where targets report no pace, steps keep the order in which they start their samples.
+            if may_move and self.view.reports_pace(service, now_s):
                 # Applies from the next placement on. At the moment when the last runs of a step
                 # have ended, there is no forecast, and its samples must keep their order.
                 update_group_positions(steps, fastest_event_interval_s(engines), now_s)
