--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,37 +7,14 @@
 from pathlib import Path
 
 from httpkit import BrokenChannel
-from world import HOST, Vm, World, play, step_document, trouble
+from world import ROLLOUT_ROUTE, Vm, World, engine_service, play, step_document, trouble
 
 STEP = "5d1e07a9c2b64f38"
 RESTART_S = 1.0
 # The entry breaks off in the middle, so it is no JSON; it is shorter than a row may be.
-UNREADABLE = b'{"svc":"kantor-llm","address":"127.0.0.1:9000","state":"ready","tags":' + b"[" * 30_000
-ROUTES = [
-    {
-        "name": "r2",
-        "host": HOST,
-        "prefix": "/pufi791/",
-        "kind": "rollout",
-        "svc": "kantor-llm",
-        "timeoutMs": 10000,
-        "sloMs": 400,
-        "dueMs": 7500,
-        "queueTtlS": 40,
-        "prio": 1,
-        "attempts": 3,
-        "resumable": True,
-        "sticky": True,
-    }
-]
-SERVICES = [
-    {
-        "name": "kantor-llm",
-        "healthPath": "/healthz",
-        "maxConns": 170,
-        "engine": {"batchSlots": 12, "kvCapTokens": 41415, "models": [{"name": "m0", "version": 1}]},
-    }
-]
+UNREADABLE = (
+    b'{"svc":"kantor-llm","address":"127.0.0.1:9000","state":"ready","tags":' + b"[" * 30_000
+)
 
 
 async def supervise(world: World, vm: Vm, ends: list[tuple[str, float]]) -> None:
@@ -74,7 +51,7 @@
 
 
 async def case(world: World) -> str:
-    world.configure(ROUTES, SERVICES)
+    world.configure([ROLLOUT_ROUTE], [engine_service(12)])
     await world.start(3, [world.engine(number, slots=12) for number in range(3)])
     reply = await world.submit(world.vms[0], STEP, step_document(STEP, groups=30, size=4))
     if reply.status != 202:
@@ -83,9 +60,11 @@
     watchers = [asyncio.create_task(supervise(world, vm, ends)) for vm in world.vms]
     await asyncio.sleep(1.0)
     page = await world.read(world.vms[1], STEP, 0)
-    known = [result["id"] for result in json.loads(page.body)["results"]] if page.status == 200 else []
+    known = (
+        [result["id"] for result in json.loads(page.body)["results"]] if page.status == 200 else []
+    )
     world.note("read", status=page.status, results=len(known))
-    entry = UNREADABLE if trouble() else UNREADABLE[:60]
+    entry = UNREADABLE if trouble() else UNREADABLE[:50]
     world.store.put_value("servers", "i-other", base64.b64encode(entry).decode())
     world.note("entry of another writer", size=len(entry))
     await asyncio.sleep(20.0)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,54 +1,29 @@
-"""The operator removes the route of an accepted batch submission before its results are all read."""
+"""The operator removes the route of a batch submission whose results are to be kept."""
 
 import asyncio
 import json
 import time
 from pathlib import Path
 
-from httpkit import BrokenChannel, ask
-from world import BOUNDS, HOST, World, play, step_document, trouble
+from httpkit import BrokenChannel
+from world import (
+    BOUNDS,
+    PLAIN_SERVICE,
+    ROLLOUT_ROUTE,
+    SAFE_ROUTE,
+    World,
+    engine_service,
+    play,
+    step_document,
+    trouble,
+)
 
 STEP = "7c41e09b52d6a3f8"
-SAFE = {
-    "name": "r1",
-    "host": HOST,
-    "prefix": "/lohu930/",
-    "kind": "safe",
-    "svc": "tafel-app",
-    "timeoutMs": 2000,
-    "sloMs": 192,
-    "prio": 2,
-    "attempts": 2,
-}
-ROLLOUT = {
-    "name": "r2",
-    "host": HOST,
-    "prefix": "/pufi791/",
-    "kind": "rollout",
-    "svc": "kantor-llm",
-    "timeoutMs": 10000,
-    "sloMs": 400,
-    "dueMs": 7500,
-    "queueTtlS": 40,
-    "prio": 1,
-    "attempts": 3,
-    "resumable": True,
-    "sticky": True,
-}
-SERVICES = [
-    {"name": "tafel-app", "healthPath": "/healthz", "maxConns": 110},
-    {
-        "name": "kantor-llm",
-        "healthPath": "/healthz",
-        "maxConns": 170,
-        "engine": {"batchSlots": 12, "kvCapTokens": 41415, "models": [{"name": "m0", "version": 1}]},
-    },
-]
 
 
 async def case(world: World) -> str:
     replicas = [world.plain(0, slots=6)] + [world.engine(number, slots=12) for number in range(3)]
-    world.configure([SAFE, ROLLOUT], SERVICES)
+    world.configure([SAFE_ROUTE, ROLLOUT_ROUTE], [PLAIN_SERVICE, engine_service(12)])
     await world.start(3, replicas)
     reply = await world.submit(world.vms[0], STEP, step_document(STEP, groups=10, size=4))
     if reply.status != 202:
@@ -62,8 +37,8 @@
     world.note("read", results=len(read))
     if len(read) < 40:
         raise RuntimeError("the batch submission was not finished")
-    routes = [SAFE] if trouble() else [SAFE, {**ROLLOUT, "timeoutMs": 9000}]
-    world.configure(routes, SERVICES)
+    routes = [SAFE_ROUTE] if trouble() else [SAFE_ROUTE, {**ROLLOUT_ROUTE, "timeoutMs": 9000}]
+    world.configure(routes, [PLAIN_SERVICE, engine_service(12)])
     # Well past the bound within which the version is in force, and past ``settleMs``.
     await asyncio.sleep(BOUNDS["applyMs"] / 1000 + BOUNDS["settleMs"] / 1000 + 2.0)
     missing = 0
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,7 +7,7 @@
 
 from httpkit import BrokenChannel
 from store import ANSWER_S
-from world import BOUNDS, HOST, Vm, World, play, step_document, trouble
+from world import BOUNDS, ROLLOUT_ROUTE, Vm, World, engine_service, play, step_document, trouble
 
 STEPS = ("61a0c4d2e8f7", "62b1d5e3f908", "63c2e6f40a19")
 # Time budget of the trainers, after which they end their steps.
@@ -18,31 +18,6 @@
 SLOW_AFTER_KILL_S = 1.0
 SLOW_S = 4.5
 WATCH_S = 14.0
-ROUTES = [
-    {
-        "name": "r2",
-        "host": HOST,
-        "prefix": "/pufi791/",
-        "kind": "rollout",
-        "svc": "kantor-llm",
-        "timeoutMs": 10000,
-        "sloMs": 400,
-        "dueMs": 7500,
-        "queueTtlS": 40,
-        "prio": 1,
-        "attempts": 3,
-        "resumable": True,
-        "sticky": True,
-    }
-]
-SERVICES = [
-    {
-        "name": "kantor-llm",
-        "healthPath": "/healthz",
-        "maxConns": 170,
-        "engine": {"batchSlots": 4, "kvCapTokens": 41415, "models": [{"name": "m0", "version": 1}]},
-    }
-]
 
 
 async def disturb(world: World, vm: Vm, began_s: float) -> float:
@@ -79,7 +54,7 @@
     engines = [world.engine(number, slots=4) for number in range(2)]
     for engine in engines:
         engine.event_s = 0.04
-    world.configure(ROUTES, SERVICES)
+    world.configure([ROLLOUT_ROUTE], [engine_service(4)])
     await world.start(3, list(engines))
     began_s = time.monotonic()
     owner = world.vms[0]
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from httpkit import BrokenChannel, Channel
-from world import HOST, Rotation, World, play, trouble
+from world import HOST, PLAIN_SERVICE, SAFE_ROUTE, Rotation, World, play, trouble
 
 REQUESTERS = 12
 HUP_AFTER_S = 0.8
@@ -31,9 +31,7 @@
             channel.close()
 
 
-async def use(
-    world: World, vm: str, channel: Channel, outcomes: Outcomes, *, keeps: bool
-) -> None:
+async def use(world: World, vm: str, channel: Channel, outcomes: Outcomes, *, keeps: bool) -> None:
     while True:
         attempt = f"a{next(ids):08x}"
         sent_s = world.at()
@@ -55,27 +53,14 @@
     for replica in replicas:
         # Within the site's figures: work of up to 190 ms, 37.5 ms on average.
         replica.work_s = 0.15
-    world.configure(
-        [
-            {
-                "name": "r1",
-                "host": HOST,
-                "prefix": "/lohu930/",
-                "kind": "safe",
-                "svc": "tafel-app",
-                "timeoutMs": 2000,
-                "sloMs": 192,
-                "prio": 2,
-                "attempts": 2,
-            }
-        ],
-        [{"name": "tafel-app", "healthPath": "/healthz", "maxConns": 110}],
-    )
+    world.configure([SAFE_ROUTE], [PLAIN_SERVICE])
     await world.start(3, list(replicas))
     rotation = Rotation(world)
     outcomes: Outcomes = {}
     tasks = [asyncio.create_task(rotation.run())]
-    tasks += [asyncio.create_task(requester(world, rotation, n, outcomes)) for n in range(REQUESTERS)]
+    tasks += [
+        asyncio.create_task(requester(world, rotation, n, outcomes)) for n in range(REQUESTERS)
+    ]
     await asyncio.sleep(4.0)
     stopped = world.vms[0]
     stopped.send(signal.SIGTERM)
@@ -86,15 +71,21 @@
         stopped.send(signal.SIGHUP)
     while stopped.process.poll() is None and world.at() - term_s < 9.0:
         await asyncio.sleep(0.05)
-    world.note("process ended", vm=stopped.name, after_s=round(world.at() - term_s, 2),
-               code=stopped.process.poll())
+    world.note(
+        "process ended",
+        vm=stopped.name,
+        after_s=round(world.at() - term_s, 2),
+        code=stopped.process.poll(),
+    )
     await asyncio.sleep(0.5)
     for task in tasks:
         task.cancel()
     ran = {run[0] for run in world.runs()}
     for attempt, (vm, outcome, sent_s) in outcomes.items():
         if sent_s > term_s - 1.0:
-            world.note("request", id=attempt, vm=vm, sent=sent_s, outcome=outcome, ran=attempt in ran)
+            world.note(
+                "request", id=attempt, vm=vm, sent=sent_s, outcome=outcome, ran=attempt in ran
+            )
     served = sum(outcome == "200" for _, outcome, _ in outcomes.values())
     world.note("served", count=served, of=len(outcomes))
     if served < 50:
--- a/review/standins/replicas.py
+++ b/review/standins/replicas.py
@@ -25,7 +25,13 @@
     def __init__(
         self, name: str, service: str, ip: str, port: int, zone: str, slots: int, store: Store
     ) -> None:
-        self.name, self.service, self.zone, self.slots, self.store = name, service, zone, slots, store
+        self.name, self.service, self.zone, self.slots, self.store = (
+            name,
+            service,
+            zone,
+            slots,
+            store,
+        )
         self.ip, self.port = ip, port
         self.address = f"{ip}:{port}"
         self.runs: list[Run] = []
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -18,7 +18,22 @@
 from replicas import Engine, Plain, Replica
 from store import Store
 
-__all__ = ["HOST", "ROOT", "CannotRun", "Rotation", "Vm", "World", "play", "step_document", "trouble"]
+__all__ = [
+    "BOUNDS",
+    "CannotRun",
+    "HOST",
+    "PLAIN_SERVICE",
+    "ROLLOUT_ROUTE",
+    "ROOT",
+    "Rotation",
+    "SAFE_ROUTE",
+    "Vm",
+    "World",
+    "engine_service",
+    "play",
+    "step_document",
+    "trouble",
+]
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "ficu95.example"
@@ -52,10 +67,46 @@
 }
 
 
+SAFE_ROUTE = {
+    "name": "r1",
+    "host": HOST,
+    "prefix": "/lohu930/",
+    "kind": "safe",
+    "svc": "tafel-app",
+    "timeoutMs": 2000,
+    "sloMs": 192,
+    "prio": 2,
+    "attempts": 2,
+}
+ROLLOUT_ROUTE = {
+    "name": "r2",
+    "host": HOST,
+    "prefix": "/pufi791/",
+    "kind": "rollout",
+    "svc": "kantor-llm",
+    "timeoutMs": 10000,
+    "sloMs": 400,
+    "dueMs": 7500,
+    "queueTtlS": 40,
+    "prio": 1,
+    "attempts": 3,
+    "resumable": True,
+    "sticky": True,
+}
+PLAIN_SERVICE = {"name": "tafel-app", "healthPath": "/healthz", "maxConns": 110}
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
 
+def engine_service(slots: int) -> dict[str, object]:
+    """Return the service of engines that run so many requests at once."""
+    models = [{"name": "m0", "version": 1}]
+    engine = {"batchSlots": slots, "kvCapTokens": 41415, "models": models}
+    return {"name": "kantor-llm", "healthPath": "/healthz", "maxConns": 170, "engine": engine}
+
+
 def trouble() -> bool:
     """Return whether the disruption is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -151,7 +202,9 @@
 
     async def is_ready(self) -> bool:
         try:
-            reply = await ask(f"{self.ip}:{READY_PORT}", "GET", "/ready", {"Host": self.ip}, b"", 1.0)
+            reply = await ask(
+                f"{self.ip}:{READY_PORT}", "GET", "/ready", {"Host": self.ip}, b"", 1.0
+            )
         except BrokenChannel:
             return False
         return reply.status == 200
