--- a/review/1/case.py
+++ b/review/1/case.py
@@ -45,6 +45,7 @@
                 return "" if found[: len(known)] == known else "other results"
         except BrokenChannel as error:
             last = str(error)
+        world.note("read", vm=vm.name, outcome=last)
         await asyncio.sleep(0.3)
     world.note("not readable at the end", tries=tries, last=last)
     return f"not readable in 15 s ({tries} tries, {last})"
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -290,6 +290,12 @@
         found = [(*run, replica.name) for replica in self.replicas for run in replica.runs]
         return sorted(found, key=lambda run: run[1])
 
+    def note_runs(self) -> None:
+        """Add what the replicas ran to the record: id, time and first event of each run."""
+        for replica in self.replicas:
+            runs = [(attempt, self.at(at_s), first) for attempt, at_s, first in replica.runs]
+            self.note("runs", replica=replica.name, count=len(runs), runs=runs)
+
     async def submit(
         self, vm: Vm, step: str, document: dict, headers: dict[str, str] | None = None
     ) -> Reply:
@@ -363,6 +369,8 @@
     except Exception as error:
         verdict = f"could not run: {type(error).__name__}: {error}"
         world = getattr(error, "world", None)
+    if world is not None:
+        world.note_runs()
     lines = [] if world is None else world.lines
     lines.append(json.dumps({"what": "verdict", "trouble": trouble(), "verdict": verdict}))
     record.write_text("\n".join(lines) + "\n")
