Review: each run leaves its own record and no process, whatever ends it

Cause: a driver that was stopped or killed left entry processes and an old record behind, and TROUBLE was read in the stand-ins only.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -5,11 +5,9 @@
 import json
 import os
 import random
-import shutil
 import signal
 import subprocess
 import sys
-import tempfile
 import time
 import tomllib
 from pathlib import Path
@@ -123,6 +121,7 @@
         self.store_ip = world.ip(100 + number)
         self.settings = world.folder / f"{self.name}.json"
         self.log = world.folder / f"{self.name}.log"
+        self.pid_file = world.folder / f"{self.name}.pid"
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -187,6 +186,8 @@
             self.process = subprocess.Popen(
                 role["run"].split(" "), cwd=ROOT, env=environment, stdout=output, stderr=output
             )
+        # run.sh ends the process by this id if the driver can't.
+        self.pid_file.write_text(str(self.pid))
         self.world.note("process started", vm=self.name, pid=self.pid)
 
     def send(self, number: signal.Signals) -> None:
@@ -199,6 +200,7 @@
             if self.process.poll() is None:
                 self.process.kill()
             self.process.wait()
+            self.pid_file.unlink(missing_ok=True)
 
     async def is_ready(self) -> bool:
         try:
@@ -359,36 +361,30 @@
         case: Coroutine function that gets the world and returns how the rule was broken, or "".
         record: File for the record.
     """
-    folder = Path(tempfile.mkdtemp(prefix="review-"))
-    world: World | None = None
-    code, verdict = FAILED_CODE, "could not run"
+    folder = Path(os.environ["REVIEW_FOLDER"])
+    world = World(folder)
+    code = FAILED_CODE
     try:
-        world, broken = asyncio.run(run_case(case, folder))
+        broken = asyncio.run(run_case(case, world))
         code = BROKEN_CODE if broken else 0
         verdict = broken or "the rule held"
-    except Exception as error:
+    except (Exception, KeyboardInterrupt, asyncio.CancelledError) as error:
         verdict = f"could not run: {type(error).__name__}: {error}"
-        world = getattr(error, "world", None)
-    if world is not None:
-        world.note_runs()
-    lines = [] if world is None else world.lines
-    lines.append(json.dumps({"what": "verdict", "trouble": trouble(), "verdict": verdict}))
-    record.write_text("\n".join(lines) + "\n")
+    world.note_runs()
+    world.note("verdict", trouble=trouble(), verdict=verdict)
+    record.write_text("\n".join(world.lines) + "\n")
     print(verdict)
-    if os.environ.get("KEEP"):
-        print(f"logs: {folder}")
-    else:
-        shutil.rmtree(folder, ignore_errors=True)
     sys.exit(code)
 
 
-async def run_case(case, folder: Path) -> tuple[World, str]:
-    world = World(folder)
+async def run_case(case, world: World) -> str:
+    """Play a case and end all processes that it started, also after a failure or a stop."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
-        return world, await case(world)
-    except Exception as error:
-        error.world = world  # type: ignore[attr-defined]
-        raise
+        return await case(world)
     finally:
         for vm in world.vms:
             vm.end()
