--- a/src/balsamcleat/adapters/frame_parser.py
+++ b/src/balsamcleat/adapters/frame_parser.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from balsamcleat.adapters.engine_dialect import CompletionFrame
+from balsamcleat.decoding import decode_with
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import TokenFrame, WeightVersion
 
@@ -70,7 +71,7 @@
     def decode_frame(self, data: bytes) -> TokenFrame | None:
         """Return the frame in an event, or None if it belongs to another attempt."""
         try:
-            message = FRAME_DECODER.decode(data)
+            message = decode_with(FRAME_DECODER.decode, data)
             choice = message.choices[0]
         except (msgspec.DecodeError, IndexError) as error:
             raise ProtocolError(f"sent a malformed frame: {error}", step="engine.frame") from error
--- a/src/balsamcleat/adapters/http_engine.py
+++ b/src/balsamcleat/adapters/http_engine.py
@@ -25,6 +25,7 @@
     send_request,
     status_failure,
 )
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import (
     CacheEvent,
@@ -141,7 +142,7 @@
         if response.status_code != 200:
             raise status_failure(response, step, self.address)
         try:
-            return msgspec.json.decode(response.content, type=reply)
+            return decode_json(response.content, reply)
         except msgspec.DecodeError as error:
             raise trace.failure(error, FailureKind.MALFORMED) from error
 
--- a/src/balsamcleat/adapters/http_platform.py
+++ b/src/balsamcleat/adapters/http_platform.py
@@ -5,6 +5,7 @@
 import httpx
 import msgspec
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import OutcomeUnknownError, PlatformUnavailableError
 from balsamcleat.model import VmId, VmKind, VmRecord, WeightVersion, ZoneName
 from balsamcleat.ports import (
@@ -161,14 +162,14 @@
         response = await self.http.read("table.get", "/rows/" + key)
         if response.status_code == 404:
             return None
-        return decode_row(msgspec.json.decode(response.content, type=RowMessage))
+        return decode_row(decode_json(response.content, RowMessage))
 
     async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> tuple[Row, ...]:
         """Return the rows with a prefix, ordered by their keys."""
         response = await self.http.read(
             "table.scan", "/scan", prefix=prefix, after=after, limit=limit
         )
-        rows = msgspec.json.decode(response.content, type=RowsMessage).rows
+        rows = decode_json(response.content, RowsMessage).rows
         return tuple(decode_row(row) for row in rows)
 
     async def commit(self, transaction: Transaction) -> Committed | Conflicted:
@@ -187,7 +188,7 @@
         response = await self.http.write(
             "table.commit", "POST", "/commit", msgspec.json.encode(message)
         )
-        reply = msgspec.json.decode(response.content, type=CommitReply)
+        reply = decode_json(response.content, CommitReply)
         return Conflicted(reply.conflicts) if reply.conflicts else Committed()
 
 
@@ -222,7 +223,7 @@
     async def keys(self, prefix: str) -> tuple[str, ...]:
         """Return the keys that begin with ``prefix``."""
         response = await self.http.read("objects.keys", "/objects", prefix=prefix)
-        return msgspec.json.decode(response.content, type=tuple[str, ...])
+        return decode_json(response.content, tuple[str, ...])
 
 
 class HttpVmList(VmList):
@@ -255,7 +256,7 @@
                 leaving=vm.leaving,
                 service=vm.service,
             )
-            for vm in msgspec.json.decode(response.content, type=VmsMessage).vms
+            for vm in decode_json(response.content, VmsMessage).vms
         )
 
 
@@ -274,10 +275,10 @@
         response = await self.http.read("weights.describe", f"/weights/{service}/{version}")
         if response.status_code == 404:
             return None
-        message = msgspec.json.decode(response.content, type=WeightMessage)
+        message = decode_json(response.content, WeightMessage)
         return WeightRecord(message.service, WeightVersion(message.version), message.size_bytes)
 
     async def fetch_limit(self) -> int:
         """Return the maximum number of concurrent fetches."""
         response = await self.http.read("weights.limit", "/limits")
-        return msgspec.json.decode(response.content, type=LimitMessage).concurrent_fetches
+        return decode_json(response.content, LimitMessage).concurrent_fetches
--- a/src/balsamcleat/adapters/http_service.py
+++ b/src/balsamcleat/adapters/http_service.py
@@ -10,6 +10,7 @@
     send_request,
     status_failure,
 )
+from balsamcleat.decoding import decode_json
 from balsamcleat.model import Answer, CallRequest, FailureKind, Sample
 from balsamcleat.ports import PlainService, Scorer
 
@@ -95,6 +96,6 @@
         if response.status_code != 200:
             raise status_failure(response, trace.step, self.address)
         try:
-            return msgspec.json.decode(response.content, type=ScoreReply).score
+            return decode_json(response.content, ScoreReply).score
         except msgspec.DecodeError as error:
             raise trace.failure(error, FailureKind.MALFORMED) from error
--- a/src/balsamcleat/adapters/http_trainer_service.py
+++ b/src/balsamcleat/adapters/http_trainer_service.py
@@ -11,6 +11,7 @@
     VersionReport,
     decode_batch,
 )
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import OutcomeUnknownError, RefusedError
 from balsamcleat.model import DeploymentName, StepId, StepSpec, TrainerAck, WeightVersion
 from balsamcleat.ports import (
@@ -80,7 +81,7 @@
             return StepGone(response.text)
         if response.status_code == 409:
             return PullRejected(response.text)
-        return BatchReady(decode_batch(msgspec.json.decode(response.content, type=BatchMessage)))
+        return BatchReady(decode_batch(decode_json(response.content, BatchMessage)))
 
     async def report_version(self, deployment: DeploymentName, version: WeightVersion) -> None:
         """Report the trainer's weight version."""
--- a/src/balsamcleat/adapters/key_ring.py
+++ b/src/balsamcleat/adapters/key_ring.py
@@ -8,6 +8,7 @@
 import msgspec
 import structlog
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 
 __all__ = ["KEY_BYTES", "KeyRing", "PeerKey"]
@@ -84,7 +85,7 @@
             mtime_ns = self.path.stat().st_mtime_ns
             if mtime_ns == self.loaded_mtime_ns:
                 return False
-            document = msgspec.json.decode(self.path.read_bytes(), type=KeyFile)
+            document = decode_json(self.path.read_bytes(), KeyFile)
         except OSError as error:
             raise InvalidInputError(
                 f"can't read the key file: {error}", step="keys.read"
--- a/src/balsamcleat/adapters/operator_client.py
+++ b/src/balsamcleat/adapters/operator_client.py
@@ -11,6 +11,7 @@
 
 from balsamcleat.api.operator_messages import ConfigurationMessage, PatchReply
 from balsamcleat.api.problems import Problem
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import (
     InvalidInputError,
     OutcomeUnknownError,
@@ -175,7 +176,7 @@
 ) -> Message:
     """Return the message in a response."""
     try:
-        return msgspec.json.decode(response.content, type=message)
+        return decode_json(response.content, message)
     except msgspec.DecodeError as error:
         raise InvalidInputError(
             f"the node's answer is not understood, is it another version? {error}",
@@ -188,7 +189,7 @@
     """Return the error for the operator that an error response stands for."""
     status = response.status_code
     try:
-        problem = msgspec.json.decode(response.content, type=Problem)
+        problem = decode_json(response.content, Problem)
         lines = [f"{problem.title}: {problem.detail}" if problem.detail else problem.title]
         text = "\n  ".join([*lines, *(fault.removeprefix(": ") for fault in problem.faults)])
     except msgspec.DecodeError:
--- a/src/balsamcleat/api/callers.py
+++ b/src/balsamcleat/api/callers.py
@@ -17,6 +17,7 @@
 from balsamcleat.commands.run_once import RunOnce
 from balsamcleat.configuration import Service, ServiceKind
 from balsamcleat.decisions.access import Principal
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import AttemptFailedError, OverloadedError
 from balsamcleat.model import (
     CallRequest,
@@ -137,7 +138,7 @@
         if isinstance(body, Response):
             return body
         try:
-            message = msgspec.json.decode(body, type=CompletionMessage)
+            message = decode_json(body, CompletionMessage)
         except msgspec.DecodeError as error:
             return problem_response(
                 400, "not a completion request", str(error), certainty=Certainty.NOT_RUN
--- a/src/balsamcleat/api/trainers.py
+++ b/src/balsamcleat/api/trainers.py
@@ -16,6 +16,7 @@
     decode_step,
     encode_batch,
 )
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import BalsamcleatError, InvalidInputError, RefusedError
 from balsamcleat.model import DeploymentName, StepId, WeightVersion
 from balsamcleat.ports import BatchReady, NoBatchYet, PullRejected, TrainerService
@@ -54,7 +55,7 @@
         """Open a step with the samples that the request asks for."""
         deployment = DeploymentName(request.path_params["deployment"])
         try:
-            message = msgspec.json.decode(await request.body(), type=StepMessage)
+            message = decode_json(await request.body(), StepMessage)
             await self.trainer_service.open_step(decode_step(deployment, message))
         except (msgspec.DecodeError, InvalidInputError) as error:
             return problem_response(400, "not a valid step", str(error), faults=error_faults(error))
@@ -91,7 +92,7 @@
         """Record the weight version that the trainer reports."""
         deployment = DeploymentName(request.path_params["deployment"])
         try:
-            message = msgspec.json.decode(await request.body(), type=VersionReport)
+            message = decode_json(await request.body(), VersionReport)
             if message.weight_version < 1:
                 raise InvalidInputError("weight_version: must be at least 1", step="version.report")
             await self.trainer_service.report_version(
--- a/src/balsamcleat/checking.py
+++ b/src/balsamcleat/checking.py
@@ -7,6 +7,7 @@
 
 from balsamcleat.configuration import Configuration
 from balsamcleat.configuration.validation import validate_configuration
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.faults import DocumentFault, find_faults
 from balsamcleat.platform import load_platform_settings
@@ -47,7 +48,7 @@
 def kind_of(data: bytes) -> FileKind:
     """Return what a file holds: a configuration has fields that settings don't have."""
     try:
-        document = msgspec.json.decode(data)
+        document = decode_json(data)
     except msgspec.DecodeError:
         return "settings"
     names = set(document) if isinstance(document, dict) else set()
@@ -59,7 +60,7 @@
 def configuration_faults(data: bytes) -> list[DocumentFault]:
     """Return every fault of a configuration: of its shape, else of its references."""
     try:
-        document = msgspec.json.decode(data)
+        document = decode_json(data)
     except msgspec.DecodeError as error:
         return [DocumentFault("", "", f"the document is not JSON: {error}")]
     faults = find_faults(Configuration, document)
--- a/src/balsamcleat/cli_operators.py
+++ b/src/balsamcleat/cli_operators.py
@@ -11,6 +11,7 @@
 
 from balsamcleat.adapters.operator_client import OperatorClient, PatchSubmission
 from balsamcleat.api.operator_messages import PatchReply
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.printing import layout, wall_time
 from balsamcleat.queries.history import AuditFilter, DiffLine
@@ -199,7 +200,7 @@
 def value_of(text: str) -> object:
     """Return JSON text as its value, other text as a string."""
     try:
-        return msgspec.json.decode(text)
+        return decode_json(text)
     except msgspec.DecodeError:
         return text
 
--- a/src/balsamcleat/configuration/history.py
+++ b/src/balsamcleat/configuration/history.py
@@ -8,6 +8,7 @@
 from balsamcleat.configuration.document import EMPTY_DOCUMENT, Delta, Document
 from balsamcleat.configuration.schema import Configuration
 from balsamcleat.configuration.view import apply_delta, decode_document, encode_document
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
 
 __all__ = [
@@ -140,8 +141,8 @@
         ProtocolError: The head is malformed.
     """
     try:
-        return msgspec.json.decode(raw_head, type=RecordHead)
-    except (msgspec.DecodeError, RecursionError) as error:
+        return decode_json(raw_head, RecordHead)
+    except msgspec.DecodeError as error:
         raise ProtocolError(
             f"malformed configuration head: {error}", step="configuration.read"
         ) from error
@@ -205,8 +206,8 @@
         ProtocolError: The record is malformed.
     """
     try:
-        return msgspec.json.decode(data, type=ChangeRecord | SnapshotRecord)
-    except (msgspec.DecodeError, RecursionError) as error:
+        return decode_json(data, ChangeRecord | SnapshotRecord)
+    except msgspec.DecodeError as error:
         raise ProtocolError(
             f"malformed configuration record: {error}", step="configuration.read"
         ) from error
--- a/src/balsamcleat/configuration/patch.py
+++ b/src/balsamcleat/configuration/patch.py
@@ -24,6 +24,7 @@
     apply_readable_entries,
     section_entry_type,
 )
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 
 __all__ = ["PatchRejected", "PatchRequest", "RejectionReason", "apply_patch"]
@@ -160,7 +161,7 @@
     operations = decode_operations(patch)
     try:
         before = extract_referenced_entries(base, operations)
-        after = jsonpatch.JsonPatch(msgspec.json.decode(patch)).apply(before)
+        after = jsonpatch.JsonPatch(decode_json(patch)).apply(before)
         return compare_excerpts(before, after)
     except (
         jsonpatch.JsonPatchException,
@@ -184,8 +185,8 @@
         InvalidInputError: ``patch`` is not a JSON Patch or has too many operations.
     """
     try:
-        operations = msgspec.json.decode(patch, type=list[Operation])
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        operations = decode_json(patch, list[Operation])
+    except msgspec.DecodeError as error:
         raise InvalidInputError(f"not a JSON Patch: {error}", step="configuration.patch") from error
     if len(operations) > MAX_OPERATIONS:
         raise InvalidInputError(
@@ -238,7 +239,7 @@
     text = base.document.get(pointer)
     if text is None:
         return defaults
-    value = msgspec.json.decode(text)
+    value = decode_json(text)
     if isinstance(value, dict) and isinstance(defaults, dict):
         return defaults | value
     return value
--- a/src/balsamcleat/configuration/store.py
+++ b/src/balsamcleat/configuration/store.py
@@ -14,6 +14,7 @@
     decode_stored_record,
     encode_snapshot,
 )
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
 from balsamcleat.ports import ABSENT, ObjectStore, Row, Table, Write
 
@@ -125,7 +126,7 @@
     if row is None:
         return HeadRow(0)
     try:
-        head = msgspec.json.decode(row.value, type=HeadRow | int)
+        head = decode_json(row.value, HeadRow | int)
     except msgspec.DecodeError as error:
         raise ProtocolError(f"malformed head row: {error}", step="configuration.read") from error
     return HeadRow(head) if isinstance(head, int) else head
@@ -169,8 +170,8 @@
             ProtocolError: The row or the object is malformed.
         """
         try:
-            stored = msgspec.json.decode(value, type=ChangeRecord | SnapshotRecord | ReferenceRow)
-        except (msgspec.DecodeError, RecursionError) as error:
+            stored = decode_json(value, ChangeRecord | SnapshotRecord | ReferenceRow)
+        except msgspec.DecodeError as error:
             raise ProtocolError(
                 f"malformed change record: {error}", step="configuration.read"
             ) from error
@@ -271,7 +272,7 @@
         if row is None:
             return None
         try:
-            return msgspec.json.decode(row.value, type=SnapshotRow), row.version
+            return decode_json(row.value, SnapshotRow), row.version
         except msgspec.DecodeError as error:
             raise ProtocolError(
                 f"malformed snapshot row: {error}", step="configuration.read"
@@ -294,7 +295,7 @@
         if row is None:
             return None
         try:
-            return msgspec.json.decode(row.value, type=OperationRow)
+            return decode_json(row.value, OperationRow)
         except msgspec.DecodeError as error:
             raise ProtocolError(
                 f"malformed operation row: {error}", step="configuration.read"
--- a/src/balsamcleat/configuration/validation.py
+++ b/src/balsamcleat/configuration/validation.py
@@ -9,6 +9,7 @@
 
 from balsamcleat.configuration.document import Delta, entry_pointer, split_pointer
 from balsamcleat.configuration.schema import Configuration, ServiceKind
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 
 __all__ = [
@@ -43,7 +44,7 @@
             path.
     """
     try:
-        return msgspec.json.decode(data, type=Configuration)
+        return decode_json(data, Configuration)
     except msgspec.DecodeError as error:
         raise InvalidInputError(str(error), step="configuration.decode") from error
 
--- a/src/balsamcleat/configuration/view.py
+++ b/src/balsamcleat/configuration/view.py
@@ -18,6 +18,7 @@
     Trainer,
     Zone,
 )
+from balsamcleat.decoding import decode_json
 
 __all__ = [
     "MAP_SECTIONS",
@@ -117,11 +118,11 @@
 def read_entry(text: bytes, kind: type) -> Any:
     """Return the typed entry without unknown fields, or None if the entry can't be decoded."""
     try:
-        return msgspec.json.decode(text, type=kind)
+        return decode_json(text, kind)
     except msgspec.DecodeError:
         pass
     try:
-        fields = msgspec.json.decode(text)
+        fields = decode_json(text)
         if not isinstance(fields, dict) or not issubclass(kind, msgspec.Struct):
             return None
         known = {field.encode_name for field in msgspec.structs.fields(kind)}
--- a/src/balsamcleat/decisions/claims.py
+++ b/src/balsamcleat/decisions/claims.py
@@ -6,6 +6,7 @@
 import msgspec
 import xxhash
 
+from balsamcleat.decoding import decode_msgpack
 from balsamcleat.model import CallRequest
 from balsamcleat.ports import ABSENT, Row, Write
 
@@ -181,18 +182,14 @@
     claim_row = by_key.get(f"{claim.prefix}claim")
     if claim_row is None:
         return Free(ABSENT)
-    holder_record = msgspec.msgpack.decode(claim_row.value, type=ClaimRecord)
+    holder_record = decode_msgpack(claim_row.value, ClaimRecord)
     if holder_record.token == claim.record.token:
         return Owned()
     # The margin protects the VM that wrote the row, because its clock may be slow.
     if wall_s > holder_record.expires_s + CLOCK_MARGIN_S:
         return Free(claim_row.version)
     outcome_row = by_key.get(f"{claim.prefix}outcome/{holder_record.token}")
-    outcome = (
-        None
-        if outcome_row is None
-        else msgspec.msgpack.decode(outcome_row.value, type=OutcomeRecord)
-    )
+    outcome = None if outcome_row is None else decode_msgpack(outcome_row.value, OutcomeRecord)
     if outcome is not None and outcome.state is RecordedState.NOT_RUN:
         return Free(claim_row.version)
     if holder_record.content != claim.record.content:
@@ -214,9 +211,9 @@
     deletions = []
     for row in rows:
         if row.key.endswith("/claim"):
-            expires_s = msgspec.msgpack.decode(row.value, type=ClaimRecord).expires_s
+            expires_s = decode_msgpack(row.value, ClaimRecord).expires_s
         else:
-            expires_s = msgspec.msgpack.decode(row.value, type=OutcomeRecord).expires_s
+            expires_s = decode_msgpack(row.value, OutcomeRecord).expires_s
         if wall_s > expires_s + CLOCK_MARGIN_S:
             deletions.append(Write(row.key, None, row.version))
     return tuple(deletions)
--- a/src/balsamcleat/decisions/lease.py
+++ b/src/balsamcleat/decisions/lease.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import VmId
 from balsamcleat.model.leases import Lease
@@ -60,7 +61,7 @@
         ProtocolError: The row is malformed.
     """
     try:
-        return msgspec.json.decode(row.value, type=LeaseRow)
+        return decode_json(row.value, LeaseRow)
     except msgspec.DecodeError as error:
         raise ProtocolError(f"{row.key} is not a lease: {error}", step="lease.read") from error
 
--- a/src/balsamcleat/explaining.py
+++ b/src/balsamcleat/explaining.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from balsamcleat.decoding import decode_json
+
 __all__ = ["ExplainedLine", "explain", "read_lines"]
 
 # Fields that name what a line is about.
@@ -72,7 +74,7 @@
     if start < 0:
         return None
     try:
-        fields = msgspec.json.decode(text[start:])
+        fields = decode_json(text[start:])
     except msgspec.DecodeError:
         return None
     at_s = prefix_time(text[:start])
--- a/src/balsamcleat/http1/streams.py
+++ b/src/balsamcleat/http1/streams.py
@@ -2,6 +2,7 @@
 
 import errno
 import fcntl
+import ipaddress
 import socket
 import struct
 import termios
@@ -20,6 +21,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 BACKLOG = 512
+MAX_PORT = 65535
 # A remote end that sends without pause must not keep the event loop from other tasks and timeouts.
 MAX_BYTES_WITHOUT_YIELD = 256 * 1024
 # Number of bytes in a socket's send queue, as the kernel returns it.
@@ -187,14 +189,14 @@
 
     Raises:
         OSError: The connection was refused, the address is unreachable, or connecting took longer
-            than ``timeout_s``.
+            than ``timeout_s``, or the text is no such address.
     """
-    host, _, port = address.rpartition(":")
+    host, port = parse_address(address)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     try:
         with anyio.fail_after(timeout_s):
-            await connect_socket(sock, host, int(port))
+            await connect_socket(sock, host, port)
     except TimeoutError as error:
         sock.close()
         raise ConnectionRefusedError(
@@ -206,6 +208,22 @@
     return ByteStream(sock, address)
 
 
+def parse_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of ``IP:PORT``.
+
+    Raises:
+        OSError: The text is no such address. Names of hosts are none: a look-up would block.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        if not 0 < int(port) <= MAX_PORT:
+            raise ValueError(f"there is no port {port}")
+    except ValueError as error:
+        raise OSError(errno.EINVAL, f"no address: {error}") from error
+    return host, int(port)
+
+
 async def connect_socket(sock: socket.socket, host: str, port: int) -> None:
     """Connect a non-blocking socket and wait for the result.
 
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -276,6 +276,11 @@
         "request service wait_s retry_after_s",
     ),
     event("target entry ignored", "Written by another, or unreadable.", "target row_version"),
+    event(
+        "row left out",
+        "A fault of this program in the handling of one row, perhaps of another writer.",
+        "table part key row_version exception",
+    ),
     event("store lost", "A feed does not answer.", "table version reason"),
     event("store regained", "It does again.", "table failures"),
     event("feed gap", "History was lost; the table is read in full.", "table after"),
--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -1,7 +1,10 @@
 """Decoders of the documents in the platform's store: configuration, weight versions, targets."""
 
+from typing import Annotated
+
 import msgspec
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import (
     ConfigurationVersion,
@@ -52,6 +55,14 @@
 }
 
 
+# Larger numbers can't be converted to the floating-point numbers that they are combined with.
+MAX_STORED_INTEGER = 2**53
+StoredInteger = Annotated[int, msgspec.Meta(ge=-MAX_STORED_INTEGER, le=MAX_STORED_INTEGER)]
+MAX_PORT = 65535
+# The longest port number has five digits.
+MAX_PORT_DIGITS = 5
+
+
 class SplitFields(msgspec.Struct, frozen=True):
     """A service that receives a share of a route's requests."""
 
@@ -71,8 +82,8 @@
     timeout_ms: float = 10000.0
     # Response time up to which a response has its full value; not a timeout.
     slo_ms: float = 1000.0
-    prio: int = 5
-    attempts: int = 1
+    prio: StoredInteger = 5
+    attempts: StoredInteger = 1
     resumable: bool = False
     sticky: bool = False
     # Time after the first submission of a step by which all its results should be complete.
@@ -88,14 +99,14 @@
     """Model that a service or a target serves."""
 
     name: str
-    version: int = 0
+    version: StoredInteger = 0
 
 
 class EngineFields(msgspec.Struct, frozen=True, rename="camel"):
     """Properties that all targets of an engine service have in common."""
 
-    batch_slots: int = 1
-    kv_cap_tokens: int = 0
+    batch_slots: StoredInteger = 1
+    kv_cap_tokens: StoredInteger = 0
     models: list[ModelFields] = []
 
 
@@ -105,8 +116,8 @@
     ``min`` and ``max`` are per availability zone, and a price is that of one target's second.
     """
 
-    max: int
-    min: int = 1
+    max: StoredInteger
+    min: StoredInteger = 1
     startup_s: float = msgspec.field(name="startupS", default=4.0)
     spot_price: float = 1.0
     zone_prices: dict[str, float] = {}
@@ -116,7 +127,7 @@
     """Service of the configuration document."""
 
     name: str
-    max_conns: int = 100
+    max_conns: StoredInteger = 100
     engine: EngineFields | None = None
     # Decoded apart from the rest, so that an unknown form does not make the document unreadable.
     autoscale: object = None
@@ -127,14 +138,14 @@
 
     name: str
     api_keys: list[str] = []
-    prio: int | None = None
+    prio: StoredInteger | None = None
 
 
 class LimitFields(msgspec.Struct, frozen=True, rename="camel"):
     """Limits on the size and the timing of callers' requests."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 33554432
+    max_header_bytes: StoredInteger = 16384
+    max_body_bytes: StoredInteger = 33554432
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
@@ -142,7 +153,7 @@
 class RoutingFields(msgspec.Struct, frozen=True):
     """Configuration document."""
 
-    version: int
+    version: StoredInteger
     routes: list[RouteFields] = []
     services: list[ServiceFields] = []
     limits: LimitFields = LimitFields()
@@ -153,7 +164,7 @@
     """Document in which a trainer announces a weight version."""
 
     model: str
-    version: int
+    version: StoredInteger
 
 
 class ReplicaFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -169,10 +180,10 @@
     zone: str = ""
     # Version of the target's software, while each of ``models`` has that of its weights.
     version: str = ""
-    batch_slots: int = 1
+    batch_slots: StoredInteger = 1
     cold_left_ms: float = 0.0
     # Start of the target's process in Unix milliseconds.
-    born: int = 0
+    born: StoredInteger = 0
     models: list[ModelFields] = []
     # The last three are decoded apart from the rest, so that an unknown form of them does not
     # remove the target from the list.
@@ -196,8 +207,8 @@
             which contains keys.
     """
     try:
-        fields = msgspec.json.decode(value, type=RoutingFields)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        fields = decode_json(value, RoutingFields)
+    except msgspec.DecodeError as error:
         raise ProtocolError(
             f"invalid configuration document: {error}", step="configuration.decode"
         ) from error
@@ -294,8 +305,8 @@
         ProtocolError: The document can't be decoded.
     """
     try:
-        fields = msgspec.json.decode(value, type=NamedVersionFields)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        fields = decode_json(value, NamedVersionFields)
+    except msgspec.DecodeError as error:
         raise ProtocolError(
             f"invalid weight version document: {error}", step="weights.decode"
         ) from error
@@ -308,12 +319,11 @@
     Other writers may put entries into the same table.
     """
     try:
-        fields = msgspec.json.decode(value, type=ReplicaFields)
+        fields = decode_json(value, ReplicaFields)
         state = ReplicaState.DRAINING if fields.draining is True else ReplicaState(fields.state)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError):
+    except ValueError:
         return None
-    host, _, port = fields.address.rpartition(":")
-    if not host or not port.isdecimal():
+    if not is_address(fields.address):
         return None
     return Replica(
         target_id=TargetId(target_id),
@@ -332,8 +342,18 @@
     )
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text has the form ``HOST:PORT``, with a port to which one can connect."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdecimal() or len(port) > MAX_PORT_DIGITS:
+        return False
+    return 0 < int(port) <= MAX_PORT
+
+
 def decode_leaving_time_s(value: object) -> float | None:
     """Return the time until a target is taken away in seconds, or None if none is stated."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         return None
+    if not -MAX_STORED_INTEGER <= value <= MAX_STORED_INTEGER:
+        return None
     return max(0.0, value / MS_PER_S)
--- a/src/balsamcleat/platform/duties.py
+++ b/src/balsamcleat/platform/duties.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from balsamcleat.decisions.duty_fitness import CallFitness
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import (
     CONNECT_STEP,
@@ -160,15 +161,15 @@
     stamp = DutyStamp(VmId(holder), int(token))
     try:
         if request.path == USAGE_PATH:
-            usage = msgspec.json.decode(request.body, type=UsageFields)
+            usage = decode_json(request.body, UsageFields)
             counts = {TeamName(team): count for team, count in usage.counts.items()}
             return ReceivedDutyCall(Duty.USAGE, stamp, UsageReport(usage.window_id, counts))
         if request.path == SCALE_PATH:
-            scale = msgspec.json.decode(request.body, type=ScaleFields)
+            scale = decode_json(request.body, ScaleFields)
             order = TargetCountOrder(
                 ServiceName(scale.svc), ZoneName(scale.zone), scale.target_groups, scale.spot
             )
             return ReceivedDutyCall(Duty.SCALING, stamp, order)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except msgspec.DecodeError:
         return None
     return None
--- a/src/balsamcleat/platform/orders.py
+++ b/src/balsamcleat/platform/orders.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Headers, Request, Response, is_success
 from balsamcleat.model import WeightVersion
@@ -158,8 +159,8 @@
         """
         response = await self.pool.fetch(replica.address, report_request(replica), REPORT_TIMEOUT_S)
         try:
-            fields = msgspec.json.decode(response.body, type=ReportFields)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            fields = decode_json(response.body, ReportFields)
+        except msgspec.DecodeError as error:
             raise AttemptFailedError(
                 f"invalid state report: {error}",
                 step="replica.report",
@@ -184,8 +185,8 @@
     if not is_success(response.status):
         return None
     try:
-        return msgspec.json.decode(response.body, type=StartFields).born
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(response.body, StartFields).born
+    except msgspec.DecodeError:
         return None
 
 
--- a/src/balsamcleat/platform/settings.py
+++ b/src/balsamcleat/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.model import VmId, ZoneName
 from balsamcleat.ports.rows import StoreLimits
@@ -168,7 +169,7 @@
         InvalidInputError: The file can't be read, or a field is missing or has a wrong type.
     """
     try:
-        fields = msgspec.json.decode(path.read_bytes(), type=SettingsFields)
+        fields = decode_json(path.read_bytes(), SettingsFields)
     except (OSError, msgspec.DecodeError) as error:
         raise InvalidInputError(f"{path}: {error}", step="settings.read") from error
     return decode_settings(fields)
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.http1 import Headers, Request, StreamEvent, header_value, without_headers
 from balsamcleat.model import StepId, TargetId, TeamName, WeightVersion
@@ -175,8 +176,8 @@
         InvalidInputError: The submission can't be decoded, or two samples have the same id.
     """
     try:
-        fields = msgspec.json.decode(body, type=SubmissionFields)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        fields = decode_json(body, SubmissionFields)
+    except msgspec.DecodeError as error:
         raise InvalidInputError(f"invalid step submission: {error}", step="step.decode") from error
     samples = tuple(decode_sample(item) for item in fields.requests)
     if len({sample.sample_id for sample in samples}) != len(samples):
@@ -223,7 +224,7 @@
     ):
         return body
     # Decoded without a type, so that fields unknown to this build are kept.
-    fields = msgspec.json.decode(body)
+    fields = decode_json(body)
     for item in fields["requests"]:
         headers = item.get("headers", {})
         item["headers"] = {
--- a/src/balsamcleat/platform/store.py
+++ b/src/balsamcleat/platform/store.py
@@ -10,6 +10,7 @@
 
 from balsamcleat.decisions.store_pace import StoreRateLimiter
 from balsamcleat.decisions.store_path import AdaptiveTimeout
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import (
     AttemptFailedError,
     InvalidInputError,
@@ -284,8 +285,8 @@
         PlatformUnavailableError: The body can't be decoded.
     """
     try:
-        return msgspec.json.decode(response.body, type=response_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(response.body, response_type)
+    except msgspec.DecodeError as error:
         raise PlatformUnavailableError(
             f"undecodable response from the store: {error}", step="store.decode"
         ) from error
--- a/src/balsamcleat/queries/history.py
+++ b/src/balsamcleat/queries/history.py
@@ -11,6 +11,7 @@
     decode_record_head,
 )
 from balsamcleat.configuration.store import ConfigurationStore, parse_leading_numbers
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError, ProtocolError
 from balsamcleat.model.audit import AuditRow, audit_key
 from balsamcleat.ports import ObjectStore, Table
@@ -184,7 +185,7 @@
         ProtocolError: The value is malformed.
     """
     try:
-        return msgspec.json.decode(value, type=AuditRow)
+        return decode_json(value, AuditRow)
     except msgspec.DecodeError as error:
         raise ProtocolError(f"not an audit line: {error}", step="audit.read") from error
 
--- a/src/balsamcleat/settings.py
+++ b/src/balsamcleat/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.faults import DocumentFault, find_faults
 
@@ -130,7 +131,7 @@
     if faults:
         lines = "\n".join(f"  {fault}" for fault in faults)
         raise InvalidInputError(f"{path} has faults:\n{lines}", step="settings.check")
-    return msgspec.json.decode(data, type=Settings)
+    return decode_json(data, Settings)
 
 
 def read_file(path: Path) -> bytes:
@@ -148,7 +149,7 @@
 def settings_faults(data: bytes) -> list[DocumentFault]:
     """Return every fault of a settings file's content; empty when a node can start from it."""
     try:
-        document = msgspec.json.decode(data)
+        document = decode_json(data)
     except msgspec.DecodeError as error:
         return [DocumentFault("", "", f"the document is not JSON: {error}")]
     faults = find_faults(Settings, document)
--- a/src/balsamcleat/tasks/claim_writer.py
+++ b/src/balsamcleat/tasks/claim_writer.py
@@ -9,6 +9,7 @@
 
 from balsamcleat.decisions.group_commit import TransactionBatch
 from balsamcleat.decisions.ownership import preferred_owners
+from balsamcleat.decoding import decode_msgpack
 from balsamcleat.errors import AttemptFailedError, PlatformError
 from balsamcleat.model import VmId
 from balsamcleat.ports import Clock, Committed, Metrics, Randomness, Table, Transaction, Write
@@ -120,7 +121,7 @@
 
     async def handle_forwarded_write(self, payload: bytes) -> bytes:
         """Commit a write forwarded by a peer and return the encoded result."""
-        message = msgspec.msgpack.decode(payload, type=WriteMessage)
+        message = decode_msgpack(payload, WriteMessage)
         result = await self.commit_locally(
             Write(message.key, message.value, message.expected_version)
         )
--- a/src/balsamcleat/tasks/lease_table.py
+++ b/src/balsamcleat/tasks/lease_table.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from balsamcleat.decisions.duty_lease import DutyLeaseState, StoreTimeBound
+from balsamcleat.decoding import decode_json
 from balsamcleat.ports.duties import Duty
 from balsamcleat.ports.rows import (
     ABSENT_VERSION,
@@ -133,7 +134,7 @@
     if row.value is None:
         return LeaseRow(None, row.version)
     try:
-        row_value = msgspec.json.decode(row.value, type=LeaseRowValue)
+        row_value = decode_json(row.value, LeaseRowValue)
     except msgspec.DecodeError:
         return LeaseRow(UNREADABLE_STATE, row.version)
     state = DutyLeaseState(
--- a/src/balsamcleat/tasks/peers.py
+++ b/src/balsamcleat/tasks/peers.py
@@ -15,6 +15,7 @@
 
 from balsamcleat.decisions.readiness import PeerView, StoreView, should_ask_peers
 from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response
 
@@ -167,7 +168,7 @@
             request = Request("GET", STATE_PATH, (("Host", row.address),))
             try:
                 response = await self.pool.fetch(row.address, request, POLL_TIMEOUT_S)
-                state = msgspec.json.decode(response.body, type=PeerState)
+                state = decode_json(response.body, PeerState)
             except (AttemptFailedError, msgspec.DecodeError):
                 # A missing answer is a result as well: the caller counts the peers that answered.
                 results.append(PollResult(row.vm, None))
--- a/src/balsamcleat/tasks/quarantine_guard.py
+++ b/src/balsamcleat/tasks/quarantine_guard.py
@@ -13,6 +13,7 @@
     SuspectUpdate,
 )
 from balsamcleat.decisions.routing import RouteQuery, Router
+from balsamcleat.decoding import decode_msgpack
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.model import FailureKind, TargetId, TargetInfo
 from balsamcleat.ports import Clock, Metrics
@@ -228,7 +229,7 @@
     def handle_notice(self, payload: bytes) -> None:
         """Apply an update from a peer."""
         try:
-            update = msgspec.msgpack.decode(payload, type=SuspectUpdate)
+            update = decode_msgpack(payload, SuspectUpdate)
         except msgspec.DecodeError:
             self.metrics.count("quarantine.notice.malformed")
             return
--- a/src/balsamcleat/tasks/relayed_store.py
+++ b/src/balsamcleat/tasks/relayed_store.py
@@ -9,6 +9,7 @@
 
 from balsamcleat.decisions.store_path import StorePathSelector
 from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.decoding import decode_msgpack
 from balsamcleat.errors import (
     AttemptFailedError,
     OutcomeUnknownError,
@@ -102,19 +103,19 @@
     async def dispatch(self, operation: str, body: bytes) -> object:
         """Execute a row store operation with encoded arguments and return its reply."""
         if operation == "commit":
-            outcome = await self.store.commit(msgspec.msgpack.decode(body, type=RowCommit))
+            outcome = await self.store.commit(decode_msgpack(body, RowCommit))
             if isinstance(outcome, RowConflict):
                 return CommitReply(conflict=outcome)
             return CommitReply(committed=outcome)
         if operation == "read":
-            read_args = msgspec.msgpack.decode(body, type=ReadArguments)
+            read_args = decode_msgpack(body, ReadArguments)
             return await self.store.read(
                 read_args.table, read_args.part, read_args.start, read_args.end, read_args.limit
             )
         if operation == "parts":
-            parts_args = msgspec.msgpack.decode(body, type=PartsArguments)
+            parts_args = decode_msgpack(body, PartsArguments)
             return await self.store.parts(parts_args.table, parts_args.after)
-        changes_args = msgspec.msgpack.decode(body, type=ChangesArguments)
+        changes_args = decode_msgpack(body, ChangesArguments)
         wait_s = min(changes_args.wait_s, RELAYED_FEED_WAIT_S)
         return await self.store.changes(changes_args.table, changes_args.after, wait_s)
 
@@ -249,6 +250,7 @@
         if not self.is_relaying:
             self.is_relaying = True
             log.warning("store reached by way of a peer", peer=peer.vm)
+        is_commit = operation == "commit"
         request = Request("POST", RELAY_PREFIX + operation, (("Host", peer.address),), body)
         try:
             response = await self.pool.fetch(peer.address, request, timeout_s)
@@ -256,9 +258,8 @@
             if peer in relays:
                 # The peer may be shutting down or cut off itself, so the next call uses another.
                 relays.remove(peer)
-            is_outcome_unknown = operation == "commit" and error.perhaps_sent
-            error_class = OutcomeUnknownError if is_outcome_unknown else PlatformUnavailableError
-            raise error_class(error.message, step="store.relay", peer=peer.vm) from error
+            is_unknown = is_commit and error.perhaps_sent
+            raise failed_call_error(error.message, peer.vm, is_unknown=is_unknown) from error
         if response.status == HISTORY_LOST_STATUS:
             raise HistoryExpiredError
         if response.status == OUTCOME_UNKNOWN_STATUS:
@@ -271,5 +272,23 @@
                 step="store.relay",
                 peer=peer.vm,
             )
+        try:
+            reply = decode_msgpack(response.body, reply_type)
+        except msgspec.DecodeError as error:
+            raise failed_call_error(
+                f"the relay's reply can't be decoded: {error}", peer.vm, is_unknown=is_commit
+            ) from error
         self.answered_at_s = anyio.current_time()
-        return msgspec.msgpack.decode(response.body, type=reply_type)
+        return reply
+
+
+def failed_call_error(message: str, vm: str, *, is_unknown: bool) -> PlatformError:
+    """Return the error for a relayed call that failed.
+
+    Args:
+        message: What failed.
+        vm: VM that the call was sent to.
+        is_unknown: Whether the call may have written something.
+    """
+    error_class = OutcomeUnknownError if is_unknown else PlatformUnavailableError
+    return error_class(message, step="store.relay", peer=vm)
--- a/src/balsamcleat/tasks/replica_keeper.py
+++ b/src/balsamcleat/tasks/replica_keeper.py
@@ -12,7 +12,7 @@
 from balsamcleat.model.replicas import Replica
 from balsamcleat.platform import decode_replica
 from balsamcleat.ports.rows import RowChange
-from balsamcleat.tasks.table_follower import TableObserver
+from balsamcleat.tasks.table_follower import TableObserver, guard_row
 
 __all__ = ["ReplicaKeeper"]
 
@@ -51,25 +51,25 @@
         """Replace the directory by a snapshot of the table."""
         replicas = {}
         for row in rows:
-            replica = self.decode(row)
+            replica = guard_row(self.decode, row)
             if replica is not None:
                 replicas[replica.target_id] = replica
         now_s = anyio.current_time()
         self.apply_changes(self.directory.apply_listing(replicas, now_s), version)
         self.on_change()
 
-    def on_changes(self, rows: tuple[RowChange, ...], version: int) -> None:
-        """Apply changed and deleted entries to the directory."""
-        for row in rows:
-            replica = self.decode(row)
-            if replica is not None:
-                changes = self.directory.apply_entry(replica, anyio.current_time())
-                self.apply_changes(changes, row.version)
-            else:
-                target_id = TargetId(row.key.key)
-                self.apply_changes(
-                    self.directory.apply_removal(target_id, anyio.current_time()), row.version
-                )
+    def apply_row(self, row: RowChange) -> None:
+        """Apply a changed or deleted entry to the directory."""
+        now_s = anyio.current_time()
+        replica = guard_row(self.decode, row)
+        if replica is not None:
+            changes = self.directory.apply_entry(replica, now_s)
+        else:
+            changes = self.directory.apply_removal(TargetId(row.key.key), now_s)
+        self.apply_changes(changes, row.version)
+
+    def on_rows_applied(self) -> None:
+        """Report the changes of one answer."""
         self.on_change()
 
     def decode(self, row: RowChange) -> Replica | None:
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from balsamcleat.decisions.sample_progress import ProgressSlice, SavedProgress, join_slices
+from balsamcleat.decoding import decode_json, decode_msgpack
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import StepId, WeightVersion
 from balsamcleat.model.rollout import SampleResult, SampleState
@@ -105,7 +106,7 @@
 def decode_owner(row: RowChange) -> OwnerRecord | None:
     """Return the owner record in a row, or None if the row is deleted or unreadable."""
     try:
-        return None if row.value is None else msgspec.json.decode(row.value, type=OwnerRecord)
+        return None if row.value is None else decode_json(row.value, OwnerRecord)
     except msgspec.DecodeError:
         return None
 
@@ -367,6 +368,6 @@
         ProtocolError: The value cannot be decoded.
     """
     try:
-        return msgspec.msgpack.decode(zlib.decompress(packed), type=value_type)
+        return decode_msgpack(zlib.decompress(packed), value_type)
     except (zlib.error, msgspec.DecodeError) as error:
         raise ProtocolError(f"unreadable record: {error}", step="records.decode") from error
--- a/src/balsamcleat/tasks/rollouts.py
+++ b/src/balsamcleat/tasks/rollouts.py
@@ -16,6 +16,7 @@
     decode_batch,
     encode_batch,
 )
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import AttemptFailedError, PlatformError, RefusedError
 from balsamcleat.model import (
     DeploymentName,
@@ -131,7 +132,7 @@
             owner.restore(batches, await self.store.read_partial_results(lease.key))
             row = await self.store.table.get(weights_key(spec.deployment))
             if row is not None:
-                report = msgspec.json.decode(row.value, type=VersionReport)
+                report = decode_json(row.value, VersionReport)
                 owner.machine.record_trainer_version(WeightVersion(report.weight_version))
         self.owned[lease.key] = owner
         log.info("step owned", step=lease.key, epoch=lease.head.epoch)
@@ -203,7 +204,7 @@
         if payload is None:
             await self.dependencies.clock.sleep(min(request.wait_s, UNREACHABLE_PAUSE_S))
             return NoBatchYet()
-        reply = msgspec.json.decode(payload, type=PullReply)
+        reply = decode_json(payload, PullReply)
         if reply.batch is not None:
             return BatchReady(decode_batch(reply.batch))
         if reply.refused is not None:
@@ -228,7 +229,7 @@
 
     async def handle_forwarded_pull(self, payload: bytes) -> bytes:
         """Answer a pull that a peer forwarded to this VM."""
-        request = msgspec.json.decode(payload, type=PullRequest)
+        request = decode_json(payload, PullRequest)
         key = step_key(DeploymentName(request.deployment), StepId(request.step_id))
         owner = self.owned.get(key)
         if owner is None or (owner.fenced and not owner.closed_reason):
@@ -268,8 +269,7 @@
         prefix = step_key(deployment, StepId(""))
         try:
             heads = [
-                msgspec.json.decode(row.value, type=StepHead)
-                for row in await self.store.table.scan(prefix)
+                decode_json(row.value, StepHead) for row in await self.store.table.scan(prefix)
             ]
         except PlatformError:
             return frozenset(
@@ -285,7 +285,7 @@
         """
         row = await self.store.table.get(weights_key(deployment))
         if row is not None:
-            stored_version = msgspec.json.decode(row.value, type=VersionReport).weight_version
+            stored_version = decode_json(row.value, VersionReport).weight_version
             if stored_version >= version:
                 return
         value = msgspec.json.encode(VersionReport(weight_version=version))
@@ -296,7 +296,7 @@
 
     async def handle_forwarded_report(self, payload: bytes) -> bytes:
         """Apply a version report that a peer forwarded to this VM."""
-        report = msgspec.json.decode(payload, type=ForwardedReport)
+        report = decode_json(payload, ForwardedReport)
         self.report_locally(report.deployment, WeightVersion(report.weight_version))
         return b""
 
@@ -308,7 +308,7 @@
         row = await self.store.table.get(key)
         if row is None:
             return
-        head = msgspec.json.decode(row.value, type=StepHead)
+        head = decode_json(row.value, StepHead)
         member = self.reachable_peer(VmId(head.owner))
         request = CancelRequest(deployment=deployment, step_id=step_id)
         if member is not None:
@@ -332,7 +332,7 @@
 
     async def handle_forwarded_cancel(self, payload: bytes) -> bytes:
         """Cancel a step on behalf of a peer."""
-        request = msgspec.json.decode(payload, type=CancelRequest)
+        request = decode_json(payload, CancelRequest)
         key = step_key(DeploymentName(request.deployment), StepId(request.step_id))
         return CANCELLED if await self.cancel_locally(key) else b""
 
--- a/src/balsamcleat/tasks/routing_keeper.py
+++ b/src/balsamcleat/tasks/routing_keeper.py
@@ -45,15 +45,17 @@
         self.table: RoutingTable | None = None
         self.named_versions: dict[str, WeightVersion] = {}
 
-    def on_changes(self, rows: tuple[RowChange, ...], version: int) -> None:
-        """Apply the documents that were written."""
-        for row in rows:
-            if row.value is None:
-                continue
-            try:
-                self.apply_document(row.key.key, row.value, row.version)
-            except ProtocolError as error:
-                log.warning("document refused", key=row.key.key, reason=str(error))
+    def apply_row(self, row: RowChange) -> None:
+        """Apply a document that was written."""
+        if row.value is None:
+            return
+        try:
+            self.apply_document(row.key.key, row.value, row.version)
+        except ProtocolError as error:
+            log.warning("document refused", key=row.key.key, reason=str(error))
+
+    def on_rows_applied(self) -> None:
+        """Report the changes of one answer."""
         self.on_change()
 
     def on_store_recovered(self) -> None:
--- a/src/balsamcleat/tasks/scaling_records.py
+++ b/src/balsamcleat/tasks/scaling_records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from balsamcleat.decisions.scaling_types import PoolOrder, ZoneOrders
+from balsamcleat.decoding import decode_json
 from balsamcleat.model import ServiceName, ZoneName
 from balsamcleat.ports.rows import (
     ABSENT_VERSION,
@@ -81,7 +82,7 @@
 def decode_orders(row: RowChange) -> ZoneOrders:
     """Return the orders in a row; an unreadable one counts as that of no order."""
     try:
-        value = msgspec.json.decode(row.value or b"", type=ScalingRowValue)
+        value = decode_json(row.value or b"", ScalingRowValue)
     except msgspec.DecodeError:
         value = ScalingRowValue()
     return ZoneOrders(
--- a/src/balsamcleat/tasks/shared_crash_history.py
+++ b/src/balsamcleat/tasks/shared_crash_history.py
@@ -216,17 +216,19 @@
             self.apply_deletion(key)
         self.on_changes(rows, version)
 
-    def on_changes(self, rows: tuple[RowChange, ...], version: int) -> None:
-        """Record crashes and trials that any VM wrote."""
-        for row in rows:
-            self.unread_keys.discard(row.key)
-            if row.value is None:
-                self.apply_deletion(row.key)
-            else:
-                self.apply_row(row, row.value)
+    def apply_row(self, row: RowChange) -> None:
+        """Record a crash or a trial that any VM wrote, or its deletion."""
+        self.unread_keys.discard(row.key)
+        if row.value is None:
+            self.apply_deletion(row.key)
+        else:
+            self.apply_value(row, row.value)
+
+    def on_rows_applied(self) -> None:
+        """Wake the tasks that wait for rows to be read."""
         self.notify()
 
-    def apply_row(self, row: RowChange, value: bytes) -> None:
+    def apply_value(self, row: RowChange, value: bytes) -> None:
         """Record the crash or the trial of a row."""
         if self.pending.get(row.key, value) is None:
             return
--- a/src/balsamcleat/tasks/shared_vm_list.py
+++ b/src/balsamcleat/tasks/shared_vm_list.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from balsamcleat.decisions.shared_list import VmListCache
+from balsamcleat.decoding import decode_with
 from balsamcleat.errors import PlatformError, PlatformUnavailableError
 from balsamcleat.model import VmKind, VmRecord, ZoneName
 from balsamcleat.ports import Clock, Metrics, VmList
@@ -107,7 +108,7 @@
     def on_notice(self, payload: bytes) -> None:
         """Update the cache with the changed records in a peer's notice."""
         try:
-            records = RECORDS_DECODER.decode(payload)
+            records = decode_with(RECORDS_DECODER.decode, payload)
         except msgspec.DecodeError:
             self.metrics.count("vm_list.notice.malformed")
             return
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -17,7 +17,7 @@
     is_end_key,
     is_owner_key,
 )
-from balsamcleat.tasks.table_follower import TableObserver
+from balsamcleat.tasks.table_follower import TableObserver, guard_row
 
 __all__ = ["KnownStep", "StepFeed"]
 
@@ -106,16 +106,18 @@
         self.changed_event = anyio.Event()
         self.accepting = True
 
-    def on_changes(self, rows: tuple[RowChange, ...], version: int) -> None:
-        """Apply changed owner rows and end rows."""
-        for row in rows:
-            step_id = StepId(row.key.part)
-            if row.value is None:
-                self.steps.pop(step_id, None)
-            elif is_owner_key(row.key):
-                self.apply_owner_row(step_id, row)
-            elif is_end_key(row.key):
-                self.apply_end_row(step_id)
+    def apply_row(self, row: RowChange) -> None:
+        """Apply a changed owner row or end row."""
+        step_id = StepId(row.key.part)
+        if row.value is None:
+            self.steps.pop(step_id, None)
+        elif is_owner_key(row.key):
+            self.apply_owner_row(step_id, row)
+        elif is_end_key(row.key):
+            self.apply_end_row(step_id)
+
+    def on_rows_applied(self) -> None:
+        """Wake the task that takes over steps."""
         self.changed_event.set()
         self.changed_event = anyio.Event()
 
@@ -138,12 +140,8 @@
     def apply_rows(self, rows: tuple[RowChange, ...]) -> None:
         """Apply rows from a read or a commit conflict, possibly before the feed delivers them."""
         for row in rows:
-            if row.value is None:
-                continue
-            if is_owner_key(row.key):
-                self.apply_owner_row(StepId(row.key.part), row)
-            elif is_end_key(row.key):
-                self.apply_end_row(StepId(row.key.part))
+            if row.value is not None:
+                guard_row(self.apply_row, row)
 
     def apply_end_row(self, step_id: StepId) -> None:
         """Record that a step was ended, possibly before its owner row is known."""
--- a/src/balsamcleat/tasks/step_store.py
+++ b/src/balsamcleat/tasks/step_store.py
@@ -6,6 +6,7 @@
 import msgspec
 import xxhash
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import OutcomeUnknownError, PlatformError
 from balsamcleat.model import (
     Batch,
@@ -182,7 +183,7 @@
     async def spec(self, head: StepHead) -> StepSpec | None:
         """Return the step as its trainer opened it, or None if its object is missing."""
         body = await self.objects.get(head.spec_key)
-        return None if body is None else msgspec.json.decode(body, type=StepSpec)
+        return None if body is None else decode_json(body, StepSpec)
 
     async def heads(self) -> tuple[Row, ...]:
         """Return the rows of all steps."""
@@ -191,11 +192,11 @@
     async def head(self, key: str) -> StepHead | None:
         """Return a step's head, or None for an unknown step."""
         row = await self.table.get(key)
-        return None if row is None else msgspec.json.decode(row.value, type=StepHead)
+        return None if row is None else decode_json(row.value, StepHead)
 
     async def take_over(self, row: Row) -> StepLease | None:
         """Become the next owner of a step; return None if another VM was faster."""
-        old = msgspec.json.decode(row.value, type=StepHead)
+        old = decode_json(row.value, StepHead)
         head = msgspec.structs.replace(old, owner=self.vm_id, epoch=old.epoch + 1, beat=0)
         lease = StepLease(row.key, head, row.version)
         try:
@@ -240,7 +241,7 @@
         if row is not None and row.value == value:
             lease.head, lease.row_version = head, row.version
             return
-        current = None if row is None else msgspec.json.decode(row.value, type=StepHead)
+        current = None if row is None else decode_json(row.value, StepHead)
         is_own = current is not None and (current.owner, current.epoch) == (head.owner, head.epoch)
         if row is not None and current is not None and is_own:
             # An earlier write of this owner took effect although its response was lost.
@@ -269,11 +270,11 @@
         """Return the recorded batches of a step up to the first whose object is missing."""
         batches: list[Batch] = []
         for row in await self.table.scan(f"batch/{step}/"):
-            batch_row = msgspec.json.decode(row.value, type=BatchRow)
+            batch_row = decode_json(row.value, BatchRow)
             body = await self.objects.get(batch_row.object_key)
             if body is None:
                 break
-            samples = msgspec.json.decode(body, type=tuple[Sample, ...])
+            samples = decode_json(body, tuple[Sample, ...])
             batches.append(
                 Batch(step_id, batch_row.number, samples, last=False, epoch=batch_row.epoch)
             )
@@ -287,7 +288,7 @@
             body = await self.objects.get(key)
             if body is None:
                 continue
-            chunk = msgspec.json.decode(body, type=PartialResultsChunk)
+            chunk = decode_json(body, PartialResultsChunk)
             samples.extend(chunk.finished)
             for partial in chunk.partials:
                 previous_partial = partials.get(partial.key)
--- a/src/balsamcleat/tasks/step_watch.py
+++ b/src/balsamcleat/tasks/step_watch.py
@@ -3,10 +3,9 @@
 import random
 from collections.abc import Awaitable, Callable
 
-import msgspec
-
 from balsamcleat.decisions.ownership import ownership_rank
 from balsamcleat.decisions.step_lease import StepLeaseTracker
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import PlatformError, RefusedError
 from balsamcleat.model import StepSpec, VmId
 from balsamcleat.ports import Row, Transaction, Write
@@ -82,7 +81,7 @@
     async def check_step(self, row: Row) -> None:
         """Take over a step whose owner is dead; delete a step that was closed long ago."""
         now_s = self.clock.now_s()
-        head = msgspec.json.decode(row.value, type=StepHead)
+        head = decode_json(row.value, StepHead)
         local_owner = self.owned.get(row.key)
         if local_owner is not None and not local_owner.fenced:
             return
--- a/src/balsamcleat/tasks/stream_register.py
+++ b/src/balsamcleat/tasks/stream_register.py
@@ -17,6 +17,7 @@
 from balsamcleat.decisions.stream_keepers import KeeperRing
 from balsamcleat.decisions.stream_origin import StreamOrigin
 from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.decoding import decode_json, decode_msgpack
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response, is_success
 from balsamcleat.model import ServiceName, TargetId
@@ -212,7 +213,7 @@
             response = await self.pool.fetch(row.address, request, LOOK_UP_TIMEOUT_S)
             if not is_success(response.status):
                 return None
-            answer = msgspec.json.decode(response.body, type=SoftwareMessage)
+            answer = decode_json(response.body, SoftwareMessage)
         except (AttemptFailedError, msgspec.DecodeError) as error:
             log.info("keeper did not answer", peer=row.vm, stream=stream, reason=str(error))
             return None
@@ -234,7 +235,7 @@
     def keep(self, body: bytes) -> int:
         """Remember the streams of another VM's message; return the status of the response."""
         try:
-            messages = msgspec.msgpack.decode(body, type=list[StreamMessage])
+            messages = decode_msgpack(body, list[StreamMessage])
         except msgspec.DecodeError as error:
             log.warning("peer's streams unreadable", reason=str(error))
             return 400
--- a/src/balsamcleat/tasks/table_follower.py
+++ b/src/balsamcleat/tasks/table_follower.py
@@ -3,6 +3,7 @@
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from typing import TypeVar
 
 import anyio
 import structlog
@@ -10,7 +11,7 @@
 from balsamcleat.errors import PlatformError
 from balsamcleat.ports.rows import HistoryExpiredError, RowChange, RowStore
 
-__all__ = ["TableFollower", "TableObserver", "read_table"]
+__all__ = ["TableFollower", "TableObserver", "guard_row", "read_table"]
 
 # A change must be in force about 2 s after it was accepted, and a connection can go silent for
 # good, so a long poll of the feed lasts no longer.
@@ -18,25 +19,52 @@
 RETRY_BASE_S = 0.05
 RETRY_CAP_S = 0.4
 
+ResultT = TypeVar("ResultT")
+
 log = structlog.get_logger()
 
 
 class TableObserver(ABC):
-    """Receives the contents and the changes of a table in order."""
+    """Receives the contents and the changes of a table in order.
+
+    Rows may come from other writers. A row that an observer can't handle is left out, and the rows
+    after it still count.
+    """
 
     def on_snapshot(self, rows: tuple[RowChange, ...], version: int) -> None:
         """Handle all rows of the table as of ``version``; by default as changes."""
         self.on_changes(rows, version)
 
-    @abstractmethod
     def on_changes(self, rows: tuple[RowChange, ...], version: int) -> None:
-        """Handle the changes up to ``version``; a row whose value is None was deleted."""
+        """Handle the changes up to ``version``."""
+        for row in rows:
+            guard_row(self.apply_row, row)
+        self.on_rows_applied()
+
+    @abstractmethod
+    def apply_row(self, row: RowChange) -> None:
+        """Handle one changed row; a row whose value is None was deleted."""
+
+    def on_rows_applied(self) -> None:  # noqa: B027
+        """Handle the end of the rows of one answer; by default do nothing."""
 
     @abstractmethod
     def on_store_recovered(self) -> None:
         """Handle the end of an outage; called before the rows of the first answer."""
 
 
+def guard_row(handle: Callable[[RowChange], ResultT], row: RowChange) -> ResultT | None:
+    """Return the result of handling a row, or None after an unexpected error, which is logged."""
+    try:
+        return handle(row)
+    except Exception:
+        key = row.key
+        log.exception(
+            "row left out", table=key.table, part=key.part, key=key.key, row_version=row.version
+        )
+        return None
+
+
 async def read_part(store: RowStore, table: str, part: str) -> tuple[list[RowChange], int]:
     """Return all rows of a part and the oldest version among the pages that were read."""
     rows: list[RowChange] = []
--- a/src/balsamcleat/tasks/target_messages.py
+++ b/src/balsamcleat/tasks/target_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from balsamcleat.decisions.leaving_tracker import LeavingMark, LeavingSource
+from balsamcleat.decoding import decode_msgpack
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import LoadReport, ServiceName, TargetId
 from balsamcleat.model.zone_digests import ZoneDigest
@@ -82,7 +83,7 @@
         ProtocolError: The payload does not contain messages of the type.
     """
     try:
-        return msgspec.msgpack.decode(payload, type=list[message_type])  # type: ignore[valid-type]
+        return decode_msgpack(payload, list[message_type])  # type: ignore[valid-type]
     except msgspec.DecodeError as error:
         raise ProtocolError(str(error), step="targets.news") from error
 
@@ -133,7 +134,7 @@
     if not payload:
         return ZoneMessage([], [])
     try:
-        return msgspec.msgpack.decode(payload, type=ZoneMessage)
+        return decode_msgpack(payload, ZoneMessage)
     except msgspec.DecodeError as error:
         raise ProtocolError(str(error), step="targets.zone") from error
 
--- a/src/balsamcleat/tasks/target_paths.py
+++ b/src/balsamcleat/tasks/target_paths.py
@@ -12,6 +12,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.target_path import TargetCondition, TargetPath, judge_target
 from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.decoding import decode_msgpack
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response, is_success
 from balsamcleat.model import ServiceName, TargetId
@@ -284,7 +285,7 @@
             try:
                 response = await self.peer_pool.fetch(row.address, request, ASK_TIMEOUT_S)
                 if is_success(response.status):
-                    reached = msgspec.msgpack.decode(response.body, type=list[str])
+                    reached = decode_msgpack(response.body, list[str])
                     answers.append(PeerAnswer(row, frozenset(map(TargetId, reached))))
             except (AttemptFailedError, msgspec.DecodeError) as error:
                 log.info("peer not asked about targets", peer=row.vm, reason=str(error))
@@ -334,7 +335,7 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer another VM's question which targets this one reaches."""
         try:
-            target_ids = msgspec.msgpack.decode(request.body, type=list[str])
+            target_ids = decode_msgpack(request.body, list[str])
         except msgspec.DecodeError as error:
             log.warning("peer's question unreadable", reason=str(error))
             await responder.send(Response(400))
--- a/src/balsamcleat/tasks/usage_records.py
+++ b/src/balsamcleat/tasks/usage_records.py
@@ -6,6 +6,7 @@
 import msgspec
 import structlog
 
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import TeamName
 from balsamcleat.ports.duties import UsageReport
@@ -187,7 +188,7 @@
     """
     window = int(row.key.key)
     try:
-        value = msgspec.json.decode(row.value or b"", type=ReportRowValue)
+        value = decode_json(row.value or b"", ReportRowValue)
     except msgspec.DecodeError as error:
         log.warning("usage report unreadable", window=window, reason=str(error))
         return StoredReport(UsageReport(window, {}), 0, True, row.version)
@@ -201,6 +202,6 @@
         ProtocolError: The row can't be decoded.
     """
     try:
-        return msgspec.json.decode(row.value or b"", type=ClosedRowValue).window
+        return decode_json(row.value or b"", ClosedRowValue).window
     except msgspec.DecodeError as error:
         raise ProtocolError(f"usage row {CLOSED_KEY}: {error}", step="usage.read") from error
--- a/src/balsamcleat/tasks/vm_presence.py
+++ b/src/balsamcleat/tasks/vm_presence.py
@@ -12,6 +12,7 @@
 from balsamcleat.decisions.published_usage import PublishedUsage
 from balsamcleat.decisions.true_time import ClockVote
 from balsamcleat.decisions.vm_watch import VmFailureDetector, VmRow
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import PlatformError, PlatformUnavailableError
 from balsamcleat.ports.rows import (
     ABSENT_VERSION,
@@ -240,7 +241,7 @@
 def decode_vm(row: RowChange) -> VmRow:
     """Return a decoded VM row; a malformed one counts as that of a VM that has shut down."""
     try:
-        row_value = msgspec.json.decode(row.value or b"", type=VmRowValue)
+        row_value = decode_json(row.value or b"", VmRowValue)
     except msgspec.DecodeError:
         row_value = VmRowValue(STOPPED_BOOT, "", "", 0)
     return VmRow(
--- a/src/balsamcleat/tasks/weight_orders.py
+++ b/src/balsamcleat/tasks/weight_orders.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 
 import anyio
-import msgspec
 import structlog
 
 from balsamcleat.api.trainer_messages import VersionReport
@@ -15,6 +14,7 @@
     WaveScheduler,
     fetch_shares,
 )
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import AttemptFailedError, PlatformError
 from balsamcleat.model import TargetId, TargetInfo, WeightVersion, ZoneName
 from balsamcleat.model.leases import Lease
@@ -184,7 +184,7 @@
         for deployment in deployments_of(self.keeper.current.body, name):
             row = await self.table.get(f"weights/{deployment}")
             if row is not None:
-                report = msgspec.json.decode(row.value, type=VersionReport)
+                report = decode_json(row.value, VersionReport)
                 newest = max(newest, report.weight_version)
         return DesiredWeights(WeightVersion(newest), service.adapters) if newest else None
 
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -12,6 +12,7 @@
 import anyio
 
 import soak_clock
+from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws
 from soak_clock import ClockOffset
 from soak_link import SoakLink
@@ -21,6 +22,16 @@
 GRACE_S = 8.0
 # VMs are in touch again this long after a fault.
 CALM_S = 3.0
+# Entries of other writers in the list of targets; none names a target.
+FOREIGN_ENTRIES = (
+    b"",
+    b"\xff\xfe",
+    b'{"unknown":' + b"[" * 30_000,
+    b'{"svc":"app","address":"127.0.0.1:99999","state":"ready"}',
+    b'{"svc":"llm","address":"127.0.0.1:80","state":"resting"}',
+    b'{"svc":"app","address":"127.0.0.1:80","state":"ready","batchSlots":' + b"9" * 400 + b"}",
+    b'{"svc":["app"],"address":7,"state":"ready"}',
+)
 
 
 @dataclass
@@ -121,6 +132,7 @@
             self.target_leaves,
             self.configuration_changes,
             self.clock_jumps,
+            self.foreign_entry_comes,
         )
         await self.do(self.rng.choice(harms))
 
@@ -310,6 +322,13 @@
         await anyio.sleep(self.for_s())
         clock.set(0.0)
 
+    async def foreign_entry_comes(self) -> None:
+        """Write an entry of another writer into the list of targets, and remove it later."""
+        key = RowKey("servers", "", f"foreign{self.rng.randrange(3)}")
+        self.store.apply(RowCommit((RowWrite(key, self.rng.choice(FOREIGN_ENTRIES)),)))
+        await anyio.sleep(self.for_s())
+        self.store.apply(RowCommit((RowWrite(key, None),)))
+
     async def plain_answers_twice(self) -> None:
         plain = self.rng.choice(self.plains)
         plain.answer_twice = True
--- a/tests/soak_stand.py
+++ b/tests/soak_stand.py
@@ -126,8 +126,13 @@
         """Return a row as the VM sees it, with its own way to a target."""
         if row.key.table != "servers" or row.value is None:
             return row
-        entry = msgspec.json.decode(row.value)
-        entry["address"] = self.addresses.get(entry["address"], entry["address"])
+        try:
+            entry = msgspec.json.decode(row.value, type=dict[str, object])
+        except (msgspec.DecodeError, RecursionError):
+            # An entry of another writer.
+            return row
+        address = str(entry.get("address"))
+        entry["address"] = self.addresses.get(address, address)
         return dataclasses.replace(row, value=msgspec.json.encode(entry))
 
     async def commit(self, body) -> tuple[int, dict[str, object]]:
