LOST: an unexpected error costs its request, connection or step, not the process

Cause: nothing stood between such an error and the outermost task group. A handler of requests between VMs that fails; a rejected HEAD request, whose response had a body that the parser refuses; a commit that the store refuses as invalid, whose error was none of the platform's; a step whose submission can't be decoded, and a row with a foreign key, in a take-over.

Ruled out: a guard beside each handler (the one of the dispatcher of callers' requests is the server's now, so that all four servers have it).

Change: HttpServer guards handlers and connections (`request failed by a fault`, `connection failed by a fault`); a response to HEAD has no body; CommitRejectedError is an error of the platform, also for a relay; take-overs and trainers' calls fail by any error of ours; rows with foreign keys are ignored. The fake of test_crash_history.py raises the new error, as the store's client does.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -359,6 +359,7 @@
             self.dispatcher.limits,
             self.byte_budget,
             overload_response=self.dispatcher.overload_response,
+            fault_response=self.dispatcher.fault_response,
         )
         self.ready_server = HttpServer(
             listen(self.settings.ready_address), self.answer_readiness_check, lambda: ServerLimits()
--- a/src/balsamcleat/errors.py
+++ b/src/balsamcleat/errors.py
@@ -6,6 +6,7 @@
 __all__ = [
     "AttemptFailedError",
     "BalsamcleatError",
+    "CommitRejectedError",
     "InvalidInputError",
     "OutcomeUnknownError",
     "OverloadedError",
@@ -80,6 +81,10 @@
     """This process did not send the request: too many wait, or the service keeps failing."""
 
 
+class CommitRejectedError(PlatformError):
+    """The table refused a commit as invalid: nothing was written, nor would it be if repeated."""
+
+
 class OutcomeUnknownError(PlatformError):
     """A write was sent and its answer lost: it may or may not have taken effect."""
 
--- a/src/balsamcleat/http1/server.py
+++ b/src/balsamcleat/http1/server.py
@@ -5,9 +5,10 @@
 
 import anyio
 import anyio.abc
+import structlog
 
 from balsamcleat.http1.byte_budget import ByteBudget
-from balsamcleat.http1.messages import Headers, Response
+from balsamcleat.http1.messages import Headers, Request, Response
 from balsamcleat.http1.server_connection import Handler, ServerConnection, ServerLimits
 from balsamcleat.http1.streams import ByteStream
 
@@ -18,6 +19,14 @@
 FIRST_REQUEST_GRACE_S = 1.0
 OVERLOAD_RESPONSE = Response(503, (("Retry-After", "1"),))
 
+log = structlog.get_logger()
+
+
+def log_fault(request: Request) -> Response:
+    """Log the error of the handler of a request, and return the response to the request."""
+    log.exception("request failed by a fault", request="", path=request.path)
+    return Response(500)
+
 
 class HttpServer:
     """Accepts connections on a listening socket and serves their requests.
@@ -32,6 +41,7 @@
         refuses_bodies: Whether bodies for which the budget has no room are refused.
         overload_response: Returns the response to a request with these headers whose body is
             refused.
+        fault_response: Logs the error of the handler of a request, and returns the response.
 
     Attributes:
         connections: Open connections.
@@ -48,6 +58,7 @@
         *,
         refuses_bodies: bool = True,
         overload_response: Callable[[Headers], Response] = lambda headers: OVERLOAD_RESPONSE,
+        fault_response: Callable[[Request], Response] | None = None,
     ) -> None:
         self.listener = listener
         self.handler = handler
@@ -55,6 +66,7 @@
         self.budget = budget or ByteBudget()
         self.refuses_bodies = refuses_bodies
         self.overload_response = overload_response
+        self.fault_response = fault_response or log_fault
         self.connections: set[ServerConnection] = set()
         self.is_draining = False
         self.is_closed = False
@@ -114,6 +126,9 @@
         except OSError:
             # The client has disconnected, so no response can be sent.
             pass
+        except Exception:
+            # One connection must not end the server, and with it the process.
+            log.exception("connection failed by a fault", client=connection.stream.remote_address)
         finally:
             self.connections.discard(connection)
             connection.release_body()
--- a/src/balsamcleat/http1/server_connection.py
+++ b/src/balsamcleat/http1/server_connection.py
@@ -86,9 +86,11 @@
         """Send a complete response."""
         self.status = response.status
         headers = (*response.headers, ("Content-Length", str(len(response.body))))
+        # The response to HEAD has no body, and the parser refuses one.
+        body = b"" if self.connection.is_head_request else response.body
         await self.write_events(
             h11.Response(status_code=response.status, headers=self.with_connection_header(headers)),
-            h11.Data(response.body),
+            h11.Data(body),
             h11.EndOfMessage(),
         )
         self.has_finished = True
@@ -144,6 +146,7 @@
         is_rejected: Whether a request was rejected, so that the connection is closed.
         pipelined_data: Bytes of later requests that were received while a handler was running.
         body: Bytes of the current request's body, which are held until it is answered.
+        is_head_request: Whether the current request has the method HEAD.
     """
 
     def __init__(self, server: "HttpServer", stream: ByteStream) -> None:
@@ -157,6 +160,7 @@
         self.is_rejected = False
         self.pipelined_data = b""
         self.body: PendingBytes | None = None
+        self.is_head_request = False
 
     def has_open_request(self) -> bool:
         """Return whether a request is being handled, is being read, or waits to be read."""
@@ -273,6 +277,7 @@
             while True:
                 event = self.next_event()
                 if isinstance(event, h11.Request):
+                    self.is_head_request = event.method == b"HEAD"
                     self.check_head_size(event)
                     return event
                 if event is not h11.NEED_DATA or not await self.feed_parser():
@@ -405,14 +410,28 @@
         return self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
 
     async def run_handler(self, request: Request, responder: Responder) -> None:
-        """Run the handler; if the client's connection fails, the response counts as unfinished."""
+        """Run the handler; if the client's connection fails, the response counts as unfinished.
+
+        An unexpected error of the handler fails this request only.
+        """
         try:
-            await self.server.handler(request, responder)
+            await self.answer(request, responder)
         except OSError:
             # The handler's connections to other servers raise typed errors, so this OSError is from
             # the client's connection.
             responder.has_finished = False
 
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Have the handler answer a request; after an unexpected error, send an error response."""
+        try:
+            await self.server.handler(request, responder)
+        except OSError:
+            raise
+        except Exception:
+            response = self.server.fault_response(request)
+            if not responder.has_started:
+                await responder.send(response)
+
     async def watch_for_disconnect(self, scope: anyio.CancelScope) -> None:
         """Cancel the handler when the client disconnects; buffer pipelined requests meanwhile."""
         try:
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -72,6 +72,7 @@
         "request service rank waited_s left_s own",
     ),
     event("request failed by a fault", "A fault of this program.", "request path exception"),
+    event("connection failed by a fault", "A fault of this program.", "client exception"),
     event("connection not kept", "The rest of a target's answer was broken.", "peer reason"),
     event(
         "stream reader too slow",
@@ -276,6 +277,7 @@
         "request service wait_s retry_after_s",
     ),
     event("target entry ignored", "Written by another, or unreadable.", "target row_version"),
+    event("row ignored", "Its key is none of ours.", "table part key"),
     event(
         "row left out",
         "A fault of this program in the handling of one row, perhaps of another writer.",
--- a/src/balsamcleat/platform/store.py
+++ b/src/balsamcleat/platform/store.py
@@ -13,7 +13,7 @@
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import (
     AttemptFailedError,
-    InvalidInputError,
+    CommitRejectedError,
     OutcomeUnknownError,
     PlatformUnavailableError,
 )
@@ -144,7 +144,7 @@
             self.record_answer()
             return RowConflict(tuple(map(decode_row, decode_response(response, RowsFields).rows)))
         if response.status in (400, 403, 413):
-            raise InvalidInputError(
+            raise CommitRejectedError(
                 f"the store rejected the commit: {response.status} {response.body[:200]!r}",
                 step="rows.commit",
                 peer=self.access.address,
--- a/src/balsamcleat/ports/rows.py
+++ b/src/balsamcleat/ports/rows.py
@@ -141,7 +141,8 @@
 
     Every method raises ``PlatformUnavailableError`` if the request had no effect. Writes raise
     ``OutcomeUnknownError`` if no response arrived: the write may still take effect later, as long
-    as its condition holds at that time.
+    as its condition holds at that time. They raise ``CommitRejectedError`` if the store refuses
+    the commit as invalid.
     """
 
     limits: StoreLimits
--- a/src/balsamcleat/tasks/request_dispatcher.py
+++ b/src/balsamcleat/tasks/request_dispatcher.py
@@ -90,11 +90,9 @@
         )
 
     async def answer(self, request: Request, responder: Responder) -> None:
-        """Answer one request; an internal error fails this request only."""
+        """Answer one request."""
         try:
             await self.dispatch(request, responder)
-        except OSError:
-            raise
         except anyio.get_cancelled_exc_class():
             log.info(
                 "caller gone",
@@ -103,11 +101,12 @@
                 took_s=round(anyio.current_time() - request.received_at_s, 4),
             )
             raise
-        except Exception:
-            attempt_id = request_id(request.headers)
-            log.exception("request failed by a fault", request=attempt_id, path=request.path)
-            if not responder.has_started:
-                await responder.send(Response(500, error_response_headers(attempt_id)))
+
+    def fault_response(self, request: Request) -> Response:
+        """Log the unexpected error of a request, and return the response to the request."""
+        attempt_id = request_id(request.headers)
+        log.exception("request failed by a fault", request=attempt_id, path=request.path)
+        return Response(500, error_response_headers(attempt_id))
 
     async def dispatch(self, request: Request, responder: Responder) -> None:
         """Dispatch one request by its route."""
--- a/src/balsamcleat/tasks/result_writer.py
+++ b/src/balsamcleat/tasks/result_writer.py
@@ -6,7 +6,7 @@
 import anyio
 import structlog
 
-from balsamcleat.errors import InvalidInputError, PlatformError
+from balsamcleat.errors import PlatformError
 from balsamcleat.model.rollout import SampleResult
 from balsamcleat.ports.rows import RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep
@@ -91,7 +91,7 @@
                 outcome = await self.records.append_results(
                     step.step_id, step.row_version, position, batch
                 )
-            except (PlatformError, InvalidInputError) as error:
+            except PlatformError as error:
                 log.warning(
                     "results not listed yet",
                     step=step.step_id,
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -8,6 +8,7 @@
 from balsamcleat.decisions.step_order import expected_remaining_tokens
 from balsamcleat.decisions.vm_watch import VmFailureDetector
 from balsamcleat.errors import (
+    BalsamcleatError,
     InvalidInputError,
     OutcomeUnknownError,
     PlatformError,
@@ -259,7 +260,8 @@
                 await self.send_sample_body(call.step_id, call.sample_id, responder)
             else:
                 await self.end_step(call.step_id, responder)
-        except (PlatformError, ProtocolError) as error:
+        except BalsamcleatError as error:
+            # Rows that can't be read raise other errors than a store that fails.
             await self.send_unavailable(responder, call.step_id, str(error))
 
     def can_answer_without_store(self, call: StepCall) -> bool:
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -1,9 +1,11 @@
 """Records of rollout steps in the row store: submissions, owners, results and saved progress."""
 
+import re
 import zlib
 from typing import TypeVar
 
 import msgspec
+import structlog
 
 from balsamcleat.decisions.sample_progress import ProgressSlice, SavedProgress, join_slices
 from balsamcleat.decoding import decode_json, decode_msgpack
@@ -46,6 +48,10 @@
 # Rows of a commit's row limit that are reserved for its conditions.
 RESERVED_CONDITION_ROWS = 10
 ZLIB_LEVEL = 1
+# Key of a row that holds a piece of a value: the value's name, the row's number, the row count.
+PIECE_KEY = re.compile(r"(?P<name>.*)\.(?P<number>[0-9]{4,})\.(?P<count>[0-9]{4,})", re.DOTALL)
+
+log = structlog.get_logger()
 
 Stored = TypeVar("Stored")
 
@@ -278,9 +284,13 @@
         while more:
             page = await self.store.read(table, part, start)
             for row in page.rows:
-                name, _, count = row.key.key.rsplit(".", 2)
+                piece = PIECE_KEY.fullmatch(row.key.key)
+                if piece is None:
+                    log.warning("row ignored", table=table, part=part, key=row.key.key)
+                    continue
+                name = piece["name"]
                 pieces.setdefault(name, []).append(row.value or b"")
-                counts[name] = int(count)
+                counts[name] = int(piece["count"])
             more = (
                 page.more and bool(page.rows) and (all_pages or not complete_names(pieces, counts))
             )
--- a/src/balsamcleat/tasks/shared_crash_history.py
+++ b/src/balsamcleat/tasks/shared_crash_history.py
@@ -12,7 +12,7 @@
     RunVerdict,
     TargetRun,
 )
-from balsamcleat.errors import InvalidInputError, PlatformError
+from balsamcleat.errors import CommitRejectedError, PlatformError
 from balsamcleat.model import TargetId
 from balsamcleat.model.replicas import TargetStart
 from balsamcleat.ports.rows import (
@@ -81,14 +81,14 @@
         )[: self.store.limits.commit_rows]
         try:
             await self.store.commit(RowCommit(writes))
+        except CommitRejectedError as error:
+            # Written again, these rows would be rejected again and hold up all others.
+            log.error("crash rejected by the store", content=digest, reason=str(error))
         except PlatformError as error:
             if not self.is_failing:
                 log.warning("crash not shared", content=digest, reason=str(error))
             self.is_failing = True
             return False
-        except InvalidInputError as error:
-            # Written again, these rows would be rejected again and hold up all others.
-            log.error("crash rejected by the store", content=digest, reason=str(error))
         self.is_failing = False
         for write in writes:
             if self.pending.get(write.key, b"") == write.value:
@@ -123,7 +123,7 @@
         commit = RowCommit((RowWrite(key, self.encode_now()),), ((key, ABSENT_VERSION),))
         try:
             outcome = await self.store.commit(commit)
-        except (PlatformError, InvalidInputError) as error:
+        except PlatformError as error:
             log.warning("trial not claimed", content=digest, reason=str(error))
             return False
         self.history.record_trial(digest, number, anyio.current_time())
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from balsamcleat.decisions.vm_watch import VmFailureDetector, VmRow
-from balsamcleat.errors import PlatformError, ProtocolError
+from balsamcleat.errors import BalsamcleatError
 from balsamcleat.model import StepId
 from balsamcleat.ports.rows import RowChange
 from balsamcleat.tasks.rollout_records import (
@@ -240,6 +240,7 @@
             return
         try:
             await self.take_over(step_id, known)
-        except (PlatformError, ProtocolError) as error:
+        except BalsamcleatError as error:
+            # Rows that can't be read raise other errors than a store that fails.
             log.warning("step not taken over", step=step_id, reason=str(error))
             known.orphaned_at_s = anyio.current_time()
--- a/tests/test_crash_history.py
+++ b/tests/test_crash_history.py
@@ -25,7 +25,7 @@
 from balsamcleat.decisions.live_attempts import AttemptTracker
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.request_content import content_digest
-from balsamcleat.errors import InvalidInputError
+from balsamcleat.errors import CommitRejectedError
 from balsamcleat.http1 import Request
 from balsamcleat.model import TargetId
 from balsamcleat.model.replicas import ReplicaState
@@ -318,7 +318,7 @@
 
                 async def reject_t0(wanted: RowCommit) -> RowsCommitted | RowConflict:
                     if any(write.key.key.startswith("crash/t0/") for write in wanted.writes):
-                        raise InvalidInputError("the key is too long", step="test")
+                        raise CommitRejectedError("the key is too long", step="test")
                     return await commit(wanted)
 
                 vm.history.store.commit = reject_t0  # type: ignore[method-assign]
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -16,6 +16,7 @@
 ENTRY_MODULES = (
     *SOURCE.glob("entry/*.py"),
     SOURCE / "http1" / "client.py",
+    SOURCE / "http1" / "server.py",
     SOURCE / "http1" / "server_connection.py",
     *(
         SOURCE / "tasks" / f"{name}.py"
@@ -33,6 +34,7 @@
             "replica_keeper",
             "result_writer",
             "rollout_handler",
+            "rollout_records",
             "rollout_runner",
             "sample_resumption",
             "sample_run",
