--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -268,6 +268,7 @@
             lambda row: self.peer_poller.is_running(row),
         )
         self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
+        self.runner.find_obstacle = self.step_feed.find_obstacle
         self.create_duty_performers()
         self.row_garbage_collector = RowGarbageCollector(
             self.records,
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -219,9 +219,7 @@
         if owned.carried_groups:
             log.info("text carried over", step=owned.step_id, groups=len(owned.carried_groups))
         self.pending_step_ids.discard(owned.step_id)
-        known = self.known_steps().get(owned.step_id)
-        if known is None or not known.ended:
-            self.runner.add_step(owned)
+        self.runner.add_step(owned)
 
     def is_running(self, step_id: StepId) -> bool:
         """Return whether this VM runs a step or is about to start it."""
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -115,13 +115,19 @@
         # Called with the rows of a commit conflict. They name a step's new owner, possibly before
         # the change feed delivers it.
         self.on_rows: Callable[[tuple[RowChange, ...]], None] = lambda _: None
+        # Returns why this VM must not run a step of which it has this version of the owner row.
+        self.find_obstacle: Callable[[StepId, int], str | None] = lambda step_id, version: None
 
     def wake(self) -> None:
         """Trigger a placement of samples."""
         self.changed.set()
 
     def add_step(self, step: OwnedStep) -> None:
-        """Start to run a step that this VM owns."""
+        """Start to run a step that this VM owns, unless it changed while its records were read."""
+        obstacle = self.find_obstacle(step.step_id, step.row_version)
+        if obstacle is not None:
+            log.info("step not started", step=step.step_id, reason=obstacle)
+            return
         self.steps[step.step_id] = step
         step.certain_software = self.directory.certain_software
         step.update_ranks(TOKENS_PER_EVENT)
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -208,6 +208,22 @@
         """Return whether a step's results are still retained."""
         return self.store_now_ms() - known.owner.accepted_ms < self.retention_s * 1000
 
+    def find_obstacle(self, step_id: StepId, row_version: int) -> str | None:
+        """Return why this VM must not run a step, or None if nothing is known against it.
+
+        Args:
+            step_id: Id of the step.
+            row_version: Version of the owner row by which this VM owns the step.
+        """
+        known = self.steps.get(step_id)
+        if step_id in self.ended_before_known or (known is not None and known.ended):
+            return "the step was ended"
+        if known is None or known.row_version <= row_version:
+            return None
+        if (known.owner.vm, known.owner.boot) == (self.vm, self.boot):
+            return "this VM owns the step by a newer row"
+        return f"{known.owner.vm or 'nobody'} owns the step"
+
     def takeover_rank(self, step_id: StepId) -> int:
         """Return this VM's rank, by hash, among the live VMs that may take over a step."""
         names = {row.vm for row in self.failure_detector.live_rows()} | {self.vm}
@@ -238,6 +254,9 @@
             known.orphaned_at_s = None
             log.info("step left to its silent owner", step=step_id, owner=known.owner.vm)
             return
+        # The owner's answer takes a while, in which the step or this VM may have changed.
+        if not self.accepting or self.steps.get(step_id) is not known or known.ended:
+            return
         try:
             await self.take_over(step_id, known)
         except BalsamcleatError as error:
--- a/src/balsamcleat/tasks/step_transfer.py
+++ b/src/balsamcleat/tasks/step_transfer.py
@@ -14,7 +14,7 @@
 from balsamcleat.ports.rows import RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.rollout_handler import carryover_part
-from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords
+from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords, is_owner_key
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.step_feed import KnownStep
 
@@ -84,6 +84,13 @@
         if owned is None:
             log.error("step without submission", step=step_id)
             return
+        # Reading the records takes a while. An end or another owner since then may be unknown to
+        # the feed still, so the state is read last.
+        rows = await self.records.state(step_id)
+        self.runner.on_rows(rows)
+        if not any(is_owner_key(row.key) for row in rows):
+            log.info("step not started", step=step_id, reason="the step was deleted")
+            return
         log.info(
             "step taken over",
             step=step_id,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -76,6 +77,7 @@
     # Sources of the build that the VMs begin with, if it is another one.
     other_sources: Path | None = None
     duties: DutyPlatform = field(default_factory=DutyPlatform)
+    harm: SoakFaults | None = None
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -279,6 +281,10 @@
             found = max(found, await self.read_results(step, position, count, oldest))
             await anyio.sleep(0.2)
         self.steps += found >= count * 0.8
+        if self.harm is not None and self.rng.random() < 0.3:
+            # The end meets the take-over of the step.
+            self.tasks.start_soon(self.harm.do, partial(self.harm.owner_dies, step))
+            await anyio.sleep(self.rng.uniform(1.0, 4.0))
         while not self.stopping:
             end = await self.ask(Request("DELETE", f"/lots/{step}", HEADERS), 2.5)
             if end is not None and end.status == 200:
@@ -333,7 +339,7 @@
     async def faults(self) -> SoakFaults:
         """Do harm in series that overlap, then let all settle."""
         until_s = anyio.current_time() + self.seconds
-        faults = SoakFaults(
+        self.harm = faults = SoakFaults(
             self.rng,
             self.vms,
             self.engines,
@@ -415,6 +421,7 @@
                 users.start_soon(streams.run)
                 faults = await self.faults()
                 before = (self.served, self.steps)
+                self.harm = None
                 await anyio.sleep(SETTLE_S)
                 if self.served == before[0] or self.steps == before[1]:
                     self.breaks("recovers", f"{before} -> {(self.served, self.steps)}")
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -1,5 +1,6 @@
 """The soak's harm: signals, store faults and target faults, each mended after a while."""
 
+import json
 import os
 import random
 import signal
@@ -163,6 +164,17 @@
         vm.start()
         self.disturb([vm], began_s)
 
+    async def owner_dies(self, step: str) -> None:
+        """Kill the owner of a step while the store is slow, so that its take-over takes long."""
+        value, _ = self.store.rows.get(RowKey("steps", step, "owner"), (b"{}", 0))
+        name = json.loads(value).get("vm")
+        vm = next((vm for vm in self.vms if vm.name == name), self.vm())
+        began_s = anyio.current_time()
+        vm.end()
+        await self.store_slow()
+        vm.start()
+        self.disturb([vm], began_s)
+
     async def stop(self) -> None:
         await self.restart(self.vm())
 
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -376,6 +376,7 @@
             self.is_process_running,
         )
         runner.on_rows = guard.on_rows = feed.apply_rows
+        runner.find_obstacle = feed.find_obstacle
         handler = RolloutHandler(
             name,
             boot,
