--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -269,6 +269,7 @@
         )
         self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
         self.runner.find_obstacle = self.step_feed.find_obstacle
+        self.runner.is_configuration_current = self.is_configuration_current
         self.create_duty_performers()
         self.row_garbage_collector = RowGarbageCollector(
             self.records,
--- a/src/balsamcleat/tasks/request_dispatcher.py
+++ b/src/balsamcleat/tasks/request_dispatcher.py
@@ -8,10 +8,12 @@
 
 from balsamcleat.decisions.live_attempts import FailureStatus
 from balsamcleat.decisions.team_access import route_for_team
+from balsamcleat.errors import BalsamcleatError
 from balsamcleat.http1 import Headers, Request, Responder, Response, ServerLimits
-from balsamcleat.model import StepId, TeamName
+from balsamcleat.model import TeamName
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
 from balsamcleat.platform import (
+    StepCall,
     classify_step_call,
     error_response_headers,
     request_id,
@@ -158,21 +160,8 @@
     ) -> None:
         """Answer a request that matches no route: a call about a step, or 404."""
         call = classify_step_call(request)
-        step_routes = [
-            route
-            for route in table.routes
-            if route.kind is RouteKind.ROLLOUT and route.host == request.host
-        ]
-        if call is not None and step_routes:
-            is_public = self.is_step_public(call.step_id, step_routes, table)
-            access = self.guard.authenticate(request, table, is_public=is_public)
-            if access.refusal is not None:
-                await self.guard.refuse(request, responder, table, access.refusal)
-                return
-            try:
-                await self.rollouts.answer_call(call, responder, access.team_name)
-            finally:
-                self.guard.count_request(access.team_name, responder.status)
+        if call is not None:
+            await self.answer_step_call(call, request, responder, table)
             return
         attempt_id = request_id(request.headers)
         log.info(
@@ -184,15 +173,37 @@
         )
         await responder.send(Response(404, error_response_headers(attempt_id)))
 
-    def is_step_public(
-        self, step_id: StepId, host_routes: list[Route], table: RoutingTable
-    ) -> bool:
-        """Return whether calls about a step need no key.
+    async def answer_step_call(
+        self, call: StepCall, request: Request, responder: Responder, table: RoutingTable
+    ) -> None:
+        """Answer a call about a step, whose route the configuration may no longer have."""
+        try:
+            is_public = not table.has_teams or await self.is_step_public(call, request, table)
+        except BalsamcleatError as error:
+            await self.rollouts.send_unavailable(responder, call.step_id, str(error))
+            return
+        access = self.guard.authenticate(request, table, is_public=is_public)
+        if access.refusal is not None:
+            await self.guard.refuse(request, responder, table, access.refusal)
+            return
+        try:
+            await self.rollouts.answer_call(call, responder, access.team_name)
+        finally:
+            self.guard.count_request(access.team_name, responder.status)
+
+    async def is_step_public(self, call: StepCall, request: Request, table: RoutingTable) -> bool:
+        """Return whether a call about a step needs no key.
 
-        A step that is not known here yet needs one, unless all steps of the host need none.
+        A call about a step that does not exist needs one, unless no step of the host needs one.
+
+        Raises:
+            BalsamcleatError: The step is not known here, and the store can't tell.
         """
-        known = self.rollouts.known_steps().get(step_id)
-        if known is None:
-            return all(route.public for route in host_routes)
-        route = table.match(known.owner.host, known.owner.path)
-        return route is not None and route.public
+        is_public = await self.rollouts.is_public(call, table)
+        if is_public is None:
+            return all(
+                route.public
+                for route in table.routes
+                if route.kind is RouteKind.ROLLOUT and route.host == request.host
+            )
+        return is_public
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -12,6 +12,7 @@
     InvalidInputError,
     OutcomeUnknownError,
     PlatformError,
+    PlatformUnavailableError,
     ProtocolError,
 )
 from balsamcleat.http1 import Request, Responder, Response
@@ -242,6 +243,16 @@
         log.warning("step's outcome unknown", step=step_id, reason=reason, status=504)
         await responder.send(Response(504, error_response_headers("")))
 
+    async def is_public(self, call: StepCall, table: RoutingTable) -> bool | None:
+        """Return whether a call about a step needs no key, or None if there is no such step.
+
+        Raises:
+            BalsamcleatError: The step is not known here, and the store can't tell.
+        """
+        if self.is_store_unavailable() and call.step_id not in self.known_steps():
+            raise PlatformUnavailableError(STORE_UNAVAILABLE_REASON, step="step.access")
+        return await self.access.is_public(call.step_id, table)
+
     async def answer_call(
         self, call: StepCall, responder: Responder, team: TeamName | None = None
     ) -> None:
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -118,6 +118,9 @@
         # Returns why this VM must not run a step of which it has this version of the owner row.
         self.find_obstacle: Callable[[StepId, int], str | None] = lambda step_id, version: None
 
+        # Returns whether the configuration in force is known to be the newest.
+        self.is_configuration_current: Callable[[], bool] = lambda: True
+
     def wake(self) -> None:
         """Trigger a placement of samples."""
         self.changed.set()
@@ -230,12 +233,17 @@
     def group_by_service(
         self, table: RoutingTable, steps: list[OwnedStep], now_s: float
     ) -> dict[ServiceName, list[tuple[OwnedStep, Route]]]:
-        """Group steps and their routes by service; give up steps that expired or have no route."""
+        """Group steps and their routes by service; give up steps that expired or have no route.
+
+        A configuration that may be outdated does not say that a step's route was removed: the VM
+        that accepted the step may have had a newer one.
+        """
         steps_by_service: dict[ServiceName, list[tuple[OwnedStep, Route]]] = {}
         for step in steps:
             route = table.match(step.record.host, step.record.path)
             if route is None or route.kind is not RouteKind.ROLLOUT or not route.shares:
-                self.give_up_step(step, "no rollout route matches the step any more")
+                if self.is_configuration_current():
+                    self.give_up_step(step, "no rollout route matches the step any more")
                 continue
             if route.step_expiry_s and now_s - step.accepted_s > route.step_expiry_s:
                 self.give_up_step(step, "the step expired")
--- a/src/balsamcleat/tasks/step_access.py
+++ b/src/balsamcleat/tasks/step_access.py
@@ -5,7 +5,7 @@
 from balsamcleat.decisions.team_access import StepSubmitter, team_of_step
 from balsamcleat.errors import PlatformUnavailableError
 from balsamcleat.model import StepId, TeamName
-from balsamcleat.model.routing import RoutingTable
+from balsamcleat.model.routing import RouteKind, RoutingTable
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords
 from balsamcleat.tasks.step_feed import KnownStep
@@ -49,6 +49,21 @@
         owner_row = await self.records.owner(step_id)
         return None if owner_row is None else owner_row[0]
 
+    async def is_public(self, step_id: StepId, table: RoutingTable) -> bool | None:
+        """Return whether calls about a step need no key, or None for an unknown step.
+
+        If the configuration no longer has the step's route, the submission tells: one without a
+        team and a key was accepted on a public route, or while no keys were checked.
+        """
+        record = await self.find_owner(step_id)
+        if record is None:
+            return None
+        route = table.match(record.host, record.path)
+        if route is not None and route.kind is RouteKind.ROLLOUT:
+            return route.public
+        submitter = await self.find_submitter(step_id, record)
+        return not submitter.team and not submitter.key_digest
+
     async def is_allowed(self, step_id: StepId, team: TeamName | None) -> bool:
         """Return whether a call may access a step; not if the step is unknown to its team.
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,6 +25,7 @@
 import anyio
 import anyio.abc
 
+import soak_kept
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, PoolLimits, Request, Response
 from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
@@ -78,6 +79,7 @@
     other_sources: Path | None = None
     duties: DutyPlatform = field(default_factory=DutyPlatform)
     harm: SoakFaults | None = None
+    has_kept_route: bool = True
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -161,6 +163,9 @@
             route("/stream/", "streaming", "llm", resumable=True),
             route("/steps/", "rollout", "llm", resumable=True, queueTtlS=60, dueMs=7500),
         ]
+        if self.has_kept_route:
+            kept = route("/kept/", "rollout", "llm", resumable=True, queueTtlS=60, dueMs=7500)
+            routes.append({**kept, "host": soak_kept.HOST})
         routes += [route(f"/new{number}/", "safe", "app") for number in range(1, version + 1)]
         engine = {"batchSlots": 8, "models": [{"name": MODEL}]}
         services = [{"name": "app"}, {"name": "llm", "engine": engine}]
@@ -403,6 +408,17 @@
         rng = random.Random(f"streams {self.seed}")
         return StreamCaller(HOST, self.choose_vm_address, self.breaks, rng)
 
+    def kept_step(self) -> soak_kept.KeptStep:
+        """Return the step whose route is removed."""
+
+        def remove_route() -> None:
+            self.has_kept_route = False
+            self.change_configuration()
+
+        headers = (("Host", soak_kept.HOST), AUTHORIZATION)
+        rng = random.Random(f"kept {self.seed}")
+        return soak_kept.KeptStep(self.ask, headers, MODEL, remove_route, self.breaks, rng)
+
     async def play(self, vms: int) -> None:
         """Play the seed to its end."""
         self.build(vms)
@@ -419,6 +435,7 @@
                 users.start_soon(poison.run)
                 streams = self.stream_caller()
                 users.start_soon(streams.run)
+                users.start_soon(self.kept_step().run)
                 faults = await self.faults()
                 before = (self.served, self.steps)
                 self.harm = None
