--- a/src/balsamcleat/cli.py
+++ b/src/balsamcleat/cli.py
@@ -15,6 +15,7 @@
     PlatformError,
     RefusedError,
 )
+from balsamcleat.signal_mask import hold_signals
 
 __all__ = ["EXIT_CODES", "app", "main"]
 
@@ -110,6 +111,8 @@
     Args:
         settings: The JSON settings file; `balsamcleat check FILE` finds every fault in it.
     """
+    hold_signals()
+
     from balsamcleat.serving import serve_node
     from balsamcleat.settings import load_settings
 
@@ -123,7 +126,9 @@
     Args:
         settings: The settings file that the platform wrote; `balsamcleat check FILE` checks it.
     """
-    from balsamcleat.entry import run_entry
+    hold_signals()
+
+    from balsamcleat.entry.process import run_entry
 
     anyio.run(run_entry, settings)
 
--- a/src/balsamcleat/entry/__init__.py
+++ b/src/balsamcleat/entry/__init__.py
@@ -1,5 +1,4 @@
-"""Process of an entry VM on the operators' platform: its composition root and its startup."""
+"""Process of an entry VM on the operators' platform: its composition root and its startup.
 
-from balsamcleat.entry.process import EntryProcess, run_entry
-
-__all__ = ["EntryProcess", "run_entry"]
+Nothing is imported here: signals must be held before the imports of the process, which take long.
+"""
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -1,7 +1,6 @@
 """Builds and runs an entry VM's process on the operators' platform."""
 
 import random
-import signal
 import uuid
 from pathlib import Path
 
@@ -43,6 +42,7 @@
     ReplicaControl,
     load_platform_settings,
 )
+from balsamcleat.signal_receiver import handle_signals
 from balsamcleat.tasks.crash_detector import CrashDetector
 from balsamcleat.tasks.crash_guard import CrashGuard
 from balsamcleat.tasks.hop_messages import HOP_PATH
@@ -351,6 +351,7 @@
         self.create_servers(target_relay)
         self.readiness = Readiness.NO_CONFIGURATION
         self.is_leaving = False
+        self.stop_requested = anyio.Event()
         self.tasks: anyio.abc.TaskGroup | None = None
 
     def create_servers(self, target_relay: TargetRelay) -> None:
@@ -467,6 +468,7 @@
         )
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
+            await tasks.start(handle_signals, self.request_stop, self.reload_settings)
             for follower in self.table_followers:
                 tasks.start_soon(follower.run)
             for component_run in (
@@ -492,7 +494,7 @@
                 self.run_housekeeping,
             ):
                 tasks.start_soon(component_run)
-            await self.wait_for_stop()
+            await self.stop_requested.wait()
             await self.shut_down()
             tasks.cancel_scope.cancel()
         log.info("stop", boot=self.boot)
@@ -536,14 +538,14 @@
         self.direct_store.apply_access(settings.store)
         self.duties.leases.apply_gap(settings.order_gap_s)
 
-    async def wait_for_stop(self) -> None:
-        """Wait for SIGTERM or SIGINT; SIGHUP reloads the settings file."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for signal_number in signals:
-                if signal_number != signal.SIGHUP:
-                    log.info("stop asked for", signal=signal_number)
-                    return
-                self.settings_watcher.reload("SIGHUP")
+    def request_stop(self, signal_number: int) -> None:
+        """Begin the stop of the process; a further signal changes nothing about it."""
+        log.info("stop asked for", signal=signal_number, again=self.stop_requested.is_set())
+        self.stop_requested.set()
+
+    def reload_settings(self) -> None:
+        """Read the settings file again, also during a stop, which may last for some seconds."""
+        self.settings_watcher.reload("SIGHUP")
 
     async def shut_down(self) -> None:
         """Hand over steps, serve callers until the load balancer has removed this VM, then stop."""
--- a/src/balsamcleat/entry/reload.py
+++ b/src/balsamcleat/entry/reload.py
@@ -42,7 +42,8 @@
         self.path = path
         self.settings = settings
         self.apply_settings = apply_settings
-        self.last_fingerprint = self.file_fingerprint()
+        # Unknown until the first check: the file may have changed since it was read.
+        self.last_fingerprint: tuple[int, int, int] | None = None
 
     def file_fingerprint(self) -> tuple[int, int, int]:
         """Return values of the settings file's status that differ after it is written."""
@@ -59,8 +60,9 @@
             await anyio.sleep(CHECK_INTERVAL_S)
             fingerprint = self.file_fingerprint()
             if fingerprint not in (self.last_fingerprint, (0, 0, 0)):
+                is_first = self.last_fingerprint is None
                 self.last_fingerprint = fingerprint
-                self.reload("the file changed")
+                self.reload("the first check" if is_first else "the file changed")
 
     def reload(self, cause: str) -> None:
         """Read the settings file and apply what differs; an invalid file changes nothing."""
@@ -69,6 +71,9 @@
         except InvalidInputError as error:
             log.warning("reload failed", reason=error.message)
             return
+        except Exception as error:
+            log.exception("reload failed", reason=repr(error))
+            return
         changed = changed_fields(self.settings, settings)
         log.info("reload", cause=cause, changed=changed)
         if changed:
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -39,10 +39,16 @@
 EVENTS = (
     # The process.
     event("start", "The process runs.", "boot zone store"),
-    event("stop asked for", "A signal asked it to end; it hands over and serves on.", "signal"),
+    event(
+        "stop asked for", "A signal asked it to end; it hands over and serves on.", "signal again"
+    ),
     event("stop", "The process ends.", "boot"),
     event("reload", "The settings file was read again.", "cause changed"),
-    event("reload failed", "The settings file can't be read; the old settings stay.", "reason"),
+    event(
+        "reload failed",
+        "The settings file can't be read; the old settings stay.",
+        "reason exception",
+    ),
     event("not all handed over", "The store was away while leaving.", "reason"),
     event(
         "readiness",
--- a/src/balsamcleat/serving.py
+++ b/src/balsamcleat/serving.py
@@ -1,16 +1,17 @@
 """Run one node as a process: logs set up, signals turned into a drain."""
 
-import signal
-
 import anyio
-import anyio.abc
+import structlog
 
-from balsamcleat.composition import Node, compose
+from balsamcleat.composition import compose
 from balsamcleat.logs import json_logs
 from balsamcleat.settings import Settings
+from balsamcleat.signal_receiver import handle_signals
 
 __all__ = ["serve_node"]
 
+log = structlog.get_logger()
+
 
 async def serve_node(settings: Settings) -> None:
     """Run a node until it is drained.
@@ -21,16 +22,11 @@
     json_logs()
     node = await compose(settings)
     async with anyio.create_task_group() as group:
-        await group.start(drain_on_signal, node)
+        await group.start(handle_signals, lambda _: node.drain.set(), ignore_reload)
         await node.run()
         group.cancel_scope.cancel()
 
 
-async def drain_on_signal(
-    node: Node, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
-) -> None:
-    """Drain the node when the operating system asks it to end."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        task_status.started()
-        async for _ in signals:
-            node.drain.set()
+def ignore_reload() -> None:
+    """Log that a node has no settings that it could reload."""
+    log.info("reload ignored", cause="SIGHUP")
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -182,19 +182,32 @@
         """Ask a process to end, wait until it has, and start the next one."""
         began_s, process = anyio.current_time(), vm.process
         vm.send(signal.SIGTERM)
+        if vm.sources is None:
+            await self.signal_again(vm)
         if process is not None:
             await self.gone(vm, process)
         if vm.process is process:
             vm.start()
         self.disturb([vm], began_s)
 
+    async def signal_again(self, vm: SoakVm) -> None:
+        """Send some more signals to a process that is to end."""
+        for _ in range(self.rng.randrange(3)):
+            await anyio.sleep(self.rng.uniform(0.0, 1.5))
+            self.change_settings(vm)
+            vm.send(self.rng.choice((signal.SIGHUP, signal.SIGHUP, signal.SIGTERM)))
+
     async def gone(self, vm: SoakVm, process: subprocess.Popen) -> None:
         """Wait until a process has ended by itself; one that doesn't breaks a promise.
 
         Another fault may have killed it meanwhile and started the next one.
         """
         for _ in range(int(GRACE_S / 0.1)):
-            if process.poll() is not None:
+            code = process.poll()
+            if code is not None:
+                # Another fault may have killed it.
+                if code not in (0, -signal.SIGKILL):
+                    self.breaks("ends by itself", f"{vm.name} with {code}")
                 return
             await anyio.sleep(0.1)
         if not vm.frozen:
@@ -213,9 +226,13 @@
 
     async def reload(self) -> None:
         vm = self.vm()
-        vm.settings.write_text(vm.settings.read_text() + " ")
+        self.change_settings(vm)
         vm.send(signal.SIGHUP)
 
+    def change_settings(self, vm: SoakVm) -> None:
+        """Write the settings file anew, with the same settings."""
+        vm.settings.write_text(vm.settings.read_text() + " ")
+
     async def store_silent(self) -> None:
         vm, began_s = self.vm(), anyio.current_time()
         vm.door.silent = True
