TWICE: a VM runs a step once, and a refused commit says nothing of whose results are stored

Cause: a submission that arrived twice at once at one VM was run twice. The second task found the step in the store and removed the mark that this VM creates it, while the first one still loaded text; the feed then took the step over beside the first one. Both runs had one owner row, and is_own_commit took an unchanged owner row for proof that the results at a position are its own, so that one of the runs listed results in memory that the store did not have.

Change: a submission that arrives while this VM stores the same step waits for that outcome; add_step never starts a step that runs; after a refused commit the results are read and compared (`other results in the store`). The soak sends some submissions twice at once to one VM.

--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -169,6 +169,12 @@
     event("step not taken over", "The store failed.", "step reason"),
     event("step without submission", "Its rows are missing.", "step"),
     event("step taken by another VM", "This VM stops running it.", "step owner"),
+    event("results not compared yet", "The store does not answer.", "step reason"),
+    event(
+        "other results in the store",
+        "A commit was refused, and its position has other results; the step is loaded again.",
+        "step position results row_version",
+    ),
     event("step lost to another VM", "A conditional write said so.", "step position"),
     event("step handed over", "This VM leaves.", "step text_of"),
     event("step not handed over", "The store failed.", "step reason"),
--- a/src/balsamcleat/standins/row_store.py
+++ b/src/balsamcleat/standins/row_store.py
@@ -1,6 +1,6 @@
 """A stand-in of the row store, with its flaws as switches."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -92,6 +92,17 @@
         self.history.clear()
         self.history_from = self.version
 
+    def copy(self) -> "MemoryRowStore":
+        """Return a store with the rows of now."""
+        return replace(self, rows=dict(self.rows), history=list(self.history), held=[])
+
+    def restore(self, earlier: "MemoryRowStore") -> None:
+        """Come back with the rows, the history and the counter of an earlier copy."""
+        self.rows = dict(earlier.rows)
+        self.history = list(earlier.history)
+        self.version = earlier.version
+        self.history_from = earlier.history_from
+
     def release(self) -> list[RowsCommitted | RowConflict]:
         """Carry out the commits that were held back, late."""
         held, self.held = self.held, []
--- a/src/balsamcleat/tasks/result_writer.py
+++ b/src/balsamcleat/tasks/result_writer.py
@@ -6,11 +6,11 @@
 import anyio
 import structlog
 
-from balsamcleat.errors import PlatformError
+from balsamcleat.errors import PlatformError, ProtocolError
 from balsamcleat.model.rollout import SampleResult
 from balsamcleat.ports.rows import RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep
-from balsamcleat.tasks.rollout_records import RolloutRecords
+from balsamcleat.tasks.rollout_records import RolloutRecords, is_owner_key
 
 __all__ = ["ResultWriter"]
 
@@ -82,8 +82,8 @@
     async def write_batch(self, step: OwnedStep, batch: tuple[SampleResult, ...]) -> bool:
         """Store a batch of results; return False if another VM owns the step.
 
-        The same commit is repeated until its outcome is known. A commit whose response was lost
-        may take effect later, and only an identical commit may then be taken as done.
+        The same commit is repeated until its outcome is known: one whose response was lost may take
+        effect later.
         """
         position = len(step.listed)
         while not step.lost:
@@ -101,18 +101,53 @@
                 )
                 await anyio.sleep(RESULT_RETRY_S * (0.5 + self.generator.random()))
                 continue
-            if isinstance(outcome, RowConflict) and not self.is_own_commit(step, outcome):
-                log.warning("step lost to another VM", step=step.step_id, position=position)
-                self.on_lost_ownership(step, outcome)
-                return False
+            if isinstance(outcome, RowConflict):
+                is_stored = await self.is_batch_stored(step, position, batch, outcome)
+                if is_stored is None:
+                    continue
+                if not is_stored:
+                    log.warning("step lost to another VM", step=step.step_id, position=position)
+                    self.on_lost_ownership(step, outcome)
+                    return False
             step.mark_listed(batch)
             log.info("results listed", step=step.step_id, position=position, results=len(batch))
             return True
         return False
 
-    def is_own_commit(self, step: OwnedStep, conflict: RowConflict) -> bool:
-        """Return whether a conflict only shows that this owner's earlier commit took effect."""
-        return any(
-            row.version == step.row_version and row.key.part == step.step_id
-            for row in conflict.rows
+    async def is_batch_stored(
+        self,
+        step: OwnedStep,
+        position: int,
+        batch: tuple[SampleResult, ...],
+        conflict: RowConflict,
+    ) -> bool | None:
+        """Return whether an earlier commit of this batch took effect, or None if that is unknown.
+
+        An unchanged owner row does not say whose results are at the position, so they are read.
+        """
+        if not owns_step(step, conflict):
+            return False
+        try:
+            stored = await self.records.results(step.step_id, position, all_pages=True)
+        except (PlatformError, ProtocolError) as error:
+            log.warning("results not compared yet", step=step.step_id, reason=str(error))
+            await anyio.sleep(RESULT_RETRY_S * (0.5 + self.generator.random()))
+            return None
+        if stored[: len(batch)] == batch:
+            return True
+        log.error(
+            "other results in the store",
+            step=step.step_id,
+            position=position,
+            results=len(stored),
+            row_version=step.row_version,
         )
+        return False
+
+
+def owns_step(step: OwnedStep, conflict: RowConflict) -> bool:
+    """Return whether a conflict shows that the owner row of a step is unchanged."""
+    return any(
+        is_owner_key(row.key) and row.version == step.row_version and row.key.part == step.step_id
+        for row in conflict.rows
+    )
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -93,10 +93,10 @@
         self.failure_detector = failure_detector
         self.is_store_unavailable = is_store_unavailable
         self.accepting = True
-        # Steps that this VM is creating. The change feed may deliver a step before its commit is
-        # answered, and without this set the VM would take over its own new step and conflict with
-        # itself.
-        self.pending_step_ids: set[StepId] = set()
+        # Steps that this VM is creating, each with an event that is set once the outcome is known.
+        # The change feed may deliver a step before its commit is answered, and without this record
+        # the VM would take over its own new step and run it twice.
+        self.creations: dict[StepId, anyio.Event] = {}
         self.access = StepAccess(records, runner.steps, known_steps, table)
 
     async def submit(
@@ -109,7 +109,7 @@
             log.warning("step refused", request=request_id(request.headers), reason=error.message)
             await responder.send(Response(400, error_response_headers("")))
             return
-        if step.step_id in self.known_steps():
+        if await self.is_stored_here(step.step_id):
             await self.answer_repeated(responder, step.step_id, team, "already known")
             return
         if not self.accepting:
@@ -118,6 +118,28 @@
         if self.is_store_unavailable():
             await self.send_unavailable(responder, step.step_id, STORE_UNAVAILABLE_REASON)
             return
+        await self.create_step(step, request, route, responder, team)
+
+    async def is_stored_here(self, step_id: StepId) -> bool:
+        """Return whether this VM knows that a step is stored; wait if it is just storing it.
+
+        A trainer that gets no answer may send its submission again to the same VM.
+        """
+        while (creation := self.creations.get(step_id)) is not None:
+            if creation.is_set():
+                return True
+            await creation.wait()
+        return step_id in self.known_steps()
+
+    async def create_step(
+        self,
+        step: RolloutStep,
+        request: Request,
+        route: Route,
+        responder: Responder,
+        team: TeamName | None,
+    ) -> None:
+        """Store a new step, answer its submission, and start the step if this VM owns it."""
         vm, boot = self.preferred_owner(route, request, team)
         record = OwnerRecord(
             vm=vm,
@@ -132,12 +154,13 @@
             team=team or "",
         )
         submission = self.submission(request, step, team)
-        self.pending_step_ids.add(step.step_id)
+        creation = self.creations[step.step_id] = anyio.Event()
         try:
             outcome = await self.records.create_step(step.step_id, record, submission)
         except BaseException as error:
             # If the step was stored after all, the change feed delivers it and a VM takes it over.
-            self.pending_step_ids.discard(step.step_id)
+            del self.creations[step.step_id]
+            creation.set()
             if isinstance(error, OutcomeUnknownError):
                 await self.send_outcome_unknown(responder, step.step_id, str(error))
             elif isinstance(error, PlatformError):
@@ -145,8 +168,10 @@
             else:
                 raise
             return
+        finally:
+            creation.set()
         if isinstance(outcome, RowConflict):
-            self.pending_step_ids.discard(step.step_id)
+            del self.creations[step.step_id]
             await self.answer_repeated(responder, step.step_id, team, "already stored")
             return
         if vm == self.vm:
@@ -161,7 +186,7 @@
             # trainer closes its connection.
             self.runner.start_task(self.start_step, owned, route)
         else:
-            self.pending_step_ids.discard(step.step_id)
+            del self.creations[step.step_id]
         await self.send_accepted(responder, step.step_id, f"new, owned by {vm}")
 
     def submission(
@@ -219,12 +244,12 @@
             log.warning("no text of earlier steps", step=owned.step_id, reason=str(error))
         if owned.carried_groups:
             log.info("text carried over", step=owned.step_id, groups=len(owned.carried_groups))
-        self.pending_step_ids.discard(owned.step_id)
+        del self.creations[owned.step_id]
         self.runner.add_step(owned)
 
     def is_running(self, step_id: StepId) -> bool:
         """Return whether this VM runs a step or is about to start it."""
-        return step_id in self.runner.steps or step_id in self.pending_step_ids
+        return step_id in self.runner.steps or step_id in self.creations
 
     async def send_accepted(self, responder: Responder, step_id: StepId, how: str) -> None:
         """Respond that a step is stored."""
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -128,6 +128,9 @@
     def add_step(self, step: OwnedStep) -> None:
         """Start to run a step that this VM owns, unless it changed while its records were read."""
         obstacle = self.find_obstacle(step.step_id, step.row_version)
+        if step.step_id in self.steps:
+            # Two runs of a step with one owner row would each store results of their own.
+            obstacle = "it runs already"
         if obstacle is not None:
             log.info("step not started", step=step.step_id, reason=obstacle)
             return
@@ -157,7 +160,10 @@
         self.tasks.start_soon(task, *arguments)
 
     def handle_lost_ownership(self, step: OwnedStep, conflict: RowConflict) -> None:
-        """Stop running a step after a commit conflict that shows another owner."""
+        """Stop running a step after a commit conflict that shows another owner or other results.
+
+        A step that this VM still owns is then loaded again from the store.
+        """
         self.on_rows(conflict.rows)
         self.remove_step(step)
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -272,8 +272,13 @@
     async def run_step(self, step: str, body: dict[str, object], count: int) -> None:
         headers = (*HEADERS, ("Attempt-Id", step), ("Content-Type", "application/json"))
         data = json.dumps(body).encode()
+        request = Request("POST", "/steps/s", headers, data)
         while True:
-            response = await self.ask(Request("POST", "/steps/s", headers, data), 2.5)
+            vm = self.rng.choice(self.vms)
+            if self.rng.random() < 0.3:
+                # A trainer that gets no answer in time may send it again to the same VM.
+                self.tasks.start_soon(self.ask, request, 2.5, vm)
+            response = await self.ask(request, 2.5, vm)
             if response is not None and response.status == 202:
                 break
             if self.stopping:
