LOST: a request that would outlast a stopping VM is refused, not passed on and cut

Cause: a VM that stops passed on whatever it read on connections that were still open, and compared the time that a request may take with nothing.

Ruled out: the end of the drain (requests that end in time are answered whole).

Change: StopSchedule knows when the process ends. The check stands in LiveForwarder.admit, which calls and streams share.

--- a/src/balsamcleat/entry/drain.py
+++ b/src/balsamcleat/entry/drain.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from balsamcleat.decisions.stop_schedule import StopSchedule
 from balsamcleat.http1 import HttpServer
 
 __all__ = ["drain_callers"]
@@ -11,23 +12,20 @@
 LOAD_BALANCER_DELAY_S = 2.5
 # Idle connections stay open this long after the stop signal, for callers that reuse them.
 IDLE_CONNECTION_GRACE_S = 4.0
-# Reserved at the end of the grace period, between the stop signal and the kill.
-STOP_MARGIN_S = 0.8
 DRAIN_CHECK_INTERVAL_S = 0.05
 
 
-async def drain_callers(server: HttpServer, started_s: float, grace_s: float) -> None:
+async def drain_callers(server: HttpServer, schedule: StopSchedule) -> None:
     """Serve until the load balancer has removed this VM and callers are done, or time runs out.
 
     Args:
         server: Server of the callers; it is draining already.
-        started_s: Time of the stop signal in seconds, on the event loop's clock.
-        grace_s: Time between the stop signal and the kill, in seconds.
+        schedule: Time of the stop, which has begun.
     """
-    deadline_s = started_s + grace_s - STOP_MARGIN_S
-    while anyio.current_time() < deadline_s:
+    assert schedule.began_s is not None
+    while anyio.current_time() < schedule.ends_s:
         await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
-        elapsed_s = anyio.current_time() - started_s
+        elapsed_s = anyio.current_time() - schedule.began_s
         if elapsed_s >= IDLE_CONNECTION_GRACE_S:
             server.close_idle_connections()
         is_unused = elapsed_s >= IDLE_CONNECTION_GRACE_S or not server.connections
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -12,6 +12,7 @@
 from balsamcleat.decisions.readiness import Readiness, StoreView, decide_readiness, should_ask_peers
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
+from balsamcleat.decisions.stop_schedule import StopSchedule
 from balsamcleat.decisions.team_access import is_configuration_current
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.entry.drain import drain_callers
@@ -123,6 +124,7 @@
         self.metrics = metrics
         self.output = output
         self.boot = uuid.uuid4().hex[:12]
+        self.stop_schedule = StopSchedule()
         generator = random.Random()
         self.idle_watch = IdleWatch()
         self.byte_budget = ByteBudget(byte_limit(settings))
@@ -232,6 +234,7 @@
             self.live_queues,
             self.target_paths,
             self.duties.usage_counter,
+            self.stop_schedule,
         )
         self.runner = RolloutRunner(
             self.records,
@@ -549,7 +552,7 @@
 
     async def shut_down(self) -> None:
         """Hand over steps, serve callers until the load balancer has removed this VM, then stop."""
-        started_s = anyio.current_time()
+        self.stop_schedule.begin(anyio.current_time(), self.settings.grace_s)
         self.is_leaving = True
         self.rollout_handler.accepting = False
         self.step_feed.accepting = False
@@ -558,7 +561,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.release_ownership)
             tasks.start_soon(self.duties.leases.release_platform_duties)
-            await drain_callers(self.front_server, started_s, self.settings.grace_s)
+            await drain_callers(self.front_server, self.stop_schedule)
             tasks.cancel_scope.cancel()
         self.front_server.stop_accepting()
         if self.duties.usage_counter is not None:
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -13,7 +13,7 @@
 from balsamcleat.http1 import Request
 from balsamcleat.model import ServiceName, TeamName
 from balsamcleat.model.replicas import Replica, StreamSoftware
-from balsamcleat.model.routing import Route
+from balsamcleat.model.routing import Route, RouteKind
 from balsamcleat.platform import parse_caller_timeout_s, request_id
 
 __all__ = ["LiveCall"]
@@ -94,6 +94,18 @@
         """Return the time left until the response must begin, in seconds."""
         return self.deadline_s - anyio.current_time()
 
+    def latest_end_s(self) -> float:
+        """Return the time at which the caller no longer waits, on the monotonic clock.
+
+        The route's timeout does not apply to streams, so one without a time budget has no end.
+        """
+        if self.route.kind is not RouteKind.STREAM:
+            return self.deadline_s
+        caller_timeout_s = parse_caller_timeout_s(self.request.headers)
+        if caller_timeout_s is None:
+            return float("inf")
+        return self.request.received_at_s + caller_timeout_s
+
     def may_be_sent(self) -> bool:
         """Return whether the call is still wanted and its deadline has not passed."""
         return self.remaining_s() > 0.0 and self.is_wanted()
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -12,6 +12,7 @@
 from balsamcleat.decisions.replica_choice import choose_service
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
+from balsamcleat.decisions.stop_schedule import StopSchedule
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response
 from balsamcleat.model import TeamName, ZoneName
@@ -76,6 +77,7 @@
         queues: Queues in which calls wait for a slot.
         paths: Tells which targets this VM reaches; None calls all of them directly.
         usage: Counts the requests of teams; None if usage is not reported.
+        stop_schedule: Tells which requests come too late in a planned stop of this VM.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         queues: LiveQueues,
         paths: TargetPaths | None = None,
         usage: UsageCounter | None = None,
+        stop_schedule: StopSchedule | None = None,
     ) -> None:
         self.directory = directory
         self.stats_registry = stats_registry
@@ -99,6 +102,7 @@
         self.queues = queues
         self.paths = paths
         self.usage = UsageRecorder(usage)
+        self.stop_schedule = stop_schedule or StopSchedule()
 
     async def answer(
         self,
@@ -146,6 +150,8 @@
         call = self.create_call(request, route, team)
         if call is None:
             status, reason = FailureStatus.NOT_RUN, "the route has no service"
+        elif not self.stop_schedule.accepts(request.received_at_s, call.latest_end_s()):
+            status, reason = FailureStatus.NOT_RUN, "this VM stops before the request would end"
         elif await self.crash_guard.admit(call):
             return call
         else:
