REFUSED: only 429 and 503 of the store say that a commit was not performed

Callers could have seen: 503 for a submission, which says that nothing of it runs, although the store had performed the write and its answer was 500, 502, 504 or unreadable. Found by reading, while the hypotheses of the double result were checked.

Change: all other answers to a commit are unknown outcomes.

--- a/src/balsamcleat/platform/store.py
+++ b/src/balsamcleat/platform/store.py
@@ -36,6 +36,9 @@
 
 MAX_PARTS_PER_RESPONSE = 1000
 TOO_MANY_REQUESTS_STATUS = 429
+# With these statuses, the store says that a request had no effect.
+NOT_DONE_STATUSES = (TOO_MANY_REQUESTS_STATUS, 503)
+COMMIT_STEP = "rows.commit"
 
 
 class RowFields(msgspec.Struct, frozen=True):
@@ -136,20 +139,33 @@
             response = await self.fetch(request, 0.0)
         except AttemptFailedError as error:
             raise write_error(error) from error
-        if response.status == 200:
-            fields = decode_response(response, RowsFields)
-            self.record_answer()
-            return RowsCommitted(fields.ver, int(fields.now_ms))
-        if response.status == 412:
-            self.record_answer()
-            return RowConflict(tuple(map(decode_row, decode_response(response, RowsFields).rows)))
         if response.status in (400, 403, 413):
             raise CommitRejectedError(
                 f"the store rejected the commit: {response.status} {response.body[:200]!r}",
-                step="rows.commit",
+                step=COMMIT_STEP,
                 peer=self.access.address,
             )
-        raise self.rejection_error(response, "rows.commit")
+        if response.status in NOT_DONE_STATUSES:
+            raise self.rejection_error(response, COMMIT_STEP)
+        try:
+            return self.commit_outcome(response)
+        except PlatformUnavailableError as error:
+            # Only some statuses promise that nothing was written.
+            raise OutcomeUnknownError(error.message, step=COMMIT_STEP, peer=error.peer) from error
+
+    def commit_outcome(self, response: Response) -> RowsCommitted | RowConflict:
+        """Return the outcome that the response to a commit states.
+
+        Raises:
+            PlatformUnavailableError: The response states none.
+        """
+        if response.status not in (200, 412):
+            raise self.rejection_error(response, COMMIT_STEP)
+        fields = decode_response(response, RowsFields)
+        self.record_answer()
+        if response.status == 200:
+            return RowsCommitted(fields.ver, int(fields.now_ms))
+        return RowConflict(tuple(map(decode_row, fields.rows)))
 
     async def read(
         self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
@@ -241,9 +257,9 @@
         self.answered_at_s = anyio.current_time()
 
     def rejection_error(self, response: Response, step: str) -> PlatformUnavailableError:
-        """Return the error for a request that the store rejected without executing it."""
+        """Return the error for a request that the store did not answer with success."""
         return PlatformUnavailableError(
-            f"the store rejected the request with status {response.status}",
+            f"the store answered the request with status {response.status}",
             step=step,
             peer=self.access.address,
         )
@@ -256,7 +272,7 @@
 def write_error(error: AttemptFailedError) -> PlatformUnavailableError | OutcomeUnknownError:
     """Return the error for a failed write, whose outcome is unknown if it may have been sent."""
     error_class = OutcomeUnknownError if error.perhaps_sent else PlatformUnavailableError
-    return error_class(error.message, step="rows.commit", peer=error.peer)
+    return error_class(error.message, step=COMMIT_STEP, peer=error.peer)
 
 
 def encode_commit(commit: RowCommit) -> CommitFields:
