--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -141,8 +141,12 @@
             self.idle_watch,
             self.byte_budget,
         )
+        self.store_clock = StoreClock()
         self.direct_store = PlatformRowStore(
-            settings.store, store_pool, lambda: len(self.presence.watch.observations)
+            settings.store,
+            store_pool,
+            lambda: len(self.presence.watch.observations),
+            self.store_clock.synchronize_first,
         )
         self.peer_pool = ConnectionPool(
             PoolLimits(connect_timeout_s=0.3, max_idle_connections=16), idle_watch=self.idle_watch
@@ -160,7 +164,6 @@
             self.wake_schedulers,
             lambda target_id, started_ms: self.crash_detector.on_target_end(target_id, started_ms),
         )
-        self.store_clock = StoreClock()
         self.duties = DutyParts(
             lambda: self.settings,
             self.boot,
--- a/src/balsamcleat/platform/store.py
+++ b/src/balsamcleat/platform/store.py
@@ -113,14 +113,20 @@
         access: Address and limits of the store.
         pool: HTTP connections to the store.
         count_vms: Returns the number of known VMs, which share the store's rate limits.
+        on_time: Receives the time of the store's clock in answers to reads, in milliseconds.
     """
 
     def __init__(
-        self, access: StoreAccess, pool: ConnectionPool, count_vms: Callable[[], int]
+        self,
+        access: StoreAccess,
+        pool: ConnectionPool,
+        count_vms: Callable[[], int],
+        on_time: Callable[[int], None] = lambda store_ms: None,
     ) -> None:
         self.pool = pool
         self.count_vms = count_vms
         self.apply_access(access)
+        self.on_time = on_time
         self.timeout = AdaptiveTimeout()
         # Time of the store's last response in seconds, on the event loop's clock.
         self.answered_at_s = float("-inf")
@@ -177,6 +183,7 @@
         if end:
             query["to"] = end
         fields = await self.get("/rows-get", query, RowsFields)
+        self.on_time(int(fields.now_ms))
         rows = tuple(map(decode_row, fields.rows))
         return RowPage(rows, fields.has_more, fields.ver, int(fields.now_ms))
 
--- a/src/balsamcleat/tasks/duty_lease_keeper.py
+++ b/src/balsamcleat/tasks/duty_lease_keeper.py
@@ -91,7 +91,8 @@
         """Return whether this VM may send a call now."""
         if self.lease is None:
             return False
-        return self.lease.can_call(self.table.clock_s(), self.table.store_clock.now_ms())
+        store_ms = self.table.store_clock.now_ms()
+        return store_ms is not None and self.lease.can_call(self.table.clock_s(), store_ms)
 
     async def begin_calls(self) -> bool:
         """Record in the lease that calls are about to be sent; return whether they may be."""
--- a/src/balsamcleat/tasks/model_usage.py
+++ b/src/balsamcleat/tasks/model_usage.py
@@ -22,7 +22,7 @@
     def __init__(
         self,
         steps: Callable[[], dict[StepId, KnownStep]],
-        store_now_ms: Callable[[], int],
+        store_now_ms: Callable[[], int | None],
         step_lifetime_ms: float,
     ) -> None:
         self.steps = steps
@@ -38,7 +38,8 @@
             open_step_minimums=tuple(
                 step.owner.oldest_version
                 for step in steps
-                if not step.ended and now_ms - step.owner.accepted_ms < self.step_lifetime_ms
+                if not step.ended
+                and (now_ms is None or now_ms - step.owner.accepted_ms < self.step_lifetime_ms)
             ),
             expected_tokens=newest.owner.work if newest else 1.0,
             has_steps=newest is not None,
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -67,7 +67,7 @@
         runner: RolloutRunner,
         known_steps: Callable[[], dict[StepId, KnownStep]],
         table: Callable[[], RoutingTable | None],
-        store_now_ms: Callable[[], int],
+        store_now_ms: Callable[[], int | None],
         failure_detector: VmFailureDetector,
         is_store_unavailable: Callable[[], bool],
     ) -> None:
--- a/src/balsamcleat/tasks/row_garbage_collector.py
+++ b/src/balsamcleat/tasks/row_garbage_collector.py
@@ -43,7 +43,7 @@
         steps: Callable[[], dict[StepId, KnownStep]],
         failure_detector: VmFailureDetector,
         is_active: Callable[[], bool],
-        store_now_ms: Callable[[], int],
+        store_now_ms: Callable[[], int | None],
         results_retention_s: float,
     ) -> None:
         self.records = records
@@ -76,9 +76,11 @@
 
     def expired_steps(self) -> list[StepId]:
         """Return the steps whose results are no longer readable, the oldest first."""
-        expired_before_ms = (
-            self.store_now_ms() - (self.results_retention_s + STEP_RETENTION_MARGIN_S) * 1000
-        )
+        now_ms = self.store_now_ms()
+        if now_ms is None:
+            return []
+        retention_s = self.results_retention_s + STEP_RETENTION_MARGIN_S
+        expired_before_ms = now_ms - retention_s * 1000
         expired = [
             (known.owner.accepted_ms, step_id)
             for step_id, known in self.steps().items()
--- a/src/balsamcleat/tasks/scaling_controller.py
+++ b/src/balsamcleat/tasks/scaling_controller.py
@@ -93,7 +93,7 @@
         while True:
             await anyio.sleep(DECISION_INTERVAL_S)
             table = self.current_table()
-            if table is None or not self.store_clock.synchronized_ms:
+            if table is None or self.store_clock.now_ms() is None:
                 continue
             try:
                 await action(table)
@@ -120,8 +120,8 @@
             self.is_failing = True
 
     def now_s(self) -> float:
-        """Return the time of the store's clock, in seconds."""
-        return self.store_clock.now_ms() / 1000.0
+        """Return the time of the store's clock, in seconds; 0 before it is known."""
+        return (self.store_clock.now_ms() or 0) / 1000.0
 
     def list_age_s(self) -> float:
         """Return the age of the list of targets, in seconds."""
--- a/src/balsamcleat/tasks/shared_crash_history.py
+++ b/src/balsamcleat/tasks/shared_crash_history.py
@@ -36,7 +36,7 @@
 # some 10 ms; while the store does not answer, requests must not wait for long.
 SHARE_TIMEOUT_S = 0.25
 MAX_NUMBER_DIGITS = 18
-# Values that VMs wrote before the rows had a time.
+# Value of rows without a time: of VMs that don't know the store's time yet, and of earlier builds.
 UNTIMED_VALUE = b"1"
 
 log = structlog.get_logger()
@@ -53,7 +53,7 @@
         store_now_ms: Returns the time of the store's clock, in milliseconds.
     """
 
-    def __init__(self, store: RowStore, store_now_ms: Callable[[], int]) -> None:
+    def __init__(self, store: RowStore, store_now_ms: Callable[[], int | None]) -> None:
         self.store = store
         self.store_now_ms = store_now_ms
         self.history = CrashHistory()
@@ -258,15 +258,16 @@
 
     def encode_now(self) -> bytes:
         """Return the value of a row about what happens now: the store's time in milliseconds."""
-        return str(self.store_now_ms()).encode()
+        now_ms = self.store_now_ms()
+        return UNTIMED_VALUE if now_ms is None else str(now_ms).encode()
 
     def decode_time(self, value: bytes) -> float:
         """Return the time in a row's value on the process clock, in seconds; not after now."""
         now_s = anyio.current_time()
-        written_ms = parse_number(value.decode("latin-1"))
-        if value == UNTIMED_VALUE or written_ms is None:
+        store_ms, written_ms = self.store_now_ms(), parse_number(value.decode("latin-1"))
+        if value == UNTIMED_VALUE or written_ms is None or store_ms is None:
             return now_s
-        return now_s - max(0.0, (self.store_now_ms() - written_ms) / 1000.0)
+        return now_s - max(0.0, (store_ms - written_ms) / 1000.0)
 
 
 def parse_number(text: str) -> int | None:
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -84,7 +84,7 @@
         boot: str,
         failure_detector: VmFailureDetector,
         retention_s: float,
-        store_now_ms: Callable[[], int],
+        store_now_ms: Callable[[], int | None],
         take_over: Callable[[StepId, KnownStep], Awaitable[None]],
         is_running: Callable[[StepId], bool],
         on_ended: Callable[[StepId], None],
@@ -205,8 +205,9 @@
         return self.failure_detector.is_dead(owner.vm, owner.boot)
 
     def is_retained(self, known: KnownStep) -> bool:
-        """Return whether a step's results are still retained."""
-        return self.store_now_ms() - known.owner.accepted_ms < self.retention_s * 1000
+        """Return whether a step's results are still retained, as far as the time is known."""
+        now_ms = self.store_now_ms()
+        return now_ms is not None and now_ms - known.owner.accepted_ms < self.retention_s * 1000
 
     def find_obstacle(self, step_id: StepId, row_version: int) -> str | None:
         """Return why this VM must not run a step, or None if nothing is known against it.
--- a/src/balsamcleat/tasks/step_transfer.py
+++ b/src/balsamcleat/tasks/step_transfer.py
@@ -7,7 +7,7 @@
 import msgspec
 import structlog
 
-from balsamcleat.errors import PlatformError
+from balsamcleat.errors import PlatformError, PlatformUnavailableError
 from balsamcleat.model import StepId
 from balsamcleat.model.routing import RoutingTable
 from balsamcleat.platform import decode_step
@@ -42,7 +42,7 @@
         records: RolloutRecords,
         runner: RolloutRunner,
         table: Callable[[], RoutingTable | None],
-        store_now_ms: Callable[[], int],
+        store_now_ms: Callable[[], int | None],
     ) -> None:
         self.vm = vm
         self.boot = boot
@@ -108,7 +108,10 @@
         submission = await self.records.submission(step_id)
         if submission is None:
             return None
-        age_s = max(0.0, (self.store_now_ms() - record.accepted_ms) / 1000)
+        now_ms = self.store_now_ms()
+        if now_ms is None:
+            raise PlatformUnavailableError("the store's time is not known yet", step="step.load")
+        age_s = max(0.0, (now_ms - record.accepted_ms) / 1000)
         submitter = submission.submitter
         owned = OwnedStep(
             step=decode_step(submission.headers, submission.body),
--- a/src/balsamcleat/tasks/submission_handler.py
+++ b/src/balsamcleat/tasks/submission_handler.py
@@ -73,7 +73,7 @@
         runner: RolloutRunner,
         known_steps: Callable[[], dict[StepId, KnownStep]],
         table: Callable[[], RoutingTable | None],
-        store_now_ms: Callable[[], int],
+        store_now_ms: Callable[[], int | None],
         failure_detector: VmFailureDetector,
         is_store_unavailable: Callable[[], bool],
         access: StepAccess,
@@ -113,7 +113,13 @@
         if self.is_store_unavailable():
             await send_unavailable(responder, step.step_id, STORE_UNAVAILABLE_REASON)
             return
-        await self.create_step(step, request, route, responder, team)
+        accepted_ms = self.store_now_ms()
+        if accepted_ms is None:
+            # With a guessed time, the step would be deleted as one of long ago.
+            await send_unavailable(responder, step.step_id, "the store's time is not known yet")
+            return
+        record = self.owner_record(step, request, route, team, accepted_ms)
+        await self.create_step(step, record, request, route, responder)
 
     async def is_stored_here(self, step_id: StepId) -> bool:
         """Return whether this VM knows that a step is stored; wait if it is just storing it.
@@ -129,25 +135,13 @@
     async def create_step(
         self,
         step: RolloutStep,
+        record: OwnerRecord,
         request: Request,
         route: Route,
         responder: Responder,
-        team: TeamName | None,
     ) -> None:
         """Store a new step, answer its submission, and start the step if this VM owns it."""
-        vm, boot = self.preferred_owner(route, request, team)
-        record = OwnerRecord(
-            vm=vm,
-            boot=boot,
-            host=route.host,
-            path=request.path,
-            accepted_ms=self.store_now_ms(),
-            samples=len(step.samples),
-            model=step.model,
-            oldest_version=step.oldest_version,
-            work=sum(expected_remaining_tokens(sample, 0.0) for sample in step.samples),
-            team=team or "",
-        )
+        team = TeamName(record.team) if record.team else None
         submission = self.submission(request, step, team)
         creation = self.creations[step.step_id] = anyio.Event()
         try:
@@ -169,7 +163,7 @@
             del self.creations[step.step_id]
             await self.answer_repeated(responder, step.step_id, team, "already stored")
             return
-        if vm == self.vm:
+        if record.vm == self.vm:
             owned = OwnedStep(
                 step=step,
                 record=record,
@@ -182,7 +176,30 @@
             self.runner.start_task(self.start_step, owned, route)
         else:
             del self.creations[step.step_id]
-        await send_accepted(responder, step.step_id, f"new, owned by {vm}")
+        await send_accepted(responder, step.step_id, f"new, owned by {record.vm}")
+
+    def owner_record(
+        self,
+        step: RolloutStep,
+        request: Request,
+        route: Route,
+        team: TeamName | None,
+        accepted_ms: int,
+    ) -> OwnerRecord:
+        """Return the record of a new step with the VM that shall own it."""
+        vm, boot = self.preferred_owner(route, request, team)
+        return OwnerRecord(
+            vm=vm,
+            boot=boot,
+            host=route.host,
+            path=request.path,
+            accepted_ms=accepted_ms,
+            samples=len(step.samples),
+            model=step.model,
+            oldest_version=step.oldest_version,
+            work=sum(expected_remaining_tokens(sample, 0.0) for sample in step.samples),
+            team=team or "",
+        )
 
     def submission(
         self, request: Request, step: RolloutStep, team: TeamName | None
--- a/src/balsamcleat/tasks/true_clock.py
+++ b/src/balsamcleat/tasks/true_clock.py
@@ -54,8 +54,9 @@
 
     def synchronize(self) -> None:
         """Take the store's clock from the answer that has just arrived."""
-        now_s = self.steady_s()
-        self.store_offset.record(self.store_clock.now_ms(), now_s)
+        now_s, store_ms = self.steady_s(), self.store_clock.now_ms()
+        if store_ms is not None:
+            self.store_offset.record(store_ms, now_s)
 
     def seed(self, vote: ClockVote) -> None:
         """Go on with the vote of the previous process on this VM."""
