--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -273,9 +273,7 @@
             self.step_transfer.handle_owner_change,
             lambda row: self.peer_poller.is_running(row),
         )
-        self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
-        self.runner.find_obstacle = self.step_feed.find_obstacle
-        self.runner.is_configuration_current = self.is_configuration_current
+        self.connect_steps(pause_guard)
         self.create_duty_performers()
         self.row_garbage_collector = RowGarbageCollector(
             self.records,
@@ -360,6 +358,13 @@
         self.stop_requested = anyio.Event()
         self.tasks: anyio.abc.TaskGroup | None = None
 
+    def connect_steps(self, pause_guard: PauseGuard) -> None:
+        """Connect what runs steps with what reads them from the store."""
+        self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
+        self.runner.find_obstacle = self.step_feed.find_obstacle
+        self.runner.is_configuration_current = self.is_configuration_current
+        self.store.on_regained = self.runner.handle_store_regained
+
     def create_servers(self, target_relay: TargetRelay) -> None:
         """Create the servers of callers, of the load balancer, of other VMs and of metrics."""
         self.front_server = HttpServer(
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -164,6 +164,11 @@
         "step owner",
     ),
     event("step taken over", "This VM runs it now.", "step before listed at_hand age_s"),
+    event(
+        "store was silent",
+        "It answers again; no sample is started before it has confirmed the steps.",
+        "seconds steps",
+    ),
     event("step not started", "It changed while its records were read.", "step reason"),
     event("step claimed by another VM", "Another one was faster.", "step"),
     event("step not taken over", "The store failed.", "step reason"),
--- a/src/balsamcleat/tasks/pause_guard.py
+++ b/src/balsamcleat/tasks/pause_guard.py
@@ -1,4 +1,4 @@
-"""Confirmation of step ownership with the row store after a pause of the process."""
+"""Confirmation of step ownership with the row store after a pause or an outage."""
 
 import random
 from collections.abc import Callable, Iterable
@@ -24,8 +24,8 @@
 class PauseGuard:
     """Suspends the steps of this VM after a pause until the store has confirmed their state.
 
-    During a pause, other VMs may have ended the steps or taken them over, so no sample is started
-    before the store has been asked.
+    During a pause, or while this VM did not reach the store, other VMs may have ended the steps or
+    taken them over, so no sample is started before the store has been asked.
 
     Args:
         records: Rows of steps in the row store.
@@ -50,11 +50,16 @@
         paused_s = self.detector.measure_pause(self.clock())
         if not paused_s:
             return
+        count = self.suspend(steps, tasks)
+        log.warning("process was paused", seconds=round(paused_s, 2), steps=count)
+
+    def suspend(self, steps: Iterable[OwnedStep], tasks: anyio.abc.TaskGroup) -> int:
+        """Suspend active steps until the store has confirmed them; return their number."""
         unconfirmed = [step for step in steps if step.is_active and not step.unconfirmed]
-        log.warning("process was paused", seconds=round(paused_s, 2), steps=len(unconfirmed))
         for step in unconfirmed:
             step.unconfirmed = True
             tasks.start_soon(self.confirm_ownership, step)
+        return len(unconfirmed)
 
     async def confirm_ownership(self, step: OwnedStep) -> None:
         """Read a step's state until the store answers; a step that was ended stays suspended."""
--- a/src/balsamcleat/tasks/relayed_store.py
+++ b/src/balsamcleat/tasks/relayed_store.py
@@ -33,6 +33,8 @@
 RELAY_TIMEOUT_S = 1.5
 # Longest long poll of a relayed change feed, so that the direct connection is soon tried again.
 RELAYED_FEED_WAIT_S = 1.0
+# The VM reads heartbeats twice a second, so that a longer silence is an outage.
+MIN_OUTAGE_S = 1.5
 UNAVAILABLE_STATUS = 503
 OUTCOME_UNKNOWN_STATUS = 504
 HISTORY_LOST_STATUS = 410
@@ -140,6 +142,8 @@
         self.is_relaying = False
         # Time of the last answer of the store, direct or relayed, on the event loop's clock.
         self.answered_at_s = float("-inf")
+        # Called with the silence in seconds when the store answers again after an outage.
+        self.on_regained: Callable[[float], None] = lambda silence_s: None
         # Direct long polls in progress.
         self.long_polls: set[anyio.CancelScope] = set()
 
@@ -217,12 +221,20 @@
     def record_success(self, outcome: ReplyT) -> ReplyT:
         """Record an answer to a direct call and return it."""
         self.path.record_success()
-        self.answered_at_s = anyio.current_time()
+        self.record_answer()
         if self.is_relaying:
             self.is_relaying = False
             log.info("store reached straight again")
         return outcome
 
+    def record_answer(self) -> None:
+        """Record an answer of the store, and report it if it is the first one after an outage."""
+        now_s = anyio.current_time()
+        silence_s = now_s - self.answered_at_s
+        self.answered_at_s = now_s
+        if MIN_OUTAGE_S <= silence_s < float("inf"):
+            self.on_regained(silence_s)
+
     def record_failure(self, error: PlatformUnavailableError) -> None:
         """Record that a direct call took no effect.
 
@@ -278,7 +290,7 @@
             raise failed_call_error(
                 f"the relay's reply can't be decoded: {error}", peer.vm, is_unknown=is_commit
             ) from error
-        self.answered_at_s = anyio.current_time()
+        self.record_answer()
         return reply
 
 
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -167,6 +167,20 @@
         self.on_rows(conflict.rows)
         self.remove_step(step)
 
+    def handle_store_regained(self, silence_s: float) -> None:
+        """Suspend all steps until the store has confirmed them, as it answers again.
+
+        The feeds may be late: a call of theirs that was sent before the store could be reached
+        again lasts until its timeout.
+
+        Args:
+            silence_s: Time for which the store did not answer this VM, in seconds.
+        """
+        if self.tasks is None or not self.steps:
+            return
+        count = self.pause_guard.suspend(self.steps.values(), self.tasks)
+        log.warning("store was silent", seconds=round(silence_s, 2), steps=count)
+
     async def run(self) -> None:
         """Run the placement loop until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/tests/test_pause_guard.py
+++ b/tests/test_pause_guard.py
@@ -94,3 +94,35 @@
         await world.wait_for_results(24, 5.0)
 
     run_in_step_world(test)
+
+
+@pytest.mark.parametrize("is_ended", [True, False])
+def test_no_sample_starts_after_an_outage_before_the_store_has_confirmed_the_step(
+    is_ended: bool,
+) -> None:
+    """On trouble-1 of the desk, a VM ran samples of an ended step for 3 s after a cut.
+
+    Other calls were answered again, but its feed of the steps was not.
+    """
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        other_vm = await world.start("b")
+        assert await vm.submit(w.make_submission(6, 4, 6)) == 202
+        await anyio.sleep(0.3)
+        mute_feed(vm)
+        started_before = len(vm.engines.runs)
+        if is_ended:
+            assert await other_vm.end("step-1") == 200
+        vm.view.flaws.delay_s = 1.0
+        vm.runner.handle_store_regained(PAUSED_S)
+        await anyio.sleep(0.9)
+        assert len(vm.engines.runs) == started_before < 24
+        vm.view.flaws.delay_s = 0.002
+        if is_ended:
+            await anyio.sleep(3.0)
+            assert len(vm.engines.runs) == started_before
+        else:
+            await world.wait_for_results(24, 10.0)
+
+    run_in_step_world(test)
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -30,7 +30,12 @@
 )
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws, RowStoreView
 from balsamcleat.tasks.peers import PeerPoller, PeerRequestHandler, PeerState
-from balsamcleat.tasks.relayed_store import RELAY_PREFIX, RelayedRowStore, StoreRelay
+from balsamcleat.tasks.relayed_store import (
+    MIN_OUTAGE_S,
+    RELAY_PREFIX,
+    RelayedRowStore,
+    StoreRelay,
+)
 
 KEY = RowKey("table", "part", "key")
 WRITE = RowCommit((RowWrite(KEY, b"value"),), ((KEY, 0),))
@@ -192,3 +197,19 @@
     for _ in range(9):
         timeout.record_timeout()
     assert timeout.timeout_s == MAX_TIMEOUT_S
+
+
+@pytest.mark.parametrize("is_relayed", [False, True])
+async def test_first_answer_after_an_outage_is_reported_once(is_relayed: bool) -> None:
+    """The feeds may be late then, so a VM that owns steps asks for their state itself."""
+    async with cut_off_vm(RowStoreFlaws()) as (_, flaws, client):
+        flaws.down = is_relayed
+        reported: list[float] = []
+        client.on_regained = reported.append
+        await client.read("table", "part")
+        assert reported == []
+        client.answered_at_s -= MIN_OUTAGE_S
+        await client.read("table", "part")
+        await client.read("table", "part")
+        assert len(reported) == 1
+        assert reported[0] >= MIN_OUTAGE_S
