--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -64,11 +64,13 @@
 from balsamcleat.tasks.sample_run import SampleRunner
 from balsamcleat.tasks.sample_scorer import SampleScorer
 from balsamcleat.tasks.shared_crash_history import SUSPECTS_TABLE, SharedCrashHistory
+from balsamcleat.tasks.step_access import StepAccess
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.step_transfer import StepTransfer
 from balsamcleat.tasks.store_clock import StoreClock, boot_clock_s
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
 from balsamcleat.tasks.stream_register import STREAMS_PATH, StreamRegister
+from balsamcleat.tasks.submission_handler import SubmissionHandler
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.target_paths import REACH_PATH, TargetPaths
 from balsamcleat.tasks.target_relay import TargetRelay
@@ -268,7 +270,7 @@
             settings.results_kept_s,
             self.store_clock.now_ms,
             self.step_transfer.take_over,
-            lambda step_id: self.rollout_handler.submissions.is_running(step_id),
+            lambda step_id: self.submission_handler.is_running(step_id),
             lambda step_id: self.step_transfer.handle_step_ended(step_id, self.tasks),
             self.step_transfer.handle_owner_change,
             lambda row: self.peer_poller.is_running(row),
@@ -283,7 +285,13 @@
             self.store_clock.now_ms,
             settings.results_kept_s,
         )
-        self.rollout_handler = RolloutHandler(
+        access = StepAccess(
+            self.records,
+            self.runner.steps,
+            lambda: self.step_feed.steps,
+            lambda: self.routing_keeper.table,
+        )
+        self.submission_handler = SubmissionHandler(
             settings.vm,
             self.boot,
             self.records,
@@ -293,6 +301,15 @@
             self.store_clock.now_ms,
             self.presence.watch,
             lambda: should_ask_peers(self.store_view()),
+            access,
+        )
+        self.rollout_handler = RolloutHandler(
+            self.records,
+            self.runner,
+            lambda: self.step_feed.steps,
+            lambda: should_ask_peers(self.store_view()),
+            access,
+            self.submission_handler,
         )
         self.peer_poller = PeerPoller(
             self.peer_pool,
@@ -562,7 +579,7 @@
         """Hand over steps, serve callers until the load balancer has removed this VM, then stop."""
         self.stop_schedule.begin(anyio.current_time(), self.settings.grace_s)
         self.is_leaving = True
-        self.rollout_handler.submissions.accepting = False
+        self.submission_handler.accepting = False
         self.step_feed.accepting = False
         self.runner.leaving = True
         self.front_server.start_draining()
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -5,7 +5,6 @@
 import anyio
 import structlog
 
-from balsamcleat.decisions.vm_watch import VmFailureDetector
 from balsamcleat.errors import (
     BalsamcleatError,
     PlatformUnavailableError,
@@ -48,46 +47,29 @@
     """Handles trainers' calls on any VM, whichever VM owns the step.
 
     Args:
-        vm: Name of this VM.
-        boot: Identifier of this start of the VM's process.
         records: Records of steps in the row store.
         runner: Runs the steps that this VM owns.
         known_steps: Returns the steps known from the change feed.
-        table: Returns the routing table in force, or None before there is one.
-        store_now_ms: Returns the time on the store's clock, in milliseconds.
-        failure_detector: Failure detector of the VMs.
         is_store_unavailable: Returns whether the store is known not to answer.
+        access: Checks which team a step belongs to.
+        submissions: Handles submissions of steps.
     """
 
     def __init__(
         self,
-        vm: str,
-        boot: str,
         records: RolloutRecords,
         runner: RolloutRunner,
         known_steps: Callable[[], dict[StepId, KnownStep]],
-        table: Callable[[], RoutingTable | None],
-        store_now_ms: Callable[[], int | None],
-        failure_detector: VmFailureDetector,
         is_store_unavailable: Callable[[], bool],
+        access: StepAccess,
+        submissions: SubmissionHandler,
     ) -> None:
         self.records = records
         self.runner = runner
         self.known_steps = known_steps
         self.is_store_unavailable = is_store_unavailable
-        self.access = StepAccess(records, runner.steps, known_steps, table)
-        self.submissions = SubmissionHandler(
-            vm,
-            boot,
-            records,
-            runner,
-            known_steps,
-            table,
-            store_now_ms,
-            failure_detector,
-            is_store_unavailable,
-            self.access,
-        )
+        self.access = access
+        self.submissions = submissions
 
     async def is_public(self, call: StepCall, table: RoutingTable) -> bool | None:
         """Return whether a call about a step needs no key, or None if there is no such step.
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -42,9 +42,11 @@
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.sample_run import SampleAssignment, SampleEnd, SampleRunOutcome
 from balsamcleat.tasks.sample_scorer import ScoringTask
+from balsamcleat.tasks.step_access import StepAccess
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.step_transfer import StepTransfer
 from balsamcleat.tasks.store_clock import StoreClock
+from balsamcleat.tasks.submission_handler import SubmissionHandler
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.vm_presence import VmPresence
 
@@ -377,7 +379,12 @@
         )
         runner.on_rows = guard.on_rows = feed.apply_rows
         runner.find_obstacle = feed.find_obstacle
-        handler = RolloutHandler(
+        access = StepAccess(records, runner.steps, lambda: feed.steps, lambda: TABLE)
+
+        def is_store_unavailable() -> bool:
+            return anyio.current_time() - store_clock.synchronized_at_s >= STORE_SILENCE_LIMIT_S
+
+        submissions = SubmissionHandler(
             name,
             boot,
             records,
@@ -386,7 +393,11 @@
             lambda: TABLE,
             store_clock.now_ms,
             presence.watch,
-            lambda: anyio.current_time() - store_clock.synchronized_at_s >= STORE_SILENCE_LIMIT_S,
+            is_store_unavailable,
+            access,
+        )
+        handler = RolloutHandler(
+            records, runner, lambda: feed.steps, is_store_unavailable, access, submissions
         )
         vm = StepVm(name, view, runner, handler, feed, presence, transfer, engines, scorer, clock)
         followers = [
