--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -17,6 +17,7 @@
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.entry.drain import drain_callers
 from balsamcleat.entry.duty_parts import DutyParts
+from balsamcleat.entry.metrics_page import MetricsPage
 from balsamcleat.entry.reload import SettingsWatcher
 from balsamcleat.entry.scaling import build_scaling_controller
 from balsamcleat.errors import PlatformError
@@ -86,12 +87,10 @@
 # must still be open then.
 TARGET_IDLE_TIMEOUT_S = 8.0
 MAX_IDLE_TARGET_CONNECTIONS = 256
-# deploy/system.toml names this port and this path as the place to fetch metrics from.
+# deploy/system.toml names this port as the place to fetch metrics from.
 METRICS_PORT = 9464
-METRICS_PATH = "/metrics"
 # Requests that are passed on have the headers of their callers and some more.
 PEER_SERVER_LIMITS = ServerLimits(max_header_bytes=64 * 1024)
-METRICS_HEADERS = (("Content-Type", "text/plain; version=0.0.4"),)
 # Upper limit of the reported store silence in seconds; the silence of a store that has never
 # answered is infinite.
 MAX_REPORTED_SILENCE_S = 999.0
@@ -412,7 +411,17 @@
         )
         self.metrics_server = HttpServer(
             listen(f"{self.settings.ip}:{METRICS_PORT}"),
-            self.answer_metrics_scrape,
+            MetricsPage(
+                self.metrics,
+                self.runner,
+                self.load_controller,
+                self.duties,
+                self.front_server,
+                self.target_pool,
+                self.byte_budget,
+                self.stats_registry.limits,
+                self.output,
+            ).answer,
             lambda: ServerLimits(),
         )
 
@@ -528,37 +537,6 @@
         log.info("stop", boot=self.boot)
         self.output.drain()
 
-    async def answer_metrics_scrape(self, request: Request, responder: Responder) -> None:
-        """Answer a scrape with counters, gauges and latencies as text."""
-        if request.path != METRICS_PATH:
-            await responder.send(Response(404))
-            return
-        self.metrics.gauge("steps.owned", len(self.runner.steps))
-        late_steps = sum(
-            bool(step.group_positions) and not step.ended for step in self.runner.steps.values()
-        )
-        self.metrics.gauge("steps.expected_late", late_steps)
-        is_planning = self.duties.leases.orders.is_held
-        for service, division in self.load_controller.divisions.items():
-            for model, engines in division.items():
-                self.metrics.gauge(
-                    f"engines.planned.{service}.{model}", engines if is_planning else 0
-                )
-        running_samples = sum(len(step.running) for step in self.runner.steps.values())
-        self.metrics.gauge("samples.running", running_samples)
-        self.metrics.gauge("requests.active", self.front_server.active_requests)
-        self.metrics.gauge("connections.callers", len(self.front_server.connections))
-        self.metrics.gauge("connections.opened", self.target_pool.opened_connections)
-        self.metrics.gauge("answers.foreign", self.target_pool.mismatched_responses)
-        self.metrics.gauge("bytes.held", self.byte_budget.held_bytes)
-        self.metrics.gauge("bytes.limit", self.byte_budget.limit_bytes or 0)
-        self.metrics.gauge("bytes.bodies_refused", self.byte_budget.refused_bodies)
-        self.metrics.gauge("bytes.clients_cut_off", self.byte_budget.cut_off_connections)
-        self.metrics.gauge("limits.targets", self.stats_registry.limits.limited_count)
-        self.duties.report_gauges(self.metrics)
-        self.metrics.gauge("log.bytes_waiting", self.output.waiting_bytes)
-        await responder.send(Response(200, METRICS_HEADERS, self.metrics.render()))
-
     def apply_settings(self, settings: PlatformSettings) -> None:
         """Apply new settings; changed listen addresses take effect only after a restart."""
         self.settings = settings
