UNASKED: a request that a VM has abandoned is discarded by a reset, not delivered by a link that heals

Cause: the request lay in a connection whose link was dead; its run ended at 36.5 s, and the connection was closed. A closed connection still delivers what waits for a broken link; the engine got it at 42.6 s.

--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -161,11 +161,14 @@
         return super().failure(message, kind)
 
     def give_up(self) -> None:
-        """End the exchange, since its link is lost; the task that reads from it gets an error."""
+        """End the exchange, since its link is lost; the task that reads from it gets an error.
+
+        The connection is reset: a closed one would deliver the request once the link is back.
+        """
         self.had_arrived = super().has_arrived()
         self.is_given_up = True
         if self.connection is not None:
-            self.connection.stream.close()
+            self.connection.stream.reset()
 
     def has_arrived(self) -> bool:
         """Return whether the whole request has arrived; that of a lost link as far as is known."""
--- a/tests/live_world.py
+++ b/tests/live_world.py
@@ -255,7 +255,7 @@
     directory, flaws, generator = ReplicaDirectory(), RowStoreFlaws(), random.Random(seed)
     for replica in replicas:
         directory.apply_entry(replica)
-    pool = ConnectionPool(PoolLimits(), CORRELATION_HEADER)
+    pool = ConnectionPool(PoolLimits(resets_abandoned=True), CORRELATION_HEADER)
     view = RowStoreView(store, flaws)
     crash_history = SharedCrashHistory(view, store.now_ms)
     stats_registry = ReplicaStatsRegistry()
