--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -166,7 +166,7 @@
     event("step taken over", "This VM runs it now.", "step before listed at_hand age_s"),
     event(
         "store was silent",
-        "It answers again; no sample is started before it has confirmed the steps.",
+        "It answers again; the state of the steps is read, which the feeds may deliver late.",
         "seconds steps",
     ),
     event("step not started", "It changed while its records were read.", "step reason"),
--- a/src/balsamcleat/tasks/pause_guard.py
+++ b/src/balsamcleat/tasks/pause_guard.py
@@ -24,8 +24,9 @@
 class PauseGuard:
     """Suspends the steps of this VM after a pause until the store has confirmed their state.
 
-    During a pause, or while this VM did not reach the store, other VMs may have ended the steps or
-    taken them over, so no sample is started before the store has been asked.
+    During a pause, other VMs may have ended the steps or taken them over, so no sample is started
+    before the store has been asked. After an outage of the store, the steps are confirmed without
+    a suspension.
 
     Args:
         records: Rows of steps in the row store.
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -168,18 +168,20 @@
         self.remove_step(step)
 
     def handle_store_regained(self, silence_s: float) -> None:
-        """Suspend all steps until the store has confirmed them, as it answers again.
+        """Read the state of all active steps, as the store answers again.
 
         The feeds may be late: a call of theirs that was sent before the store could be reached
-        again lasts until its timeout.
+        again lasts until its timeout. The steps go on meanwhile, as the store may be lost again.
 
         Args:
             silence_s: Time for which the store did not answer this VM, in seconds.
         """
-        if self.tasks is None or not self.steps:
+        active = [step for step in self.steps.values() if step.is_active]
+        if self.tasks is None or not active:
             return
-        count = self.pause_guard.suspend(self.steps.values(), self.tasks)
-        log.warning("store was silent", seconds=round(silence_s, 2), steps=count)
+        log.warning("store was silent", seconds=round(silence_s, 2), steps=len(active))
+        for step in active:
+            self.tasks.start_soon(self.pause_guard.confirm_ownership, step)
 
     async def run(self) -> None:
         """Run the placement loop until cancelled."""
