One check of an address's port, for the store's entries and for connections

Change: `http1.parse_address` serves both. `connect` refuses besides, as before, what is no IPv4 address. A port such as `1_0` or `+80`, which `int` accepts, is now refused by `connect` too; the decoder refused it already.

--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -5,6 +5,7 @@
 parses messages with ``h11`` and handles the sockets itself.
 """
 
+from balsamcleat.http1.addresses import parse_address
 from balsamcleat.http1.buffered_writer import BufferedWriter, ReaderTooSlowError
 from balsamcleat.http1.byte_budget import ByteBudget
 from balsamcleat.http1.client import CONNECT_STEP, ConnectionPool, Exchange, PoolLimits
@@ -46,5 +47,6 @@
     "header_value",
     "is_success",
     "listen",
+    "parse_address",
     "without_headers",
 ]
--- a/src/balsamcleat/http1/streams.py
+++ b/src/balsamcleat/http1/streams.py
@@ -11,6 +11,8 @@
 import anyio
 import anyio.lowlevel
 
+from balsamcleat.http1.addresses import parse_address
+
 __all__ = ["ByteStream", "connect", "listen"]
 
 RECEIVE_BYTES = 65536
@@ -21,7 +23,6 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 BACKLOG = 512
-MAX_PORT = 65535
 # A remote end that sends without pause must not keep the event loop from other tasks and timeouts.
 MAX_BYTES_WITHOUT_YIELD = 256 * 1024
 # Number of bytes in a socket's send queue, as the kernel returns it.
@@ -191,7 +192,7 @@
         OSError: The connection was refused, the address is unreachable, or connecting took longer
             than ``timeout_s``, or the text is no such address.
     """
-    host, port = parse_address(address)
+    host, port = parse_ip_address(address)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     try:
@@ -208,20 +209,18 @@
     return ByteStream(sock, address)
 
 
-def parse_address(address: str) -> tuple[str, int]:
+def parse_ip_address(address: str) -> tuple[str, int]:
     """Return the host and the port of ``IP:PORT``.
 
     Raises:
         OSError: The text is no such address. Names of hosts are none: a look-up would block.
     """
-    host, _, port = address.rpartition(":")
     try:
+        host, port = parse_address(address)
         ipaddress.IPv4Address(host)
-        if not 0 < int(port) <= MAX_PORT:
-            raise ValueError(f"there is no port {port}")
     except ValueError as error:
         raise OSError(errno.EINVAL, f"no address: {error}") from error
-    return host, int(port)
+    return host, port
 
 
 async def connect_socket(sock: socket.socket, host: str, port: int) -> None:
--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -6,6 +6,7 @@
 
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
+from balsamcleat.http1 import parse_address
 from balsamcleat.model import (
     ConfigurationVersion,
     ServiceName,
@@ -58,9 +59,6 @@
 # Larger numbers can't be converted to the floating-point numbers that they are combined with.
 MAX_STORED_INTEGER = 2**53
 StoredInteger = Annotated[int, msgspec.Meta(ge=-MAX_STORED_INTEGER, le=MAX_STORED_INTEGER)]
-MAX_PORT = 65535
-# The longest port number has five digits.
-MAX_PORT_DIGITS = 5
 
 
 class SplitFields(msgspec.Struct, frozen=True):
@@ -321,10 +319,9 @@
     try:
         fields = decode_json(value, ReplicaFields)
         state = ReplicaState.DRAINING if fields.draining is True else ReplicaState(fields.state)
+        parse_address(fields.address)
     except ValueError:
         return None
-    if not is_address(fields.address):
-        return None
     return Replica(
         target_id=TargetId(target_id),
         service=ServiceName(fields.svc),
@@ -342,14 +339,6 @@
     )
 
 
-def is_address(text: str) -> bool:
-    """Return whether a text has the form ``HOST:PORT``, with a port to which one can connect."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdecimal() or len(port) > MAX_PORT_DIGITS:
-        return False
-    return 0 < int(port) <= MAX_PORT
-
-
 def decode_leaving_time_s(value: object) -> float | None:
     """Return the time until a target is taken away in seconds, or None if none is stated."""
     if isinstance(value, bool) or not isinstance(value, int | float):
