The pause guard and the creation of a step say each thing once

Cause: `PauseGuard.suspend` was split off for outages of the store, which no longer suspend steps since, so that its only caller was the check for a pause. In the creation of a step, the event of its outcome was set in the handler of errors and once more in a finally clause. Change: the check suspends the steps itself again; the event is set once on each way. The handler of errors still sets it before it answers, as the second submission of a trainer waits for it.

--- a/src/balsamcleat/tasks/pause_guard.py
+++ b/src/balsamcleat/tasks/pause_guard.py
@@ -51,16 +51,11 @@
         paused_s = self.detector.measure_pause(self.clock())
         if not paused_s:
             return
-        count = self.suspend(steps, tasks)
-        log.warning("process was paused", seconds=round(paused_s, 2), steps=count)
-
-    def suspend(self, steps: Iterable[OwnedStep], tasks: anyio.abc.TaskGroup) -> int:
-        """Suspend active steps until the store has confirmed them; return their number."""
         unconfirmed = [step for step in steps if step.is_active and not step.unconfirmed]
+        log.warning("process was paused", seconds=round(paused_s, 2), steps=len(unconfirmed))
         for step in unconfirmed:
             step.unconfirmed = True
             tasks.start_soon(self.confirm_ownership, step)
-        return len(unconfirmed)
 
     async def confirm_ownership(self, step: OwnedStep) -> None:
         """Read a step's state until the store answers; a step that was ended stays suspended."""
--- a/src/balsamcleat/tasks/submission_handler.py
+++ b/src/balsamcleat/tasks/submission_handler.py
@@ -157,8 +157,7 @@
             else:
                 raise
             return
-        finally:
-            creation.set()
+        creation.set()
         if isinstance(outcome, RowConflict):
             del self.creations[step.step_id]
             await self.answer_repeated(responder, step.step_id, team, "already stored")
