--- a/tests/test_removed_routes.py
+++ b/tests/test_removed_routes.py
@@ -11,13 +11,11 @@
 import pytest
 
 import step_world as w
-from balsamcleat.adapters.text_metrics import TextMetrics
 from balsamcleat.http1 import Request
 from balsamcleat.model import ConfigurationVersion, StepId, TeamName
 from balsamcleat.model.routing import RouteKind, RoutingTable, TeamSpec
 from balsamcleat.model.team_keys import key_digest
-from balsamcleat.tasks.request_dispatcher import RequestDispatcher
-from balsamcleat.tasks.team_guard import TeamGuard
+from step_dispatch import dispatch
 
 STEP = StepId("step-1")
 SAMPLES = 12
@@ -50,24 +48,6 @@
     w.run_in_virtual_time(with_world)
 
 
-async def status(vm: w.StepVm, request: Request, key: str | None = None) -> int:
-    """Return the status with which a VM answers a request."""
-    guard = TeamGuard(lambda: True, lambda: 0.0, TextMetrics())
-    dispatcher = RequestDispatcher(
-        lambda: w.TABLE,
-        None,  # type: ignore[arg-type]
-        None,  # type: ignore[arg-type]
-        vm.handler,
-        guard,
-    )
-    if key is not None:
-        headers = (*request.headers, ("Authorization", f"Bearer {key}"))
-        request = replace(request, headers=headers)
-    responder = w.RecordingResponder()
-    await dispatcher.dispatch(request, responder)
-    return responder.status
-
-
 def calls(step_id: str = STEP) -> tuple[Request, ...]:
     """Return a trainer's calls about a step: results, a body, the end."""
     headers = (("Host", w.HOST),)
@@ -95,7 +75,7 @@
         late.feed.steps.clear()
         for vm in (owner, other, late):
             for call in calls():
-                assert await status(vm, call) == 200
+                assert await dispatch(vm, call) == 200
 
     run_test(test)
 
@@ -108,10 +88,10 @@
         vm = await world.start("a")
         use_table(without_route(removal))
         for call in calls("unknown"):
-            assert await status(vm, call) == 404
+            assert await dispatch(vm, call) == 404
         vm.view.flaws.down = True
         for call in calls("unknown"):
-            assert await status(vm, call) == 503
+            assert await dispatch(vm, call) == 503
 
     run_test(test)
 
@@ -128,14 +108,14 @@
         use_table(RoutingTable(ConfigurationVersion(1), (route,), teams=TEAMS))
         owner, other = await world.start("a"), await world.start("b")
         key = None if is_public else KEY
-        assert await status(owner, w.make_submission(3, 4, 3), key) == 202
+        assert await dispatch(owner, w.make_submission(3, 4, 3), key) == 202
         await world.wait_for_results(SAMPLES, 3.0)
         use_table(without_route(removal, TEAMS))
         other.feed.steps.clear()
         for vm in (owner, other):
             for call in calls():
-                assert await status(vm, call, key) == 200
-                assert await status(vm, call) == (200 if is_public else 401)
+                assert await dispatch(vm, call, key) == 200
+                assert await dispatch(vm, call) == (200 if is_public else 401)
 
     run_test(test)
 
@@ -149,16 +129,16 @@
         routes = (replace(w.ROUTE, public=True), KEYED_ROUTE)
         use_table(RoutingTable(ConfigurationVersion(1), routes, teams=TEAMS))
         owner, other = await world.start("a"), await world.start("b")
-        assert await status(owner, w.make_submission(3, 4, 3)) == 202
+        assert await dispatch(owner, w.make_submission(3, 4, 3)) == 202
         await world.wait_for_results(SAMPLES, 3.0)
         other.feed.steps.clear()
         for call in calls():
-            assert await status(other, call) == 200
+            assert await dispatch(other, call) == 200
         other.feed.steps.clear()
         other.view.flaws.down = True
         for call in calls():
-            assert await status(other, call) == 503
-        assert await status(other, calls("unknown")[0]) == 503
+            assert await dispatch(other, call) == 503
+        assert await dispatch(other, calls("unknown")[0]) == 503
 
     run_test(test)
 
--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -1,35 +1,19 @@
 """A server that stops while requests arrive: none that reached it is cut off without an answer."""
 
 import socket
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import anyio
 import anyio.to_thread
 import pytest
 
-from balsamcleat.http1 import HttpServer, Request, Responder, Response, ServerLimits
+from balsamcleat.http1 import HttpServer
 from balsamcleat.http1.server import FIRST_REQUEST_GRACE_S
-from balsamcleat.http1.streams import listen
+from server_world import running_server
 
 pytestmark = pytest.mark.anyio
 REQUEST = b"GET / HTTP/1.1\r\nHost: host.example\r\n\r\n"
 
 
-@asynccontextmanager
-async def running_server() -> AsyncIterator[HttpServer]:
-    async def handle(request: Request, responder: Responder) -> None:
-        await responder.send(Response(200, (), b"fine"))
-
-    server = HttpServer(listen("127.0.0.1:0"), handle, ServerLimits)
-    async with anyio.create_task_group() as group:
-        group.start_soon(server.run)
-        await anyio.wait_all_tasks_blocked()
-        yield server
-        server.stop_accepting()
-        group.cancel_scope.cancel()
-
-
 def connect(server: HttpServer) -> socket.socket:
     """Return a blocking client connection; the server's tasks don't run meanwhile."""
     client = socket.create_connection(server.listener.getsockname())
--- a/tests/test_team_steps.py
+++ b/tests/test_team_steps.py
@@ -12,7 +12,6 @@
 from structlog.testing import capture_logs
 
 import step_world as w
-from balsamcleat.adapters.text_metrics import TextMetrics
 from balsamcleat.http1 import Request
 from balsamcleat.model import StepId, TargetId, TeamName, WeightVersion
 from balsamcleat.model.rollout import SampleTask
@@ -20,7 +19,6 @@
 from balsamcleat.model.team_keys import key_digest
 from balsamcleat.platform import decode_step, sample_request_headers, without_sample_credentials
 from balsamcleat.ports.rows import RowChange, RowKey, RowWrite
-from balsamcleat.tasks.request_dispatcher import RequestDispatcher
 from balsamcleat.tasks.rollout_records import (
     STEPS_TABLE,
     OwnerRecord,
@@ -32,7 +30,7 @@
 )
 from balsamcleat.tasks.step_submission import StepSubmission
 from balsamcleat.tasks.submission_handler import carryover_part
-from balsamcleat.tasks.team_guard import TeamGuard
+from step_dispatch import dispatch
 from test_step_ownership import run_test
 
 KEY = "rjvz48wuakn2ftimaj3n"
@@ -364,36 +362,20 @@
     async def test(world: w.StepWorld) -> None:
         use_table(table(route=replace(w.ROUTE, public=is_public)))
         vm = await world.start("a")
-        guard = TeamGuard(lambda: True, lambda: 0.0, TextMetrics())
-        dispatcher = RequestDispatcher(
-            lambda: w.TABLE,
-            None,  # type: ignore[arg-type]
-            None,  # type: ignore[arg-type]
-            vm.handler,
-            guard,
-        )
-
-        async def status(request: Request, key: str | None) -> int:
-            if key is not None:
-                request = with_headers(request, ("Authorization", f"Bearer {key}"))
-            responder = w.RecordingResponder()
-            await dispatcher.dispatch(request, responder)
-            return responder.status
-
         submission = w.make_submission(3, 4, 3)
         results, end = (
             Request(method, f"/lots/{STEP}", (("Host", w.HOST),)) for method in ("GET", "DELETE")
         )
         body = Request("GET", f"/items/{STEP}?id=0-0", (("Host", w.HOST),))
-        assert await status(submission, None) == (202 if is_public else 401)
-        assert await status(submission, KEY) == 202
+        assert await dispatch(vm, submission, None) == (202 if is_public else 401)
+        assert await dispatch(vm, submission, KEY) == 202
         await world.wait_for_results(SAMPLES, 3.0)
         assert set(vm.engines.teams) == {None if is_public else TEAM}
         for call in (results, body, end):
-            assert await status(call, None) == (200 if is_public else 401)
-            assert await status(call, "unknown") == (200 if is_public else 401)
-            assert await status(call, "p1") == (200 if is_public else 404)
-            assert await status(call, "second") == 200
+            assert await dispatch(vm, call, None) == (200 if is_public else 401)
+            assert await dispatch(vm, call, "unknown") == (200 if is_public else 401)
+            assert await dispatch(vm, call, "p1") == (200 if is_public else 404)
+            assert await dispatch(vm, call, "second") == 200
         assert not any(KEY.encode() in value for value in stored_values(world))
 
     run_test(test)
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -5,8 +5,6 @@
 """
 
 import socket
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import anyio
 import anyio.to_thread
@@ -16,11 +14,11 @@
 import step_world as w
 from balsamcleat.errors import CommitRejectedError
 from balsamcleat.http1 import HttpServer, Request, Responder, Response, ServerLimits
-from balsamcleat.http1.streams import listen
 from balsamcleat.model import StepId
 from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
 from balsamcleat.tasks.relayed_store import RELAY_PREFIX, StoreRelay
 from balsamcleat.tasks.rollout_records import RolloutRecords, encode_value
+from server_world import running_server
 
 LIMITS = ServerLimits(max_body_bytes=100)
 GET = b"GET /fine HTTP/1.1\r\nHost: host.example\r\n\r\n"
@@ -35,17 +33,6 @@
     await responder.send(Response(200, (), b"fine"))
 
 
-@asynccontextmanager
-async def running_server(handler=answer, limits=lambda: LIMITS) -> AsyncIterator[HttpServer]:
-    server = HttpServer(listen("127.0.0.1:0"), handler, limits)
-    async with anyio.create_task_group() as group:
-        group.start_soon(server.run)
-        await anyio.wait_all_tasks_blocked()
-        yield server
-        server.stop_accepting()
-        group.cancel_scope.cancel()
-
-
 async def exchange(server: HttpServer, request: bytes) -> bytes:
     """Return what the server sends on a new connection until it closes it or is silent."""
 
@@ -67,7 +54,7 @@
 @pytest.mark.anyio
 async def test_fault_of_a_handler_fails_its_request_only() -> None:
     """Handlers of requests between VMs had no guard: an unexpected error ended the process."""
-    async with running_server() as server:
+    async with running_server(answer, lambda: LIMITS) as server:
         assert (await exchange(server, GET.replace(b"fine", b"fails"))).startswith(b"HTTP/1.1 500")
         cut = await exchange(server, GET.replace(b"fine", b"fails-late"))
         assert not cut.endswith(b"0\r\n\r\n")
@@ -78,7 +65,7 @@
 async def test_rejected_head_request_gets_a_response_without_a_body() -> None:
     """The response to HEAD with too large a length had a body; the error ended the process."""
     head = b"HEAD /fine HTTP/1.1\r\nHost: host.example\r\nContent-Length: 999\r\n\r\n"
-    async with running_server() as server:
+    async with running_server(answer, lambda: LIMITS) as server:
         received = await exchange(server, head)
         assert received.startswith(b"HTTP/1.1 413")
         assert received.endswith(b"\r\n\r\n")
@@ -95,7 +82,7 @@
             raise RuntimeError("a fault after the first response")
         return LIMITS
 
-    async with running_server(limits=limits) as server:
+    async with running_server(answer, limits) as server:
         assert (await exchange(server, GET)).endswith(b"fine")
         assert (await exchange(server, GET)).endswith(b"fine")
 
@@ -111,8 +98,7 @@
     store.commit = commit  # type: ignore[method-assign, assignment]
     body = msgspec.msgpack.encode(RowCommit((RowWrite(RowKey("t", "p", "k"), b""),)))
     head = f"POST {RELAY_PREFIX}commit HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n"
-    limits = ServerLimits()
-    async with running_server(StoreRelay(store).handle, lambda: limits) as server:
+    async with running_server(StoreRelay(store).handle) as server:
         assert (await exchange(server, head.encode() + body)).startswith(b"HTTP/1.1 503")
 
 
