Logs: who lists, reads and deletes results, by which row and at which time

The record could not tell its hypotheses apart: a read did not say of how many, a deletion not by which time, a listing not by which owner row, and rows that are missing left a value out without a word.

Change: 'results read' has available and total, 'results listed' row_version, 'step not found' its reason, 'step deleted' owner, row and both times; new: 'text deleted', 'value incomplete'. The garbage collector passes over a step that vanished meanwhile, which the line needs. No other change of logic.

--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -152,8 +152,12 @@
     event("step refused", "The submission can't be read.", "request reason"),
     event("call refused", "The store did not answer; nothing was done.", "step status reason"),
     event("step's outcome unknown", "The step may be kept.", "step status reason"),
-    event("step not found", "There is no such step.", "step"),
-    event("results read", "The trainer got results.", "step position results source took_s"),
+    event("step not found", "There is no such step or sample; the reason says why.", "step reason"),
+    event(
+        "results read",
+        "The trainer got results: a page of those at hand from the position on, of all samples.",
+        "step position results available total source took_s",
+    ),
     event("end kept", "The trainer ended the step.", "step"),
     # Owners of steps.
     event("step owner", "The store says who owns a step.", "step owner row_version"),
@@ -235,7 +239,11 @@
     ),
     event("sample moved", "It leaves a slow target.", "step sample source goal"),
     event("target is behind", "It runs a version that the step doesn't allow.", "target version"),
-    event("results listed", "They are kept and may be read.", "step position results"),
+    event(
+        "results listed",
+        "They are kept and may be read; the owner row has this version.",
+        "step position results row_version",
+    ),
     event("results not listed yet", "The store failed.", "step position results reason"),
     # What is believed.
     event("configuration in force", "A newer one.", "version before row_version routes teams"),
@@ -296,6 +304,11 @@
     ),
     event("target entry ignored", "Written by another, or unreadable.", "target row_version"),
     event("row ignored", "Its key is none of ours.", "table part key"),
+    event(
+        "value incomplete",
+        "The store lacks rows of a value, which counts as absent.",
+        "table part key rows expected",
+    ),
     event(
         "row left out",
         "A fault of this program in the handling of one row, perhaps of another writer.",
@@ -314,7 +327,12 @@
     event("peer's call unreadable", "A peer of another release.", "call reason"),
     event("presence lost", "Other VMs may take this one for dead.", "what reason"),
     event("presence regained", "They no longer do.", "what"),
-    event("step deleted", "Nobody may ask for it any more.", "step rows"),
+    event(
+        "step deleted",
+        "Nobody may ask for it any more, by the store's time.",
+        "step rows owner row_version accepted_ms store_ms",
+    ),
+    event("text deleted", "Saved text of a step, or for a trainer's next step.", "part rows"),
     event("VM forgotten", "It was silent for so long that it was replaced.", "gone silence_s"),
     event("cleaning failed", "It is tried again.", "reason"),
     # Orders to engines.
--- a/src/balsamcleat/tasks/result_writer.py
+++ b/src/balsamcleat/tasks/result_writer.py
@@ -110,7 +110,13 @@
                     self.on_lost_ownership(step, outcome)
                     return False
             step.mark_listed(batch)
-            log.info("results listed", step=step.step_id, position=position, results=len(batch))
+            log.info(
+                "results listed",
+                step=step.step_id,
+                position=position,
+                results=len(batch),
+                row_version=step.row_version,
+            )
             return True
         return False
 
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -90,7 +90,7 @@
             return
         try:
             if not await self.access.is_allowed(call.step_id, team):
-                await send_not_found(responder, call.step_id)
+                await send_not_found(responder, call.step_id, "not for this team, or no such step")
             elif call.kind is StepCallKind.RESULTS and call.query is not None:
                 await self.send_results(call.step_id, call.query, responder)
             elif call.kind is StepCallKind.BODY:
@@ -113,7 +113,7 @@
         deadline_s = began_s + query.wait_s
         total = await self.sample_count(step_id)
         if total is None:
-            await send_not_found(responder, step_id)
+            await send_not_found(responder, step_id, "no owner row in the store")
             return
         results = await self.read_results(step_id, query.position)
         while not results and anyio.current_time() < deadline_s and query.position < total:
@@ -126,6 +126,8 @@
             step=step_id,
             position=query.position,
             results=len(page),
+            available=len(results),
+            total=total,
             source="owner" if step_id in self.runner.steps else "store",
             took_s=round(anyio.current_time() - began_s, 4),
         )
@@ -159,19 +161,19 @@
         else:
             submission = await self.records.submission(step_id)
             if submission is None:
-                await send_not_found(responder, step_id)
+                await send_not_found(responder, step_id, "no submission in the store")
                 return
             step = decode_step(submission.headers, submission.body)
         body = sample_body(step, sample_id)
         if body is None:
-            await send_not_found(responder, step_id)
+            await send_not_found(responder, step_id, "no such sample in the submission")
             return
         await responder.send(Response(200, BYTES, body))
 
     async def end_step(self, step_id: StepId, responder: Responder) -> None:
         """End a step; a VM that runs it stops it once the change feed delivers the end row."""
         if await self.sample_count(step_id) is None:
-            await send_not_found(responder, step_id)
+            await send_not_found(responder, step_id, "no owner row in the store")
             return
         await self.records.mark_ended(step_id)
         log.info("end kept", step=step_id)
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -295,7 +295,10 @@
                 page.more and bool(page.rows) and (all_pages or not complete_names(pieces, counts))
             )
             start = page.rows[-1].key.key + "\0" if page.rows else start
-        return {name: b"".join(pieces[name]) for name in complete_names(pieces, counts)}
+        complete = complete_names(pieces, counts)
+        if not page.more and len(complete) < len(pieces):
+            log_incomplete_values(table, part, pieces, counts)
+        return {name: b"".join(pieces[name]) for name in complete}
 
     async def mark_ended(self, step_id: StepId) -> RowsCommitted | RowConflict:
         """Record that a step was ended; the operation is idempotent."""
@@ -339,7 +342,9 @@
 
     async def delete_progress(self, part: str) -> None:
         """Delete the progress saved in a part."""
-        await self.delete_part(PROGRESS_TABLE, part)
+        rows = await self.delete_part(PROGRESS_TABLE, part)
+        if rows:
+            log.info("text deleted", part=part, rows=rows)
 
     async def delete_part(self, table: str, part: str) -> int:
         """Delete all rows of a part and return their number."""
@@ -371,6 +376,22 @@
     return [name for name, values in pieces.items() if len(values) == counts[name]]
 
 
+def log_incomplete_values(
+    table: str, part: str, pieces: dict[str, list[bytes]], counts: dict[str, int]
+) -> None:
+    """Log the values of a part of which the store lacks rows."""
+    for name, values in pieces.items():
+        if len(values) != counts[name]:
+            log.warning(
+                "value incomplete",
+                table=table,
+                part=part,
+                key=name,
+                rows=len(values),
+                expected=counts[name],
+            )
+
+
 def decode_value(packed: bytes, value_type: type[Stored]) -> Stored:
     """Decode a stored value.
 
--- a/src/balsamcleat/tasks/row_garbage_collector.py
+++ b/src/balsamcleat/tasks/row_garbage_collector.py
@@ -67,8 +67,19 @@
     async def clean_up(self) -> None:
         """Delete a few expired steps and the rows of removed VMs."""
         for step_id in self.expired_steps()[:MAX_STEPS_PER_CLEANUP]:
+            known = self.steps().get(step_id)
+            if known is None:
+                continue
             rows = await self.records.delete_step(step_id)
-            log.info("step deleted", step=step_id, rows=rows)
+            log.info(
+                "step deleted",
+                step=step_id,
+                rows=rows,
+                owner=known.owner.vm,
+                row_version=known.row_version,
+                accepted_ms=known.owner.accepted_ms,
+                store_ms=self.store_now_ms(),
+            )
         for vm, sighting in list(self.failure_detector.observations.items()):
             if sighting.unchanged_s >= VM_ROW_RETENTION_S:
                 await self.records.delete_vm(vm, sighting.row.version)
--- a/src/balsamcleat/tasks/step_responses.py
+++ b/src/balsamcleat/tasks/step_responses.py
@@ -38,7 +38,7 @@
     await responder.send(Response(504, error_response_headers("")))
 
 
-async def send_not_found(responder: Responder, step_id: StepId) -> None:
+async def send_not_found(responder: Responder, step_id: StepId, reason: str) -> None:
     """Respond that there is no such step or sample."""
-    log.info("step not found", step=step_id)
+    log.info("step not found", step=step_id, reason=reason)
     await responder.send(Response(404, error_response_headers("")))
--- a/src/balsamcleat/tasks/submission_handler.py
+++ b/src/balsamcleat/tasks/submission_handler.py
@@ -218,7 +218,7 @@
             if await self.access.is_allowed(step_id, team):
                 await send_accepted(responder, step_id, how)
             else:
-                await send_not_found(responder, step_id)
+                await send_not_found(responder, step_id, "not for this team")
         except (PlatformError, ProtocolError) as error:
             await send_unavailable(responder, step_id, str(error))
 
