--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -1,14 +1,10 @@
 """Records of rollout steps in the row store: submissions, owners, results and saved progress."""
 
-import re
-import zlib
-from typing import TypeVar
-
 import msgspec
 import structlog
 
 from balsamcleat.decisions.sample_progress import ProgressSlice, SavedProgress, join_slices
-from balsamcleat.decoding import decode_json, decode_msgpack
+from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
 from balsamcleat.model import StepId, WeightVersion
 from balsamcleat.model.rollout import SampleResult, SampleState
@@ -23,6 +19,7 @@
     RowWrite,
 )
 from balsamcleat.tasks.step_submission import StepSubmission
+from balsamcleat.tasks.stored_values import ValueRows, decode_value, encode_value, value_writes
 
 __all__ = [
     "STEPS_TABLE",
@@ -47,14 +44,9 @@
 USABLE_COMMIT_FRACTION = 0.6
 # Rows of a commit's row limit that are reserved for its conditions.
 RESERVED_CONDITION_ROWS = 10
-ZLIB_LEVEL = 1
-# Key of a row that holds a piece of a value: the value's name, the row's number, the row count.
-PIECE_KEY = re.compile(r"(?P<name>.*)\.(?P<number>[0-9]{4,})\.(?P<count>[0-9]{4,})", re.DOTALL)
 
 log = structlog.get_logger()
 
-Stored = TypeVar("Stored")
-
 
 class OwnerRecord(msgspec.Struct, frozen=True):
     """Record of a step's owner and of the step's properties that every VM needs.
@@ -125,11 +117,6 @@
     return msgspec.json.encode(fields)
 
 
-def encode_value(value: object) -> bytes:
-    """Return the stored form of a value: compressed MessagePack."""
-    return zlib.compress(msgspec.msgpack.encode(value), ZLIB_LEVEL)
-
-
 def owner_key(step_id: StepId) -> RowKey:
     """Return the key of a step's owner row."""
     return RowKey(STEPS_TABLE, step_id, OWNER_KEY)
@@ -157,12 +144,7 @@
 
     def chunk_writes(self, table: str, part: str, name: str, value: bytes) -> list[RowWrite]:
         """Return the writes of a value split into rows; the keys hold row number and row count."""
-        size = self.store.limits.row_bytes
-        pieces = [value[at : at + size] for at in range(0, len(value), size)] or [b""]
-        return [
-            RowWrite(RowKey(table, part, f"{name}.{number:04d}.{len(pieces):04d}"), piece)
-            for number, piece in enumerate(pieces)
-        ]
+        return value_writes(table, part, name, value, self.store.limits.row_bytes)
 
     async def create_step(
         self, step_id: StepId, owner: OwnerRecord, submission: StepSubmission
@@ -278,27 +260,16 @@
         self, table: str, part: str, start: str = "", *, all_pages: bool = True
     ) -> dict[str, bytes]:
         """Return the values of a part whose rows are all present, by name."""
-        pieces: dict[str, list[bytes]] = {}
-        counts: dict[str, int] = {}
+        rows = ValueRows()
         more = True
         while more:
             page = await self.store.read(table, part, start)
-            for row in page.rows:
-                piece = PIECE_KEY.fullmatch(row.key.key)
-                if piece is None:
-                    log.warning("row ignored", table=table, part=part, key=row.key.key)
-                    continue
-                name = piece["name"]
-                pieces.setdefault(name, []).append(row.value or b"")
-                counts[name] = int(piece["count"])
-            more = (
-                page.more and bool(page.rows) and (all_pages or not complete_names(pieces, counts))
-            )
+            rows.add(page.rows)
+            more = page.more and bool(page.rows) and (all_pages or not rows.complete())
             start = page.rows[-1].key.key + "\0" if page.rows else start
-        complete = complete_names(pieces, counts)
-        if not page.more and len(complete) < len(pieces):
-            log_incomplete_values(table, part, pieces, counts)
-        return {name: b"".join(pieces[name]) for name in complete}
+        if not page.more:
+            rows.log_incomplete(table, part)
+        return rows.complete()
 
     async def mark_ended(self, step_id: StepId) -> RowsCommitted | RowConflict:
         """Record that a step was ended; the operation is idempotent."""
@@ -369,36 +340,3 @@
         """Delete a VM's row if it still has the given version."""
         key = RowKey(VMS_TABLE, VM_PART, vm)
         await self.store.commit(RowCommit((RowWrite(key, None),), ((key, version),)))
-
-
-def complete_names(pieces: dict[str, list[bytes]], counts: dict[str, int]) -> list[str]:
-    """Return the names of the values whose rows were all read."""
-    return [name for name, values in pieces.items() if len(values) == counts[name]]
-
-
-def log_incomplete_values(
-    table: str, part: str, pieces: dict[str, list[bytes]], counts: dict[str, int]
-) -> None:
-    """Log the values of a part of which the store lacks rows."""
-    for name, values in pieces.items():
-        if len(values) != counts[name]:
-            log.warning(
-                "value incomplete",
-                table=table,
-                part=part,
-                key=name,
-                rows=len(values),
-                expected=counts[name],
-            )
-
-
-def decode_value(packed: bytes, value_type: type[Stored]) -> Stored:
-    """Decode a stored value.
-
-    Raises:
-        ProtocolError: The value cannot be decoded.
-    """
-    try:
-        return decode_msgpack(zlib.decompress(packed), value_type)
-    except (zlib.error, msgspec.DecodeError) as error:
-        raise ProtocolError(f"unreadable record: {error}", step="records.decode") from error
--- a/tests/test_foreign_rows.py
+++ b/tests/test_foreign_rows.py
@@ -27,9 +27,10 @@
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreView
 from balsamcleat.tasks.lease_table import decode_lease
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
-from balsamcleat.tasks.rollout_records import OwnerRecord, decode_owner, decode_value
+from balsamcleat.tasks.rollout_records import OwnerRecord, decode_owner
 from balsamcleat.tasks.scaling_records import decode_orders
 from balsamcleat.tasks.step_submission import StepSubmission
+from balsamcleat.tasks.stored_values import decode_value
 from balsamcleat.tasks.table_follower import TableFollower, TableObserver
 from balsamcleat.tasks.target_messages import decode_messages
 from balsamcleat.tasks.usage_records import decode_closed, decode_report
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -37,6 +37,7 @@
             "step_responses",
             "submission_handler",
             "rollout_records",
+            "stored_values",
             "rollout_runner",
             "sample_resumption",
             "sample_run",
--- a/tests/test_team_steps.py
+++ b/tests/test_team_steps.py
@@ -23,12 +23,11 @@
     STEPS_TABLE,
     OwnerRecord,
     decode_owner,
-    decode_value,
     encode_owner,
-    encode_value,
     owner_key,
 )
 from balsamcleat.tasks.step_submission import StepSubmission
+from balsamcleat.tasks.stored_values import decode_value, encode_value
 from balsamcleat.tasks.submission_handler import carryover_part
 from step_dispatch import dispatch
 from test_step_ownership import run_test
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -17,7 +17,8 @@
 from balsamcleat.model import StepId
 from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
 from balsamcleat.tasks.relayed_store import RELAY_PREFIX, StoreRelay
-from balsamcleat.tasks.rollout_records import RolloutRecords, encode_value
+from balsamcleat.tasks.rollout_records import RolloutRecords
+from balsamcleat.tasks.stored_values import encode_value
 from server_world import running_server
 
 LIMITS = ServerLimits(max_body_bytes=100)
