LOST: results of which rows are missing are refused, not answered as not listed yet

Callers would see: fewer results than were read before, with 200, at every VM; and no result at all where one in the middle can't be joined.

Cause: a value of which rows are missing was left out of the values read, so that the last result looked as if it had not been listed. Class: an incomplete read that is taken for an answer.

--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -18,6 +18,7 @@
     RowStore,
     RowWrite,
 )
+from balsamcleat.tasks.row_pages import next_page_start
 from balsamcleat.tasks.step_submission import StepSubmission
 from balsamcleat.tasks.stored_values import ValueRows, decode_value, encode_value, value_writes
 
@@ -201,8 +202,8 @@
 
     async def submission(self, step_id: StepId) -> StepSubmission | None:
         """Return a step's submission, or None if none is stored."""
-        values = await self.values(BODIES_TABLE, step_id)
-        packed = values.get("body")
+        values = await self.read_values(BODIES_TABLE, step_id)
+        packed = values.complete().get("body")
         return None if packed is None else decode_value(packed, StepSubmission)
 
     async def append_results(
@@ -238,38 +239,41 @@
     async def results(
         self, step_id: StepId, position: int = 0, *, all_pages: bool = False
     ) -> tuple[SampleResult, ...]:
-        """Return the results from a position on: the first page, or all pages."""
-        values = await self.values(
+        """Return the results from a position on: the first page, or all pages.
+
+        Raises:
+            PlatformUnavailableError: The store does not answer.
+            ProtocolError: The result at the position, or with all pages any later one, is stored
+                incomplete. It must not be taken for one that is not listed yet.
+        """
+        rows = await self.read_values(
             RESULTS_TABLE, step_id, result_key(position), all_pages=all_pages
         )
-        results = []
-        for offset, name in enumerate(sorted(values)):
-            if name != result_key(position + offset):
-                raise ProtocolError(
-                    "the result of a position is missing", step="results.read", peer=step_id
-                )
-            stored = decode_value(values[name], StoredResult)
-            results.append(
-                SampleResult(
-                    stored.sample_id, stored.state, stored.text, stored.versions, stored.score
-                )
+        values = rows.complete()
+        results: list[SampleResult] = []
+        while (name := result_key(position + len(results))) in values:
+            results.append(decode_result(values[name]))
+        is_whole = len(results) == len(values) and not rows.incomplete_names()
+        if not is_whole and (all_pages or not results):
+            raise ProtocolError(
+                "the result of a position is missing", step="results.read", peer=step_id
             )
         return tuple(results)
 
-    async def values(
+    async def read_values(
         self, table: str, part: str, start: str = "", *, all_pages: bool = True
-    ) -> dict[str, bytes]:
-        """Return the values of a part whose rows are all present, by name."""
+    ) -> ValueRows:
+        """Return the rows of the values in a part: of all, or of a page with a complete one."""
         rows = ValueRows()
-        more = True
-        while more:
-            page = await self.store.read(table, part, start)
+        next_start: str | None = start
+        while next_start is not None:
+            page = await self.store.read(table, part, next_start)
             rows.add(page.rows)
-            more = page.more and bool(page.rows) and (all_pages or not rows.complete())
-            start = page.rows[-1].key.key + "\0" if page.rows else start
-        if not page.more:
-            rows.log_incomplete(table, part)
-        return rows.complete()
+            next_start = next_page_start(page)
+            if not all_pages and rows.complete():
+                return rows
+        rows.log_incomplete(table, part)
+        return rows
 
     async def mark_ended(self, step_id: StepId) -> RowsCommitted | RowConflict:
         """Record that a step was ended; the operation is idempotent."""
@@ -305,7 +309,8 @@
     async def load_progress(self, part: str) -> dict[str, SavedProgress]:
         """Return the progress saved in a part, by sample id."""
         pieces: dict[str, list[ProgressSlice]] = {}
-        for name, packed in (await self.values(PROGRESS_TABLE, part)).items():
+        values = await self.read_values(PROGRESS_TABLE, part)
+        for name, packed in values.complete().items():
             sample_id = name.rsplit("@", 2)[0]
             pieces.setdefault(sample_id, []).append(decode_value(packed, ProgressSlice))
         joined = {sample_id: join_slices(slices) for sample_id, slices in pieces.items()}
@@ -340,3 +345,13 @@
         """Delete a VM's row if it still has the given version."""
         key = RowKey(VMS_TABLE, VM_PART, vm)
         await self.store.commit(RowCommit((RowWrite(key, None),), ((key, version),)))
+
+
+def decode_result(packed: bytes) -> SampleResult:
+    """Return a stored result.
+
+    Raises:
+        ProtocolError: The result cannot be decoded.
+    """
+    stored = decode_value(packed, StoredResult)
+    return SampleResult(stored.sample_id, stored.state, stored.text, stored.versions, stored.score)
