LOST: a step whose owner row is unreadable gets 503, not 404

Callers would see: 404 for a kept step, which says that it does not exist, on reads and on its end.

Cause: RolloutRecords.owner returned None for an unreadable row (of another writer, or of a later build) as for an absent one. Class: a 404 on something else than the store's word that nothing is there.

Change: the row is there, so owner() raises, and callers get 503.

--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -179,13 +179,20 @@
         return [tuple(group) for group in groups]
 
     async def owner(self, step_id: StepId) -> tuple[OwnerRecord, int] | None:
-        """Return a step's owner record and its row version, or None for an unknown step."""
+        """Return a step's owner record and its row version, or None for an unknown step.
+
+        Raises:
+            PlatformUnavailableError: The store does not answer.
+            ProtocolError: The step exists, but its owner row is unreadable.
+        """
         page = await self.store.read(STEPS_TABLE, step_id, OWNER_KEY, OWNER_KEY + "\0")
-        for row in page.rows:
-            record = decode_owner(row)
-            if record is not None:
-                return record, row.version
-        return None
+        if not page.rows:
+            return None
+        row = page.rows[0]
+        record = decode_owner(row)
+        if record is None:
+            raise ProtocolError("unreadable owner row", step="owner.read", peer=step_id)
+        return record, row.version
 
     async def state(self, step_id: StepId) -> tuple[RowChange, ...]:
         """Return a step's owner row and, if the step was ended, its end row."""
--- a/tests/test_incomplete_reads.py
+++ b/tests/test_incomplete_reads.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from collections.abc import Callable
 from dataclasses import replace
 
 import anyio
@@ -63,6 +64,30 @@
     return 200, len(json.loads(responder.response.body)["results"])
 
 
+CALLS: dict[str, Callable[[w.StepVm], object]] = {
+    "results": lambda vm: vm.read(STEP),
+    "end": lambda vm: vm.end(STEP),
+}
+
+
+@pytest.mark.parametrize("call", CALLS)
+def test_step_whose_owner_row_is_unreadable_is_not_denied(call: str) -> None:
+    """The row counted as absent, so that a kept step got 404."""
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await start_whole_step(world)
+        write(world, RowKey("steps", STEP, "owner"), b"{")
+        late = await world.start("c")
+        late.feed.steps.clear()
+        vm.feed.steps.clear()
+        for reader in (vm, late):
+            assert await CALLS[call](reader) == 503
+        write(world, RowKey("steps", STEP, "owner"), None)
+        assert await CALLS[call](late) == 404
+
+    run_test(test)
+
+
 @pytest.mark.parametrize("position", range(SAMPLES))
 @pytest.mark.parametrize("piece", [0, -1])
 def test_result_of_which_rows_are_missing_is_not_answered_as_not_listed_yet(
