LOST: the body of a kept step gets 404 only if the store has no such step

Callers would see: 404 for the body of a sample that nobody has finished.

Cause: a submission of which a row is missing, or that is read while rows are written or deleted, counted as none.

Change: without a submission, the owner row is read: 404 if there is none, else 503.

--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -161,7 +161,7 @@
         else:
             submission = await self.records.submission(step_id)
             if submission is None:
-                await send_not_found(responder, step_id, "no submission in the store")
+                await self.refuse_body(step_id, responder)
                 return
             step = decode_step(submission.headers, submission.body)
         body = sample_body(step, sample_id)
@@ -170,6 +170,17 @@
             return
         await responder.send(Response(200, BYTES, body))
 
+    async def refuse_body(self, step_id: StepId, responder: Responder) -> None:
+        """Respond to the request for a body of a step whose submission was not found.
+
+        Only a missing owner row says that there is no such step: a submission may be stored
+        incomplete, or be read while the step is being deleted.
+        """
+        if await self.records.owner(step_id) is None:
+            await send_not_found(responder, step_id, "no owner row in the store")
+        else:
+            await send_unavailable(responder, step_id, "the submission is stored incomplete")
+
     async def end_step(self, step_id: StepId, responder: Responder) -> None:
         """End a step; a VM that runs it stops it once the change feed delivers the end row."""
         if await self.sample_count(step_id) is None:
--- a/tests/test_incomplete_reads.py
+++ b/tests/test_incomplete_reads.py
@@ -88,6 +88,25 @@
     run_test(test)
 
 
+@pytest.mark.parametrize("lost", ["first", "last", "all"])
+def test_body_of_a_kept_step_is_not_denied_while_its_submission_is_incomplete(lost: str) -> None:
+    """A submission of which rows are missing counted as absent, so that its bodies got 404."""
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await start_whole_step(world)
+        rows = keys(world, "step-bodies")
+        assert len(rows) > 2
+        for key in {"first": rows[:1], "last": rows[-1:], "all": rows}[lost]:
+            write(world, key, None)
+        assert await vm.read_body(STEP, "0-0") == 503
+        for key in keys(world, "steps"):
+            write(world, key, None)
+        vm.feed.steps.clear()
+        assert await vm.read_body(STEP, "0-0") == 404
+
+    run_test(test)
+
+
 @pytest.mark.parametrize("position", range(SAMPLES))
 @pytest.mark.parametrize("piece", [0, -1])
 def test_result_of_which_rows_are_missing_is_not_answered_as_not_listed_yet(
