A step with a key is not public while its submission is incomplete

Callers would see: another team, or anybody, reads the results of a step, and ends it.

Cause: StepAccess.find_submitter took a missing submission for one without a team and a key. It happens only to steps whose owner record names no team, as after a VM of the previous build owned them, beside a submission of which rows are missing. Class: absent data as a value. Found by reading.

Change: such a call gets 503.

Evidence: 4 cases of test_removed_routes.py fail before, none now; 81 tests of access pass.

--- a/src/balsamcleat/tasks/step_access.py
+++ b/src/balsamcleat/tasks/step_access.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from balsamcleat.decisions.team_access import StepSubmitter, team_of_step
-from balsamcleat.errors import PlatformUnavailableError
+from balsamcleat.errors import PlatformUnavailableError, ProtocolError
 from balsamcleat.model import StepId, TeamName
 from balsamcleat.model.routing import RouteKind, RoutingTable
 from balsamcleat.tasks.owned_step import OwnedStep
@@ -90,7 +90,12 @@
         return found.name in (None, team)
 
     async def find_submitter(self, step_id: StepId, record: OwnerRecord) -> StepSubmitter:
-        """Return the submitter of a step, from its submission if the owner record has no team."""
+        """Return the submitter of a step, from its submission if the owner record has no team.
+
+        Raises:
+            PlatformUnavailableError: The store does not answer.
+            ProtocolError: The submission is incomplete or unreadable.
+        """
         if record.team:
             return StepSubmitter(record.team)
         if step_id in self.submitters:
@@ -100,7 +105,8 @@
             return owned.submitter
         submission = await self.records.submission(step_id)
         if submission is None:
-            return StepSubmitter()
+            # Without its submission, the step would look like one without a team.
+            raise ProtocolError("the submission is stored incomplete", step="step.access")
         self.remember(step_id, submission.submitter)
         return submission.submitter
 
--- a/tests/test_removed_routes.py
+++ b/tests/test_removed_routes.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 import anyio
+import msgspec
 import pytest
 
 import step_world as w
@@ -15,6 +16,8 @@
 from balsamcleat.model import ConfigurationVersion, StepId, TeamName
 from balsamcleat.model.routing import RouteKind, RoutingTable, TeamSpec
 from balsamcleat.model.team_keys import key_digest
+from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
+from balsamcleat.tasks.rollout_records import encode_owner
 from step_dispatch import dispatch
 
 STEP = StepId("step-1")
@@ -143,6 +146,32 @@
     run_test(test)
 
 
+@pytest.mark.parametrize("removal", REMOVALS)
+def test_step_with_a_key_is_not_public_while_its_submission_is_incomplete(
+    removal: str, use_table: UseTable
+) -> None:
+    """Without the submission, the step counted as one without a team, which anybody may read."""
+
+    async def test(world: w.StepWorld) -> None:
+        route = replace(w.ROUTE, public=False)
+        use_table(RoutingTable(ConfigurationVersion(1), (route,), teams=TEAMS))
+        owner, other = await world.start("a"), await world.start("b")
+        assert await dispatch(owner, w.make_submission(3, 4, 3), KEY) == 202
+        await world.wait_for_results(SAMPLES, 3.0)
+        use_table(without_route(removal, TEAMS))
+        without_team = w.owned_step(owner).record.with_owner("a", "boot")
+        without_team = msgspec.structs.replace(without_team, team="")
+        owner_row = RowWrite(RowKey("steps", STEP, "owner"), encode_owner(without_team))
+        bodies = [key for key in world.store.rows if key.table == "step-bodies"]
+        deletions = [RowWrite(key, None) for key in bodies]
+        world.store.apply(RowCommit((owner_row, *deletions)))
+        await anyio.sleep(0.5)
+        for call in calls():
+            assert await dispatch(other, call) == 503
+
+    run_test(test)
+
+
 def test_outdated_configuration_gives_no_step_up(use_table: UseTable) -> None:
     """The VM that accepted the step may know a newer configuration, with the step's route."""
 
