LOST: each load of a step writes a new owner row, which fences commits of earlier runs

Callers would see: results replaced, standing twice or unreadable, once a VM has loaded a step again that it owned before, if the store performs a commit of the earlier run late.

Cause: a take-over of a step whose owner row names this VM already kept the row, so that both runs wrote by one version of it. A commit of results has two conditions, that version and the absence of its first key, and the key holds the size of the result: on a result of another size, both stand. Class: two writers with one fencing token.

Ruled out: that today's code starts a step twice; what was left is the reload after a refused commit, or after an owner row whose answer was lost.

Change: StepTransfer.take_over, through which every reload goes, always writes the owner row.

--- a/src/balsamcleat/tasks/step_transfer.py
+++ b/src/balsamcleat/tasks/step_transfer.py
@@ -70,17 +70,18 @@
             self.runner.remove_step(step)
 
     async def take_over(self, step_id: StepId, known: KnownStep) -> None:
-        """Become the owner of a step and run its unfinished samples."""
+        """Become the owner of a step and run its unfinished samples.
+
+        The owner row is written even if it names this VM already. Its version is the fencing token
+        of this run: commits of an earlier run, which the store may perform late, are refused.
+        """
         previous = known.owner
         record = previous.with_owner(self.vm, self.boot)
-        row_version = known.row_version
-        if record != previous:
-            outcome = await self.records.replace_owner(step_id, record, row_version)
-            if isinstance(outcome, RowConflict):
-                log.info("step claimed by another VM", step=step_id)
-                return
-            row_version = outcome.version
-        owned = await self.load_step(step_id, record, row_version)
+        outcome = await self.records.replace_owner(step_id, record, known.row_version)
+        if isinstance(outcome, RowConflict):
+            log.info("step claimed by another VM", step=step_id)
+            return
+        owned = await self.load_step(step_id, record, outcome.version)
         if owned is None:
             log.error("step without submission", step=step_id)
             return
--- a/tests/test_result_positions.py
+++ b/tests/test_result_positions.py
@@ -10,6 +10,7 @@
 import step_world as w
 from balsamcleat.model import StepId
 from balsamcleat.model.rollout import SampleResult, SampleState
+from balsamcleat.ports.rows import RowCommit, RowConflict, RowsCommitted
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.rollout_records import RolloutRecords
 from position_world import ALLOWED_FAULTS, event_count, play_seed
@@ -139,6 +140,46 @@
     run_test(test)
 
 
+class LateResults:
+    """Has the store perform a VM's next commit of results late, and not answer it."""
+
+    def __init__(self, vm: w.StepVm) -> None:
+        self.view = vm.view
+        self.commit = vm.view.commit
+        self.is_held = anyio.Event()
+        vm.view.commit = self.hold  # type: ignore[method-assign]
+
+    async def hold(self, commit: RowCommit) -> RowsCommitted | RowConflict:
+        if not self.is_held.is_set() and commit.writes[0].key.table == "step-results":
+            self.view.flaws.hold_commits = 1
+            self.is_held.set()
+        return await self.commit(commit)
+
+
+def test_late_commit_of_an_earlier_run_is_refused_once_the_step_was_loaded_again() -> None:
+    """Both runs wrote by one version of the owner row, and a commit names its first key only.
+
+    The key holds the size of the result, so that the late commit landed on results of another size,
+    and replaced those at its other positions.
+    """
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        assert await vm.submit(w.make_submission(GROUPS, SIZE, GROUPS)) == 202
+        late = LateResults(vm)
+        await late.is_held.wait()
+        await anyio.sleep(0.05)
+        vm.runner.remove_step(w.owned_step(vm))
+        await anyio.sleep(0.3)
+        assert STEP in vm.runner.steps
+        assert [type(outcome) for outcome in world.store.release()] == [RowConflict]
+        await world.wait_for_results(SAMPLES, 15.0)
+        await anyio.sleep(0.5)
+        await check_positions(world, vm)
+
+    run_test(test)
+
+
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_all_vms_give_the_same_results_through_faults_of_the_store(seed: int) -> None:
     played = play_seed(seed, ALLOWED_FAULTS)
