LOST: the rows of a submission that needs several commits come from one try

Cause: all commits but the last were unconditional. One that the store performs late, after its VM has given up and another VM has accepted the submission, replaced rows of the accepted one, or stood beside them where the tries differ in size. Class: a write that can't be undone, on what was true before it.

Change: each commit is made on the condition that the step does not exist, and the last one also on the rows of the others being those that this try wrote. If they are not, and the step does not exist, the answer is 503. Rows of another try of another size stand beside those of the accepted one: values of one name are told apart by their number of rows. The stored form is as before.

--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -5,7 +5,7 @@
 
 from balsamcleat.decisions.sample_progress import ProgressSlice, SavedProgress, join_slices
 from balsamcleat.decoding import decode_json
-from balsamcleat.errors import ProtocolError
+from balsamcleat.errors import PlatformUnavailableError, ProtocolError
 from balsamcleat.model import StepId, WeightVersion
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.ports.rows import (
@@ -150,15 +150,30 @@
     async def create_step(
         self, step_id: StepId, owner: OwnerRecord, submission: StepSubmission
     ) -> RowsCommitted | RowConflict:
-        """Store a new step and its owner; a conflict means that the step exists already."""
+        """Store a new step and its owner; a conflict means that the step exists already.
+
+        A step exists only with its owner row, which is therefore written last. A submission that
+        needs more commits is stored whole by one caller: no commit is performed once the step
+        exists, and the last one only if the rows of the others are still its own.
+
+        Raises:
+            PlatformError: The store failed, or another caller has stored rows of the same step.
+        """
+        owner_write = RowWrite(owner_key(step_id), encode_owner(owner))
+        is_new = ((owner_key(step_id), ABSENT_VERSION),)
         bodies = self.chunk_writes(BODIES_TABLE, step_id, "body", encode_value(submission))
         first, *rest = self.split_writes(bodies)
-        for writes in rest:
-            # A step exists only with its owner row, which is therefore written last.
-            await self.store.commit(RowCommit(writes))
-        write = RowWrite(owner_key(step_id), encode_owner(owner))
-        expected = ((owner_key(step_id), ABSENT_VERSION),)
-        return await self.store.commit(RowCommit((write, *first), expected))
+        if not rest:
+            return await self.store.commit(RowCommit((owner_write, *first), is_new))
+        conditions = dict(is_new)
+        for writes in self.split_writes(bodies[1:]):
+            outcome = await self.store.commit(RowCommit(writes, is_new))
+            if isinstance(outcome, RowConflict):
+                return outcome
+            # Another caller's rows that replace some of these replace the first or the last one.
+            conditions |= {write.key: outcome.version for write in (writes[0], writes[-1])}
+        commit = RowCommit((owner_write, bodies[0]), tuple(conditions.items()))
+        return new_step_outcome(await self.store.commit(commit))
 
     def max_write_rows(self) -> int:
         """Return the number of rows that one commit may write besides its conditions."""
@@ -362,3 +377,18 @@
     """
     stored = decode_value(packed, StoredResult)
     return SampleResult(stored.sample_id, stored.state, stored.text, stored.versions, stored.score)
+
+
+def new_step_outcome(outcome: RowsCommitted | RowConflict) -> RowsCommitted | RowConflict:
+    """Return the outcome of the last commit of a new step.
+
+    Raises:
+        PlatformUnavailableError: Rows of the submission were replaced, and the step does not exist.
+    """
+    if isinstance(outcome, RowConflict) and not any(
+        is_owner_key(row.key) and row.value is not None for row in outcome.rows
+    ):
+        raise PlatformUnavailableError(
+            "another try of the submission was stored meanwhile", step="step.create"
+        )
+    return outcome
--- a/src/balsamcleat/tasks/stored_values.py
+++ b/src/balsamcleat/tasks/stored_values.py
@@ -2,6 +2,7 @@
 
 import re
 import zlib
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -24,17 +25,23 @@
 Stored = TypeVar("Stored")
 
 
+@dataclass(frozen=True, slots=True)
+class ValueKey:
+    """Name and number of rows of a value; values of one name that differ in size stand apart."""
+
+    name: str
+    row_count: int
+
+
 @dataclass(slots=True)
 class ValueRows:
     """Rows of the values in one part of a table, collected page by page.
 
     Attributes:
-        pieces: Rows read so far of each value, by the value's name.
-        counts: Number of rows that each value has, by the value's name.
+        pieces: Contents of the rows read so far, by value.
     """
 
-    pieces: dict[str, list[bytes]] = field(default_factory=dict)
-    counts: dict[str, int] = field(default_factory=dict)
+    pieces: dict[ValueKey, list[bytes]] = field(default_factory=dict)
 
     def add(self, rows: Iterable[RowChange]) -> None:
         """Add the rows of a page; a row with another form of key is ignored and logged."""
@@ -44,32 +51,35 @@
             if piece is None:
                 log.warning("row ignored", table=key.table, part=key.part, key=key.key)
                 continue
-            self.pieces.setdefault(piece["name"], []).append(row.value or b"")
-            self.counts[piece["name"]] = int(piece["count"])
+            value_key = ValueKey(piece["name"], int(piece["count"]))
+            self.pieces.setdefault(value_key, []).append(row.value or b"")
 
     def complete(self) -> dict[str, bytes]:
-        """Return the values of which all rows were added, by name."""
-        return {
-            name: b"".join(pieces)
-            for name, pieces in self.pieces.items()
-            if len(pieces) == self.counts[name]
-        }
+        """Return the values of which all rows were added, by name.
+
+        Two values of one name, both with all rows, are left out: nothing says which one counts.
+        """
+        whole = [key for key, pieces in self.pieces.items() if len(pieces) == key.row_count]
+        counts = Counter(key.name for key in whole)
+        return {key.name: b"".join(self.pieces[key]) for key in whole if counts[key.name] == 1}
 
-    def incomplete_names(self) -> list[str]:
-        """Return the names of the values of which rows are missing."""
-        return [name for name, pieces in self.pieces.items() if len(pieces) != self.counts[name]]
+    def incomplete_names(self) -> set[str]:
+        """Return the names of the values that can't be joined."""
+        return {key.name for key in self.pieces} - self.complete().keys()
 
     def log_incomplete(self, table: str, part: str) -> None:
-        """Log the values of which rows are missing in the store."""
-        for name in self.incomplete_names():
-            log.warning(
-                "value incomplete",
-                table=table,
-                part=part,
-                key=name,
-                rows=len(self.pieces[name]),
-                expected=self.counts[name],
-            )
+        """Log the rows of values that can't be joined."""
+        names = self.incomplete_names()
+        for key, pieces in self.pieces.items():
+            if key.name in names:
+                log.warning(
+                    "value incomplete",
+                    table=table,
+                    part=part,
+                    key=key.name,
+                    rows=len(pieces),
+                    expected=key.row_count,
+                )
 
 
 def value_writes(
