Rows of a step are deleted on what the store says, not on an estimate of its time

Cause: the garbage collector chose steps by an estimate of the store's time and by the owner row known from the feed, and deleted their rows without a condition, whether the step was ended or not. A wrong estimate deleted fresh steps; a deletion that the store performed seconds later deleted the results of a step that was submitted again, whose rows have the same keys.

Ruled out: conditions on the rows themselves, which take twice the entries of a commit and don't protect rows that were written meanwhile; a deletion of the owner row first, after which a deletion that breaks off is never completed, as nobody knows the step any more.

Change: known ended steps and the estimate only choose candidates. StepDeletion reads the state rows of a candidate and decides on that answer: owner row there and readable, end row there, the submission older than retention and margin by the answer's store time. Each commit has the versions of both rows as its condition, in the same part, so without `across`. A conflict ends the deletion of that step with a line. Both rows go last, in one commit. A step that the store does not have is forgotten, so that it does not take the place of others among the candidates of a cleanup.

test_log_events.py reads the new module, too.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -285,6 +285,7 @@
             lambda: self.duties.leases.orders.is_held,
             self.store_clock.now_ms,
             settings.results_kept_s,
+            self.step_feed.forget_deleted,
         )
         access = StepAccess(
             self.records,
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -329,9 +329,14 @@
     event("presence regained", "They no longer do.", "what"),
     event(
         "step deleted",
-        "Nobody may ask for it any more, by the store's time.",
+        "It was ended and nobody may ask for it any more, by what the store said at store_ms.",
         "step rows owner row_version accepted_ms store_ms",
     ),
+    event(
+        "step not deleted",
+        "It seemed expired, but by the store's answer it is open or retained, or it has changed.",
+        "step reason row_version accepted_ms store_ms",
+    ),
     event("text deleted", "Saved text of a step, or for a trainer's next step.", "part rows"),
     event("VM forgotten", "It was silent for so long that it was replaced.", "gone silence_s"),
     event("cleaning failed", "It is tried again.", "reason"),
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -18,6 +18,7 @@
     RowCommit,
     RowConflict,
     RowKey,
+    RowPage,
     RowsCommitted,
     RowStore,
     RowWrite,
@@ -206,8 +207,11 @@
 
     async def state(self, step_id: StepId) -> tuple[RowChange, ...]:
         """Return a step's owner row and, if the step was ended, its end row."""
-        page = await self.store.read(STEPS_TABLE, step_id)
-        return page.rows
+        return (await self.state_page(step_id)).rows
+
+    async def state_page(self, step_id: StepId) -> RowPage:
+        """Return a step's owner row and end row, with the store's time at which they were read."""
+        return await self.store.read(STEPS_TABLE, step_id)
 
     async def replace_owner(
         self, step_id: StepId, owner: OwnerRecord, row_version: int
@@ -346,25 +350,35 @@
         if rows:
             log.info("text deleted", part=part, rows=rows)
 
-    async def delete_part(self, table: str, part: str) -> int:
-        """Delete all rows of a part and return their number."""
+    async def delete_part(
+        self, table: str, part: str, expected: tuple[tuple[RowKey, int], ...] = ()
+    ) -> int | None:
+        """Delete all rows of a part.
+
+        Args:
+            table: Table of the rows.
+            part: Part of the rows.
+            expected: Rows, with their versions, on which each commit is conditional.
+
+        Returns:
+            The number of deleted rows, or None if a condition did not hold; not all rows are
+            deleted then.
+        """
         count = 0
         more = True
         while more:
             page = await self.store.read(table, part)
             writes = [RowWrite(row.key, None) for row in page.rows]
             for group in self.split_writes(writes):
-                if group:
-                    await self.store.commit(RowCommit(group))
+                if not group:
+                    continue
+                outcome = await self.store.commit(RowCommit(group, expected))
+                if isinstance(outcome, RowConflict):
+                    return None
             count += len(writes)
-            more = page.more
+            more = page.more and bool(page.rows)
         return count
 
-    async def delete_step(self, step_id: StepId) -> int:
-        """Delete all rows of a step, its owner row last, and return the number of deleted rows."""
-        tables = (PROGRESS_TABLE, RESULTS_TABLE, BODIES_TABLE, STEPS_TABLE)
-        return sum([await self.delete_part(table, step_id) for table in tables])
-
     async def delete_vm(self, vm: str, version: int) -> None:
         """Delete a VM's row if it still has the given version."""
         key = RowKey(VMS_TABLE, VM_PART, vm)
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -116,6 +116,12 @@
         elif is_end_key(row.key):
             self.apply_end_row(step_id)
 
+    def forget_deleted(self, step_id: StepId, version: int) -> None:
+        """Forget a step that the store did not have as of a version of the store."""
+        known = self.steps.get(step_id)
+        if known is not None and known.row_version <= version:
+            del self.steps[step_id]
+
     def on_rows_applied(self) -> None:
         """Wake the task that takes over steps."""
         self.changed_event.set()
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -42,6 +42,7 @@
             "sample_run",
             "sample_scorer",
             "scaling_controller",
+            "step_deletion",
             "step_scorer",
             "routing_keeper",
             "pause_guard",
