An open step lives until its end, its age notwithstanding

Cause: results are kept until statusS after the submission, and while the step is open. Take-overs used only the first half: no VM took over, or asked the owner of, an open step older than statusS, so that nobody worked on it once its owner had died, and nobody gave up what had expired. For the weights of a model, open steps of that age did not count, either.

Change: the feed takes over open steps of any age, once the store's time is known (as before). ModelUsageReader counts a step until its end or its route's expiry. As steps are never too old, a step that was deleted in a gap of the feed is forgotten when the table is read anew; else a VM would try for ever to take it over. No further calls of the store.

Conclusion: an open step is neither deleted nor left without an owner. Open: a step that its trainer never ends stays in the store and is loaded again at each death of its owner.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -268,7 +268,6 @@
             settings.vm,
             self.boot,
             self.presence.watch,
-            settings.results_kept_s,
             self.store_clock.now_ms,
             self.step_transfer.take_over,
             lambda step_id: self.submission_handler.is_running(step_id),
@@ -324,7 +323,7 @@
         self.model_usage = ModelUsageReader(
             lambda: self.step_feed.steps,
             self.store_clock.now_ms,
-            settings.results_kept_s * 1000,
+            lambda: self.routing_keeper.table,
         )
         self.stream_register = StreamRegister(
             settings.vm,
--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -68,9 +68,8 @@
         vm: Name of this VM.
         boot: Identifier of this start of the VM's process.
         failure_detector: Failure detector of the VMs.
-        retention_s: Time after its submission during which a step's results are retained, in
-            seconds.
-        store_now_ms: Returns the time on the store's clock, in milliseconds.
+        store_now_ms: Returns the time on the store's clock, in milliseconds; None before the
+            store's first answer.
         take_over: Takes over a step.
         is_running: Returns whether this VM runs a step or is about to start it.
         on_ended: Called with each step that was ended.
@@ -83,7 +82,6 @@
         vm: str,
         boot: str,
         failure_detector: VmFailureDetector,
-        retention_s: float,
         store_now_ms: Callable[[], int | None],
         take_over: Callable[[StepId, KnownStep], Awaitable[None]],
         is_running: Callable[[StepId], bool],
@@ -94,7 +92,6 @@
         self.vm = vm
         self.boot = boot
         self.failure_detector = failure_detector
-        self.retention_s = retention_s
         self.store_now_ms = store_now_ms
         self.take_over = take_over
         self.is_running = is_running
@@ -116,6 +113,16 @@
         elif is_end_key(row.key):
             self.apply_end_row(step_id)
 
+    def on_snapshot(self, rows: tuple[RowChange, ...], version: int) -> None:
+        """Handle all rows of the table; steps that were deleted in a gap of the feed are forgotten.
+
+        Else a VM would try again and again to take over an open step that is gone.
+        """
+        present = {StepId(row.key.part) for row in rows if is_owner_key(row.key)}
+        for step_id in self.steps.keys() - present:
+            self.forget_deleted(step_id, version)
+        super().on_snapshot(rows, version)
+
     def forget_deleted(self, step_id: StepId, version: int) -> None:
         """Forget a step that the store did not have as of a version of the store."""
         known = self.steps.get(step_id)
@@ -177,12 +184,11 @@
             return False
         if self.failure_detector.unchanged_s(known.owner.vm) < OWNER_SUSPECTED_AFTER_S:
             return False
-        is_own = known.owner.vm == self.vm
-        return not is_own and self.is_retained(known) and self.takeover_rank(step_id) < ASKING_VMS
+        return known.owner.vm != self.vm and self.takeover_rank(step_id) < ASKING_VMS
 
     def should_take_over(self, step_id: StepId, known: KnownStep) -> bool:
-        """Return whether this VM should take over a step now."""
-        if known.ended or not self.is_retained(known):
+        """Return whether this VM should take over a step now; an open one is never too old."""
+        if known.ended or self.store_now_ms() is None:
             return False
         owner = known.owner
         if (owner.vm, owner.boot) == (self.vm, self.boot):
@@ -210,11 +216,6 @@
             return False
         return self.failure_detector.is_dead(owner.vm, owner.boot)
 
-    def is_retained(self, known: KnownStep) -> bool:
-        """Return whether a step's results are still retained, as far as the time is known."""
-        now_ms = self.store_now_ms()
-        return now_ms is not None and now_ms - known.owner.accepted_ms < self.retention_s * 1000
-
     def find_obstacle(self, step_id: StepId, row_version: int) -> str | None:
         """Return why this VM must not run a step, or None if nothing is known against it.
 
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -369,7 +369,6 @@
             name,
             boot,
             presence.watch,
-            120.0,
             store_clock.now_ms,
             transfer.take_over,
             lambda step_id: vm.handler.submissions.is_running(step_id),
