The age of a step that is taken over comes from the store's answer in that take-over

Cause: load_step computed the age, by which samples are listed as given up for good, from this VM's estimate of the store's time. With the estimate ahead, a VM that took a step over listed all of its samples as given up, long before the step expired.

Ruled out: the time in the answer to the owner's commit, which lies before the reads of all records and would do as well, but is not there where no new owner row is written; a further read.

Change: the age is the time in the answer of the last read of the state rows, which is made anyway, less the time of the submission. It counts from the moment at which the answer was read, so it is too low by the time that the answer took, and never too high. StepTransfer needs no clock any more.

Before and after: tests/test_old_steps.py, test_step_is_not_given_up_by_a_wrong_estimate_of_the_time: 2 of 2 cases failed on the code before, none fails now. The 3 cases of test_age_of_a_step_that_is_taken_over_is_never_too_high passed before, too, and guard the bound.

Conclusion: no give-up by expiry rests on an estimate, except for the time of the submission itself (`accepted_ms`), which the VM that accepted the step estimates.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -262,7 +262,6 @@
             self.records,
             self.runner,
             lambda: self.routing_keeper.table,
-            self.store_clock.now_ms,
         )
         self.step_feed = StepFeed(
             settings.vm,
--- a/src/balsamcleat/tasks/step_transfer.py
+++ b/src/balsamcleat/tasks/step_transfer.py
@@ -7,7 +7,7 @@
 import msgspec
 import structlog
 
-from balsamcleat.errors import PlatformError, PlatformUnavailableError
+from balsamcleat.errors import PlatformError
 from balsamcleat.model import StepId
 from balsamcleat.model.routing import RoutingTable
 from balsamcleat.platform import decode_step
@@ -32,7 +32,6 @@
         records: Records of steps in the row store.
         runner: Runs the steps that this VM owns.
         table: Returns the routing table in force, or None before there is one.
-        store_now_ms: Returns the time on the store's clock, in milliseconds.
     """
 
     def __init__(
@@ -42,14 +41,12 @@
         records: RolloutRecords,
         runner: RolloutRunner,
         table: Callable[[], RoutingTable | None],
-        store_now_ms: Callable[[], int | None],
     ) -> None:
         self.vm = vm
         self.boot = boot
         self.records = records
         self.runner = runner
         self.table = table
-        self.store_now_ms = store_now_ms
 
     def handle_step_ended(self, step_id: StepId, tasks: anyio.abc.TaskGroup | None) -> None:
         """Stop a step that was ended, if this VM owns it."""
@@ -86,39 +83,41 @@
             return
         # Reading the records takes a while. An end or another owner since then may be unknown to
         # the feed still, so the state is read last.
-        rows = await self.records.state(step_id)
-        self.runner.on_rows(rows)
-        if not any(is_owner_key(row.key) for row in rows):
+        page = await self.records.state_page(step_id)
+        self.runner.on_rows(page.rows)
+        if not any(is_owner_key(row.key) for row in page.rows):
             log.info("step not started", step=step_id, reason="the step was deleted")
             return
+        # By its age, samples are given up for good, so an estimate of the store's time won't do.
+        age_s = max(0.0, (page.store_ms - record.accepted_ms) / 1000)
+        owned.accepted_s = anyio.current_time() - age_s
         log.info(
             "step taken over",
             step=step_id,
             before=previous.vm,
             listed=len(owned.listed),
             at_hand=len(owned.progress),
-            age_s=round(anyio.current_time() - owned.accepted_s, 2),
+            age_s=round(age_s, 2),
         )
         self.runner.add_step(owned)
 
     async def load_step(
         self, step_id: StepId, record: OwnerRecord, row_version: int
     ) -> OwnedStep | None:
-        """Load a step with its results and progress; return None if its submission is missing."""
+        """Load a step with its results and progress; return None if its submission is missing.
+
+        The caller sets the time of the step's submission.
+        """
         submission = await self.records.submission(step_id)
         if submission is None:
             return None
-        now_ms = self.store_now_ms()
-        if now_ms is None:
-            raise PlatformUnavailableError("the store's time is not known yet", step="step.load")
-        age_s = max(0.0, (now_ms - record.accepted_ms) / 1000)
         submitter = submission.submitter
         owned = OwnedStep(
             step=decode_step(submission.headers, submission.body),
             # A VM of the previous build writes the record without the team.
             record=msgspec.structs.replace(record, team=record.team or submitter.team),
             row_version=row_version,
-            accepted_s=anyio.current_time() - age_s,
+            accepted_s=anyio.current_time(),
             submitter=submitter,
             listed=list(await self.records.results(step_id, all_pages=True)),
         )
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -364,7 +364,7 @@
             generator,
         )
         vm: StepVm
-        transfer = StepTransfer(name, boot, records, runner, lambda: TABLE, store_clock.now_ms)
+        transfer = StepTransfer(name, boot, records, runner, lambda: TABLE)
         feed = StepFeed(
             name,
             boot,
--- a/tests/test_old_steps.py
+++ b/tests/test_old_steps.py
@@ -102,6 +102,55 @@
     run_test(test)
 
 
+def put_clock_ahead(vm: w.StepVm, ahead_s: float) -> None:
+    """Make a VM's estimate of the store's time wrong from now on."""
+    clock = vm.feed.store_now_ms.__self__  # type: ignore[attr-defined]
+
+    def synchronize(store_ms: int) -> None:
+        clock.synchronized_ms = store_ms + int(ahead_s * 1000)
+        clock.synchronized_at_s = clock.clock()
+
+    clock.synchronize = synchronize
+
+
+@pytest.mark.parametrize("ahead_s", [100.0, 3600.0])
+def test_step_is_not_given_up_by_a_wrong_estimate_of_the_time(ahead_s: float) -> None:
+    """The VM that took a step over took its age from its estimate of the store's time.
+
+    With the estimate ahead, it listed all samples as given up, long before the step expired.
+    """
+
+    async def test(world: w.StepWorld) -> None:
+        owner, other = await world.start("a"), await world.start("b")
+        put_clock_ahead(other, ahead_s)
+        assert await owner.submit(w.make_submission(1, 2, 1)) == 202
+        await anyio.sleep(5.0)
+        world.kill(owner)
+        await world.wait_for_results(2, 30.0)
+        assert other.engines.runs
+
+    run_test(test, event_count=lambda _: 300)
+
+
+@pytest.mark.parametrize("delay_s", [0.002, 0.3, 0.65])
+def test_age_of_a_step_that_is_taken_over_is_never_too_high(delay_s: float) -> None:
+    """The time in the store's answer is older than the answer, and the age must count from it."""
+
+    async def test(world: w.StepWorld) -> None:
+        owner, other = await world.start("a"), await world.start("b")
+        submitted_s = anyio.current_time()
+        assert await owner.submit(w.make_submission(1, 2, 1)) == 202
+        await anyio.sleep(5.0)
+        world.kill(owner)
+        other.view.flaws.delay_s = delay_s
+        await anyio.sleep(9.0)
+        late_s = w.owned_step(other).accepted_s - submitted_s
+        # The owner's own estimate is behind by the time that an answer takes.
+        assert -0.005 <= late_s <= 2 * delay_s + 0.1
+
+    run_test(test, event_count=lambda _: 300)
+
+
 def known_step(accepted_ms: int, *, ended: bool = False) -> KnownStep:
     owner = OwnerRecord("a", "boot", w.HOST, f"{w.PREFIX}x", accepted_ms, 1, w.MODEL)
     return KnownStep(owner.with_owner("a", "boot"), 1, 0, ended)
