Saved text that can't be read no longer leaves its step without an owner

Cause: saved text only saves time, but one unreadable row of it, of the step itself or of the trainer's earlier steps, failed the load of the step at every VM that tried to take it over, again and again. A commit without an answer that the store performs seconds later can make such a row: it replaces one piece of a newer text, as commits of text for the next step have no condition.

Ruled out: conditions on those commits; they would prevent this one cause, at one more read for each end of a step, and without them nothing but time is lost.

Change: load_progress leaves out what it can't read, with a line; the sample runs without it.

Conclusion: with this, a late deletion or late write of carried text costs only time.

--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -200,6 +200,7 @@
     # Samples.
     event("text carried over", "Text of the step before serves this one.", "step groups"),
     event("no text of earlier steps", "It could not be read.", "step reason"),
+    event("text ignored", "It can't be read; its sample runs without it.", "part key reason"),
     event("text not kept", "It is kept later or lost with this VM.", "step reason"),
     event(
         "sample run ended",
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -336,12 +336,15 @@
         return None
 
     async def load_progress(self, part: str) -> dict[str, SavedProgress]:
-        """Return the progress saved in a part, by sample id."""
+        """Return the progress saved in a part, by sample id; what can't be read is left out."""
         pieces: dict[str, list[ProgressSlice]] = {}
         for name, packed in (await self.values(PROGRESS_TABLE, part)).items():
             sample_id = name.rsplit("@", 2)[0]
-            pieces.setdefault(sample_id, []).append(decode_value(packed, ProgressSlice))
-        joined = {sample_id: join_slices(slices) for sample_id, slices in pieces.items()}
+            try:
+                pieces.setdefault(sample_id, []).append(decode_value(packed, ProgressSlice))
+            except ProtocolError as error:
+                log.warning("text ignored", part=part, key=name, reason=str(error))
+        joined = {sample_id: join_slices(slices) for sample_id, slices in pieces.items() if slices}
         return {sample_id: saved for sample_id, saved in joined.items() if saved is not None}
 
     async def delete_progress(self, part: str) -> None:
--- a/tests/test_step_ownership.py
+++ b/tests/test_step_ownership.py
@@ -1,5 +1,6 @@
 """Tests of step ownership: races, lost responses, dead owners and owners that shut down."""
 
+import zlib
 from dataclasses import replace
 
 import anyio
@@ -9,10 +10,11 @@
 import step_world as w
 from balsamcleat.model import StepId
 from balsamcleat.model.replicas import Replica
-from balsamcleat.ports.rows import RowChange
+from balsamcleat.ports.rows import RowChange, RowCommit, RowKey, RowWrite
 from balsamcleat.tasks.rollout_records import RolloutRecords, owner_key
 from balsamcleat.tasks.row_garbage_collector import RowGarbageCollector
 from balsamcleat.tasks.sample_run import SampleEnd
+from balsamcleat.tasks.submission_handler import carryover_part
 
 SAMPLES = 12
 
@@ -381,6 +383,27 @@
     run_test(test)
 
 
+@pytest.mark.parametrize("part", ["step-1", carryover_part(w.HOST, f"{w.PREFIX}x")])
+@pytest.mark.parametrize("value", [b"", b"not compressed", zlib.compress(b"\xc1")])
+def test_step_with_unreadable_text_is_taken_over(part: str, value: bytes) -> None:
+    """Saved text only saves time, but one row of it that can't be read left a step without owner.
+
+    Such a row arises if a commit that had no answer replaces a piece of a newer text seconds later.
+    """
+
+    async def test(world: w.StepWorld) -> None:
+        owner, other = await world.start("a"), await world.start("b")
+        assert await owner.submit(w.make_submission(3, 4, 3)) == 202
+        await anyio.sleep(2.0)
+        key = RowKey("step-progress", part, f"0-0@{0:015d}@{0:06d}.0000.0001")
+        world.store.apply(RowCommit((RowWrite(key, value),)))
+        world.kill(owner)
+        await world.wait_for_results(SAMPLES, 20.0)
+        assert other.engines.runs
+
+    run_test(test, event_count=lambda _: 100)
+
+
 def test_only_steps_past_their_retention_are_deleted() -> None:
     async def test(world: w.StepWorld) -> None:
         vm = await world.start("a")
