The line of a deleted VM row says what the store did

Cause: `VM forgotten` was logged also when the store refused the deletion, as the VM had written its row again. The deletion itself was conditional on the row's version already.

Change: the line is written only if the row was deleted.

Before and after: test_row_of_a_vm_that_is_back_stays_and_is_not_logged_as_deleted failed before and passes now; the row stayed in both.

--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -382,10 +382,11 @@
             more = page.more and bool(page.rows)
         return count
 
-    async def delete_vm(self, vm: str, version: int) -> None:
-        """Delete a VM's row if it still has the given version."""
+    async def delete_vm(self, vm: str, version: int) -> bool:
+        """Delete a VM's row if it still has the given version; return whether it was deleted."""
         key = RowKey(VMS_TABLE, VM_PART, vm)
-        await self.store.commit(RowCommit((RowWrite(key, None),), ((key, version),)))
+        outcome = await self.store.commit(RowCommit((RowWrite(key, None),), ((key, version),)))
+        return not isinstance(outcome, RowConflict)
 
 
 def complete_names(pieces: dict[str, list[bytes]], counts: dict[str, int]) -> list[str]:
--- a/src/balsamcleat/tasks/row_garbage_collector.py
+++ b/src/balsamcleat/tasks/row_garbage_collector.py
@@ -75,8 +75,9 @@
             if absent_at_version is not None:
                 self.on_absent(step_id, absent_at_version)
         for vm, sighting in list(self.failure_detector.observations.items()):
-            if sighting.unchanged_s >= VM_ROW_RETENTION_S:
-                await self.records.delete_vm(vm, sighting.row.version)
+            if sighting.unchanged_s < VM_ROW_RETENTION_S:
+                continue
+            if await self.records.delete_vm(vm, sighting.row.version):
                 log.info("VM forgotten", gone=vm, silence_s=round(sighting.unchanged_s, 1))
 
     def candidates(self) -> list[StepId]:
--- a/tests/test_garbage_collection.py
+++ b/tests/test_garbage_collection.py
@@ -250,6 +250,26 @@
     run_test(test)
 
 
+def test_row_of_a_vm_that_is_back_stays_and_is_not_logged_as_deleted(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """After a pause, a VM believes that all others were silent; the store knows better."""
+
+    async def test(world: w.StepWorld) -> None:
+        vm, other = await world.start("a"), await world.start("b")
+        key = RowKey("vms", "vm", "b")
+        assert key in world.store.rows
+        sighting = vm.presence.watch.observations["b"]
+        sighting.unchanged_s = 700.0
+        sighting.row = w.replace(sighting.row, version=sighting.row.version - 1)
+        await collector(world, vm).clean_up()
+        assert key in world.store.rows
+        world.kill(other)
+
+    run_test(test)
+    assert "VM forgotten" not in capsys.readouterr().out
+
+
 class WireStore:
     """Answers the calls of a deletion as the store does, and keeps the commits."""
 
