The end of a deleted step is forgotten with the step

Cause: a VM that reads the table reads a step's end row before its owner row and remembers the end in a set that nothing was taken from. A step submitted again under the id of a deleted one was accepted with 202 and never run by such a VM, nor taken over.

Change: the end is forgotten when the feed delivers the deletion or the store does not have the step.

Before and after: test_step_that_is_submitted_again_after_its_deletion_is_not_taken_for_ended failed before (`step not started`, "the step was ended") and passes now.

--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -108,6 +108,7 @@
         step_id = StepId(row.key.part)
         if row.value is None:
             self.steps.pop(step_id, None)
+            self.ended_before_known.discard(step_id)
         elif is_owner_key(row.key):
             self.apply_owner_row(step_id, row)
         elif is_end_key(row.key):
@@ -128,6 +129,7 @@
         known = self.steps.get(step_id)
         if known is not None and known.row_version <= version:
             del self.steps[step_id]
+            self.ended_before_known.discard(step_id)
 
     def on_rows_applied(self) -> None:
         """Wake the task that takes over steps."""
--- a/tests/test_garbage_collection.py
+++ b/tests/test_garbage_collection.py
@@ -229,6 +229,23 @@
     run_test(test)
 
 
+def test_step_that_is_submitted_again_after_its_deletion_is_not_taken_for_ended() -> None:
+    """A VM that read the end row before the owner row remembered the end of the deleted step."""
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        await run_step(vm, world)
+        other = await world.start("b")
+        world.kill(vm)
+        await anyio.sleep(EXPIRED_AFTER_S)
+        await collector(world, other).clean_up()
+        assert not step_rows(world)
+        await anyio.sleep(0.1)
+        await run_step(other, world)
+
+    run_test(test)
+
+
 def test_deleted_steps_that_a_vm_still_knows_don_t_hold_up_the_others() -> None:
     """A VM whose feed had a gap knows steps that are gone; only a few are looked at in a time."""
 
