A step without a route is given up only by a configuration that is newer than its owner row

Cause: an owner whose configuration was confirmed within the time that a version has to be in force gave a step up if that configuration had no route for it. A route that was added just before the step, at a VM that had it already, was missing there, and all samples were listed as given up for good.

Ruled out: a confirmation begun after the step was learned, by the local clock: the answer to a long poll may be seconds old.

Change: besides, the feed of the operator's table must have been read up to the owner row's version, which one counter of the store draws for all tables. No calls of the store; a step of a removed route is given up when the feed is read next, at most 2 s later.

Before and after: test_configuration_of_before_the_submission_gives_no_step_up failed before and passes now.

--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -380,6 +380,7 @@
         self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
         self.runner.find_obstacle = self.step_feed.find_obstacle
         self.runner.is_configuration_current = self.is_configuration_current
+        self.runner.configuration_version = self.configuration_version
         self.store.on_regained = self.runner.handle_store_regained
 
     def create_servers(self, target_relay: TargetRelay) -> None:
@@ -470,6 +471,15 @@
             self.routing_keeper.confirmed_age_s(), self.store_view(), self.settings.apply_s
         )
 
+    def configuration_version(self) -> int:
+        """Return the version of the store up to which all documents were read; 0 before that."""
+        versions = [
+            follower.version or 0
+            for follower in self.table_followers
+            if follower.table == OPERATOR_TABLE
+        ]
+        return min(versions)
+
     def reaches_store(self) -> bool:
         """Return whether the store has answered this VM directly within the last moments."""
         return not should_ask_peers(self.direct_store_view())
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -120,6 +120,8 @@
 
         # Returns whether the configuration in force is known to be the newest.
         self.is_configuration_current: Callable[[], bool] = lambda: True
+        # Returns the version of the store as of which the configuration in force is the newest.
+        self.configuration_version: Callable[[], float] = lambda: math.inf
 
     def wake(self) -> None:
         """Trigger a placement of samples."""
@@ -258,13 +260,15 @@
         """Group steps and their routes by service; give up steps that expired or have no route.
 
         A configuration that may be outdated does not say that a step's route was removed: the VM
-        that accepted the step may have had a newer one.
+        that accepted the step may have had a newer one. It must be newer than the owner row, by the
+        store's versions, which no delay or clock affects.
         """
         steps_by_service: dict[ServiceName, list[tuple[OwnedStep, Route]]] = {}
         for step in steps:
             route = table.match(step.record.host, step.record.path)
             if route is None or route.kind is not RouteKind.ROLLOUT or not route.shares:
-                if self.is_configuration_current():
+                is_newer = self.configuration_version() >= step.row_version
+                if is_newer and self.is_configuration_current():
                     self.give_up_step(step, "no rollout route matches the step any more")
                 continue
             if route.step_expiry_s and now_s - step.accepted_s > route.step_expiry_s:
--- a/tests/test_removed_routes.py
+++ b/tests/test_removed_routes.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 
 import anyio
 import pytest
@@ -16,6 +17,7 @@
 from balsamcleat.model.routing import RouteKind, RoutingTable, TeamSpec
 from balsamcleat.model.team_keys import key_digest
 from step_dispatch import dispatch
+from test_usage_wiring import close, entry_process
 
 STEP = StepId("step-1")
 SAMPLES = 12
@@ -165,3 +167,46 @@
         assert [text for _, text in results] == [""] * SAMPLES
 
     run_test(test)
+
+
+def test_configuration_of_before_the_submission_gives_no_step_up(use_table: UseTable) -> None:
+    """A route may be added just before the step, and the owner read the configuration before.
+
+    The time since that read was taken for a sign that the configuration is the newest.
+    """
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        read_at_version = world.store.version
+        vm.runner.configuration_version = lambda: read_at_version
+        with_route = w.TABLE
+        use_table(without_route("no route"))
+        assert await vm.submit(w.make_submission(3, 4, 3)) == 202
+        await anyio.sleep(2.0)
+        assert await world.stored_results() == []
+        use_table(with_route)
+        await world.wait_for_results(SAMPLES, 3.0)
+        assert await vm.submit(w.make_submission(3, 4, 3, "step-2")) == 202
+        await anyio.sleep(0.1)
+        use_table(without_route("no route"))
+        read_at_version = world.store.version
+        await anyio.sleep(2.0)
+        results = await world.stored_results("step-2")
+        assert [text for _, text in results] == [""] * SAMPLES
+
+    run_test(test)
+
+
+@pytest.mark.anyio
+async def test_process_knows_the_version_as_of_which_it_read_the_configuration(
+    tmp_path: Path,
+) -> None:
+    """Another table may have been read further, which says nothing about routes."""
+    process = entry_process(tmp_path, "127.0.0.79", {})
+    try:
+        assert process.runner.configuration_version() == 0
+        for follower in process.table_followers:
+            follower.version = 7 if follower.table == "op" else 99
+        assert process.runner.configuration_version() == 7
+    finally:
+        close(process)
