--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -200,6 +200,7 @@
     # Samples.
     event("text carried over", "Text of the step before serves this one.", "step groups"),
     event("no text of earlier steps", "It could not be read.", "step reason"),
+    event("text ignored", "It can't be read; its sample runs without it.", "part key reason"),
     event("text not kept", "It is kept later or lost with this VM.", "step reason"),
     event(
         "sample run ended",
@@ -329,9 +330,14 @@
     event("presence regained", "They no longer do.", "what"),
     event(
         "step deleted",
-        "Nobody may ask for it any more, by the store's time.",
+        "It was ended and nobody may ask for it any more, by what the store said at store_ms.",
         "step rows owner row_version accepted_ms store_ms",
     ),
+    event(
+        "step not deleted",
+        "It seemed expired, but by the store's answer it is open or retained, or it has changed.",
+        "step reason row_version accepted_ms store_ms",
+    ),
     event("text deleted", "Saved text of a step, or for a trainer's next step.", "part rows"),
     event("VM forgotten", "It was silent for so long that it was replaced.", "gone silence_s"),
     event("cleaning failed", "It is tried again.", "reason"),
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -14,6 +14,7 @@
     RowCommit,
     RowConflict,
     RowKey,
+    RowPage,
     RowsCommitted,
     RowStore,
     RowWrite,
@@ -102,6 +103,11 @@
     return key.key == END_KEY
 
 
+def has_owner(rows: tuple[RowChange, ...]) -> bool:
+    """Return whether there is an owner row among rows of which some may be absent."""
+    return any(is_owner_key(row.key) and row.value is not None for row in rows)
+
+
 def decode_owner(row: RowChange) -> OwnerRecord | None:
     """Return the owner record in a row, or None if the row is deleted or unreadable."""
     try:
@@ -211,8 +217,11 @@
 
     async def state(self, step_id: StepId) -> tuple[RowChange, ...]:
         """Return a step's owner row and, if the step was ended, its end row."""
-        page = await self.store.read(STEPS_TABLE, step_id)
-        return page.rows
+        return (await self.state_page(step_id)).rows
+
+    async def state_page(self, step_id: StepId) -> RowPage:
+        """Return a step's owner row and end row, with the store's time at which they were read."""
+        return await self.store.read(STEPS_TABLE, step_id)
 
     async def replace_owner(
         self, step_id: StepId, owner: OwnerRecord, row_version: int
@@ -329,13 +338,16 @@
         return None
 
     async def load_progress(self, part: str) -> dict[str, SavedProgress]:
-        """Return the progress saved in a part, by sample id."""
+        """Return the progress saved in a part, by sample id; what can't be read is left out."""
         pieces: dict[str, list[ProgressSlice]] = {}
         values = await self.read_values(PROGRESS_TABLE, part)
         for name, packed in values.complete().items():
             sample_id = name.rsplit("@", 2)[0]
-            pieces.setdefault(sample_id, []).append(decode_value(packed, ProgressSlice))
-        joined = {sample_id: join_slices(slices) for sample_id, slices in pieces.items()}
+            try:
+                pieces.setdefault(sample_id, []).append(decode_value(packed, ProgressSlice))
+            except ProtocolError as error:
+                log.warning("text ignored", part=part, key=name, reason=str(error))
+        joined = {sample_id: join_slices(slices) for sample_id, slices in pieces.items() if slices}
         return {sample_id: saved for sample_id, saved in joined.items() if saved is not None}
 
     async def delete_progress(self, part: str) -> None:
@@ -344,29 +356,40 @@
         if rows:
             log.info("text deleted", part=part, rows=rows)
 
-    async def delete_part(self, table: str, part: str) -> int:
-        """Delete all rows of a part and return their number."""
+    async def delete_part(
+        self, table: str, part: str, expected: tuple[tuple[RowKey, int], ...] = ()
+    ) -> int | None:
+        """Delete all rows of a part.
+
+        Args:
+            table: Table of the rows.
+            part: Part of the rows.
+            expected: Rows, with their versions, on which each commit is conditional.
+
+        Returns:
+            The number of deleted rows, or None if a condition did not hold; not all rows are
+            deleted then.
+        """
         count = 0
         more = True
         while more:
             page = await self.store.read(table, part)
             writes = [RowWrite(row.key, None) for row in page.rows]
             for group in self.split_writes(writes):
-                if group:
-                    await self.store.commit(RowCommit(group))
+                if not group:
+                    continue
+                outcome = await self.store.commit(RowCommit(group, expected))
+                if isinstance(outcome, RowConflict):
+                    return None
             count += len(writes)
-            more = page.more
+            more = next_page_start(page) is not None
         return count
 
-    async def delete_step(self, step_id: StepId) -> int:
-        """Delete all rows of a step, its owner row last, and return the number of deleted rows."""
-        tables = (PROGRESS_TABLE, RESULTS_TABLE, BODIES_TABLE, STEPS_TABLE)
-        return sum([await self.delete_part(table, step_id) for table in tables])
-
-    async def delete_vm(self, vm: str, version: int) -> None:
-        """Delete a VM's row if it still has the given version."""
+    async def delete_vm(self, vm: str, version: int) -> bool:
+        """Delete a VM's row if it still has the given version; return whether it was deleted."""
         key = RowKey(VMS_TABLE, VM_PART, vm)
-        await self.store.commit(RowCommit((RowWrite(key, None),), ((key, version),)))
+        outcome = await self.store.commit(RowCommit((RowWrite(key, None),), ((key, version),)))
+        return not isinstance(outcome, RowConflict)
 
 
 def decode_result(packed: bytes) -> SampleResult:
@@ -385,9 +408,7 @@
     Raises:
         PlatformUnavailableError: Rows of the submission were replaced, and the step does not exist.
     """
-    if isinstance(outcome, RowConflict) and not any(
-        is_owner_key(row.key) and row.value is not None for row in outcome.rows
-    ):
+    if isinstance(outcome, RowConflict) and not has_owner(outcome.rows):
         raise PlatformUnavailableError(
             "another try of the submission was stored meanwhile", step="step.create"
         )
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -364,12 +364,11 @@
             generator,
         )
         vm: StepVm
-        transfer = StepTransfer(name, boot, records, runner, lambda: TABLE, store_clock.now_ms)
+        transfer = StepTransfer(name, boot, records, runner, lambda: TABLE)
         feed = StepFeed(
             name,
             boot,
             presence.watch,
-            120.0,
             store_clock.now_ms,
             transfer.take_over,
             lambda step_id: vm.handler.submissions.is_running(step_id),
