--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -9,7 +9,7 @@
 
 from balsamcleat.decisions.sample_progress import ProgressSlice, SavedProgress, join_slices
 from balsamcleat.decoding import decode_json, decode_msgpack
-from balsamcleat.errors import OutcomeUnknownError, ProtocolError
+from balsamcleat.errors import ProtocolError
 from balsamcleat.model import StepId, WeightVersion
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.ports.rows import (
@@ -110,11 +110,6 @@
     return key.key == END_KEY
 
 
-def has_owner(rows: tuple[RowChange, ...]) -> bool:
-    """Return whether there is an owner row among rows of which some may be absent."""
-    return any(is_owner_key(row.key) and row.value is not None for row in rows)
-
-
 def decode_owner(row: RowChange) -> OwnerRecord | None:
     """Return the owner record in a row, or None if the row is deleted or unreadable."""
     try:
@@ -173,27 +168,15 @@
     async def create_step(
         self, step_id: StepId, owner: OwnerRecord, submission: StepSubmission
     ) -> RowsCommitted | RowConflict:
-        """Store a new step and its owner; a conflict means that the step exists already.
-
-        Raises:
-            OutcomeUnknownError: Another attempt to submit the step wrote at the same time.
-        """
+        """Store a new step and its owner; a conflict means that the step exists already."""
         bodies = self.chunk_writes(BODIES_TABLE, step_id, "body", encode_value(submission))
         first, *rest = self.split_writes(bodies)
-        # What attempts store differs. One that is late must not replace rows of an accepted one,
-        # and the step must not come to exist with rows of another attempt.
-        expected = [(owner_key(step_id), ABSENT_VERSION)]
         for writes in rest:
-            written = await self.store.commit(RowCommit(writes, tuple(expected[:1])))
-            if isinstance(written, RowConflict):
-                return written
-            expected.append((writes[0].key, written.version))
-        # A step exists only with its owner row, which is therefore written last.
+            # A step exists only with its owner row, which is therefore written last.
+            await self.store.commit(RowCommit(writes))
         write = RowWrite(owner_key(step_id), encode_owner(owner))
-        outcome = await self.store.commit(RowCommit((write, *first), tuple(expected)))
-        if isinstance(outcome, RowConflict) and not has_owner(outcome.rows):
-            raise OutcomeUnknownError("another attempt is being stored", step="step.create")
-        return outcome
+        expected = ((owner_key(step_id), ABSENT_VERSION),)
+        return await self.store.commit(RowCommit((write, *first), expected))
 
     def max_write_rows(self) -> int:
         """Return the number of rows that one commit may write besides its conditions."""
