--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -1,15 +1,11 @@
 """Records of rollout steps in the row store: submissions, owners, results and saved progress."""
 
-import re
-import zlib
-from typing import TypeVar
-
 import msgspec
 import structlog
 
 from balsamcleat.decisions.sample_progress import ProgressSlice, SavedProgress, join_slices
-from balsamcleat.decoding import decode_json, decode_msgpack
-from balsamcleat.errors import ProtocolError
+from balsamcleat.decoding import decode_json
+from balsamcleat.errors import PlatformUnavailableError, ProtocolError
 from balsamcleat.model import StepId, WeightVersion
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.ports.rows import (
@@ -23,7 +19,9 @@
     RowStore,
     RowWrite,
 )
+from balsamcleat.tasks.row_pages import next_page_start
 from balsamcleat.tasks.step_submission import StepSubmission
+from balsamcleat.tasks.stored_values import ValueRows, decode_value, encode_value, value_writes
 
 __all__ = [
     "STEPS_TABLE",
@@ -48,14 +46,9 @@
 USABLE_COMMIT_FRACTION = 0.6
 # Rows of a commit's row limit that are reserved for its conditions.
 RESERVED_CONDITION_ROWS = 10
-ZLIB_LEVEL = 1
-# Key of a row that holds a piece of a value: the value's name, the row's number, the row count.
-PIECE_KEY = re.compile(r"(?P<name>.*)\.(?P<number>[0-9]{4,})\.(?P<count>[0-9]{4,})", re.DOTALL)
 
 log = structlog.get_logger()
 
-Stored = TypeVar("Stored")
-
 
 class OwnerRecord(msgspec.Struct, frozen=True):
     """Record of a step's owner and of the step's properties that every VM needs.
@@ -126,11 +119,6 @@
     return msgspec.json.encode(fields)
 
 
-def encode_value(value: object) -> bytes:
-    """Return the stored form of a value: compressed MessagePack."""
-    return zlib.compress(msgspec.msgpack.encode(value), ZLIB_LEVEL)
-
-
 def owner_key(step_id: StepId) -> RowKey:
     """Return the key of a step's owner row."""
     return RowKey(STEPS_TABLE, step_id, OWNER_KEY)
@@ -158,25 +146,35 @@
 
     def chunk_writes(self, table: str, part: str, name: str, value: bytes) -> list[RowWrite]:
         """Return the writes of a value split into rows; the keys hold row number and row count."""
-        size = self.store.limits.row_bytes
-        pieces = [value[at : at + size] for at in range(0, len(value), size)] or [b""]
-        return [
-            RowWrite(RowKey(table, part, f"{name}.{number:04d}.{len(pieces):04d}"), piece)
-            for number, piece in enumerate(pieces)
-        ]
+        return value_writes(table, part, name, value, self.store.limits.row_bytes)
 
     async def create_step(
         self, step_id: StepId, owner: OwnerRecord, submission: StepSubmission
     ) -> RowsCommitted | RowConflict:
-        """Store a new step and its owner; a conflict means that the step exists already."""
+        """Store a new step and its owner; a conflict means that the step exists already.
+
+        A step exists only with its owner row, which is therefore written last. A submission that
+        needs more commits is stored whole by one caller: no commit is performed once the step
+        exists, and the last one only if the rows of the others are still its own.
+
+        Raises:
+            PlatformError: The store failed, or another caller has stored rows of the same step.
+        """
+        owner_write = RowWrite(owner_key(step_id), encode_owner(owner))
+        is_new = ((owner_key(step_id), ABSENT_VERSION),)
         bodies = self.chunk_writes(BODIES_TABLE, step_id, "body", encode_value(submission))
         first, *rest = self.split_writes(bodies)
-        for writes in rest:
-            # A step exists only with its owner row, which is therefore written last.
-            await self.store.commit(RowCommit(writes))
-        write = RowWrite(owner_key(step_id), encode_owner(owner))
-        expected = ((owner_key(step_id), ABSENT_VERSION),)
-        return await self.store.commit(RowCommit((write, *first), expected))
+        if not rest:
+            return await self.store.commit(RowCommit((owner_write, *first), is_new))
+        conditions = dict(is_new)
+        for writes in self.split_writes(bodies[1:]):
+            outcome = await self.store.commit(RowCommit(writes, is_new))
+            if isinstance(outcome, RowConflict):
+                return outcome
+            # Another caller's rows that replace some of these replace the first or the last one.
+            conditions |= {write.key: outcome.version for write in (writes[0], writes[-1])}
+        commit = RowCommit((owner_write, bodies[0]), tuple(conditions.items()))
+        return new_step_outcome(await self.store.commit(commit))
 
     def max_write_rows(self) -> int:
         """Return the number of rows that one commit may write besides its conditions."""
@@ -197,13 +195,20 @@
         return [tuple(group) for group in groups]
 
     async def owner(self, step_id: StepId) -> tuple[OwnerRecord, int] | None:
-        """Return a step's owner record and its row version, or None for an unknown step."""
+        """Return a step's owner record and its row version, or None for an unknown step.
+
+        Raises:
+            PlatformUnavailableError: The store does not answer.
+            ProtocolError: The step exists, but its owner row is unreadable.
+        """
         page = await self.store.read(STEPS_TABLE, step_id, OWNER_KEY, OWNER_KEY + "\0")
-        for row in page.rows:
-            record = decode_owner(row)
-            if record is not None:
-                return record, row.version
-        return None
+        if not page.rows:
+            return None
+        row = page.rows[0]
+        record = decode_owner(row)
+        if record is None:
+            raise ProtocolError("unreadable owner row", step="owner.read", peer=step_id)
+        return record, row.version
 
     async def state(self, step_id: StepId) -> tuple[RowChange, ...]:
         """Return a step's owner row and, if the step was ended, its end row."""
@@ -223,8 +228,8 @@
 
     async def submission(self, step_id: StepId) -> StepSubmission | None:
         """Return a step's submission, or None if none is stored."""
-        values = await self.values(BODIES_TABLE, step_id)
-        packed = values.get("body")
+        values = await self.read_values(BODIES_TABLE, step_id)
+        packed = values.complete().get("body")
         return None if packed is None else decode_value(packed, StepSubmission)
 
     async def append_results(
@@ -260,49 +265,41 @@
     async def results(
         self, step_id: StepId, position: int = 0, *, all_pages: bool = False
     ) -> tuple[SampleResult, ...]:
-        """Return the results from a position on: the first page, or all pages."""
-        values = await self.values(
+        """Return the results from a position on: the first page, or all pages.
+
+        Raises:
+            PlatformUnavailableError: The store does not answer.
+            ProtocolError: The result at the position, or with all pages any later one, is stored
+                incomplete. It must not be taken for one that is not listed yet.
+        """
+        rows = await self.read_values(
             RESULTS_TABLE, step_id, result_key(position), all_pages=all_pages
         )
-        results = []
-        for offset, name in enumerate(sorted(values)):
-            if name != result_key(position + offset):
-                raise ProtocolError(
-                    "the result of a position is missing", step="results.read", peer=step_id
-                )
-            stored = decode_value(values[name], StoredResult)
-            results.append(
-                SampleResult(
-                    stored.sample_id, stored.state, stored.text, stored.versions, stored.score
-                )
+        values = rows.complete()
+        results: list[SampleResult] = []
+        while (name := result_key(position + len(results))) in values:
+            results.append(decode_result(values[name]))
+        is_whole = len(results) == len(values) and not rows.incomplete_names()
+        if not is_whole and (all_pages or not results):
+            raise ProtocolError(
+                "the result of a position is missing", step="results.read", peer=step_id
             )
         return tuple(results)
 
-    async def values(
+    async def read_values(
         self, table: str, part: str, start: str = "", *, all_pages: bool = True
-    ) -> dict[str, bytes]:
-        """Return the values of a part whose rows are all present, by name."""
-        pieces: dict[str, list[bytes]] = {}
-        counts: dict[str, int] = {}
-        more = True
-        while more:
-            page = await self.store.read(table, part, start)
-            for row in page.rows:
-                piece = PIECE_KEY.fullmatch(row.key.key)
-                if piece is None:
-                    log.warning("row ignored", table=table, part=part, key=row.key.key)
-                    continue
-                name = piece["name"]
-                pieces.setdefault(name, []).append(row.value or b"")
-                counts[name] = int(piece["count"])
-            more = (
-                page.more and bool(page.rows) and (all_pages or not complete_names(pieces, counts))
-            )
-            start = page.rows[-1].key.key + "\0" if page.rows else start
-        complete = complete_names(pieces, counts)
-        if not page.more and len(complete) < len(pieces):
-            log_incomplete_values(table, part, pieces, counts)
-        return {name: b"".join(pieces[name]) for name in complete}
+    ) -> ValueRows:
+        """Return the rows of the values in a part: of all, or of a page with a complete one."""
+        rows = ValueRows()
+        next_start: str | None = start
+        while next_start is not None:
+            page = await self.store.read(table, part, next_start)
+            rows.add(page.rows)
+            next_start = next_page_start(page)
+            if not all_pages and rows.complete():
+                return rows
+        rows.log_incomplete(table, part)
+        return rows
 
     async def mark_ended(self, step_id: StepId) -> RowsCommitted | RowConflict:
         """Record that a step was ended; the operation is idempotent."""
@@ -338,7 +335,8 @@
     async def load_progress(self, part: str) -> dict[str, SavedProgress]:
         """Return the progress saved in a part, by sample id; what can't be read is left out."""
         pieces: dict[str, list[ProgressSlice]] = {}
-        for name, packed in (await self.values(PROGRESS_TABLE, part)).items():
+        values = await self.read_values(PROGRESS_TABLE, part)
+        for name, packed in values.complete().items():
             sample_id = name.rsplit("@", 2)[0]
             try:
                 pieces.setdefault(sample_id, []).append(decode_value(packed, ProgressSlice))
@@ -366,6 +364,9 @@
         Returns:
             The number of deleted rows, or None if a condition did not hold; not all rows are
             deleted then.
+
+        Raises:
+            PlatformError: The store failed; some rows may be deleted, now or later.
         """
         count = 0
         more = True
@@ -379,7 +380,7 @@
                 if isinstance(outcome, RowConflict):
                     return None
             count += len(writes)
-            more = page.more and bool(page.rows)
+            more = next_page_start(page) is not None
         return count
 
     async def delete_vm(self, vm: str, version: int) -> bool:
@@ -389,34 +390,26 @@
         return not isinstance(outcome, RowConflict)
 
 
-def complete_names(pieces: dict[str, list[bytes]], counts: dict[str, int]) -> list[str]:
-    """Return the names of the values whose rows were all read."""
-    return [name for name, values in pieces.items() if len(values) == counts[name]]
-
-
-def log_incomplete_values(
-    table: str, part: str, pieces: dict[str, list[bytes]], counts: dict[str, int]
-) -> None:
-    """Log the values of a part of which the store lacks rows."""
-    for name, values in pieces.items():
-        if len(values) != counts[name]:
-            log.warning(
-                "value incomplete",
-                table=table,
-                part=part,
-                key=name,
-                rows=len(values),
-                expected=counts[name],
-            )
+def decode_result(packed: bytes) -> SampleResult:
+    """Return a stored result.
+
+    Raises:
+        ProtocolError: The result cannot be decoded.
+    """
+    stored = decode_value(packed, StoredResult)
+    return SampleResult(stored.sample_id, stored.state, stored.text, stored.versions, stored.score)
 
 
-def decode_value(packed: bytes, value_type: type[Stored]) -> Stored:
-    """Decode a stored value.
+def new_step_outcome(outcome: RowsCommitted | RowConflict) -> RowsCommitted | RowConflict:
+    """Return the outcome of the last commit of a new step.
 
     Raises:
-        ProtocolError: The value cannot be decoded.
+        PlatformUnavailableError: Rows of the submission were replaced, and the step does not exist.
     """
-    try:
-        return decode_msgpack(zlib.decompress(packed), value_type)
-    except (zlib.error, msgspec.DecodeError) as error:
-        raise ProtocolError(f"unreadable record: {error}", step="records.decode") from error
+    if isinstance(outcome, RowConflict) and not any(
+        is_owner_key(row.key) and row.value is not None for row in outcome.rows
+    ):
+        raise PlatformUnavailableError(
+            "another try of the submission was stored meanwhile", step="step.create"
+        )
+    return outcome
