--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -345,44 +345,6 @@
         joined = {sample_id: join_slices(slices) for sample_id, slices in pieces.items() if slices}
         return {sample_id: saved for sample_id, saved in joined.items() if saved is not None}
 
-    async def delete_progress(self, part: str) -> None:
-        """Delete the progress saved in a part."""
-        rows = await self.delete_part(PROGRESS_TABLE, part)
-        if rows:
-            log.info("text deleted", part=part, rows=rows)
-
-    async def delete_part(
-        self, table: str, part: str, expected: tuple[tuple[RowKey, int], ...] = ()
-    ) -> int | None:
-        """Delete all rows of a part.
-
-        Args:
-            table: Table of the rows.
-            part: Part of the rows.
-            expected: Rows, with their versions, on which each commit is conditional.
-
-        Returns:
-            The number of deleted rows, or None if a condition did not hold; not all rows are
-            deleted then.
-
-        Raises:
-            PlatformError: The store failed; some rows may be deleted, now or later.
-        """
-        count = 0
-        more = True
-        while more:
-            page = await self.store.read(table, part)
-            writes = [RowWrite(row.key, None) for row in page.rows]
-            for group in self.split_writes(writes):
-                if not group:
-                    continue
-                outcome = await self.store.commit(RowCommit(group, expected))
-                if isinstance(outcome, RowConflict):
-                    return None
-            count += len(writes)
-            more = next_page_start(page) is not None
-        return count
-
     async def delete_vm(self, vm: str, version: int) -> bool:
         """Delete a VM's row if it still has the given version; return whether it was deleted."""
         key = RowKey(VMS_TABLE, VM_PART, vm)
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -39,6 +39,7 @@
     rejected_version,
 )
 from balsamcleat.tasks.sample_scorer import SampleScorer
+from balsamcleat.tasks.step_deletion import delete_progress
 from balsamcleat.tasks.step_scorer import StepScorer
 
 __all__ = ["RolloutRunner"]
@@ -468,9 +469,9 @@
         step.notify()
         log.info("step ended", step=step.step_id, listed=len(step.listed), carried=len(slices))
         try:
-            await self.records.delete_progress(carryover_part)
+            await delete_progress(self.records, carryover_part)
             await self.records.save_progress(carryover_part, slices)
-            await self.records.delete_progress(step.step_id)
+            await delete_progress(self.records, step.step_id)
         except (PlatformError, ProtocolError) as error:
             log.warning("text not kept", step=step.step_id, reason=str(error))
 
--- a/src/balsamcleat/tasks/step_deletion.py
+++ b/src/balsamcleat/tasks/step_deletion.py
@@ -1,4 +1,4 @@
-"""Deletion of a step's rows, decided on what the store says of the step in the same call."""
+"""Deletion of the rows of steps, and of a whole step by what the store says in the same call."""
 
 from dataclasses import dataclass
 
@@ -23,8 +23,9 @@
     is_end_key,
     is_owner_key,
 )
+from balsamcleat.tasks.row_pages import next_page_start
 
-__all__ = ["STEP_RETENTION_MARGIN_S", "StepDeletion"]
+__all__ = ["STEP_RETENTION_MARGIN_S", "StepDeletion", "delete_progress"]
 
 # Added to the time for which results stay readable, for requests that are already in flight.
 STEP_RETENTION_MARGIN_S = 60.0
@@ -118,7 +119,7 @@
         expected = state.expected()
         count = 0
         for table in (PROGRESS_TABLE, RESULTS_TABLE, BODIES_TABLE):
-            deleted = await self.records.delete_part(table, step_id, expected)
+            deleted = await delete_part(self.records, table, step_id, expected)
             if deleted is None:
                 return "it changed while it was deleted"
             count += deleted
@@ -150,3 +151,53 @@
         accepted_ms=None if state.owner is None else state.owner.accepted_ms,
         store_ms=state.store_ms,
     )
+
+
+async def delete_progress(records: RolloutRecords, part: str) -> None:
+    """Delete the progress saved in a part.
+
+    A deletion that the store performs late may delete newer text, which costs time only.
+
+    Raises:
+        PlatformError: The store did not answer; some rows may be deleted, now or later.
+    """
+    rows = await delete_part(records, PROGRESS_TABLE, part)
+    if rows:
+        log.info("text deleted", part=part, rows=rows)
+
+
+async def delete_part(
+    records: RolloutRecords,
+    table: str,
+    part: str,
+    expected: tuple[tuple[RowKey, int], ...] = (),
+) -> int | None:
+    """Delete all rows of a part.
+
+    Args:
+        records: Records of steps in the row store.
+        table: Table of the rows.
+        part: Part of the rows.
+        expected: Rows, with their versions, on which each commit is conditional.
+
+    Returns:
+        The number of deleted rows, or None if a condition did not hold; not all rows are deleted
+        then.
+
+    Raises:
+        PlatformError: The store did not answer; some rows may be deleted, now or later.
+    """
+    count = 0
+    more = True
+    while more:
+        page = await records.store.read(table, part)
+        writes = [RowWrite(row.key, None) for row in page.rows]
+        for group in records.split_writes(writes):
+            if not group:
+                continue
+            outcome = await records.store.commit(RowCommit(group, expected))
+            if isinstance(outcome, RowConflict):
+                return None
+        count += len(writes)
+        more = next_page_start(page) is not None
+    return count
--- a/tests/test_garbage_collection.py
+++ b/tests/test_garbage_collection.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -25,7 +26,14 @@
 from balsamcleat.model import StepId
 from balsamcleat.platform import PlatformRowStore
 from balsamcleat.platform.settings import StoreAccess
-from balsamcleat.ports.rows import RowCommit, RowConflict, RowKey, RowsCommitted, StoreLimits
+from balsamcleat.ports.rows import (
+    RowCommit,
+    RowConflict,
+    RowKey,
+    RowPage,
+    RowsCommitted,
+    StoreLimits,
+)
 from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.row_garbage_collector import RowGarbageCollector
 from balsamcleat.tasks.step_deletion import StepDeletion
@@ -246,6 +254,33 @@
     run_test(test)
 
 
+class CutView(w.RowStoreView):
+    """A VM's view of the store whose pages of results have no rows, though more follow."""
+
+    async def read(
+        self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
+    ) -> RowPage:
+        page = await super().read(table, part, start, end, limit)
+        return replace(page, rows=(), more=True) if table == "step-results" else page
+
+
+def test_state_rows_stay_while_other_rows_can_t_be_read() -> None:
+    """The page was taken for the last one, and nobody knew the step of the rows that were left."""
+
+    async def test(world: w.StepWorld) -> None:
+        vm = await world.start("a")
+        await run_step(vm, world)
+        await anyio.sleep(EXPIRED_AFTER_S)
+        before = step_rows(world)
+        made = collector(world, vm)
+        made.records = RolloutRecords(CutView(world.store))
+        with pytest.raises(PlatformError):
+            await made.clean_up()
+        assert step_rows(world) == before
+
+    run_test(test)
+
+
 def test_deleted_steps_that_a_vm_still_knows_don_t_hold_up_the_others() -> None:
     """A VM whose feed had a gap knows steps that are gone; only a few are looked at in a time."""
 
@@ -278,7 +313,7 @@
         assert key in world.store.rows
         sighting = vm.presence.watch.observations["b"]
         sighting.unchanged_s = 700.0
-        sighting.row = w.replace(sighting.row, version=sighting.row.version - 1)
+        sighting.row = replace(sighting.row, version=sighting.row.version - 1)
         await collector(world, vm).clean_up()
         assert key in world.store.rows
         world.kill(other)
