--- a/tests/position_world.py
+++ b/tests/position_world.py
@@ -45,6 +45,8 @@
         faults: Names of the methods of faults to draw from.
         loses_rows: Whether the store loses its last rows once.
         readings: First reading of each different result, by step and position.
+        vms: Names of the VMs.
+        accepted: Steps whose submission was answered with 202.
     """
 
     seed: int
@@ -56,18 +58,20 @@
     copies: list[MemoryRowStore] = field(default_factory=list)
     reads: int = 0
     refused_reads: int = 0
+    vms: tuple[str, ...] = VMS
+    accepted: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
 
-    async def play(self, seconds: float) -> None:
+    async def play(self, seconds: float, settle_s: float = SETTLE_S) -> None:
         """Run steps and faults for some time, then let all settle; readers go on to the end."""
-        for name in VMS:
+        for name in self.vms:
             await self.world.start(name)
         async with anyio.create_task_group() as users:
             for number in range(STEPS):
                 users.start_soon(self.train, f"step-{number}", seconds * number / STEPS)
-            for name in VMS:
+            for name in self.vms:
                 users.start_soon(self.read_through, name)
             if self.loses_rows:
                 users.start_soon(self.copy_store)
@@ -77,7 +81,7 @@
                     await self.do_harm(users)
                 await anyio.sleep_forever()
             self.heal()
-            await anyio.sleep(SETTLE_S)
+            await anyio.sleep(settle_s)
             users.cancel_scope.cancel()
 
     def different_results(self) -> list[str]:
@@ -91,6 +95,12 @@
     async def train(self, step_id: str, begin_s: float) -> None:
         """Submit a step, and end it some time later."""
         await anyio.sleep(begin_s)
+        await self.submit_repeatedly(step_id)
+        await anyio.sleep(self.rng.uniform(2.0, 9.0))
+        await self.repeat(lambda: self.end(step_id))
+
+    async def submit_repeatedly(self, step_id: str) -> None:
+        """Submit a step until it is accepted, perhaps several times at once."""
         request = w.make_submission(GROUPS, SIZE, GROUPS, step_id)
         async with anyio.create_task_group() as tries:
             # A trainer that gets no answer sends its submission again, perhaps to the same VM.
@@ -98,8 +108,6 @@
                 tries.start_soon(self.submit, request)
                 await anyio.sleep(self.rng.choice((0.0, 0.002, 0.01, 0.2)))
             await self.repeat(lambda: self.submit(request))
-        await anyio.sleep(self.rng.uniform(2.0, 9.0))
-        await self.repeat(lambda: self.end(step_id))
 
     async def repeat(self, call: Callable[[], Awaitable[bool]]) -> None:
         """Repeat a trainer's call until it succeeds."""
@@ -115,20 +123,27 @@
         """Submit a step to any VM; a VM that is killed meanwhile gives no answer."""
         vm = self.choose_vm()
         try:
-            return await vm.submit(request) == 202
+            is_accepted = await vm.submit(request) == 202
         except RuntimeError:
             if not vm.scope.cancel_called:
                 raise
             return False
+        if is_accepted:
+            self.accepted.add(w.step_id_of(request))
+        return is_accepted
 
     def choose_vm(self) -> w.StepVm:
-        return self.world.vms[self.rng.choice(VMS)]
+        return self.world.vms[self.rng.choice(self.vms)]
+
+    def readable_steps(self) -> list[str]:
+        """Return the ids of the steps that readers read."""
+        return [f"step-{number}" for number in range(STEPS)]
 
     async def read_through(self, name: str) -> None:
         """Read all steps through one VM again and again."""
         while True:
             await anyio.sleep(self.rng.uniform(0.05, 0.3))
-            step_id = f"step-{self.rng.randrange(STEPS)}"
+            step_id = self.rng.choice(self.readable_steps())
             position = self.rng.choice((0, 0, self.rng.randrange(GROUPS * SIZE)))
             query = ResultsQuery(position, 0.0)
             responder = w.RecordingResponder()
@@ -229,7 +244,7 @@
         self.world.store.forget_history()
 
     async def vm_restarted(self) -> None:
-        name = self.rng.choice(VMS)
+        name = self.rng.choice(self.vms)
         self.world.kill(self.world.vms[name])
         await anyio.sleep(self.rng.uniform(0.2, 3.0))
         self.boots += 1
--- a/tests/power_loss_world.py
+++ b/tests/power_loss_world.py
@@ -1,25 +1,26 @@
 """Steps whose results are read again through all VMs after the power of all VMs was lost at once.
 
-Trainers submit, read and end steps under faults of the store. Then the store goes away, all VMs
-lose power at the same moment and start again, and several readers at each VM read every step from
-its first position. What was read before must come again.
+Trainers submit, read and end steps under faults of the store, and submit some more that they don't
+end. Then the store goes away, all VMs lose power at the same moment and start again, and several
+readers at each VM read every step from its first position.
 """
 
-import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from functools import partial
 
 import anyio
+import anyio.abc
 
 import step_world as w
-from balsamcleat.model import StepId
-from balsamcleat.platform import ResultsQuery, StepCall, StepCallKind
-from position_world import STEPS, VMS, PositionWorld, event_count
+from end_of_day import EndOfDayReader, Findings
+from position_world import SETTLE_S, PositionWorld, event_count
 
 READERS_PER_VM = 3
-# Reads go on for this long after all VMs are back, in seconds.
-READ_AGAIN_S = 10.0
-READ_INTERVAL_S = 0.25
+# Steps that are submitted in the last seconds before the loss of power or meanwhile.
+OPEN_STEPS = 2
+OPEN_STEPS_BEGIN_S = 3.0
+# A VM is known to the world a moment after its start began.
+START_S = 0.001
 
 
 @dataclass
@@ -27,15 +28,51 @@
     """A world of steps whose VMs all lose power once.
 
     Attributes:
-        missing: What did not come again, by VM and step.
-        statuses: Numbers of answers to the reads after the loss of power, by status.
+        findings: What the readers found after the loss of power.
+        on_power_lost: Called while all VMs are without power.
+        expected: Results that were read before, by step and position.
+        open_steps: Ids of the steps that are not ended.
     """
 
-    missing: list[str] = field(default_factory=list)
-    statuses: dict[int, int] = field(default_factory=dict)
+    findings: Findings = field(default_factory=Findings)
+    on_power_lost: Callable[["PowerLossWorld"], None] = lambda _: None
+    expected: dict[str, dict[int, str]] = field(default_factory=dict)
+    open_steps: tuple[str, ...] = ()
+
+    @property
+    def missing(self) -> list[str]:
+        """Results that had been read and did not come again."""
+        return self.findings.missing
+
+    async def play_power_loss(self) -> None:
+        """Submit steps that are not ended, lose power, and read all steps again."""
+        self.open_steps = tuple(f"open-{number}" for number in range(OPEN_STEPS))
+        async with anyio.create_task_group() as trainers:
+            for number, step_id in enumerate(self.open_steps, 1):
+                latest_s = (OPEN_STEPS_BEGIN_S + 1.0) * number / OPEN_STEPS
+                trainers.start_soon(self.submit_open_step, step_id, latest_s)
+            async with anyio.create_task_group() as readers:
+                for name in self.vms:
+                    readers.start_soon(self.read_through, name)
+                await anyio.sleep(OPEN_STEPS_BEGIN_S)
+                await self.lose_power()
+                readers.cancel_scope.cancel()
+            self.expected = {
+                step_id: self.results_read(step_id) for step_id in self.readable_steps()
+            }
+            self.on_power_lost(self)
+            for name in self.vms:
+                trainers.start_soon(self.world.start, name, f"again-{name}")
+            await anyio.sleep(START_S)
+            await self.read_all_again()
+
+    async def submit_open_step(self, step_id: str, latest_s: float) -> None:
+        """Submit a step that is not ended, after a random time of up to ``latest_s`` seconds."""
+        await anyio.sleep(self.rng.uniform(0.0, latest_s))
+        await self.submit_repeatedly(step_id)
 
     async def lose_power(self) -> None:
-        """Take the store away from all VMs, end all VMs, and start them again with the store."""
+        """Take the store away from all VMs, and end all VMs."""
         for vm in self.world.vms.values():
             vm.view.flaws.lose_answers = self.rng.randrange(2)
             vm.view.flaws.hold_commits = self.rng.randrange(2)
@@ -47,31 +84,30 @@
             self.world.kill(vm)
         await anyio.sleep(self.rng.uniform(0.1, 1.0))
         self.world.store.release()
-        self.boots += 1
-        async with anyio.create_task_group() as starts:
-            for name in VMS:
-                starts.start_soon(self.world.start, name, f"again-{self.boots}")
 
     async def read_all_again(self) -> None:
         """Read every step from its first position, through each VM and by several readers."""
+        began_s = anyio.current_time()
         async with anyio.create_task_group() as readers:
-            for name in VMS:
-                for _ in range(READERS_PER_VM):
-                    readers.start_soon(partial(self.read_steps_again, name))
-
-    async def read_steps_again(self, name: str) -> None:
-        """Read every step through one VM until all that was read has come again."""
-        deadline_s = anyio.current_time() + READ_AGAIN_S
-        for number in range(STEPS):
-            step_id = f"step-{number}"
-            expected = self.results_read(step_id)
-            found = await self.read_step(name, step_id)
-            while not expected.items() <= found.items() and anyio.current_time() < deadline_s:
-                await anyio.sleep(READ_INTERVAL_S)
-                found = await self.read_step(name, step_id)
-            if not expected.items() <= found.items():
-                came = len(expected.items() & found.items())
-                self.missing.append(f"{name} {step_id}: {came} of {len(expected)} come again")
+            for name in self.vms:
+                for step_id in self.readable_steps():
+                    for number in range(READERS_PER_VM):
+                        is_first = number == 0
+                        reader = EndOfDayReader(
+                            self,
+                            name,
+                            step_id,
+                            self.expected[step_id],
+                            is_first,
+                            is_first and step_id in self.open_steps,
+                            began_s,
+                            self.findings,
+                        )
+                        readers.start_soon(reader.check)
+
+    def readable_steps(self) -> list[str]:
+        """Return the ids of the steps that readers read."""
+        return [*super().readable_steps(), *self.open_steps]
 
     def results_read(self, step_id: str) -> dict[int, str]:
         """Return the first result that was read at each position of a step."""
@@ -81,35 +117,35 @@
             if step == step_id
         }
 
-    async def read_step(self, name: str, step_id: str) -> dict[int, str]:
-        """Return the results of a step by position, page by page from the first one."""
-        found: dict[int, str] = {}
-        while True:
-            responder = w.RecordingResponder()
-            query = ResultsQuery(len(found), 0.0)
-            call = StepCall(StepCallKind.RESULTS, StepId(step_id), query)
-            await self.world.vms[name].handler.answer_call(call, responder)
-            self.statuses[responder.status] = self.statuses.get(responder.status, 0) + 1
-            if responder.status != 200:
-                return found
-            results = json.loads(responder.response.body)["results"]
-            if not results:
-                return found
-            for result in results:
-                found[len(found)] = f"{result['id']} {result['state']}"
-
-
-def play_power_loss(seed: int, faults: tuple[str, ...], seconds: float = 20.0) -> PowerLossWorld:
+    def broken(self) -> dict[str, list[str]]:
+        """Return the checks that found something, with what they found."""
+        different = self.different_results()
+        return self.findings.broken() | ({"different": different} if different else {})
+
+
+def make_world(tasks: anyio.abc.TaskGroup) -> w.StepWorld:
+    """Return a world whose samples end in another order than they began."""
+    return w.StepWorld(tasks, event_count=event_count)
+
+
+def play_power_loss(
+    seed: int,
+    faults: tuple[str, ...],
+    seconds: float = 20.0,
+    settle_s: float = SETTLE_S,
+    *,
+    on_power_lost: Callable[[PowerLossWorld], None] = lambda _: None,
+    make_world: Callable[[anyio.abc.TaskGroup], w.StepWorld] = make_world,
+) -> PowerLossWorld:
     """Play one seed in virtual time, with a loss of power at its end."""
     found: list[PowerLossWorld] = []
 
     async def play() -> None:
         async with anyio.create_task_group() as tasks:
-            world = w.StepWorld(tasks, event_count=event_count)
-            found.append(PowerLossWorld(seed, faults, False, world))
-            await found[0].play(seconds)
-            await found[0].lose_power()
-            await found[0].read_all_again()
+            world = make_world(tasks)
+            found.append(PowerLossWorld(seed, faults, False, world, on_power_lost=on_power_lost))
+            await found[0].play(seconds, settle_s)
+            await found[0].play_power_loss()
             tasks.cancel_scope.cancel()
 
     w.run_in_virtual_time(play)
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -131,6 +131,11 @@
     )
 
 
+def step_id_of(request: Request) -> str:
+    """Return the id of the step that a request submits."""
+    return dict(request.headers)["Attempt-Id"]
+
+
 class SimulatedEngines:
     """Runs samples by sleeping; each event's text is the sample id and the event's number."""
 
@@ -305,7 +310,11 @@
 
 @dataclass
 class StepWorld:
-    """Simulated VMs, with the row store and the engines that they share."""
+    """Simulated VMs, with the row store and the engines that they share.
+
+    Attributes:
+        flaws: Flaws of the store for a VM that starts.
+    """
 
     tasks: anyio.abc.TaskGroup
     engines: int = 3
@@ -315,6 +324,7 @@
     vms: dict[str, StepVm] = field(default_factory=dict)
     directory: ReplicaDirectory = field(default_factory=ReplicaDirectory)
     writers: dict[str, list[str]] = field(default_factory=dict)
+    flaws: RowStoreFlaws = field(default_factory=lambda: RowStoreFlaws(delay_s=0.002))
 
     def __post_init__(self) -> None:
         for number in range(self.engines):
@@ -335,7 +345,7 @@
 
     async def start(self, name: str, boot: str = "boot") -> StepVm:
         """Start a VM and wait until it has read the store."""
-        view = RowStoreView(self.store, RowStoreFlaws(delay_s=0.002))
+        view = RowStoreView(self.store, replace(self.flaws))
         stats_registry = ReplicaStatsRegistry()
         records = RolloutRecords(view)
         engines = SimulatedEngines(stats_registry, self.event_count)
