Targets: an entry with any number that can't be names no target

Callers and trainers: requests may go to an entry that another writer left.

Cause: `callSeq` of an entry was not decoded, so an entry with a `callSeq` of 400 digits, or of 1e999, was used; `coldLeftMs` took any number that fits a float, such as 2^70 ms.

Change: both fields have the limits that the others have.

--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -59,6 +59,7 @@
 # Larger numbers can't be converted to the floating-point numbers that they are combined with.
 MAX_STORED_INTEGER = 2**53
 StoredInteger = Annotated[int, msgspec.Meta(ge=-MAX_STORED_INTEGER, le=MAX_STORED_INTEGER)]
+StoredNumber = Annotated[float, msgspec.Meta(ge=-MAX_STORED_INTEGER, le=MAX_STORED_INTEGER)]
 
 
 class SplitFields(msgspec.Struct, frozen=True):
@@ -168,8 +169,7 @@
 class ReplicaFields(msgspec.Struct, frozen=True, rename="camel"):
     """Entry of a target in the target list.
 
-    The field ``callSeq`` of the document is not decoded: here it counts the writes of the entry,
-    while in reports and orders the same name counts the orders that the target has accepted.
+    An entry with a number that can't be is one of another writer, whatever else it says.
     """
 
     svc: str
@@ -179,7 +179,10 @@
     # Version of the target's software, while each of ``models`` has that of its weights.
     version: str = ""
     batch_slots: StoredInteger = 1
-    cold_left_ms: float = 0.0
+    cold_left_ms: StoredNumber = 0.0
+    # Number of writes of the entry, which is not used; in reports and orders, the same name counts
+    # the orders that the target has accepted.
+    call_seq: StoredInteger = 0
     # Start of the target's process in Unix milliseconds.
     born: StoredInteger = 0
     models: list[ModelFields] = []
