Soak: several models, each with a trainer

Cause: the operators' plays train several models at once; the engines of the soak had one model with one version.

No check changes.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -87,6 +87,8 @@
     # Sources of the build that the VMs begin with, if it is another one.
     other_sources: Path | None = None
     duties: DutyPlatform = field(default_factory=DutyPlatform)
+    # Number of models, each of which has a trainer.
+    models: int = 1
     # Plants a fault: the store loses the result rows of one step while no VM has power.
     drops_results: bool = False
     dropped_step: str = ""
@@ -110,18 +112,25 @@
 
     def build(self, vms: int) -> None:
         for number in range(3):
-            self.engines.append(self.target(f"engine{number}", 100 + number, "llm", MODEL))
+            self.engines.append(
+                self.target(f"engine{number}", 100 + number, "llm", self.model_names)
+            )
         for number in range(2):
-            self.plains.append(self.target(f"plain{number}", 110 + number, "app", ""))
+            self.plains.append(self.target(f"plain{number}", 110 + number, "app", ()))
         serve(self.tasks, self.address(120, 9200), self.duties.handle)
         self.change_configuration()
         for number in range(vms):
             self.vms.append(self.vm(number))
 
-    def target(self, name: str, number: int, service: str, model: str) -> SoakTarget:
+    @property
+    def model_names(self) -> tuple[str, ...]:
+        """Names of the models that are trained; the first one also serves streams."""
+        return (MODEL, *(f"{MODEL}{number}" for number in range(1, self.models)))
+
+    def target(self, name: str, number: int, service: str, models: tuple[str, ...]) -> SoakTarget:
         link = SoakLink(self.address(number, 9000), self.address(number, 9001), self.tasks)
         link.start()
-        found = SoakTarget(name, link, service, self.store, self.tasks, model)
+        found = SoakTarget(name, link, service, self.store, self.tasks, models)
         found.rng = random.Random(f"{self.seed}{name}")
         found.start()
         return found
@@ -182,7 +191,7 @@
             kept = route("/kept/", "rollout", "llm", resumable=True, queueTtlS=60, dueMs=7500)
             routes.append({**kept, "host": soak_kept.HOST})
         routes += [route(f"/new{number}/", "safe", "app") for number in range(1, version + 1)]
-        engine = {"batchSlots": 8, "models": [{"name": MODEL}]}
+        engine = {"batchSlots": 8, "models": [{"name": name} for name in self.model_names]}
         services = [{"name": "app"}, {"name": "llm", "engine": engine}]
         found = {"version": version, "routes": routes, "services": services}
         return found if self.other_sources is None else found | {"tenants": TENANTS}
@@ -334,11 +343,11 @@
         rng = random.Random(f"kept {self.seed}")
         return soak_kept.KeptStep(self.ask, headers, MODEL, remove_route, self.breaks, rng)
 
-    def trainer(self, number: int) -> SoakTrainer:
+    def trainer(self, number: int, model: str) -> SoakTrainer:
         """Return the trainer of one model."""
         return SoakTrainer(
             f"step{self.seed}t{number}",
-            MODEL,
+            model,
             HOST,
             HEADERS,
             self.vms,
@@ -419,7 +428,7 @@
         """Let users go on through all faults, read all steps again, and check."""
         streams, self.kept = self.stream_caller(), self.kept_step()
         poison = PoisonCaller(self.seed, HOST, self.choose_vm_address)
-        self.trainers.append(self.trainer(0))
+        self.trainers += [self.trainer(*numbered) for numbered in enumerate(self.model_names)]
         async with anyio.create_task_group() as users:
             for number in range(6):
                 users.start_soon(self.call, number)
@@ -473,6 +482,7 @@
     parser.add_argument("--vms", type=int, default=6)
     parser.add_argument("--other-sources", type=Path, help="of the build that VMs begin with")
     parser.add_argument("--no-replacement", action="store_true", help="keep the other build")
+    parser.add_argument("--models", type=int, default=1, help="each with a trainer")
     parser.add_argument("--drop-results", action="store_true", help="plant a fault of the store")
     return parser.parse_args()
 
@@ -510,6 +520,7 @@
             other_sources=options.other_sources,
             replaces_vms=not options.no_replacement,
             drops_results=options.drop_results,
+            models=options.models,
         )
         soak = anyio.run(play, seed, options.seconds, options.vms, folder)
         print_outcome(soak)
--- a/tests/soak_stand.py
+++ b/tests/soak_stand.py
@@ -159,13 +159,15 @@
     service: str
     store: MemoryRowStore
     tasks: anyio.abc.TaskGroup
-    model: str = ""
+    models: tuple[str, ...] = ()
     life: int = 0
     id_life: int = 0
     software: str = SOFTWARE[0]
-    version: int = 1
+    # Weight versions by model; a model that is absent has the first one.
+    versions: dict[str, int] = field(default_factory=dict)
     orders: int = 0
-    loading: bool = False
+    # Model whose weights are being loaded, if any.
+    loading: str | None = None
     up: bool = True
     slow: float = 1.0
     answer_twice: bool = False
@@ -193,7 +195,7 @@
             "batchSlots": 8,
             "version": self.software,
             "born": self.life + 1,
-            "models": [{"name": self.model, "version": self.version}] if self.model else [],
+            "models": self.model_versions(),
         }
         value = None if state is None else msgspec.json.encode(entry)
         self.store.apply(RowCommit((RowWrite(key, value),)))
@@ -205,7 +207,7 @@
             self.id_life = self.life
         self.software = self.rng.choice(SOFTWARE)
         self.orders = 0
-        self.loading = False
+        self.loading = None
         self.up = True
         self.draining_since_s = None
         self.server = serve(self.tasks, self.link.goal, self.answer)
@@ -231,7 +233,7 @@
         """Break all connections, stay away, come back with a new id or soon with the same."""
         assert self.server is not None
         self.up = False
-        keeps_id = bool(self.model) and down_s < MAX_UNLISTED_S and self.draining_since_s is None
+        keeps_id = bool(self.models) and down_s < MAX_UNLISTED_S and self.draining_since_s is None
         self.server.stop_accepting()
         for connection in list(self.server.connections):
             connection.stream.reset()
@@ -250,33 +252,36 @@
             await responder.send(Response(200, JSON, msgspec.json.encode(self.report())))
         elif request.path == "/order":
             await self.order(msgspec.json.decode(request.body), responder)
-        elif self.model:
+        elif self.models:
             await self.generate(request, attempt, responder)
         else:
             await self.plain(request, attempt, responder)
 
+    def model_versions(self) -> list[dict[str, object]]:
+        return [{"name": name, "version": self.versions.get(name, 1)} for name in self.models]
+
     def report(self) -> dict[str, object]:
         return {
-            "models": [{"name": self.model, "version": self.version}],
-            "busy": self.loading,
+            "models": self.model_versions(),
+            "busy": self.loading is not None,
             "callSeq": self.orders,
             "born": self.life + 1,
         }
 
     async def order(self, body, responder: Responder) -> None:
-        if body["expected"] != self.orders or self.loading:
+        if body["expected"] != self.orders or self.loading is not None:
             await responder.send(Response(409))
             return
         self.order_log.append((anyio.current_time(), body["holder"], body["fence"]))
         self.orders += 1
-        self.loading = True
-        self.tasks.start_soon(self.load, body["version"], self.life)
+        self.loading = body["model"]
+        self.tasks.start_soon(self.load, body["model"], body["version"], self.life)
         await responder.send(Response(202))
 
-    async def load(self, version: int, life: int) -> None:
+    async def load(self, model: str, version: int, life: int) -> None:
         await anyio.sleep(LOAD_S)
         if self.life == life:
-            self.version, self.loading = version, False
+            self.versions[model], self.loading = version, None
             self.put("draining" if self.draining_since_s else "ready")
 
     def note_run(self, attempt: str) -> None:
@@ -324,7 +329,8 @@
 
     async def generate(self, request: Request, attempt: str, responder: Responder) -> None:
         """Stream events whose data says by which version each was made."""
-        if self.loading:
+        model = header_value(request.headers, "Model") or self.models[0]
+        if self.loading == model:
             refusal = (("Attempt-Id", attempt), ("Not-Run", "1"))
             await responder.send(Response(503, refusal))
             return
@@ -332,7 +338,7 @@
         if request.path.startswith(STREAM_PREFIX):
             attempt = request.path.removeprefix(STREAM_PREFIX)
         number = int(header_value(request.headers, "Last-Event-Id") or 0)
-        version = self.version
+        version = self.versions.get(model, 1)
         await responder.start_chunked(
             200,
             (
@@ -344,8 +350,8 @@
         )
         for event in range(number + 1, events_of(attempt) + 1):
             await anyio.sleep(EVENT_S * self.slow)
-            changed = f"weight-versions: {self.version}\n" if self.version != version else ""
-            version = self.version
+            before, version = version, self.versions.get(model, 1)
+            changed = f"weight-versions: {version}\n" if version != before else ""
             data = f"{changed}id: {event}\ndata: {attempt}:{event}:v{version}:{self.software}\n\n"
             await responder.write(data.encode())
         await responder.finish()
