--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -347,15 +347,33 @@
                 self.is_configuration_current, self.routing_keeper.confirmed_age_s, self.metrics
             ),
         )
+        self.create_table_followers(generator)
+        self.create_servers(target_relay)
+        self.readiness = Readiness.NO_CONFIGURATION
+        self.is_leaving = False
+        self.stop_requested = anyio.Event()
+        self.tasks: anyio.abc.TaskGroup | None = None
+
+    def connect_steps(self, pause_guard: PauseGuard) -> None:
+        """Connect what runs steps with what reads them from the store."""
+        self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
+        self.runner.find_obstacle = self.step_feed.find_obstacle
+        self.runner.is_configuration_current = self.is_configuration_current
+        self.runner.configuration_version = self.configuration_version
+        self.store.on_regained = self.runner.handle_store_regained
+
+    def create_table_followers(self, generator: random.Random) -> None:
+        """Create what keeps configuration, targets, steps and crash history up to date."""
+        self.operator_follower = TableFollower(
+            self.store,
+            OPERATOR_TABLE,
+            self.routing_keeper,
+            generator,
+            single_part=True,
+            on_read=self.routing_keeper.record_read,
+        )
         self.table_followers = [
-            TableFollower(
-                self.store,
-                OPERATOR_TABLE,
-                self.routing_keeper,
-                generator,
-                single_part=True,
-                on_read=self.routing_keeper.record_read,
-            ),
+            self.operator_follower,
             TableFollower(
                 self.store,
                 REPLICA_TABLE,
@@ -369,19 +387,6 @@
                 self.store, SUSPECTS_TABLE, self.crash_history, generator, single_part=False
             ),
         ]
-        self.create_servers(target_relay)
-        self.readiness = Readiness.NO_CONFIGURATION
-        self.is_leaving = False
-        self.stop_requested = anyio.Event()
-        self.tasks: anyio.abc.TaskGroup | None = None
-
-    def connect_steps(self, pause_guard: PauseGuard) -> None:
-        """Connect what runs steps with what reads them from the store."""
-        self.runner.on_rows = pause_guard.on_rows = self.step_feed.apply_rows
-        self.runner.find_obstacle = self.step_feed.find_obstacle
-        self.runner.is_configuration_current = self.is_configuration_current
-        self.runner.configuration_version = self.configuration_version
-        self.store.on_regained = self.runner.handle_store_regained
 
     def create_servers(self, target_relay: TargetRelay) -> None:
         """Create the servers of callers, of the load balancer, of other VMs and of metrics."""
@@ -473,12 +478,7 @@
 
     def configuration_version(self) -> int:
         """Return the version of the store up to which all documents were read; 0 before that."""
-        versions = [
-            follower.version or 0
-            for follower in self.table_followers
-            if follower.table == OPERATOR_TABLE
-        ]
-        return min(versions)
+        return self.operator_follower.version or 0
 
     def reaches_store(self) -> bool:
         """Return whether the store has answered this VM directly within the last moments."""
