--- a/tests/soak.py
+++ b/tests/soak.py
@@ -37,6 +37,7 @@
 from soak_builds import AUTHORIZATION, TENANTS, broken_duties, replace_vms
 from soak_faults import SoakFaults, SoakVm
 from soak_link import SoakLink
+from soak_networks import claim_network
 from soak_poison import MAX_LATE_RUNS, PoisonCaller, late_runs
 from soak_power_loss import PowerLoss, drop_results
 from soak_read_again import FINISH_S, STATUS_S, ExpectedStep, ReadAgain
@@ -100,7 +101,7 @@
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        self.net = 10 + self.seed % 200
+        self.claim, self.net = claim_network(self.seed)
         self.pool = ConnectionPool(PoolLimits(connect_timeout_s=0.5))
 
     def address(self, number: int, port: int) -> str:
