--- a/src/balsamcleat/standins/row_store.py
+++ b/src/balsamcleat/standins/row_store.py
@@ -18,6 +18,7 @@
     RowWrite,
     StoreLimits,
 )
+from balsamcleat.standins.platform import RateLimit
 
 __all__ = ["MemoryRowStore", "RowStoreFlaws", "RowStoreView"]
 
@@ -33,6 +34,7 @@
         hold_commits: Commits not answered and kept back until ``MemoryRowStore.release``.
         delay_s: Time that each call takes.
         answer_delay_s: Time between a commit and its answer; feeds tell of it before.
+        silent_tables: Tables whose rows can't be read.
     """
 
     down: bool = False
@@ -41,11 +43,21 @@
     hold_commits: int = 0
     delay_s: float = 0.0
     answer_delay_s: float = 0.0
+    silent_tables: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
 class MemoryRowStore:
-    """The rows, one counter of versions and the history of changes."""
+    """The rows, one counter of versions and the history of changes.
+
+    Attributes:
+        limits: Limits that the store names to its callers.
+        page_rows: Most rows of a read page, also if the caller asks for more.
+        page_bytes: Most bytes of values in a read page, which has at least one row.
+        reads_per_s: Reads by all callers in a second, above which 429; 0 for no limit.
+        writes_per_s: Commits by all callers in a second, above which 429; 0 for no limit.
+        epoch_ms: Time of the store's clock when the process clock was 0, in milliseconds.
+    """
 
     rows: dict[RowKey, tuple[bytes, int]] = field(default_factory=dict)
     history: list[RowChange] = field(default_factory=list)
@@ -54,6 +66,13 @@
     held: list[RowCommit] = field(default_factory=list)
     changed: anyio.Event = field(default_factory=anyio.Event)
     limits: StoreLimits = field(default_factory=StoreLimits)
+    page_rows: int = 500
+    page_bytes: int = 1_000_000
+    reads_per_s: float = 0.0
+    writes_per_s: float = 0.0
+    epoch_ms: int = 0
+    read_limit: RateLimit = field(default_factory=RateLimit)
+    write_limit: RateLimit = field(default_factory=RateLimit)
 
     def apply(self, commit: RowCommit) -> RowsCommitted | RowConflict:
         """Apply a commit if its conditions hold."""
@@ -85,7 +104,19 @@
 
     def now_ms(self) -> int:
         """Return the store's clock."""
-        return int(anyio.current_time() * 1000)
+        return self.epoch_ms + int(anyio.current_time() * 1000)
+
+    def page(self, keys: list[RowKey], limit: int) -> RowPage:
+        """Return the first rows of those with these keys, as many as fit into a page."""
+        rows: list[RowChange] = []
+        size = 0
+        for key in keys[: min(limit, self.page_rows)]:
+            row = self.change_of(key)
+            size += len(row.value or b"")
+            if rows and size > self.page_bytes:
+                break
+            rows.append(row)
+        return RowPage(tuple(rows), len(keys) > len(rows), self.version, self.now_ms())
 
     def forget_history(self) -> None:
         """Drop all history: feeds behind the newest version must read in full."""
@@ -115,12 +146,16 @@
     Args:
         store: The store.
         flaws: What goes wrong for this VM.
+
+    Attributes:
+        answered_at_s: Time of the last answer on the process clock, in seconds.
     """
 
     def __init__(self, store: MemoryRowStore, flaws: RowStoreFlaws | None = None) -> None:
         self.store = store
         self.flaws = flaws or RowStoreFlaws()
         self.limits = store.limits
+        self.answered_at_s = float("-inf")
 
     async def reach(self) -> None:
         """Take the time of a call.
@@ -132,6 +167,20 @@
         if self.flaws.down:
             raise PlatformUnavailableError("down", step="stand-in")
 
+    async def reach_for_read(self, table: str) -> None:
+        """Take the time of a read of a table.
+
+        Raises:
+            PlatformUnavailableError: The store or the table is down for this VM, or all VMs
+                together read too often.
+        """
+        await self.reach()
+        if table in self.flaws.silent_tables:
+            raise PlatformUnavailableError("the table is down", step="stand-in")
+        if not self.store.read_limit.take(self.store.reads_per_s, anyio.current_time()):
+            raise PlatformUnavailableError("answered 429", step="stand-in")
+        self.answered_at_s = anyio.current_time()
+
     async def commit(self, commit: RowCommit) -> RowsCommitted | RowConflict:
         """Apply all writes or none."""
         await self.reach()
@@ -139,6 +188,8 @@
         if flaws.refuse_commits:
             flaws.refuse_commits -= 1
             raise PlatformUnavailableError("turned away", step="stand-in")
+        if not self.store.write_limit.take(self.store.writes_per_s, anyio.current_time()):
+            raise PlatformUnavailableError("answered 429", step="stand-in")
         if flaws.hold_commits:
             flaws.hold_commits -= 1
             self.store.held.append(commit)
@@ -148,13 +199,14 @@
             flaws.lose_answers -= 1
             raise OutcomeUnknownError("no answer", step="stand-in")
         await anyio.sleep(flaws.answer_delay_s)
+        self.answered_at_s = anyio.current_time()
         return outcome
 
     async def read(
         self, table: str, part: str, start: str = "", end: str = "", limit: int = 500
     ) -> RowPage:
         """Return rows with ``start <= key < end``."""
-        await self.reach()
+        await self.reach_for_read(table)
         found = sorted(
             key
             for key in self.store.rows
@@ -162,18 +214,17 @@
             and key.key >= start
             and (not end or key.key < end)
         )
-        rows = tuple(self.store.change_of(key) for key in found[:limit])
-        return RowPage(rows, len(found) > limit, self.store.version, self.store.now_ms())
+        return self.store.page(found, limit)
 
     async def parts(self, table: str, after: str = "") -> tuple[tuple[str, ...], bool]:
         """Return names of parts above ``after``."""
-        await self.reach()
+        await self.reach_for_read(table)
         names = {key.part for key in self.store.rows if key.table == table and key.part > after}
         return tuple(sorted(names)), False
 
     async def changes(self, table: str, after: int, wait_s: float) -> FeedPage:
         """Return what changed after a version."""
-        await self.reach()
+        await self.reach_for_read(table)
         deadline_s = anyio.current_time() + wait_s
         while True:
             if after < self.store.history_from:
@@ -188,3 +239,4 @@
             with anyio.move_on_after(left_s):
                 await changed.wait()
             await self.reach()
+            self.answered_at_s = anyio.current_time()
