LOST: a row of the store that can't be read costs only itself

Callers and trainers would see what the last reading showed: one row whose value was no text, or whose key or version could not be read, made the whole answer unreadable, and the process read the same page again and again (`store lost`), at the start for good. A version of 400 digits around the rows was believed, so that no later change was ever read; a time of 1e300 became the store's clock.

Ruled out: that the process ends by it, as both count as failures of the store; values that are no base64, which were read as empty before.

Change: answers to reads are decoded as before; only if that fails, row by row. A row without a readable name or version is left out and logged (`store row ignored`), one without a readable value counts as empty, so that it names no target. Reads of a named part still fail as a whole: steps use its rows together, and a result must not go missing. Versions and times have limits.

--- a/src/balsamcleat/decoding.py
+++ b/src/balsamcleat/decoding.py
@@ -13,7 +13,7 @@
 __all__ = ["decode_json", "decode_msgpack", "decode_with"]
 
 ValueT = TypeVar("ValueT")
-Data = bytes | bytearray | memoryview | str
+Data = bytes | bytearray | memoryview | str | msgspec.Raw
 
 
 @overload
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -314,6 +314,11 @@
         "A fault of this program in the handling of one row, perhaps of another writer.",
         "table part key row_version exception",
     ),
+    event(
+        "store row ignored",
+        "The store sent a row without a readable name or version; the others count.",
+        "table reason",
+    ),
     event("store lost", "A feed does not answer.", "table version reason"),
     event("store regained", "It does again.", "table failures"),
     event("feed gap", "History was lost; the table is read in full.", "table after"),
--- a/src/balsamcleat/platform/store.py
+++ b/src/balsamcleat/platform/store.py
@@ -2,11 +2,12 @@
 
 import base64
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Annotated, TypeVar
 from urllib.parse import quote, urlencode
 
 import anyio
 import msgspec
+import structlog
 
 from balsamcleat.decisions.store_pace import StoreRateLimiter
 from balsamcleat.decisions.store_path import AdaptiveTimeout
@@ -39,6 +40,13 @@
 # With these statuses, the store says that a request had no effect.
 NOT_DONE_STATUSES = (TOO_MANY_REQUESTS_STATUS, 503)
 COMMIT_STEP = "rows.commit"
+# A larger number is no version or time of the store: followed, it would hide all later changes.
+MAX_STORE_VERSION = 2**63 - 1
+MAX_STORE_MS = 2**53
+StoreVersion = Annotated[int, msgspec.Meta(ge=0, le=MAX_STORE_VERSION)]
+StoreTimeMs = Annotated[float, msgspec.Meta(ge=-MAX_STORE_MS, le=MAX_STORE_MS)]
+
+log = structlog.get_logger()
 
 
 class RowFields(msgspec.Struct, frozen=True):
@@ -48,19 +56,37 @@
     key: str
     part: str = ""
     value: str | None = None
-    ver: int = 0
+    ver: StoreVersion = 0
     deleted: bool = False
 
 
+class RowNameFields(msgspec.Struct, frozen=True):
+    """Row on the wire whose value can't be read."""
+
+    table: str
+    key: str
+    part: str = ""
+    ver: StoreVersion = 0
+
+
 class RowsFields(msgspec.Struct, frozen=True, rename="camel"):
     """Response that contains rows."""
 
-    ver: int = 0
-    now_ms: float = 0.0
+    ver: StoreVersion = 0
+    now_ms: StoreTimeMs = 0.0
     rows: list[RowFields] = []
     has_more: bool = False
 
 
+class UndecodedRowsFields(msgspec.Struct, frozen=True, rename="camel"):
+    """Response that contains rows which are decoded one by one."""
+
+    ver: StoreVersion = 0
+    now_ms: StoreTimeMs = 0.0
+    rows: list[msgspec.Raw] = []
+    has_more: bool = False
+
+
 class PartsFields(msgspec.Struct, frozen=True, rename="camel"):
     """Response that contains names of parts."""
 
@@ -182,7 +208,9 @@
             query["from"] = start
         if end:
             query["to"] = end
-        fields = await self.get("/rows-get", query, RowsFields)
+        response = await self.get("/rows-get", query)
+        # The rows of a named part are used as a whole, so none of them may be left out.
+        fields = decode_response(response, RowsFields) if part else decode_rows(response, table)
         self.on_time(int(fields.now_ms))
         rows = tuple(map(decode_row, fields.rows))
         return RowPage(rows, fields.has_more, fields.ver, int(fields.now_ms))
@@ -192,13 +220,13 @@
         query = {"table": table}
         if after:
             query["after"] = after
-        fields = await self.get("/rows-parts", query, PartsFields)
+        fields = decode_response(await self.get("/rows-parts", query), PartsFields)
         return tuple(fields.parts), fields.has_more or len(fields.parts) >= MAX_PARTS_PER_RESPONSE
 
     async def changes(self, table: str, after: int, wait_s: float) -> FeedPage:
         """Return the changes of a table after a version."""
         query = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
-        fields = await self.get("/rows-feed", query, RowsFields, wait_s)
+        fields = decode_rows(await self.get("/rows-feed", query, wait_s), table)
         rows = tuple(map(decode_row, fields.rows))
         return FeedPage(rows, max(fields.ver, after), int(fields.now_ms))
 
@@ -234,10 +262,8 @@
                 return
             await anyio.sleep(wait_s)
 
-    async def get(
-        self, path: str, query: dict[str, str], response_type: type[ResponseT], wait_s: float = 0.0
-    ) -> ResponseT:
-        """Send a read request and return its decoded response.
+    async def get(self, path: str, query: dict[str, str], wait_s: float = 0.0) -> Response:
+        """Send a read request and return its response, whose status is 200.
 
         Raises:
             HistoryExpiredError: The store no longer keeps the requested changes.
@@ -257,7 +283,7 @@
         if response.status != 200:
             raise self.rejection_error(response, f"store{path}")
         self.record_answer()
-        return decode_response(response, response_type)
+        return response
 
     def record_answer(self) -> None:
         """Record that the store processed a request, whether or not with success."""
@@ -315,6 +341,34 @@
         ) from error
 
 
+def decode_rows(response: Response, table: str) -> RowsFields:
+    """Return the rows in a response; each row that can't be read costs only itself.
+
+    Raises:
+        PlatformUnavailableError: What is around the rows can't be decoded.
+    """
+    try:
+        return decode_json(response.body, RowsFields)
+    except msgspec.DecodeError:
+        fields = decode_response(response, UndecodedRowsFields)
+    rows = [row for data in fields.rows if (row := decode_row_fields(data, table)) is not None]
+    return RowsFields(fields.ver, fields.now_ms, rows, fields.has_more)
+
+
+def decode_row_fields(data: msgspec.Raw, table: str) -> RowFields | None:
+    """Return the fields of a row; with an empty value if only its name can be read, or None."""
+    try:
+        return decode_json(data, RowFields)
+    except msgspec.DecodeError as error:
+        reason = str(error)
+    try:
+        name = decode_json(data, RowNameFields)
+    except msgspec.DecodeError:
+        log.warning("store row ignored", table=table, reason=reason)
+        return None
+    return RowFields(name.table, name.key, name.part, "", name.ver)
+
+
 def decode_row(fields: RowFields) -> RowChange:
     """Return a row; a value that is not valid base64 is decoded as empty."""
     key = RowKey(fields.table, fields.part, fields.key)
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -7,12 +7,12 @@
 import base64
 import itertools
 import json
-import os
 from collections import Counter
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -23,6 +23,7 @@
 from balsamcleat.adapters.text_metrics import TextMetrics
 from balsamcleat.entry.process import EntryProcess
 from balsamcleat.http1 import Request, Response
+from balsamcleat.http1.streams import listen
 from balsamcleat.log_output import BoundedOutput
 from balsamcleat.model import TargetId
 from balsamcleat.platform import load_platform_settings
@@ -31,10 +32,8 @@
 from soak import HEADERS, MODEL, Soak
 from soak_stand import events_of
 
-# Networks on loopback that no seed of the soak uses; each world has one of its own, and other runs
-# of these tests begin elsewhere.
-FIRST_NET, NET_COUNT = 210, 45
-NETS = itertools.cycle(range(NET_COUNT))
+# Networks on loopback that no seed of the soak uses; each world has one of its own.
+NETS = itertools.cycle(range(210, 255))
 TIMEOUT_S = 10.0
 STEP_SAMPLES = 4
 
@@ -55,10 +54,20 @@
             await anyio.sleep(0.01)
 
 
+def is_free(net: int) -> bool:
+    """Return whether no other run of these tests uses a network."""
+    try:
+        listen(f"127.{net}.0.100:9001").close()
+        listen(f"127.{net}.0.200:9100").close()
+    except OSError:
+        return False
+    return True
+
+
 def new_soak(folder: Path, tasks: anyio.abc.TaskGroup) -> Soak:
     """Return the stand of a soak with addresses of its own."""
     soak = Soak(1, 0.0, folder, tasks)
-    soak.net = FIRST_NET + (os.getpid() + next(NETS)) % NET_COUNT
+    soak.net = next(net for net in NETS if is_free(net))
     return soak
 
 
@@ -77,15 +86,19 @@
     process: EntryProcess | None = None
     reads: Counter = field(default_factory=Counter)
     calls: int = 0
+    # Changes the store's answers about the list of targets, on their way to the process.
+    change_answer: Callable[[Request, dict[str, Any]], None] = lambda request, body: None
 
     def __post_init__(self) -> None:
         door = self.soak.vms[0].door
         answer_call = door.call
 
-        async def call(request: Request):
+        async def call(request: Request) -> tuple[int, dict[str, Any]]:
+            status, body = await answer_call(request)
             if "table=servers&" in request.query + "&":
                 self.reads[request.path] += 1
-            return await answer_call(request)
+                self.change_answer(request, body)
+            return status, body
 
         door.call = call
 
@@ -197,6 +210,14 @@
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator[EntryProcess]:
+        """Run the process until the block ends; it has read the targets and the configuration."""
+        async with self.starting() as process:
+            await wait_until(lambda: process.table_followers[1].version is not None)
+            await wait_until(lambda: process.routing_keeper.table is not None)
+            yield process
+
+    @asynccontextmanager
+    async def starting(self) -> AsyncIterator[EntryProcess]:
         """Run the process until the block ends; an error that ends it fails the test."""
         path = self.soak.vms[0].settings
         output = BoundedOutput(2)
@@ -205,8 +226,6 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(process.run)
             try:
-                await wait_until(lambda: process.table_followers[1].version is not None)
-                await wait_until(lambda: process.routing_keeper.table is not None)
                 yield process
             finally:
                 tasks.cancel_scope.cancel()
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -18,6 +18,7 @@
     SOURCE / "http1" / "client.py",
     SOURCE / "http1" / "server.py",
     SOURCE / "http1" / "server_connection.py",
+    SOURCE / "platform" / "store.py",
     *(
         SOURCE / "tasks" / f"{name}.py"
         for name in (
