LOST: a number that can't be, from a target or a caller, ends no process

Callers and trainers saw: no answer at a VM, as its process ended when an engine stated a weight version beyond 64 bits, in a header or in an event; the results could not be read meanwhile, and the next owner runs the same samples. A `Server-Load` of 31 digits or more at one target failed calls of all targets of the service. `after` or `Last-Event-Id` of 5,000 digits got 500.

Cause: `int` and `float` take any number. MessagePack can't hold integers beyond 64 bits, so that the writer of results raised OverflowError, which nothing caught up to the outermost task group; integers of 400 digits overflow when they meet the floats of the ranking; `int` raises for more than 4,300 digits; `str.isdecimal` takes digits of other scripts.

Ruled out: NaN and infinity, which were no numbers before; numbers below zero, which are none now.

Change: one function, `decimal_number`, reads all whole numbers of headers, events and queries, up to 2^53. What is larger is not stated.

--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -12,6 +12,7 @@
 from balsamcleat.http1.byte_budget import ByteBudget
 from balsamcleat.http1.idle_watch import IdleWatch
 from balsamcleat.http1.messages import Headers, Request, Response, header_value
+from balsamcleat.http1.numbers import decimal_number
 from balsamcleat.http1.streams import ByteStream, connect
 from balsamcleat.model import FailureKind
 
@@ -606,6 +607,7 @@
             return self.pool.limits.idle_timeout_s
         for part in keep_alive.split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdecimal():
-                return min(self.pool.limits.idle_timeout_s, int(value) - KEEP_ALIVE_MARGIN_S)
+            timeout_s = decimal_number(value) if name.lower() == "timeout" else None
+            if timeout_s is not None:
+                return min(self.pool.limits.idle_timeout_s, timeout_s - KEEP_ALIVE_MARGIN_S)
         return self.pool.limits.idle_timeout_s
--- a/src/balsamcleat/http1/events.py
+++ b/src/balsamcleat/http1/events.py
@@ -3,6 +3,8 @@
 import re
 from dataclasses import dataclass
 
+from balsamcleat.http1.numbers import decimal_number
+
 __all__ = ["EventParser", "EventTooLargeError", "StreamEvent"]
 
 # Bytes that end neither an event nor a stream must not fill the memory.
@@ -109,8 +111,8 @@
         value = value.removeprefix(" ") if colon else ""
         if name == "data":
             data.append(value)
-        elif name == "id" and value.isdecimal():
-            event_id = int(value)
+        elif name == "id" and (number := decimal_number(value)) is not None:
+            event_id = number
         else:
             fields.append((name.lower(), value))
     return StreamEvent(event_id, "\n".join(data), tuple(fields), raw, is_comment)
--- a/src/balsamcleat/platform/duties.py
+++ b/src/balsamcleat/platform/duties.py
@@ -17,6 +17,7 @@
     Response,
     header_value,
 )
+from balsamcleat.http1.numbers import decimal_number
 from balsamcleat.model import ServiceName, TeamName, VmId, ZoneName
 from balsamcleat.ports.duties import (
     Duty,
@@ -155,10 +156,10 @@
 def decode_duty_call(request: Request) -> ReceivedDutyCall | None:
     """Return the call in a request, or None if it is not a valid call."""
     holder = header_value(request.headers, HOLDER_HEADER)
-    token = header_value(request.headers, FENCE_HEADER) or ""
-    if request.method != "POST" or not holder or not token.isdecimal():
+    token = decimal_number(header_value(request.headers, FENCE_HEADER) or "")
+    if request.method != "POST" or not holder or token is None:
         return None
-    stamp = DutyStamp(VmId(holder), int(token))
+    stamp = DutyStamp(VmId(holder), token)
     try:
         if request.path == USAGE_PATH:
             usage = decode_json(request.body, UsageFields)
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -5,6 +5,7 @@
 
 from balsamcleat.http1 import Headers, header_value, without_headers
 from balsamcleat.http1.messages import end_to_end_headers
+from balsamcleat.http1.numbers import decimal_number
 from balsamcleat.model import TargetId, TeamName, WeightVersion
 
 __all__ = [
@@ -203,14 +204,14 @@
 def parse_response_metadata(status: int, headers: Headers) -> ResponseMetadata:
     """Return the information in the status and the headers of a target's response."""
     load = parse_load(header_value(headers, LOAD_HEADER))
-    version = parse_number(header_value(headers, VERSION_HEADER))
+    version = decimal_number(header_value(headers, VERSION_HEADER) or "")
     return ResponseMetadata(
         is_not_run=is_misdirected(status) or header_value(headers, NOT_RUN_HEADER) is not None,
         target_stamp=header_value(headers, STAMP_HEADER),
         running_count=load.running_count,
         waiting_count=load.waiting_count,
         pace_ratio=load.pace_ratio,
-        weight_version=None if version is None else WeightVersion(int(version)),
+        weight_version=None if version is None else WeightVersion(version),
         retry_after_s=parse_number(header_value(headers, RETRY_AFTER_HEADER)),
     )
 
@@ -243,7 +244,7 @@
 def parse_last_event_id(headers: Headers) -> int | None:
     """Return the number of the last event that a resuming caller has received, if it states one."""
     value = header_value(headers, LAST_EVENT_HEADER)
-    return int(value) if value is not None and value.isdecimal() else None
+    return None if value is None else decimal_number(value)
 
 
 def parse_resumed_attempt(headers: Headers) -> str:
@@ -266,12 +267,13 @@
     ignored, and so is a pace that is no positive number, as the load counts without them.
     """
     fields = [part.strip() for part in (value or "").split(",")]
-    if len(fields) < LOAD_FIGURES or not all(part.isdecimal() for part in fields[:LOAD_FIGURES]):
+    figures = [decimal_number(part) for part in fields[:LOAD_FIGURES]]
+    if len(figures) < LOAD_FIGURES or None in figures:
         return TargetLoad()
     pace_percent = parse_number(fields[LOAD_FIGURES]) if len(fields) > LOAD_FIGURES else None
     return TargetLoad(
-        running_count=int(fields[0]),
-        waiting_count=int(fields[1]),
+        running_count=figures[0],
+        waiting_count=figures[1] or 0,
         pace_ratio=pace_percent / PERCENT if pace_percent and pace_percent > 0.0 else None,
     )
 
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -9,6 +9,7 @@
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.http1 import Headers, Request, StreamEvent, header_value, without_headers
+from balsamcleat.http1.numbers import decimal_number
 from balsamcleat.model import StepId, TargetId, TeamName, WeightVersion
 from balsamcleat.model.rollout import (
     PromptPart,
@@ -164,7 +165,7 @@
     position = fields.get("after", ["0"])[0]
     wait_s = (parse_number(header_value(request.headers, WAIT_HEADER)) or 0.0) / MS_PER_S
     return ResultsQuery(
-        position=int(position) if position.isdecimal() else 0,
+        position=decimal_number(position) or 0,
         wait_s=min(max(0.0, wait_s), MAX_WAIT_S),
     )
 
@@ -245,17 +246,17 @@
     parts = []
     for entry in value.split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        if part_id and tokens.isdecimal():
-            parts.append(PromptPart(part_id, int(tokens)))
+        count = decimal_number(tokens)
+        if part_id and count is not None:
+            parts.append(PromptPart(part_id, count))
     return tuple(parts)
 
 
 def parse_token_usage(value: str) -> tuple[int, int]:
     """Return the numbers of prompt tokens and maximum output tokens; zeros if not stated."""
     prompt, _, output = value.partition(",")
-    if prompt.strip().isdecimal() and output.strip().isdecimal():
-        return int(prompt), int(output)
-    return 0, 0
+    counts = decimal_number(prompt), decimal_number(output)
+    return (0, 0) if None in counts else (counts[0] or 0, counts[1] or 0)
 
 
 def sample_body(step: RolloutStep, sample_id: str) -> bytes | None:
@@ -329,8 +330,9 @@
 def parse_weight_version(event: StreamEvent) -> WeightVersion | None:
     """Return the weight version that generates from this event on, or None if it is unchanged."""
     for name, value in event.fields:
-        if name == VERSION_HEADER.lower() and value.strip().isdecimal():
-            return WeightVersion(int(value))
+        version = decimal_number(value) if name == VERSION_HEADER.lower() else None
+        if version is not None:
+            return WeightVersion(version)
     return None
 
 
