Submissions: a number that can't be is an invalid submission

Trainers saw: a submission with a `minVersion` of 31 digits or more was accepted and never run; one with `tokens` of 400 digits got 500. A `Length-Hint` below zero was an expected length.

Cause: the fields took any integer; integers of 400 digits overflow when they meet a float.

Ruled out: that the process ends by it (a trial with each of the fields, 31 and 400 digits: steps and calls were served afterwards).

Change: the fields have the limits that the documents of the store have; the submission gets 400. A hint that can't be is none.

--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -9,7 +9,7 @@
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.http1 import Headers, Request, StreamEvent, header_value, without_headers
-from balsamcleat.http1.numbers import decimal_number
+from balsamcleat.http1.numbers import MAX_NUMBER, decimal_number
 from balsamcleat.model import StepId, TargetId, TeamName, WeightVersion
 from balsamcleat.model.rollout import (
     PromptPart,
@@ -19,6 +19,7 @@
     SampleTask,
     ScoringRequest,
 )
+from balsamcleat.platform.documents import StoredInteger
 from balsamcleat.platform.headers import (
     CORRELATION_HEADER,
     DEADLINE_HEADER,
@@ -75,7 +76,7 @@
     headers: dict[str, str] = {}
     body: bytes = b""
     # Number of tokens of the prompt and the output together.
-    tokens: int = 0
+    tokens: StoredInteger = 0
     group: str = ""
     # Despite its name on the wire, a whole request rather than a URL.
     scorer: ScorerFields | None = msgspec.field(name="scorerUrl", default=None)
@@ -86,9 +87,9 @@
 
     requests: list[ItemFields]
     model: str = ""
-    min_version: int = 0
-    target_groups: int = 0
-    train_step: int = 0
+    min_version: StoredInteger = 0
+    target_groups: StoredInteger = 0
+    train_step: StoredInteger = 0
 
 
 class ResultFields(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -208,7 +209,7 @@
         prompt=prompt,
         prompt_tokens=prompt_tokens or sum(part.tokens for part in prompt),
         max_tokens=max_tokens or fields.tokens,
-        expected_tokens=parse_number(header_value(headers, LENGTH_HINT_HEADER)),
+        expected_tokens=parse_length_hint(header_value(headers, LENGTH_HINT_HEADER)),
         scoring=decode_scoring(fields.scorer),
     )
 
@@ -259,6 +260,12 @@
     return (0, 0) if None in counts else (counts[0] or 0, counts[1] or 0)
 
 
+def parse_length_hint(value: str | None) -> float | None:
+    """Return the expected number of output tokens, or None if there is none or it can't be."""
+    hint = parse_number(value)
+    return hint if hint is not None and 0.0 <= hint <= MAX_NUMBER else None
+
+
 def sample_body(step: RolloutStep, sample_id: str) -> bytes | None:
     """Return the body of a sample, or None if the step has no sample with this id."""
     for sample in step.samples:
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -4,11 +4,13 @@
 and those beyond 64 bits can't be stored. One such number of one target failed the calls of all.
 """
 
+import base64
 import json
 from pathlib import Path
 
 import pytest
 
+from balsamcleat.errors import InvalidInputError
 from balsamcleat.http1 import Request, Responder, Response, header_value
 from balsamcleat.http1.events import EventParser
 from balsamcleat.platform import decode_step
@@ -96,6 +98,17 @@
     (sample,) = decode_step((), submission({"headers": headers})).samples
     assert sample.max_tokens == 0
     assert sample.prompt_tokens == 7
+    assert sample.expected_tokens is None
+
+
+@pytest.mark.parametrize("digits", [31, 400])
+@pytest.mark.parametrize("field", ["minVersion", "targetGroups", "trainStep", "tokens"])
+def test_submission_with_an_impossible_number_is_invalid(field: str, digits: int) -> None:
+    number = int("9" * digits)
+    item = {"tokens": number} if field == "tokens" else {}
+    fields = {} if field == "tokens" else {field: number}
+    with pytest.raises(InvalidInputError):
+        decode_step((), submission(item, **fields))
 
 
 def answer_oddly(plain: SoakTarget, headers: tuple[tuple[str, str], ...]) -> None:
@@ -186,5 +199,12 @@
                 answer = await world.soak.ask(request, 6.0)
                 assert answer is not None, (header, request.path)
                 assert answer.status != 500, (header, request.path)
+        body = base64.b64encode(b"x").decode()
+        item = {"headers": {"Model": MODEL, "Length-Hint": number}, "body": body}
+        headers = (*HEADERS, ("Attempt-Id", "odd"))
+        submitted = Request("POST", "/steps/s", headers, submission(item, minVersion=10**400))
+        answer = await world.soak.ask(submitted, 4.0)
+        assert answer is not None
+        assert answer.status == 400
         await world.check_service()
         assert not world.count("request failed by a fault")
