Reports of targets: a number that can't be makes a report unreadable

Trainers may see: a target that states a version of 31 digits or more counts as newer than any named version, so that it gets no order; one that states such a start counts as started again, and gets no work.

Cause: the fields of `GET /report` took any integer.

Ruled out: that other targets or the process suffer: with one engine that reports such numbers or a nested field, the others load the named version, and calls and steps are served, before and after.

Change: the limits of the store's documents hold. A report beyond them is a failed request (`no report`); a start beyond them is none.

--- a/src/balsamcleat/platform/orders.py
+++ b/src/balsamcleat/platform/orders.py
@@ -11,6 +11,7 @@
 from balsamcleat.http1 import ConnectionPool, Headers, Request, Response, is_success
 from balsamcleat.model import WeightVersion
 from balsamcleat.model.replicas import Replica, ReplicaReport
+from balsamcleat.platform.documents import StoredInteger
 from balsamcleat.platform.headers import EXPECTED_TARGET_HEADER
 
 __all__ = ["OrderOutcome", "OrderResult", "ReplicaControl", "parse_started_ms", "report_request"]
@@ -72,7 +73,7 @@
     """Model on a target with its weight version."""
 
     name: str
-    version: int = 0
+    version: StoredInteger = 0
 
 
 class ReportFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -83,14 +84,14 @@
     busy: bool = False
     # Number of orders that the target has accepted; in the target list the same name counts the
     # writes of an entry.
-    call_seq: int = 0
-    born: int = 0
+    call_seq: StoredInteger = 0
+    born: StoredInteger = 0
 
 
 class StartFields(msgspec.Struct, frozen=True):
     """Start of the target that sends a report, in Unix milliseconds."""
 
-    born: int | None = None
+    born: StoredInteger | None = None
 
 
 class ReplicaControl:
