Test: results come again after a loss of power while the collectors' clocks are wrong

Hypothesis 2 of the incident as a play: all VMs delete what has expired by a clock that is an hour ahead, under the faults of test_result_positions.py, then lose power, and every step is read again through each of them.

--- a/tests/test_garbage_collection.py
+++ b/tests/test_garbage_collection.py
@@ -5,6 +5,7 @@
 known from the feed, and its deletions had no condition.
 """
 
+import contextlib
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
@@ -37,6 +38,8 @@
 from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.row_garbage_collector import RowGarbageCollector
 from balsamcleat.tasks.step_deletion import StepDeletion
+from position_world import ALLOWED_FAULTS, event_count
+from power_loss_world import PowerLossWorld
 from test_step_ownership import run_test
 
 STEP = StepId("step-1")
@@ -322,6 +325,41 @@
     assert "VM forgotten" not in capsys.readouterr().out
 
 
+class CollectingWorld(w.StepWorld):
+    """A world in which every VM deletes what has expired by a clock that is an hour ahead."""
+
+    async def start(self, name: str, boot: str = "boot") -> w.StepVm:
+        vm = await super().start(name, boot)
+        self.tasks.start_soon(self.collect, vm)
+        return vm
+
+    async def collect(self, vm: w.StepVm) -> None:
+        made = collector(self, vm, ahead_s=3600.0)
+        while not vm.scope.cancel_called:
+            with contextlib.suppress(PlatformError):
+                await made.clean_up()
+            await anyio.sleep(0.5)
+
+
+@pytest.mark.parametrize("seed", [1, 35, 100])
+def test_results_come_again_after_a_loss_of_power_while_all_clocks_are_wrong(seed: int) -> None:
+    """Hypothesis 2 of the incident: rows of steps were deleted by wrong clocks after a start."""
+    played: list[PowerLossWorld] = []
+
+    async def play() -> None:
+        async with anyio.create_task_group() as tasks:
+            world = CollectingWorld(tasks, event_count=event_count)
+            played.append(PowerLossWorld(seed, ALLOWED_FAULTS, False, world))
+            await played[0].play(20.0)
+            await played[0].lose_power()
+            await played[0].read_all_again()
+            tasks.cancel_scope.cancel()
+
+    w.run_in_virtual_time(play)
+    assert played[0].readings
+    assert played[0].missing == []
+
+
 class WireStore:
     """Answers the calls of a deletion as the store does, and keeps the commits."""
 
