--- a/src/balsamcleat/tasks/step_feed.py
+++ b/src/balsamcleat/tasks/step_feed.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum
 
 import anyio
 import structlog
 import xxhash
 
+from balsamcleat.decisions.takeover_backoff import TakeoverBackoff
 from balsamcleat.decisions.vm_watch import VmFailureDetector, VmRow
 from balsamcleat.errors import BalsamcleatError
 from balsamcleat.model import StepId
@@ -19,7 +21,7 @@
 )
 from balsamcleat.tasks.table_follower import TableObserver, guard_row
 
-__all__ = ["KnownStep", "StepFeed"]
+__all__ = ["KnownStep", "StepFeed", "TakeoverOutcome"]
 
 CHECK_INTERVAL_S = 0.2
 # Delay between two VMs in the order in which they try to take over a step.
@@ -34,6 +36,17 @@
 log = structlog.get_logger()
 
 
+class TakeoverOutcome(Enum):
+    """Outcome of a try to take over a step."""
+
+    STARTED = "started"
+    # Another VM, or this VM by a commit whose answer was lost, has written the owner row.
+    CLAIMED = "claimed"
+    # All results are listed, so that there is nothing to run.
+    COMPLETE = "complete"
+    FAILED = "failed"
+
+
 @dataclass(slots=True)
 class KnownStep:
     """A step as known from the change feed.
@@ -83,7 +96,7 @@
         boot: str,
         failure_detector: VmFailureDetector,
         store_now_ms: Callable[[], int | None],
-        take_over: Callable[[StepId, KnownStep], Awaitable[None]],
+        take_over: Callable[[StepId, KnownStep], Awaitable[TakeoverOutcome]],
         is_running: Callable[[StepId], bool],
         on_ended: Callable[[StepId], None],
         on_owner_changed: Callable[[StepId, KnownStep], None],
@@ -100,6 +113,9 @@
         self.is_process_running = is_process_running
         self.steps: dict[StepId, KnownStep] = {}
         self.ended_before_known: set[StepId] = set()
+        # Steps of which all results are listed, so that they need no VM that runs them.
+        self.complete_steps: set[StepId] = set()
+        self.takeover_backoff = TakeoverBackoff()
         self.changed_event = anyio.Event()
         self.accepting = True
 
@@ -107,8 +123,7 @@
         """Apply a changed owner row or end row."""
         step_id = StepId(row.key.part)
         if row.value is None:
-            self.steps.pop(step_id, None)
-            self.ended_before_known.discard(step_id)
+            self.forget(step_id)
         elif is_owner_key(row.key):
             self.apply_owner_row(step_id, row)
         elif is_end_key(row.key):
@@ -128,8 +143,14 @@
         """Forget a step that the store did not have as of a version of the store."""
         known = self.steps.get(step_id)
         if known is not None and known.row_version <= version:
-            del self.steps[step_id]
-            self.ended_before_known.discard(step_id)
+            self.forget(step_id)
+
+    def forget(self, step_id: StepId) -> None:
+        """Forget a step that the store does not have any more."""
+        self.steps.pop(step_id, None)
+        self.ended_before_known.discard(step_id)
+        self.complete_steps.discard(step_id)
+        self.takeover_backoff.forget(step_id)
 
     def on_rows_applied(self) -> None:
         """Wake the task that takes over steps."""
@@ -137,7 +158,8 @@
         self.changed_event = anyio.Event()
 
     def on_store_recovered(self) -> None:
-        """Do nothing: a store outage needs no recovery here."""
+        """Try steps again at once that could not be loaded during the outage."""
+        self.takeover_backoff.end_delays()
 
     def apply_owner_row(self, step_id: StepId, row: RowChange) -> None:
         """Record a step's owner, unless a newer owner row is known already."""
@@ -173,13 +195,20 @@
             while True:
                 with anyio.move_on_after(CHECK_INTERVAL_S):
                     await self.changed_event.wait()
-                for step_id, known in list(self.steps.items()):
+                for step_id, known in self.newest_first():
                     if self.accepting and self.should_ask_owner(step_id, known):
                         known.is_asking_owner = True
                         tasks.start_soon(self.ask_owner, known)
                     if self.accepting and self.should_take_over(step_id, known):
                         await self.try_take_over(step_id, known)
 
+    def newest_first(self) -> list[tuple[StepId, KnownStep]]:
+        """Return the known steps in the order in which they are taken over.
+
+        Old steps that their trainers never ended must not hold up those that a trainer waits for.
+        """
+        return sorted(self.steps.items(), key=lambda item: -item[1].owner.accepted_ms)
+
     def should_ask_owner(self, step_id: StepId, known: KnownStep) -> bool:
         """Return whether this VM should ask a step's owner, which is silent, how it fares."""
         if known.ended or known.is_asking_owner or not known.owner.vm:
@@ -190,7 +219,9 @@
 
     def should_take_over(self, step_id: StepId, known: KnownStep) -> bool:
         """Return whether this VM should take over a step now; an open one is never too old."""
-        if known.ended or self.store_now_ms() is None:
+        if known.ended or self.store_now_ms() is None or step_id in self.complete_steps:
+            return False
+        if self.takeover_backoff.is_waiting(step_id, anyio.current_time()):
             return False
         owner = known.owner
         if (owner.vm, owner.boot) == (self.vm, self.boot):
@@ -267,9 +298,20 @@
         # The owner's answer takes a while, in which the step or this VM may have changed.
         if not self.accepting or self.steps.get(step_id) is not known or known.ended:
             return
+        outcome = TakeoverOutcome.FAILED
         try:
-            await self.take_over(step_id, known)
+            outcome = await self.take_over(step_id, known)
         except BalsamcleatError as error:
             # Rows that can't be read raise other errors than a store that fails.
             log.warning("step not taken over", step=step_id, reason=str(error))
             known.orphaned_at_s = anyio.current_time()
+        self.record_outcome(step_id, outcome)
+
+    def record_outcome(self, step_id: StepId, outcome: TakeoverOutcome) -> None:
+        """Record the outcome of a try to take over a step."""
+        if outcome is TakeoverOutcome.FAILED:
+            self.takeover_backoff.record_failure(step_id, anyio.current_time())
+            return
+        self.takeover_backoff.forget(step_id)
+        if outcome is TakeoverOutcome.COMPLETE:
+            self.complete_steps.add(step_id)
--- a/src/balsamcleat/tasks/step_transfer.py
+++ b/src/balsamcleat/tasks/step_transfer.py
@@ -15,7 +15,7 @@
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords, is_owner_key
 from balsamcleat.tasks.rollout_runner import RolloutRunner
-from balsamcleat.tasks.step_feed import KnownStep
+from balsamcleat.tasks.step_feed import KnownStep, TakeoverOutcome
 from balsamcleat.tasks.submission_handler import carryover_part
 
 __all__ = ["StepTransfer"]
@@ -66,29 +66,35 @@
             log.warning("step taken by another VM", step=step_id, owner=known.owner.vm)
             self.runner.remove_step(step)
 
-    async def take_over(self, step_id: StepId, known: KnownStep) -> None:
+    async def take_over(self, step_id: StepId, known: KnownStep) -> TakeoverOutcome:
         """Become the owner of a step and run its unfinished samples.
 
         The owner row is written even if it names this VM already. Its version is the fencing token
         of this run: commits of an earlier run, which the store may perform late, are refused.
+
+        Raises:
+            PlatformError: The store failed; the owner row may be written, now or later.
+            ProtocolError: A record of the step is unreadable.
         """
         previous = known.owner
         record = previous.with_owner(self.vm, self.boot)
         outcome = await self.records.replace_owner(step_id, record, known.row_version)
         if isinstance(outcome, RowConflict):
             log.info("step claimed by another VM", step=step_id)
-            return
+            # The row may be this VM's own, of a commit whose answer was lost.
+            self.runner.on_rows(outcome.rows)
+            return TakeoverOutcome.CLAIMED
         owned = await self.load_step(step_id, record, outcome.version)
         if owned is None:
             log.error("step without submission", step=step_id)
-            return
+            return TakeoverOutcome.FAILED
         # Reading the records takes a while. An end or another owner since then may be unknown to
         # the feed still, so the state is read last.
         page = await self.records.state_page(step_id)
         self.runner.on_rows(page.rows)
         if not any(is_owner_key(row.key) for row in page.rows):
             log.info("step not started", step=step_id, reason="the step was deleted")
-            return
+            return TakeoverOutcome.FAILED
         # By its age, samples are given up for good, so an estimate of the store's time won't do.
         age_s = max(0.0, (page.store_ms - record.accepted_ms) / 1000)
         owned.accepted_s = anyio.current_time() - age_s
@@ -100,7 +106,10 @@
             at_hand=len(owned.progress),
             age_s=round(age_s, 2),
         )
+        if len(owned.listed) == len(owned.samples):
+            return TakeoverOutcome.COMPLETE
         self.runner.add_step(owned)
+        return TakeoverOutcome.STARTED
 
     async def load_step(
         self, step_id: StepId, record: OwnerRecord, row_version: int
