--- a/tests/test_garbage_collection.py
+++ b/tests/test_garbage_collection.py
@@ -39,7 +39,7 @@
 from balsamcleat.tasks.row_garbage_collector import RowGarbageCollector
 from balsamcleat.tasks.step_deletion import StepDeletion
 from position_world import ALLOWED_FAULTS, event_count
-from power_loss_world import PowerLossWorld
+from power_loss_world import play_power_loss
 from test_step_ownership import run_test
 
 STEP = StepId("step-1")
@@ -344,20 +344,13 @@
 @pytest.mark.parametrize("seed", [1, 35, 100])
 def test_results_come_again_after_a_loss_of_power_while_all_clocks_are_wrong(seed: int) -> None:
     """Hypothesis 2 of the incident: rows of steps were deleted by wrong clocks after a start."""
-    played: list[PowerLossWorld] = []
-
-    async def play() -> None:
-        async with anyio.create_task_group() as tasks:
-            world = CollectingWorld(tasks, event_count=event_count)
-            played.append(PowerLossWorld(seed, ALLOWED_FAULTS, False, world))
-            await played[0].play(20.0)
-            await played[0].lose_power()
-            await played[0].read_all_again()
-            tasks.cancel_scope.cancel()
-
-    w.run_in_virtual_time(play)
-    assert played[0].readings
-    assert played[0].missing == []
+
+    def make_world(tasks: anyio.abc.TaskGroup) -> CollectingWorld:
+        return CollectingWorld(tasks, event_count=event_count)
+
+    played = play_power_loss(seed, ALLOWED_FAULTS, make_world=make_world)
+    assert played.readings
+    assert played.broken() == {}
 
 
 class WireStore:
