LOST: VMs that start at once get done with a large table of steps

Cause: a VM reads the steps table with one read a step, and began the whole table anew at each refused read. All VMs share the store's rate, and together used it up for good. A list of parts that the store cuts was taken for the end of the table, so that its steps were forgotten (found by the review).

Change: TableReading goes on where a failure interrupted it; a list without names that is not the last is a failure. The feed is followed from the version of the first call, as before.

--- a/src/balsamcleat/tasks/table_follower.py
+++ b/src/balsamcleat/tasks/table_follower.py
@@ -11,8 +11,9 @@
 from balsamcleat.errors import PlatformError
 from balsamcleat.ports.rows import HistoryExpiredError, RowChange, RowStore
 from balsamcleat.tasks.row_pages import read_part
+from balsamcleat.tasks.table_reading import TableReading
 
-__all__ = ["TableFollower", "TableObserver", "guard_row", "read_table"]
+__all__ = ["TableFollower", "TableObserver", "guard_row"]
 
 # A change must be in force about 2 s after it was accepted, and a connection can go silent for
 # good, so a long poll of the feed lasts no longer.
@@ -66,20 +67,6 @@
         return None
 
 
-async def read_table(store: RowStore, table: str) -> tuple[tuple[RowChange, ...], int]:
-    """Return all rows of all parts and a version from which the feed has all later changes."""
-    first_page = await store.read(table, "", limit=1)
-    rows: list[RowChange] = []
-    after, more = "", True
-    while more:
-        parts, more = await store.parts(table, after)
-        for part in parts:
-            rows += (await read_part(store, table, part)).rows
-            after = part
-        more = more and bool(parts)
-    return tuple(rows), first_page.version
-
-
 class TableFollower:
     """Follows a table through outages of the store and gaps in its change feed.
 
@@ -110,6 +97,7 @@
         self.on_read = on_read
         self.version: int | None = None
         self.consecutive_failures = 0
+        self.reading: TableReading | None = None
 
     async def run(self) -> None:
         """Follow the table until cancelled, with backoff after failures."""
@@ -120,6 +108,7 @@
             except HistoryExpiredError:
                 log.warning("feed gap", table=self.table, after=self.version)
                 self.version = None
+                self.reading = None
             except PlatformError as error:
                 self.record_failure(error)
                 await anyio.sleep(self.retry_delay_s())
@@ -142,10 +131,15 @@
 
     async def read_all(self) -> tuple[tuple[RowChange, ...], int]:
         """Return all rows of the table and the version from which to follow its feed."""
-        if not self.single_part:
-            return await read_table(self.store, self.table)
-        part = await read_part(self.store, self.table, "")
-        return part.rows, part.version
+        if self.single_part:
+            part = await read_part(self.store, self.table, "")
+            return part.rows, part.version
+        if self.reading is None:
+            self.reading = TableReading(self.store, self.table)
+        rows = await self.reading.finish()
+        version = self.reading.version
+        self.reading = None
+        return rows, version
 
     def record_success(self) -> None:
         """Record an answer; log and report the recovery if it is the first one after failures."""
