--- a/src/balsamcleat/tasks/model_usage.py
+++ b/src/balsamcleat/tasks/model_usage.py
@@ -44,12 +44,17 @@
         )
 
     def is_expired(self, step: KnownStep) -> bool:
-        """Return whether a step's owner gives up its samples, as far as the time is known.
+        """Return whether a step's owner gives up its samples, as far as table and time are known.
 
-        An open step counts whatever its age as long as its samples may run.
+        An open step counts whatever its age as long as its samples may run. They don't run any more
+        once its route was removed.
         """
         table, now_ms = self.table(), self.store_now_ms()
-        route = table.match(step.owner.host, step.owner.path) if table is not None else None
-        if route is None or not route.step_expiry_s or now_ms is None:
+        if table is None:
+            return False
+        route = table.match(step.owner.host, step.owner.path)
+        if route is None:
+            return True
+        if not route.step_expiry_s or now_ms is None:
             return False
         return now_ms - step.owner.accepted_ms > route.step_expiry_s * 1000
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -44,6 +44,8 @@
 END_KEY = "end"
 # Fraction of a commit's size limit available to values; the rest is for base64 and row names.
 USABLE_COMMIT_FRACTION = 0.6
+# Bytes of a result besides its text.
+RESULT_OVERHEAD_BYTES = 100
 # Rows of a commit's row limit that are reserved for its conditions.
 RESERVED_CONDITION_ROWS = 10
 
@@ -260,7 +262,7 @@
         size, rows = 0, 0
         limit = self.store.limits.commit_bytes * USABLE_COMMIT_FRACTION
         for count, result in enumerate(results):
-            length = len(result.text) + 100
+            length = len(result.text.encode()) + RESULT_OVERHEAD_BYTES
             size += length
             rows += 1 + length // self.store.limits.row_bytes
             if count and (size > limit or rows > self.max_write_rows()):
--- a/src/balsamcleat/tasks/step_transfer.py
+++ b/src/balsamcleat/tasks/step_transfer.py
@@ -157,6 +157,9 @@
         slices = step.unsaved_slices(1)
         await self.records.save_progress(step.step_id, slices, step.row_version)
         unowned = step.record.with_owner("", "")
-        await self.records.replace_owner(step.step_id, unowned, step.row_version)
-        log.info("step handed over", step=step.step_id, text_of=len(slices))
+        outcome = await self.records.replace_owner(step.step_id, unowned, step.row_version)
+        if isinstance(outcome, RowConflict):
+            log.info("step claimed by another VM", step=step.step_id)
+        else:
+            log.info("step handed over", step=step.step_id, text_of=len(slices))
         self.runner.remove_step(step)
--- a/tests/end_of_day.py
+++ b/tests/end_of_day.py
@@ -14,7 +14,7 @@
 import step_world as w
 from balsamcleat.model import StepId
 from balsamcleat.platform import ResultsQuery, StepCall, StepCallKind
-from position_world import GROUPS, SIZE, PositionWorld
+from position_world import GROUPS, SIZE, PositionWorld, describe_result
 
 SAMPLES = GROUPS * SIZE
 # Time after which reads must find everything, in seconds; on the operators' page `finishS`.
@@ -162,7 +162,7 @@
         if fields["totalCount"] != SAMPLES:
             self.note("unreadable", f"totalCount is {fields['totalCount']}")
         for result in fields["results"]:
-            self.found[len(self.found)] = f"{result['id']} {result['state']}"
+            self.found[len(self.found)] = describe_result(result)
         return len(fields["results"])
 
     def note_doubled(self) -> None:
@@ -200,7 +200,7 @@
         while len(self.found) < SAMPLES and self.passed_s() < LISTING_S:
             await anyio.sleep(LISTING_INTERVAL_S)
             await self.read_on()
-        complete = sum(result.endswith(" complete") for result in self.found.values())
+        complete = sum(" complete " in result for result in self.found.values())
         if complete < SAMPLES:
             self.note("stalled", f"{complete} of {SAMPLES} are complete")
 
--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -17,15 +17,15 @@
 from balsamcleat.tasks.rollout_records import (
     BODIES_TABLE,
     RESULTS_TABLE,
+    StoredResult,
     decode_owner,
-    decode_value,
     encode_owner,
-    encode_value,
     owner_key,
 )
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.step_feed import StepFeed
 from balsamcleat.tasks.step_submission import StepSubmission
+from balsamcleat.tasks.stored_values import decode_value, encode_value
 from end_of_day import SAMPLES
 from position_world import event_count
 from power_loss_world import PowerLossWorld
@@ -76,6 +76,16 @@
     rows[first], rows[second] = rows[second], rows[first]
 
 
+def cut_text(world: PowerLossWorld) -> None:
+    """Cut the text of a result of a step that was ended."""
+
+    def change(packed: bytes) -> bytes:
+        result = decode_value(packed, StoredResult)
+        return encode_value(msgspec.structs.replace(result, text=result.text[:5]))
+
+    change_row(world.world.store, result_row(ENDED_STEP, 0), change)
+
+
 def list_result_twice(world: PowerLossWorld) -> None:
     """List the sample of the first position at the second position, too."""
     rows = world.world.store.rows
--- a/tests/position_world.py
+++ b/tests/position_world.py
@@ -7,9 +7,11 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 import anyio.abc
+import xxhash
 
 import step_world as w
 from balsamcleat.http1 import Request
@@ -159,7 +161,7 @@
 
     def record(self, vm: str, step_id: str, position: int, body: bytes) -> None:
         for offset, result in enumerate(json.loads(body)["results"]):
-            text = f"{result['id']} {result['state']}"
+            text = describe_result(result)
             readings = self.readings.setdefault((step_id, position + offset), [])
             if all(reading.result != text for reading in readings):
                 readings.append(Reading(vm, anyio.current_time(), text))
@@ -265,6 +267,12 @@
 )
 
 
+def describe_result(result: dict[str, Any]) -> str:
+    """Return a result's sample, and a digest of all that a reader gets of it."""
+    content = json.dumps(result, sort_keys=True).encode()
+    return f"{result['id']} {result['state']} {xxhash.xxh3_64_hexdigest(content)}"
+
+
 def event_count(sample_id: str) -> int:
     """Return the length of a sample, so that samples end in another order than they began."""
     return 3 + 7 * sum(sample_id.encode()) % 40
--- a/tests/test_incomplete_reads.py
+++ b/tests/test_incomplete_reads.py
@@ -14,9 +14,11 @@
 import step_world as w
 from balsamcleat.errors import PlatformUnavailableError, ProtocolError
 from balsamcleat.model import StepId
+from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.platform import ResultsQuery, StepCall, StepCallKind
 from balsamcleat.ports.rows import RowCommit, RowKey, RowPage, RowWrite
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreView
+from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.row_pages import read_part
 
 STEP = StepId("step-1")
@@ -155,3 +157,13 @@
             await read_part(CutStore(store), "table", "part")
 
     w.run_in_virtual_time(test)
+
+
+def test_texts_of_several_bytes_a_character_fit_into_a_commit() -> None:
+    """Characters were counted, so that the store refused a commit of such texts for good."""
+    records = RolloutRecords(RowStoreView(MemoryRowStore()))
+    text = "\u0436" * 100_000
+    results = [SampleResult(f"{n}", SampleState.COMPLETE, text, (1,)) for n in range(10)]
+    count = records.count_fitting_one_commit(results)
+    assert count > 0
+    assert count * len(text.encode()) <= records.store.limits.commit_bytes * 0.6
--- a/tests/test_old_steps.py
+++ b/tests/test_old_steps.py
@@ -166,3 +166,13 @@
     steps = {STEP: known_step(1000, ended=ended)}
     reader = ModelUsageReader(lambda: steps, lambda: 301_000, lambda: table)
     assert reader.usage(w.MODEL).open_step_minimums == ((WeightVersion(0),) if counts else ())
+
+
+def test_open_step_whose_route_was_removed_does_not_count_for_its_model() -> None:
+    """Its owner gives its samples up, and it would have counted until an end that may not come."""
+    steps = {STEP: known_step(1000)}
+    table = RoutingTable(ConfigurationVersion(2), ())
+    reader = ModelUsageReader(lambda: steps, lambda: 2_000, lambda: table)
+    assert reader.usage(w.MODEL).open_step_minimums == ()
+    unknown = ModelUsageReader(lambda: steps, lambda: 2_000, lambda: None)
+    assert unknown.usage(w.MODEL).open_step_minimums == (WeightVersion(0),)
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -42,6 +42,7 @@
     [
         (planted.lose_result, "missing"),
         (planted.swap_results, "different"),
+        (planted.cut_text, "different"),
         (planted.list_result_twice, "doubled"),
         (planted.lose_body, "bodies"),
         (planted.change_body, "bodies"),
