--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -64,9 +64,9 @@
     return True
 
 
-def new_soak(folder: Path, tasks: anyio.abc.TaskGroup) -> Soak:
-    """Return the stand of a soak with addresses of its own."""
-    soak = Soak(1, 0.0, folder, tasks)
+def new_soak(folder: Path, tasks: anyio.abc.TaskGroup, *, reports_usage: bool = False) -> Soak:
+    """Return the stand of a soak with addresses of its own; with teams if usage is reported."""
+    soak = Soak(1, 0.0, folder, tasks, other_sources=folder if reports_usage else None)
     soak.net = next(net for net in NETS if is_free(net))
     return soak
 
@@ -251,7 +251,9 @@
 
 
 @asynccontextmanager
-async def entry_world(folder: Path, monkeypatch) -> AsyncIterator[EntryWorld]:
+async def entry_world(
+    folder: Path, monkeypatch, *, reports_usage: bool = False
+) -> AsyncIterator[EntryWorld]:
     """Start targets and a store; the process starts with ``running``."""
     monkeypatch.setattr(entry_process, "handle_signals", handle_no_signals)
     events: list[dict[str, object]] = []
@@ -259,7 +261,7 @@
     structlog.configure(processors=[structlog.processors.format_exc_info, keep_events(events)])
     try:
         async with anyio.create_task_group() as tasks:
-            soak = new_soak(folder, tasks)
+            soak = new_soak(folder, tasks, reports_usage=reports_usage)
             soak.build(1)
             yield EntryWorld(soak, events)
             soak.pool.close()
