Settings: a size of memory that can't be makes the file invalid

Cause: `ramMb` of 1e308 is infinite in bytes; converting it raised OverflowError in place of the error that names the file.

Ruled out: that a running process ends by it, as the reload keeps any error to the file.

Change: the field has a limit.

--- a/src/balsamcleat/platform/settings.py
+++ b/src/balsamcleat/platform/settings.py
@@ -16,6 +16,8 @@
 SETTINGS_VARIABLE = "BALSAMCLEAT_CONFIG"
 MS_PER_S = 1000.0
 BYTES_PER_MB = 1024 * 1024
+# Much larger numbers can't be converted to integers.
+MAX_RAM_MB = 2**53
 USAGE_DUTY = "usage"
 SCALING_DUTY = "autoscale"
 
@@ -66,7 +68,7 @@
 class LimitFields(msgspec.Struct, frozen=True, rename="camel"):
     """Limits of this VM."""
 
-    ram_mb: Annotated[float, msgspec.Meta(gt=0.0)] | None = None
+    ram_mb: Annotated[float, msgspec.Meta(gt=0.0, le=MAX_RAM_MB)] | None = None
 
 
 class SettingsFields(msgspec.Struct, frozen=True, rename="camel"):
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -70,16 +70,19 @@
             yield from places(document[key], (*place, key))
 
 
-def with_odd_value(document: object, rng: random.Random) -> bytes:
-    """Return a document with an odd value at one place, perhaps cut or badly encoded."""
-    found = json.loads(json.dumps({"document": document}))
-    *outer, last = rng.choice(list(places(found))[1:])
+def with_value(document: object, place: tuple, value: str) -> bytes:
+    """Return a document with another value, given as JSON, at a place other than the whole."""
+    found = json.loads(json.dumps(document))
     inner = found
-    for key in outer:
+    for key in place[:-1]:
         inner = inner[key]
-    inner[last] = "@odd@"
-    text = json.dumps(found["document"]).replace('"@odd@"', rng.choice(ODD_VALUES))
-    data = text.encode()
+    inner[place[-1]] = "@odd@"
+    return json.dumps(found).replace('"@odd@"', value).encode()
+
+
+def with_odd_value(document: object, rng: random.Random) -> bytes:
+    """Return a document with an odd value at one place, perhaps cut or badly encoded."""
+    data = with_value(document, rng.choice(list(places(document))[1:]), rng.choice(ODD_VALUES))
     how = rng.randrange(6)
     if how == 0:
         return data[: rng.randrange(len(data))]
