--- a/tests/test_odd_reports.py
+++ b/tests/test_odd_reports.py
@@ -9,7 +9,7 @@
 
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, PoolLimits, Request, Responder, Response
-from balsamcleat.model import ServiceName, TargetId, WeightVersion, ZoneName
+from balsamcleat.model import ServiceName, TargetId, ZoneName
 from balsamcleat.model.replicas import Replica, ReplicaState
 from balsamcleat.platform.orders import ReplicaControl, parse_started_ms
 from entry_world import entry_world, wait_until
@@ -98,7 +98,7 @@
 
         odd.report = report  # type: ignore[method-assign]
         world.soak.write(f"version/{MODEL}", {"model": MODEL, "version": 2})
-        await wait_until(lambda: all(engine.version == WeightVersion(2) for engine in others))
+        await wait_until(lambda: all(engine.versions.get(MODEL) == 2 for engine in others))
         await world.check_service()
         lines = world.count("no report", target=odd.target_id)
         await anyio.sleep(1.0)
