--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -23,7 +23,6 @@
 from balsamcleat.adapters.text_metrics import TextMetrics
 from balsamcleat.entry.process import EntryProcess
 from balsamcleat.http1 import Request, Response
-from balsamcleat.http1.streams import listen
 from balsamcleat.log_output import BoundedOutput
 from balsamcleat.model import TargetId
 from balsamcleat.platform import load_platform_settings
@@ -32,8 +31,6 @@
 from soak import HEADERS, MODEL, Soak
 from soak_stand import events_of
 
-# Networks on loopback that no seed of the soak uses; each world has one of its own.
-NETS = itertools.cycle(range(210, 255))
 TIMEOUT_S = 10.0
 STEP_SAMPLES = 4
 
@@ -54,21 +51,9 @@
             await anyio.sleep(0.01)
 
 
-def is_free(net: int) -> bool:
-    """Return whether no other run of these tests uses a network."""
-    try:
-        listen(f"127.{net}.0.100:9001").close()
-        listen(f"127.{net}.0.200:9100").close()
-    except OSError:
-        return False
-    return True
-
-
 def new_soak(folder: Path, tasks: anyio.abc.TaskGroup, *, reports_usage: bool = False) -> Soak:
     """Return the stand of a soak with addresses of its own; with teams if usage is reported."""
-    soak = Soak(1, 0.0, folder, tasks, other_sources=folder if reports_usage else None)
-    soak.net = next(net for net in NETS if is_free(net))
-    return soak
+    return Soak(1, 0.0, folder, tasks, other_sources=folder if reports_usage else None)
 
 
 def put_entries(store: MemoryRowStore, entries: Mapping[str, bytes | None]) -> None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -104,7 +104,7 @@
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        self.claim, self.net = claim_network(self.seed)
+        self.net = claim_network(self.seed)
         self.pool = ConnectionPool(PoolLimits(connect_timeout_s=0.5))
 
     def address(self, number: int, port: int) -> str:
