Reads of results join their rows once

Found in the last reading of the change: read_values asked complete() whether there is a whole value, results() asked it for the values and incomplete_names() for their names; each joined all rows, up to 1 MB, on the way of each read that a trainer makes.

Change: complete_keys() tells which values are whole, and only complete() joins. No change of behaviour; 87 tests of incomplete reads, large submissions, teams and ownership pass.

--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -303,7 +303,7 @@
             page = await self.store.read(table, part, next_start)
             rows.add(page.rows)
             next_start = next_page_start(page)
-            if not all_pages and rows.complete():
+            if not all_pages and rows.complete_keys():
                 return rows
         rows.log_incomplete(table, part)
         return rows
--- a/src/balsamcleat/tasks/stored_values.py
+++ b/src/balsamcleat/tasks/stored_values.py
@@ -54,18 +54,22 @@
             value_key = ValueKey(piece["name"], int(piece["count"]))
             self.pieces.setdefault(value_key, []).append(row.value or b"")
 
-    def complete(self) -> dict[str, bytes]:
-        """Return the values of which all rows were added, by name.
+    def complete_keys(self) -> list[ValueKey]:
+        """Return the values of which all rows were added.
 
         Two values of one name, both with all rows, are left out: nothing says which one counts.
         """
         whole = [key for key, pieces in self.pieces.items() if len(pieces) == key.row_count]
         counts = Counter(key.name for key in whole)
-        return {key.name: b"".join(self.pieces[key]) for key in whole if counts[key.name] == 1}
+        return [key for key in whole if counts[key.name] == 1]
+
+    def complete(self) -> dict[str, bytes]:
+        """Return the contents of the values of which all rows were added, by name."""
+        return {key.name: b"".join(self.pieces[key]) for key in self.complete_keys()}
 
     def incomplete_names(self) -> set[str]:
         """Return the names of the values that can't be joined."""
-        return {key.name for key in self.pieces} - self.complete().keys()
+        return {key.name for key in self.pieces} - {key.name for key in self.complete_keys()}
 
     def log_incomplete(self, table: str, part: str) -> None:
         """Log the rows of values that can't be joined."""
