--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -30,6 +30,7 @@
     "OwnerRecord",
     "RolloutRecords",
     "decode_owner",
+    "has_owner",
     "is_end_key",
     "is_owner_key",
 ]
--- a/src/balsamcleat/tasks/step_transfer.py
+++ b/src/balsamcleat/tasks/step_transfer.py
@@ -13,7 +13,7 @@
 from balsamcleat.platform import decode_step
 from balsamcleat.ports.rows import RowConflict
 from balsamcleat.tasks.owned_step import OwnedStep
-from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords, is_owner_key
+from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords, has_owner
 from balsamcleat.tasks.rollout_runner import RolloutRunner
 from balsamcleat.tasks.step_feed import KnownStep, TakeoverOutcome
 from balsamcleat.tasks.submission_handler import carryover_part
@@ -92,7 +92,7 @@
         # the feed still, so the state is read last.
         page = await self.records.state_page(step_id)
         self.runner.on_rows(page.rows)
-        if not any(is_owner_key(row.key) for row in page.rows):
+        if not has_owner(page.rows):
             log.info("step not started", step=step_id, reason="the step was deleted")
             return TakeoverOutcome.FAILED
         # By its age, samples are given up for good, so an estimate of the store's time won't do.
