--- a/src/balsamcleat/tasks/true_clock.py
+++ b/src/balsamcleat/tasks/true_clock.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from balsamcleat.decisions.true_time import ClockVote, StoreOffset, TrueTime, WallClockWatch
+from balsamcleat.decisions.true_time import ClockVote, TrueTime, WallClockWatch
 from balsamcleat.tasks.store_clock import StoreClock
 
 __all__ = ["TrueClock"]
@@ -34,7 +34,6 @@
         self.store_clock = store_clock
         self.wall_clock = wall_clock
         self.watch = WallClockWatch()
-        self.store_offset = StoreOffset()
         self.true_time = TrueTime()
 
     def steady_s(self) -> float:
@@ -52,21 +51,15 @@
         if jump_s is not None:
             log.warning("clock jumped", by_s=round(jump_s, 3))
 
-    def synchronize(self) -> None:
-        """Take the store's clock from the answer that has just arrived."""
-        now_s, store_ms = self.steady_s(), self.store_clock.now_ms()
-        if store_ms is not None:
-            self.store_offset.record(store_ms, now_s)
-
     def seed(self, vote: ClockVote) -> None:
         """Go on with the vote of the previous process on this VM."""
-        offset_ms = self.store_offset.offset_ms
+        offset_ms = self.store_clock.offset.offset_ms
         if offset_ms is not None:
             self.watch.seed((vote.difference_ms + offset_ms) / MS_PER_S, vote.held_s)
 
     def vote(self) -> ClockVote | None:
         """Return this VM's vote, or None while one of the clocks is not known."""
-        offset_ms = self.store_offset.offset_ms
+        offset_ms = self.store_clock.offset.offset_ms
         return None if offset_ms is None else self.watch.vote(offset_ms)
 
     def apply_votes(self, votes: Iterable[ClockVote]) -> None:
@@ -76,7 +69,7 @@
 
     def true_ms(self, steady_s: float) -> float | None:
         """Return true time at a time of the steady clock, in milliseconds; None if unknown."""
-        offset_ms = self.store_offset.offset_ms
+        offset_ms = self.store_clock.offset.offset_ms
         if offset_ms is None:
             return None
         return self.true_time.true_ms(steady_s * MS_PER_S + offset_ms)
--- a/src/balsamcleat/tasks/usage_counter.py
+++ b/src/balsamcleat/tasks/usage_counter.py
@@ -131,7 +131,6 @@
             watch: Rows of all VMs.
             own_boots: Identifiers of process starts under which this process writes its row.
         """
-        self.clock.synchronize()
         own = watch.observations.get(self.vm)
         if own is not None:
             if not self.has_read.is_set():
