--- a/src/balsamcleat/http1/numbers.py
+++ b/src/balsamcleat/http1/numbers.py
@@ -1,4 +1,4 @@
-"""Numbers in the headers and events that others send."""
+"""Numbers that others send, and the largest one that is taken."""
 
 __all__ = ["MAX_NUMBER", "decimal_number"]
 
--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -7,6 +7,7 @@
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
 from balsamcleat.http1 import parse_address
+from balsamcleat.http1.numbers import MAX_NUMBER
 from balsamcleat.model import (
     ConfigurationVersion,
     ServiceName,
@@ -56,10 +57,8 @@
 }
 
 
-# Larger numbers can't be converted to the floating-point numbers that they are combined with.
-MAX_STORED_INTEGER = 2**53
-StoredInteger = Annotated[int, msgspec.Meta(ge=-MAX_STORED_INTEGER, le=MAX_STORED_INTEGER)]
-StoredNumber = Annotated[float, msgspec.Meta(ge=-MAX_STORED_INTEGER, le=MAX_STORED_INTEGER)]
+StoredInteger = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+StoredNumber = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
 class SplitFields(msgspec.Struct, frozen=True):
@@ -346,6 +345,6 @@
     """Return the time until a target is taken away in seconds, or None if none is stated."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         return None
-    if not -MAX_STORED_INTEGER <= value <= MAX_STORED_INTEGER:
+    if not -MAX_NUMBER <= value <= MAX_NUMBER:
         return None
     return max(0.0, value / MS_PER_S)
--- a/src/balsamcleat/platform/settings.py
+++ b/src/balsamcleat/platform/settings.py
@@ -8,6 +8,7 @@
 
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
+from balsamcleat.http1.numbers import MAX_NUMBER
 from balsamcleat.model import VmId, ZoneName
 from balsamcleat.ports.rows import StoreLimits
 
@@ -16,8 +17,6 @@
 SETTINGS_VARIABLE = "BALSAMCLEAT_CONFIG"
 MS_PER_S = 1000.0
 BYTES_PER_MB = 1024 * 1024
-# Much larger numbers can't be converted to integers.
-MAX_RAM_MB = 2**53
 USAGE_DUTY = "usage"
 SCALING_DUTY = "autoscale"
 
@@ -68,7 +67,7 @@
 class LimitFields(msgspec.Struct, frozen=True, rename="camel"):
     """Limits of this VM."""
 
-    ram_mb: Annotated[float, msgspec.Meta(gt=0.0, le=MAX_RAM_MB)] | None = None
+    ram_mb: Annotated[float, msgspec.Meta(gt=0.0, le=MAX_NUMBER)] | None = None
 
 
 class SettingsFields(msgspec.Struct, frozen=True, rename="camel"):
--- a/src/balsamcleat/platform/store.py
+++ b/src/balsamcleat/platform/store.py
@@ -19,6 +19,7 @@
     PlatformUnavailableError,
 )
 from balsamcleat.http1 import ConnectionPool, Request, Response
+from balsamcleat.http1.numbers import MAX_NUMBER
 from balsamcleat.model import FailureKind
 from balsamcleat.platform.settings import StoreAccess
 from balsamcleat.ports.rows import (
@@ -42,9 +43,8 @@
 COMMIT_STEP = "rows.commit"
 # A larger number is no version or time of the store: followed, it would hide all later changes.
 MAX_STORE_VERSION = 2**63 - 1
-MAX_STORE_MS = 2**53
 StoreVersion = Annotated[int, msgspec.Meta(ge=0, le=MAX_STORE_VERSION)]
-StoreTimeMs = Annotated[float, msgspec.Meta(ge=-MAX_STORE_MS, le=MAX_STORE_MS)]
+StoreTimeMs = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 log = structlog.get_logger()
 
