--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
-from engines import PREFIX, Engine, configuration, stream_headers, stream_text  # noqa: E402
+from engines import PREFIX, Engine, configuration, stream_headers, stream_route, stream_text  # noqa: E402
 from world import TROUBLE, HttpMessage, World, call, run_case  # noqa: E402
 
 STREAMS = 100
@@ -43,7 +43,7 @@
         for number, zone in enumerate(("z-a", "z-b", "z-a", "z-b"), 1)
     ]
     engines[0].spoil = spoiler.spoil
-    world.store.put("op", "config", configuration())
+    world.store.put("op", "config", configuration([stream_route()]))
     for engine in engines:
         await engine.start()
     await world.start()
--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from world import HttpMessage, World, chunk, response_bytes
+from world import HEARTBEAT_S, HttpMessage, Listener, World, chunk, response_bytes
 
 SERVICE, MODEL, HOST, PREFIX = "llm", "m0", "streams.example", "/chat/"
 EVENT_S = 0.02
@@ -28,6 +28,7 @@
     """Engine at an address of its own.
 
     Attributes:
+        service: Service that the engine belongs to.
         spoil: Changes the bytes of some events of a stream before they are written.
         after_report: Called after the answer to a question for the state was written.
         runs: Paths, attempt ids and first events of the runs that began here.
@@ -38,21 +39,33 @@
     address: str
     zone: str
     born_ms: int
+    service: str = SERVICE
     spoil: Callable[[HttpMessage, int, bytes], bytes] = lambda request, first, data: data
     after_report: Callable[[asyncio.StreamWriter, bytes], Awaitable[None]] | None = None
     runs: list[tuple[str, str, int]] = field(default_factory=list)
+    server: Listener = field(init=False)
+    beats: asyncio.Task = field(init=False)
 
     async def start(self) -> None:
-        await self.world.servers.listen(self.address, self.handle)
-        self.world.register(
+        self.server = await self.world.servers.listen(self.address, self.handle)
+        self.beats = self.world.register(
             self.name,
             {
-                "svc": SERVICE, "address": self.address, "zone": self.zone, "version": "v1",
+                "svc": self.service, "address": self.address, "zone": self.zone, "version": "v1",
                 "batchSlots": 16, "state": "ready", "coldLeftMs": 0, "phase": "both",
                 "born": self.born_ms, "models": [{"name": MODEL, "version": 1, "adapters": []}],
             },
         )
 
+    async def crash(self) -> None:
+        """Crash for good; the entry goes after three heartbeats of silence."""
+        self.beats.cancel()
+        self.server.close()
+        self.server.abort_clients()
+        self.world.record.line(self.name, "crashes for good")
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        self.world.store.delete("servers", self.name)
+
     async def handle(
         self, request: HttpMessage, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
@@ -108,23 +121,29 @@
         writer.write(head + b"0\r\n\r\n")
 
 
-def configuration() -> dict[str, object]:
-    """Return a desired state with one route for streams that may be resumed."""
+def stream_route() -> dict[str, object]:
+    """Return a route for streams that may be resumed."""
+    return {
+        "name": "r-chat", "host": HOST, "prefix": PREFIX, "kind": "streaming", "svc": SERVICE,
+        "timeoutMs": 10000, "sloMs": 400, "prio": 1, "attempts": 3, "sticky": True,
+        "resumable": True,
+    }
+
+
+def configuration(
+    routes: list[dict[str, object]], engine_services: tuple[str, ...] = (SERVICE,)
+) -> dict[str, object]:
+    """Return a desired state with these routes and engine services."""
     return {
         "version": 7,
-        "routes": [
-            {
-                "name": "r-chat", "host": HOST, "prefix": PREFIX, "kind": "streaming",
-                "svc": SERVICE, "timeoutMs": 10000, "sloMs": 400, "prio": 1, "attempts": 3,
-                "sticky": True, "resumable": True,
-            }
-        ],
+        "routes": routes,
         "services": [
             {
-                "name": SERVICE, "healthPath": "/healthz", "maxConns": 170, "protocol": "h1",
+                "name": name, "healthPath": "/healthz", "maxConns": 170, "protocol": "h1",
                 "tls": False,
                 "engine": {"batchSlots": 16, "kvCapTokens": 89922, "models": [{"name": MODEL}]},
             }
+            for name in engine_services
         ],
         "limits": {
             "maxHeaderBytes": 16384, "maxBodyBytes": 33554432, "headerTimeoutMs": 3000,
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -143,28 +143,59 @@
 Handler = Callable[[HttpMessage, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bool]]
 
 
-class Servers:
-    """Listening sockets of the stand-ins; ``handler`` returns whether the channel stays open."""
+class Listener:
+    """Listening socket of a stand-in; ``handler`` returns whether the channel stays open."""
 
-    def __init__(self) -> None:
-        self.servers: list[asyncio.Server] = []
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task] = set()
+        self.server: asyncio.Server | None = None
 
-    async def listen(self, address: str, handler: Handler) -> None:
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            try:
-                while await handler(await read_message(reader), reader, writer):
-                    pass
-            except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+    async def listen(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port))
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        self.tasks.add(asyncio.current_task())
+        try:
+            while await self.handler(await read_message(reader), reader, writer):
                 pass
-            finally:
-                writer.close()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            self.tasks.discard(asyncio.current_task())
+            writer.close()
 
-        host, _, port = address.rpartition(":")
-        self.servers.append(await asyncio.start_server(serve, host, int(port)))
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+    def abort_clients(self) -> None:
+        """Reset all open channels and end what runs on them."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class Servers:
+    """All listening sockets of the stand-ins."""
+
+    def __init__(self) -> None:
+        self.listeners: list[Listener] = []
+
+    async def listen(self, address: str, handler: Handler) -> Listener:
+        listener = Listener(handler)
+        await listener.listen(address)
+        self.listeners.append(listener)
+        return listener
 
     def close(self) -> None:
-        for server in self.servers:
-            server.close()
+        for listener in self.listeners:
+            listener.close()
 
 
 @dataclass
@@ -412,8 +443,8 @@
             await asyncio.sleep(0.1)
         raise CaseNotRunError(f"{vm.name} did not get ready: {vm.log.read_text()[-2000:]}")
 
-    def register(self, target_id: str, entry: dict[str, object]) -> None:
-        """Keep a target's entry in the store, written again at each heartbeat."""
+    def register(self, target_id: str, entry: dict[str, object]) -> asyncio.Task:
+        """Keep a target's entry in the store, written again at each heartbeat of the task."""
 
         async def beat() -> None:
             count = 0
@@ -422,7 +453,9 @@
                 self.store.put("servers", target_id, {**entry, "callSeq": count})
                 await asyncio.sleep(HEARTBEAT_S)
 
-        self.tasks.append(asyncio.create_task(beat()))
+        task = asyncio.create_task(beat())
+        self.tasks.append(task)
+        return task
 
     async def close(self) -> None:
         for task in self.tasks:
