--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,6 @@
 """A step on a route that is split over two engine services, one of which loses its replica."""
 
 import asyncio
-import base64
 import contextlib
 import json
 import random
@@ -12,41 +11,23 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
-from engines import EVENTS, MODEL, Engine, configuration  # noqa: E402
+from engines import EVENTS, HOST, Engine, configuration, rollout_route, submission  # noqa: E402
 from world import TROUBLE, EntryVm, World, call, run_case  # noqa: E402
 
-HOST, PREFIX = "trainer.example", "/draft/"
+PREFIX = "/draft/"
 FIRST, SECOND = "llm-next", "llm"
-ITEMS, GROUP = 32, 4
+ITEMS = 32
 CRASH_AFTER_S = 0.3
 # The trainer's time budget, and the time without a replica that the rule allows.
 TIME_BUDGET_S, IDLE_S = 12.0, 5.0
 STEADY_AFTER_S = 3.0
 
 
-def rollout_route() -> dict[str, object]:
-    return {
-        "name": "r-draft", "host": HOST, "prefix": PREFIX, "kind": "rollout", "timeoutMs": 10000,
-        "sloMs": 400, "prio": 1, "attempts": 3, "queueTtlS": 40.0, "dueMs": 7500,
-        "singleVersion": False, "sticky": True, "resumable": True,
-        "split": [{"svc": FIRST, "weight": 20}, {"svc": SECOND, "weight": 80}],
-    }
-
-
-def submission(item_ids: list[str]) -> bytes:
-    requests = [
-        {
-            "id": item_id, "path": f"{PREFIX}{item_id}", "body": base64.b64encode(b"x").decode(),
-            "headers": {"Model": MODEL, "Token-Usage": "64,200",
-                        "Prompt-Prefix": f"9c2e41:48,{item_id[:6]}:16"},
-            "tokens": 264, "group": f"g{number // GROUP}",
-        }
-        for number, item_id in enumerate(item_ids)
-    ]
-    return json.dumps(
-        {"trainStep": 0, "model": MODEL, "minVersion": 1, "targetGroups": ITEMS // GROUP,
-         "requests": requests}
-    ).encode()
+def split_route() -> dict[str, object]:
+    """Return a rollout route that is split over two services."""
+    route = rollout_route(PREFIX, FIRST)
+    del route["svc"]
+    return {**route, "split": [{"svc": FIRST, "weight": 20}, {"svc": SECOND, "weight": 80}]}
 
 
 async def read_results(world: World, vm: EntryVm, step: str, until_s: float) -> list[dict]:
@@ -76,7 +57,7 @@
         )
         for number, service in enumerate(services, 1)
     ]
-    world.store.put("op", "config", configuration([rollout_route()], (FIRST, SECOND)))
+    world.store.put("op", "config", configuration([split_route()], (FIRST, SECOND)))
     for engine in engines:
         await engine.start()
     await world.start()
@@ -86,7 +67,7 @@
     headers = {"Host": HOST, "Attempt-Id": step, "Content-Type": "application/json"}
     vm = world.vms[0]
     began_s = time.monotonic()
-    answer = await call(vm.front, "POST", f"{PREFIX}{step}", headers, submission(item_ids))
+    answer = await call(vm.front, "POST", f"{PREFIX}{step}", headers, submission(PREFIX, item_ids))
     world.record.line("trainer", f"submits step {step} of {ITEMS} items: {answer.status}")
     if answer.status != 202:
         return [f"the submission was answered {answer.status}"]
@@ -97,7 +78,7 @@
     results = await read_results(world, world.vms[1], step, began_s + TIME_BUDGET_S)
     ended_s = time.monotonic()
     world.check_processes()
-    begun = {attempt for engine in engines for _, attempt, _ in engine.runs}
+    begun = {run.attempt for engine in engines for run in engine.runs}
     late_runs = sum(len(engine.runs) for engine in engines[1:])
     complete = sum(
         item["state"] == "complete" and item["text"].count("\n") == EVENTS - 1 for item in results
