--- a/review/10/case.py
+++ b/review/10/case.py
@@ -12,11 +12,11 @@
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
 from engines import EVENTS, HOST, Engine, configuration, rollout_route, submission  # noqa: E402
-from world import TROUBLE, EntryVm, World, call, run_case  # noqa: E402
+from world import TROUBLE, CaseNotRunError, EntryVm, World, call, run_case  # noqa: E402
 
 PREFIX = "/draft/"
 FIRST, SECOND = "llm-next", "llm"
-ITEMS = 32
+ITEMS, ACCEPTED = 32, 202
 CRASH_AFTER_S = 0.3
 # The trainer's time budget, and the time without a replica that the rule allows.
 TIME_BUDGET_S, IDLE_S = 12.0, 5.0
@@ -69,8 +69,8 @@
     began_s = time.monotonic()
     answer = await call(vm.front, "POST", f"{PREFIX}{step}", headers, submission(PREFIX, item_ids))
     world.record.line("trainer", f"submits step {step} of {ITEMS} items: {answer.status}")
-    if answer.status != 202:
-        return [f"the submission was answered {answer.status}"]
+    if answer.status != ACCEPTED:
+        raise CaseNotRunError(f"the submission was answered {answer.status}")
     await asyncio.sleep(CRASH_AFTER_S)
     if TROUBLE:
         world.tasks.append(asyncio.create_task(engines[0].crash()))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
 from engines import HOST, SLOTS, Engine, configuration, rollout_route, submission  # noqa: E402
-from world import TROUBLE, World, call, run_case  # noqa: E402
+from world import TROUBLE, CaseNotRunError, World, call, run_case  # noqa: E402
 
 PREFIX = "/draft/"
 SERVICE, ENGINES = "llm", 5
@@ -20,6 +20,7 @@
 EVENTS, EVENT_S = 180, 0.03
 CUTS, CUT_S = 4, 5.0
 STEP_EVERY_S = 8.0
+ACCEPTED = 202
 TIME_BUDGET_S, STEADY_AFTER_S = 12.0, 3.0
 
 
@@ -39,6 +40,8 @@
         front = self.world.vms[0].front
         answer = await call(front, "POST", f"{PREFIX}{step}", headers, submission(PREFIX, item_ids))
         self.world.record.line("trainer", f"submits {step}, {items} items: {answer.status}")
+        if answer.status != ACCEPTED:
+            raise CaseNotRunError(f"a submission was answered {answer.status}")
         read = 0
         while read < items and time.monotonic() < began_s + TIME_BUDGET_S:
             await asyncio.sleep(0.5)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,13 +13,14 @@
 
 from engines import EVENTS, HOST, SERVICE, Engine  # noqa: E402
 from engines import configuration, rollout_route, submission  # noqa: E402
-from world import TROUBLE, HttpMessage, World, call, run_case  # noqa: E402
+from world import TROUBLE, CaseNotRunError, HttpMessage, World, call, run_case  # noqa: E402
 
 PREFIX = "/draft/"
 STEPS, ITEMS = 3, 32
 # The dose of the site file for spoiled answers.
 SPOILED_SHARE = 0.03
 TIME_BUDGET_S = 12.0
+ACCEPTED = 202
 
 
 class Spoiler:
@@ -80,6 +81,8 @@
             world.vms[0].front, "POST", f"{PREFIX}{step}", headers, submission(PREFIX, item_ids)
         )
         world.record.line("trainer", f"submits {step}: {answer.status}")
+        if answer.status != ACCEPTED:
+            raise CaseNotRunError(f"a submission was answered {answer.status}")
         for result in await read_step(world, step, generator):
             text = result.get("text") or ""
             good = result["state"] == "complete" and text == expected_text(result["id"])
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import contextlib
+import ctypes
 import json
 import os
 import random
@@ -38,6 +39,14 @@
 }
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent() -> None:
+    """Have the kernel end this process when the case that started it ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CaseNotRunError(Exception):
     """The case could not be run, so it says nothing about the rule."""
 
@@ -414,7 +423,8 @@
         environment["BALSAMCLEAT_CONFIG"] = str(vm.settings)
         with vm.log.open("ab") as log:
             vm.process = await asyncio.create_subprocess_exec(
-                *words, cwd=ROOT, env=environment, stdout=log, stderr=log
+                *words, cwd=ROOT, env=environment, stdout=log, stderr=log,
+                preexec_fn=end_with_parent,
             )
         self.record.line(vm.name, f"process {vm.process.pid} started at {vm.ip}")
 
@@ -485,11 +495,18 @@
     """Play a case and exit with its result; ``play`` returns how the rule was broken."""
 
     async def run() -> int:
-        world = World(folder, vm_count)
+        try:
+            world = World(folder, vm_count)
+        except (CaseNotRunError, OSError) as error:
+            print(f"not run: {error!r}")
+            return NOT_RUN
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(110.0):
                 broken = await play(world)
-        except (CaseNotRunError, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.record.line("case", f"not run: {error!r}")
             print(f"not run: {error!r}")
             return NOT_RUN
