--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,44 +9,47 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
-from engines import PREFIX, Engine, configuration, stream_headers, stream_route, stream_text  # noqa: E402
+from engines import PREFIX, Engine, FaultyAnswers, configuration  # noqa: E402
+from engines import stream_headers, stream_route, stream_text  # noqa: E402
 from world import TROUBLE, HttpMessage, World, call, run_case  # noqa: E402
 
-STREAMS = 100
-# The dose of the site file for spoiled answers.
-SPOILED_SHARE = 0.03
-CALLERS = 5
+STREAMS = 480
+CALLERS = 48
+# `fleetbench kinds`: x (.02) of the answers of a replica are spoiled; the site file has for_s = 5.0.
+SPOILED_SHARE = 0.02
+# One answer is spoiled once the engine has begun this many.
+ANSWERS_BEFORE = 60
 
 
 class Spoiler:
-    """Spoils the third event of one write, in a few of the answers of one engine."""
+    """Spoils the third event of one write, in one answer of one engine."""
 
-    def __init__(self) -> None:
-        self.left = round(STREAMS * SPOILED_SHARE)
-        self.spoiled: set[str] = set()
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.faulty = FaultyAnswers(engine, SPOILED_SHARE)
 
     def spoil(self, request: HttpMessage, first: int, data: bytes) -> bytes:
-        is_due = first == 10 and self.left and request.header("Last-Event-Id") is None
-        if not is_due or not TROUBLE:
+        is_due = first == 10 and len(self.engine.runs) >= ANSWERS_BEFORE and self.faulty.is_open()
+        if not TROUBLE or not is_due or self.faulty.wrong:
             return data
-        self.left -= 1
-        self.spoiled.add(request.target.removeprefix(PREFIX))
+        self.faulty.wrong.append(request.target.removeprefix(PREFIX))
         head, mark, tail = data.rpartition(b"id: ")
         return head + b"i\xc2\xa1: " + tail if mark else data
 
 
 async def play(world: World) -> list[str]:
-    spoiler = Spoiler()
     born_ms = int(time.time() * 1000) - 60_000
     engines = [
         Engine(world, f"i-{number:08x}", world.address(100 + number), zone, born_ms + number)
         for number, zone in enumerate(("z-a", "z-b", "z-a", "z-b"), 1)
     ]
-    engines[0].spoil = spoiler.spoil
     world.store.put("op", "config", configuration([stream_route()]))
     for engine in engines:
         await engine.start()
     await world.start()
+    # The engine answers wrongly for some seconds from now on.
+    spoiler = Spoiler(engines[0])
+    engines[0].spoil = spoiler.spoil
     broken: list[str] = []
     whole = 0
     numbers = iter(range(STREAMS))
@@ -76,7 +79,7 @@
 
     await asyncio.gather(*(read_streams() for _ in range(CALLERS)))
     world.check_processes()
-    world.record.line("case", f"{whole} of {STREAMS} whole; spoiled: {sorted(spoiler.spoiled)}")
+    world.record.line("case", f"{whole} of {STREAMS} whole; {spoiler.faulty.check()}")
     return broken
 
 
--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -7,7 +7,16 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from world import HEARTBEAT_S, HttpMessage, Listener, World, chunk, response_bytes
+from world import (
+    HEARTBEAT_S,
+    TROUBLE,
+    CaseNotRunError,
+    HttpMessage,
+    Listener,
+    World,
+    chunk,
+    response_bytes,
+)
 
 SERVICE, MODEL, HOST, PREFIX = "llm", "m0", "streams.example", "/chat/"
 SLOTS, QUEUE = 16, 48
@@ -172,6 +181,47 @@
         writer.write(head + b"0\r\n\r\n")
 
 
+@dataclass
+class FaultyAnswers:
+    """Dose of an engine that answers wrongly: which share of its answers in a window is wrong.
+
+    Attributes:
+        engine: Engine that answers wrongly.
+        max_share: Largest share that the pages allow.
+        window_s: Length of the window in seconds, from ``began_s`` on.
+        other_answers: Number of answers beside those of runs.
+        wrong: Names of what was answered wrongly.
+    """
+
+    engine: Engine
+    max_share: float
+    window_s: float = 5.0
+    began_s: float = field(default_factory=time.monotonic)
+    other_answers: int = 0
+    wrong: list[str] = field(default_factory=list)
+
+    def is_open(self) -> bool:
+        return time.monotonic() < self.began_s + self.window_s
+
+    def answers(self) -> int:
+        """Return the number of the engine's answers in the window."""
+        end_s = self.began_s + self.window_s
+        runs = sum(self.began_s <= run.began_s and run.ended_s <= end_s for run in self.engine.runs)
+        return runs + self.other_answers
+
+    def check(self) -> str:
+        """Return the dose in words.
+
+        Raises:
+            CaseNotRunError: Nothing was answered wrongly, or more than the pages allow.
+        """
+        answers = self.answers()
+        dose = f"{len(self.wrong)} of {answers} answers of {self.engine.name} in {self.window_s} s"
+        if TROUBLE and not 0 < len(self.wrong) <= self.max_share * answers:
+            raise CaseNotRunError(f"the dose is outside of its limit: {dose}")
+        return f"wrong: {dose} ({', '.join(self.wrong)})"
+
+
 def stream_route() -> dict[str, object]:
     """Return a route for streams that may be resumed."""
     return {
