Requests on a split route use all of its services

Cause: RolloutRunner.group_by_service took route.shares[0].service as the service of the route. Ruled out: the list of targets, the weights' versions, the resumption of begun samples (samples that had not begun were not sent, either).

Change: order_services draws the order in which a request tries the services, by weight; samples draw it by their group. Steps that share a service are placed together over the engines of all services of their routes. A begun sample requires the service that began it: two services may use one name for a version. Moves, the forecast of late steps, samples begun anew and orders of targets follow. Calls go on to the next service when the first has no target, no slot in time or only targets that rejected them. Orders to load weights went to all services already; a test shows it.

--- a/src/balsamcleat/decisions/engine_ranking.py
+++ b/src/balsamcleat/decisions/engine_ranking.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from balsamcleat.model import TargetId, WeightVersion
+from balsamcleat.model import ServiceName, TargetId, WeightVersion
 
 __all__ = [
     "SLOW_RATIO",
@@ -21,6 +21,7 @@
     "can_take",
     "engine_cost",
     "fastest_event_interval_s",
+    "fastest_intervals_by_service_s",
 ]
 
 # An engine slower than the fastest one by more than this factor gets work only when no other can
@@ -37,6 +38,10 @@
 # Cost of an engine that takes twice as long for an event as the fastest one, in shares of a full
 # batch. Samples are assigned longest first, so the long ones get the fast engines.
 PACE_COST = 2.0
+# Cost of an engine for each service that a sample prefers to its own, in shares of a full batch.
+# It exceeds all other costs: the weights of services count as long as each can take its samples.
+OTHER_SERVICE_COST = 1000.0
+UNNAMED_SERVICE = ServiceName("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,11 +52,21 @@
         model: Name of the model.
         oldest_version: Oldest weight version that may generate the sample.
         software_version: Software version that began the sample; None if it has not begun.
+        services: Services that may run the sample, the preferred one first; empty for any.
     """
 
     model: str
     oldest_version: WeightVersion
     software_version: str | None = None
+    services: tuple[ServiceName, ...] = ()
+
+    def allows(self, service: ServiceName) -> bool:
+        """Return whether a service may run the sample."""
+        return not self.services or service in self.services
+
+    def preference_cost(self, service: ServiceName) -> float:
+        """Return the cost of a service that may run the sample, in shares of a full batch."""
+        return OTHER_SERVICE_COST * self.services.index(service) if self.services else 0.0
 
 
 @dataclass(slots=True)
@@ -72,6 +87,7 @@
         recent_prompts: Ids of the prompts that the engine processed recently.
         software_version: Version of the engine's software.
         is_replaced: Whether engines of this software version are being replaced.
+        service: Service that the engine belongs to.
     """
 
     target_id: TargetId
@@ -86,6 +102,7 @@
     recent_prompts: Collection[str] = field(default_factory=set)
     software_version: str = ""
     is_replaced: bool = False
+    service: ServiceName = UNNAMED_SERVICE
 
 
 def fastest_event_interval_s(engines: Iterable[EngineView]) -> float:
@@ -98,10 +115,19 @@
     return min(intervals, default=0.0)
 
 
+def fastest_intervals_by_service_s(engines: Iterable[EngineView]) -> dict[ServiceName, float]:
+    """Return the lowest event interval of each service's usable engines; see above."""
+    by_service: dict[ServiceName, list[EngineView]] = {}
+    for engine in engines:
+        by_service.setdefault(engine.service, []).append(engine)
+    return {service: fastest_event_interval_s(members) for service, members in by_service.items()}
+
+
 def can_take(engine: EngineView, requirements: SampleRequirements) -> bool:
     """Return whether an engine has a free slot and weights that meet the requirements."""
     return (
         engine.is_usable
+        and requirements.allows(engine.service)
         and engine.sendable >= 1.0
         and engine.load + 1.0 <= engine.slots
         and requirements.model not in engine.loading_models
@@ -135,7 +161,7 @@
 
     def __init__(self, engines: Sequence[EngineView], prompts: Iterable[str]) -> None:
         self.engines = engines
-        self.fastest_interval_s = fastest_event_interval_s(engines)
+        self.fastest_intervals_s = fastest_intervals_by_service_s(engines)
         self.heaps: dict[SampleRequirements, list[tuple[float, int]]] = {}
         # Filled at the first assignment to a given engine; most passes have none.
         self.index_by_id: dict[TargetId, int] = {}
@@ -146,16 +172,18 @@
                 for prompt in known_prompts & set(engine.recent_prompts):
                     self.engines_by_prompt[prompt].append(index)
 
-    def cost(self, index: int) -> float:
-        """Return the current cost of an engine, given by its index."""
-        return engine_cost(self.engines[index], self.fastest_interval_s)
+    def cost(self, index: int, requirements: SampleRequirements) -> float:
+        """Return the current cost of an engine, given by its index, for a sample."""
+        engine = self.engines[index]
+        cost = engine_cost(engine, self.fastest_intervals_s[engine.service])
+        return cost + requirements.preference_cost(engine.service)
 
     def assign(self, requirements: SampleRequirements, prompt: str) -> EngineView | None:
         """Assign a sample to the engine with the lowest cost; return None if it must wait."""
         best = self.cheapest(requirements)
         for index in self.engines_by_prompt[prompt]:
             if can_take(self.engines[index], requirements):
-                candidate = (self.cost(index) - PROMPT_BONUS, index)
+                candidate = (self.cost(index, requirements) - PROMPT_BONUS, index)
                 best = candidate if best is None else min(best, candidate)
         if best is None:
             return None
@@ -191,7 +219,7 @@
             if not can_take(self.engines[index], requirements):
                 heapq.heappop(heap)
                 continue
-            current_cost = self.cost(index)
+            current_cost = self.cost(index, requirements)
             if current_cost <= cost:
                 return cost, index
             # The cost grew by assignments since the entry was made, so the entry is moved.
@@ -203,7 +231,7 @@
         heap = self.heaps.get(requirements)
         if heap is None:
             heap = [
-                (self.cost(index), index)
+                (self.cost(index, requirements), index)
                 for index, engine in enumerate(self.engines)
                 if can_take(engine, requirements)
             ]
--- a/src/balsamcleat/decisions/replica_choice.py
+++ b/src/balsamcleat/decisions/replica_choice.py
@@ -6,14 +6,16 @@
 """
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
+
+import xxhash
 
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
-from balsamcleat.model import TargetId, ZoneName
+from balsamcleat.model import ServiceName, TargetId, ZoneName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import WeightedService
 
-__all__ = ["choose_replica", "choose_service"]
+__all__ = ["choose_replica", "choose_service", "order_services", "order_services_by_key"]
 
 # Costs are in shares of a target at full load.
 # Cost of a target in another availability zone.
@@ -24,6 +26,7 @@
 REPLACED_SOFTWARE_COST = 0.25
 AVOIDED_COST = 10.0
 TIE_COST = 0.05
+HASH_RANGE = 2.0**64
 # Cost reduction for a target that probably has the prompt cached.
 PROMPT_BONUS = 0.5
 
@@ -41,6 +44,40 @@
     return shares[-1]
 
 
+def order_services(
+    shares: Sequence[WeightedService], draw: Callable[[], float]
+) -> tuple[ServiceName, ...]:
+    """Return the services of a route, each drawn by weight among those that are left.
+
+    A request goes to the first one, and to the others only if that one can't take it.
+
+    Args:
+        shares: Services of the route, with their weights.
+        draw: Returns a random number in [0, 1).
+
+    Returns:
+        The services; those without any weight are left out.
+    """
+    if len(shares) == 1 and shares[0].weight > 0.0:
+        return (shares[0].service,)
+    remaining = list(shares)
+    services = []
+    while (share := choose_service(remaining, draw())) is not None:
+        remaining.remove(share)
+        services.append(share.service)
+    return tuple(services)
+
+
+def order_services_by_key(shares: Sequence[WeightedService], key: str) -> tuple[ServiceName, ...]:
+    """Return the services of a route as ``order_services`` does, always alike for the same key."""
+    numbers = iter(range(len(shares) + 1))
+
+    def draw() -> float:
+        return xxhash.xxh64_intdigest(key.encode(), seed=next(numbers)) / HASH_RANGE
+
+    return order_services(shares, draw)
+
+
 def choose_replica(
     replicas: Sequence[Replica],
     stats_registry: ReplicaStatsRegistry,
--- a/src/balsamcleat/decisions/replica_directory.py
+++ b/src/balsamcleat/decisions/replica_directory.py
@@ -240,6 +240,10 @@
         """Return the targets of a service that are ready for new work."""
         return list(self.ready_by_service.get(service, {}).values())
 
+    def has_ready(self, service: ServiceName) -> bool:
+        """Return whether a service has a target that is ready for new work."""
+        return bool(self.ready_by_service.get(service))
+
     def remove_ready(self, replica: Replica | None) -> None:
         """Remove an earlier entry from the targets that take new work."""
         if replica is not None:
--- a/src/balsamcleat/decisions/sample_placement.py
+++ b/src/balsamcleat/decisions/sample_placement.py
@@ -21,7 +21,7 @@
     SampleRequirements,
     can_take,
     engine_cost,
-    fastest_event_interval_s,
+    fastest_intervals_by_service_s,
 )
 from balsamcleat.decisions.step_order import SampleRank
 from balsamcleat.model import StepId, TargetId
@@ -124,13 +124,14 @@
 def find_moves(running: Iterable[RunningSample], engines: Sequence[EngineView]) -> list[Placement]:
     """Return new placements for samples to move off slow engines, most remaining events first."""
     by_id = {engine.target_id: engine for engine in engines}
-    fastest_s = fastest_event_interval_s(engines)
-    if fastest_s <= 0.0:
-        return []
+    fastest_intervals_s = fastest_intervals_by_service_s(engines)
     moves = []
     for sample in sorted(running, key=lambda item: -item.remaining_events):
         source = by_id.get(sample.target_id)
-        if source is None or not is_worth_moving(sample, source.event_interval_s, fastest_s):
+        if source is None:
+            continue
+        fastest_s = fastest_intervals_s[source.service]
+        if fastest_s <= 0.0 or not is_worth_moving(sample, source.event_interval_s, fastest_s):
             continue
         destination = move_destination(sample, engines, fastest_s)
         if destination is None or not is_worth_moving(
--- a/src/balsamcleat/model/routing.py
+++ b/src/balsamcleat/model/routing.py
@@ -81,6 +81,11 @@
     single_version: bool = False
     public: bool = False
 
+    @property
+    def services(self) -> tuple[ServiceName, ...]:
+        """Services that handle the route's requests; those without any weight get none."""
+        return tuple(share.service for share in self.shares if share.weight > 0.0)
+
     @property
     def is_repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/src/balsamcleat/tasks/late_step_watch.py
+++ b/src/balsamcleat/tasks/late_step_watch.py
@@ -4,33 +4,36 @@
 
 from balsamcleat.decisions.late_steps import StepWork, expected_ends_s, order_groups
 from balsamcleat.decisions.step_order import expected_remaining_tokens
-from balsamcleat.model.routing import Route
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.placement_view import TOKENS_PER_EVENT
+from balsamcleat.tasks.step_groups import RoutedStep
 
 __all__ = ["update_group_positions"]
 
 log = structlog.get_logger()
 
 
-def update_group_positions(
-    steps: list[tuple[OwnedStep, Route]], event_interval_s: float, now_s: float
-) -> None:
+def update_group_positions(steps: list[RoutedStep], event_interval_s: float, now_s: float) -> None:
     """Set the order of groups of each step that is expected to be late, and reset that of others.
 
     Args:
-        steps: Owned steps of one service and their routes.
+        steps: Owned steps that share their targets, and their routes.
         event_interval_s: Interval between two events of a stream in seconds; 0 if unknown.
         now_s: Time on the process clock.
     """
-    ordered = sorted(steps, key=lambda item: item[0].accepted_s)
-    remaining = [remaining_tokens(step) for step, _ in ordered]
+    ordered = sorted(steps, key=lambda item: item.step.accepted_s)
+    remaining = [remaining_tokens(item.step) for item in ordered]
     work = [
-        StepWork(now_s - step.accepted_s, sum(left.values()) / TOKENS_PER_EVENT, len(step.running))
-        for (step, _), left in zip(ordered, remaining, strict=True)
+        StepWork(
+            now_s - item.step.accepted_s,
+            sum(left.values()) / TOKENS_PER_EVENT,
+            len(item.step.running),
+        )
+        for item, left in zip(ordered, remaining, strict=True)
     ]
     ends_s = expected_ends_s(work, event_interval_s)
-    for (step, route), left, end_s in zip(ordered, remaining, ends_s, strict=True):
+    for item, left, end_s in zip(ordered, remaining, ends_s, strict=True):
+        step, route = item.step, item.route
         is_late = bool(route.step_deadline_s) and end_s > route.step_deadline_s
         if is_late and not step.group_positions:
             log.info(
--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -26,7 +26,7 @@
     Attributes:
         request: Request of the caller.
         route: Route that the request matched, with the rank of the team.
-        service: Service chosen from the shares of the route.
+        service: Service of the route that is tried first.
         deadline_s: Latest time at which the response may begin, on the monotonic clock, in seconds.
         attempts: Attempts made so far.
         prompt_ids: Ids of the prompt's prefixes, by which the target is chosen; empty if the route
@@ -39,6 +39,7 @@
         team: Team that sent the request; None if it has none, as calls of this VM itself.
         computed_digest: Digest of the request once it was needed; bodies may be large.
         runs: Runs of the call at targets, for the usage of its team.
+        other_services: Other services of the route, which may answer if that one can't.
     """
 
     request: Request
@@ -55,6 +56,20 @@
     team: TeamName | None = None
     computed_digest: str = ""
     runs: CallRuns = field(default_factory=CallRuns)
+    other_services: tuple[ServiceName, ...] = ()
+
+    @property
+    def services(self) -> tuple[ServiceName, ...]:
+        """Services that may answer, in the order in which they are tried."""
+        return (self.service, *self.other_services)
+
+    def drop_service(self) -> bool:
+        """Go on to the next service of the route; return whether there is one."""
+        if not self.other_services:
+            return False
+        self.service, *others = self.other_services
+        self.other_services = tuple(others)
+        return True
 
     @property
     def digest(self) -> str:
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -9,13 +9,13 @@
 
 from balsamcleat.decisions.live_attempts import AttemptTracker, FailureStatus, hedge_delay_s
 from balsamcleat.decisions.live_queue import Rejected
-from balsamcleat.decisions.replica_choice import choose_service
+from balsamcleat.decisions.replica_choice import order_services
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.stop_schedule import StopSchedule
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, Request, Responder, Response
-from balsamcleat.model import TeamName, ZoneName
+from balsamcleat.model import ServiceName, TeamName, ZoneName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import (
@@ -163,8 +163,8 @@
         self, request: Request, route: Route, team: TeamName | None = None
     ) -> LiveCall | None:
         """Return the call with its service and deadline, or None if the route has no service."""
-        share = choose_service(route.shares, self.generator.random())
-        if share is None:
+        services = self.order_services(route)
+        if not services:
             return None
         caller_timeout_s = parse_caller_timeout_s(request.headers)
         timeout_s = (
@@ -173,13 +173,22 @@
         return LiveCall(
             request=request,
             route=route,
-            service=share.service,
+            service=services[0],
             deadline_s=request.received_at_s + timeout_s - RESPONSE_MARGIN_S,
             attempts=AttemptTracker(route.is_repeatable, route.attempts),
             prompt_ids=prompt_ids(request.headers) if route.sticky else (),
             team=team,
+            other_services=services[1:],
         )
 
+    def order_services(self, route: Route) -> tuple[ServiceName, ...]:
+        """Return the services of a route in the order in which a call tries them.
+
+        The order is drawn by weight, but services without targets come last.
+        """
+        services = order_services(route.shares, self.generator.random)
+        return tuple(sorted(services, key=lambda name: not self.directory.has_ready(name)))
+
     async def reject(self, call: LiveCall, responder: Responder, rejection: Rejected) -> None:
         """Reject a call that can't be answered in time, and tell the caller when to retry."""
         reason = f"no slot at {call.service} in time; estimated wait {rejection.wait_s:.3f} s"
@@ -207,7 +216,7 @@
         self.record_demand(call)
         while True:
             queued_s = anyio.current_time()
-            rejection = await self.queues.acquire(call.service, call.ticket(queued_s))
+            rejection = await self.acquire_slot(call)
             if rejection is not None:
                 return rejection
             admitted_s = anyio.current_time()
@@ -222,10 +231,40 @@
                     self.queues.record_rejection(call.service)
             finally:
                 self.queues.release(call.service, took_s)
-            if isinstance(outcome, Ok) or not self.can_queue_again(call):
+            if isinstance(outcome, Ok):
+                return outcome
+            if self.turn_to_next_service(call):
+                continue
+            if not self.can_queue_again(call):
                 return outcome
             call.attempts.start_round()
 
+    async def acquire_slot(self, call: LiveCall) -> Rejected | None:
+        """Wait for a slot at the first service of a call's route that has one in time.
+
+        Returns:
+            The last rejection if no service has one, else None; the slot is to be released.
+        """
+        while True:
+            ticket = call.ticket(anyio.current_time())
+            rejection = await self.queues.acquire(call.service, ticket)
+            if rejection is None or not call.drop_service():
+                return rejection
+            self.record_demand(call)
+
+    def turn_to_next_service(self, call: LiveCall) -> bool:
+        """Start a round at the next service of a call's route, if all targets rejected the call.
+
+        Returns:
+            Whether there is another service, and time left.
+        """
+        can_turn = call.attempts.can_start_round() and call.remaining_s() > 0.0
+        if not can_turn or not call.drop_service():
+            return False
+        call.attempts.start_round()
+        self.record_demand(call)
+        return True
+
     def record_demand(self, call: LiveCall) -> None:
         """Record that a call wants a target, for the shares of limits."""
         self.stats_registry.limits.record_demand(
--- a/src/balsamcleat/tasks/placement_view.py
+++ b/src/balsamcleat/tasks/placement_view.py
@@ -1,14 +1,17 @@
 """Builds the input of the placement decision from owned steps and observed targets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from balsamcleat.decisions.engine_ranking import EngineView, SampleRequirements
+from balsamcleat.decisions.replica_choice import order_services_by_key
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.sample_placement import RunningSample, WaitingSample
 from balsamcleat.decisions.step_order import expected_remaining_tokens
 from balsamcleat.model import ServiceName, TargetId, WeightVersion, ZoneName
 from balsamcleat.model.replicas import Replica
+from balsamcleat.model.rollout import SampleTask
+from balsamcleat.model.routing import Route
 from balsamcleat.tasks.owned_step import OwnedStep
 
 __all__ = ["TOKENS_PER_EVENT", "PlacementView"]
@@ -54,18 +57,22 @@
             for model, version in replica.versions.items()
         }
 
-    def engines(self, service: ServiceName, now_s: float) -> list[EngineView]:
-        """Return the targets of a service as placement candidates."""
-        replaced = self.directory.replaced_versions(service, now_s)
-        return [
-            self.engine(replica, now_s, is_replaced=replica.software_version in replaced)
-            for replica in self.directory.ready_replicas(service)
-        ]
-
-    def reports_pace(self, service: ServiceName, now_s: float) -> bool:
-        """Return whether any target of a service has reported its pace lately."""
+    def engines(self, services: Iterable[ServiceName], now_s: float) -> list[EngineView]:
+        """Return the targets of services as placement candidates."""
+        engines = []
+        for service in services:
+            replaced = self.directory.replaced_versions(service, now_s)
+            engines += [
+                self.engine(replica, now_s, is_replaced=replica.software_version in replaced)
+                for replica in self.directory.ready_replicas(service)
+            ]
+        return engines
+
+    def reports_pace(self, services: Iterable[ServiceName], now_s: float) -> bool:
+        """Return whether any target of services has reported its pace lately."""
         return any(
             self.stats_registry.for_target(replica.target_id).pace.is_known(now_s)
+            for service in services
             for replica in self.directory.ready_replicas(service)
         )
 
@@ -85,11 +92,21 @@
             recent_prompts=stats.recent_prompts,
             software_version=replica.software_version,
             is_replaced=is_replaced,
+            service=replica.service,
         )
 
-    def requirements(self, step: OwnedStep, sample_id: str) -> SampleRequirements:
+    def services(self, route: Route, sample: SampleTask) -> tuple[ServiceName, ...]:
+        """Return the services of a route with targets, the one that a sample prefers first.
+
+        The samples of a group prefer the same one, whose targets then have their prompt cached.
+        """
+        services = order_services_by_key(route.shares, sample.group)
+        ready = [service for service in services if self.directory.has_ready(service)]
+        return tuple(ready) or services
+
+    def requirements(self, step: OwnedStep, route: Route, sample: SampleTask) -> SampleRequirements:
         """Return what a sample requires of its engine."""
-        progress = step.progress.get(sample_id)
+        progress = step.progress.get(sample.sample_id)
         software = None
         if progress is not None and progress.events:
             software = self.directory.certain_software(progress.origin)
@@ -97,15 +114,16 @@
             step.step.model,
             step.step.oldest_version,
             None if software is None else software.version,
+            self.services(route, sample) if software is None else (software.service,),
         )
 
-    def waiting_samples(self, step: OwnedStep, now_s: float) -> list[WaitingSample]:
+    def waiting_samples(self, step: OwnedStep, route: Route, now_s: float) -> list[WaitingSample]:
         """Return a step's samples that may start now, as input of the placement."""
         return [
             WaitingSample(
                 step_id=step.step_id,
                 sample_id=sample.sample_id,
-                requirements=self.requirements(step, sample.sample_id),
+                requirements=self.requirements(step, route, sample),
                 prompt_id=sample.prompt_id,
                 rank=(step.accepted_s, step.ranks[sample.sample_id]),
                 goal=step.move_goals.get(sample.sample_id),
@@ -114,23 +132,25 @@
             for sample in step.waiting_samples(now_s)
         ]
 
-    def movable_samples(self, step: OwnedStep) -> list[RunningSample]:
+    def movable_samples(self, step: OwnedStep, route: Route) -> list[RunningSample]:
         """Return a step's running samples that may be moved.
 
-        Those are the samples that have produced an event and can go on without losing any.
+        Those are the samples that have produced an event and can go on without losing any, at a
+        service of the step's route.
         """
         samples = []
         for sample_id, run in step.running.items():
             progress = step.progress.get(sample_id)
             if run.is_moving or progress is None or not progress.events:
                 continue
-            requirements = self.requirements(step, sample_id)
+            sample = step.samples[sample_id]
+            requirements = self.requirements(step, route, sample)
             if requirements.software_version is None:
                 continue
+            if not set(requirements.services) <= set(route.services):
+                continue
             tokens = len(progress.events) * TOKENS_PER_EVENT
-            events_left = (
-                expected_remaining_tokens(step.samples[sample_id], tokens) / TOKENS_PER_EVENT
-            )
+            events_left = expected_remaining_tokens(sample, tokens) / TOKENS_PER_EVENT
             samples.append(
                 RunningSample(
                     step_id=step.step_id,
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, TypeVarTuple, Unpack
 
@@ -15,6 +16,7 @@
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.sample_placement import (
     Placement,
+    WaitingSample,
     find_moves,
     place_samples,
 )
@@ -40,6 +42,7 @@
 )
 from balsamcleat.tasks.sample_scorer import SampleScorer
 from balsamcleat.tasks.step_deletion import delete_progress
+from balsamcleat.tasks.step_groups import RoutedStep, StepGroup, group_steps
 from balsamcleat.tasks.step_scorer import StepScorer
 
 __all__ = ["RolloutRunner"]
@@ -209,43 +212,64 @@
         now_s = anyio.current_time()
         table = self.table()
         active = [step for step in self.steps.values() if step.can_start]
-        backlogs: dict[ServiceName, int] = {}
+        backlogs: Counter[ServiceName] = Counter()
         if table is None or not active:
             return
         may_move = now_s - self.last_move_check_s >= PLACEMENT_INTERVAL_S
         if may_move:
             self.last_move_check_s = now_s
-        for service, steps in self.group_by_service(table, active, now_s).items():
-            for step, _ in steps:
-                self.resumption.begin_anew_where_stranded(step, service)
-            waiting = [item for step, _ in steps for item in self.view.waiting_samples(step, now_s)]
+        for group in group_steps(self.routed_steps(table, active, now_s)):
+            for item in group.steps:
+                self.resumption.begin_anew_where_stranded(item.step, item.route)
+            waiting = self.waiting_samples(group, now_s)
             if not waiting and not may_move:
                 continue
-            backlogs[service] = len(waiting)
-            engines = self.view.engines(service, now_s)
+            backlogs.update(sample.requirements.services[0] for sample in waiting)
+            engines = self.view.engines(group.services, now_s)
             # Where targets report no pace, steps keep the order in which they start their samples.
-            if may_move and self.view.reports_pace(service, now_s):
+            if may_move and self.view.reports_pace(group.services, now_s):
                 # Applies from the next placement on. At the moment when the last runs of a step
                 # have ended, there is no forecast, and its samples must keep their order.
-                update_group_positions(steps, fastest_event_interval_s(engines), now_s)
-            routes = {step.step_id: route for step, route in steps}
-            placements = place_samples(waiting, engines)
-            for placement in placements:
-                self.start_sample(placement, routes[placement.step_id])
-            if len(placements) < len(waiting):
-                self.record_waits(engines, now_s)
-                placed = {(placement.step_id, placement.sample_id) for placement in placements}
-                unplaced = [
-                    item for item in waiting if (item.step_id, item.sample_id) not in placed
-                ]
-                self.resumption.end_long_waits(self.steps, unplaced, engines)
+                update_group_positions(group.steps, fastest_event_interval_s(engines), now_s)
+            self.place_waiting(group, waiting, engines, now_s)
             if may_move:
-                self.move_samples(steps, engines)
+                self.move_samples(group, engines)
         self.stats_registry.limits.record_backlogs(backlogs)
 
-    def move_samples(self, steps: list[tuple[OwnedStep, Route]], engines: list[EngineView]) -> None:
-        """Move running samples of a service's steps to better targets."""
-        running = [item for step, _ in steps for item in self.view.movable_samples(step)]
+    def waiting_samples(self, group: StepGroup, now_s: float) -> list[WaitingSample]:
+        """Return the samples of a group's steps that may start now."""
+        return [
+            sample
+            for item in group.steps
+            for sample in self.view.waiting_samples(item.step, item.route, now_s)
+        ]
+
+    def place_waiting(
+        self,
+        group: StepGroup,
+        waiting: list[WaitingSample],
+        engines: list[EngineView],
+        now_s: float,
+    ) -> None:
+        """Start the waiting samples for which an engine is free."""
+        steps = {item.step.step_id: item for item in group.steps}
+        placements = place_samples(waiting, engines)
+        for placement in placements:
+            self.start_sample(placement, steps[placement.step_id].route)
+        if len(placements) == len(waiting):
+            return
+        self.record_waits(engines, now_s)
+        placed = {(placement.step_id, placement.sample_id) for placement in placements}
+        unplaced = [item for item in waiting if (item.step_id, item.sample_id) not in placed]
+        self.resumption.end_long_waits(steps, unplaced, engines)
+
+    def move_samples(self, group: StepGroup, engines: list[EngineView]) -> None:
+        """Move running samples of a group's steps to better targets."""
+        running = [
+            sample
+            for item in group.steps
+            for sample in self.view.movable_samples(item.step, item.route)
+        ]
         for move in find_moves(running, engines):
             self.move_sample(move)
 
@@ -255,16 +279,16 @@
             if not math.isinf(engine.sendable):
                 self.stats_registry.limits.record_wait(engine.target_id, now_s, is_live=False)
 
-    def group_by_service(
+    def routed_steps(
         self, table: RoutingTable, steps: list[OwnedStep], now_s: float
-    ) -> dict[ServiceName, list[tuple[OwnedStep, Route]]]:
-        """Group steps and their routes by service; give up steps that expired or have no route.
+    ) -> list[RoutedStep]:
+        """Return steps with their routes; give up those that expired or have no route.
 
         A configuration that may be outdated does not say that a step's route was removed: the VM
         that accepted the step may have had a newer one. It must be newer than the owner row, by the
         store's versions, which no delay or clock affects.
         """
-        steps_by_service: dict[ServiceName, list[tuple[OwnedStep, Route]]] = {}
+        routed = []
         for step in steps:
             route = table.match(step.record.host, step.record.path)
             if route is None or route.kind is not RouteKind.ROLLOUT or not route.shares:
@@ -277,8 +301,8 @@
                 continue
             if not self.update_team(step, route, table):
                 continue
-            steps_by_service.setdefault(route.shares[0].service, []).append((step, route))
-        return steps_by_service
+            routed.append(RoutedStep(step, route))
+        return routed
 
     def update_team(self, step: OwnedStep, route: Route, table: RoutingTable) -> bool:
         """Update a step's team by the configuration; return whether the team is known."""
--- a/src/balsamcleat/tasks/sample_resumption.py
+++ b/src/balsamcleat/tasks/sample_resumption.py
@@ -11,9 +11,11 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.sample_placement import WaitingSample
 from balsamcleat.decisions.stream_origin import StreamOrigin
-from balsamcleat.model import ServiceName, StepId
+from balsamcleat.model import StepId
 from balsamcleat.model.replicas import Replica, StreamSoftware, TargetStart
+from balsamcleat.model.routing import Route
 from balsamcleat.tasks.owned_step import OwnedStep
+from balsamcleat.tasks.step_groups import RoutedStep
 
 __all__ = ["SampleResumption"]
 
@@ -56,9 +58,8 @@
         self.asked_starts: set[TargetStart] = set()
         self.unconfirmed_at_s: dict[TargetStart, float] = {}
 
-    def begin_anew_where_stranded(self, step: OwnedStep, service: ServiceName) -> None:
+    def begin_anew_where_stranded(self, step: OwnedStep, route: Route) -> None:
         """Discard the events of a step's waiting samples that no target is going to continue."""
-        versions = self.directory.software_versions(service)
         now_s = anyio.current_time()
         for sample_id, progress in step.progress.items():
             if not progress.events or not step.is_waiting(sample_id):
@@ -68,7 +69,7 @@
             if software is None and self.may_be_confirmed(progress.origin):
                 step.retry_not_before_s[sample_id] = now_s + ASK_AGAIN_S
                 continue
-            reason = self.reason_to_begin_anew(software, service, versions)
+            reason = self.reason_to_begin_anew(software, route)
             if reason:
                 self.begin_anew(step, sample_id, reason)
 
@@ -104,7 +105,7 @@
 
     def end_long_waits(
         self,
-        steps: Mapping[StepId, OwnedStep],
+        steps: Mapping[StepId, RoutedStep],
         unplaced: Iterable[WaitingSample],
         engines: Iterable[EngineView],
     ) -> None:
@@ -113,25 +114,24 @@
         for sample in unplaced:
             if sample.requirements.software_version is None:
                 continue
-            step = steps[sample.step_id]
+            step, route = steps[sample.step_id].step, steps[sample.step_id].route
             event_count = len(step.progress[sample.sample_id].events)
             waited_s = now_s - step.resume_wait_began_s.get(sample.sample_id, now_s)
             if waited_s <= PATIENCE_PER_EVENT_S * event_count:
                 continue
-            anew = replace(sample.requirements, software_version=None)
+            anew = replace(sample.requirements, software_version=None, services=route.services)
             engine = next((engine for engine in engines if can_take(engine, anew)), None)
             if engine is not None:
                 engine.load += 1.0
                 self.begin_anew(step, sample.sample_id, "targets of its software are full")
 
-    def reason_to_begin_anew(
-        self, software: StreamSoftware | None, service: ServiceName, versions: set[str]
-    ) -> str:
-        """Return why no target of a service can continue a sample; empty if one can."""
+    def reason_to_begin_anew(self, software: StreamSoftware | None, route: Route) -> str:
+        """Return why no target of a route's services can continue a sample; empty if one can."""
         if software is None:
             return "its software is not certain"
-        if software.service != service:
+        if software.service not in route.services:
             return "its route has another service now"
+        versions = self.directory.software_versions(software.service)
         return "" if software.version in versions else "no target of its software is ready"
 
     def begin_anew(self, step: OwnedStep, sample_id: str, reason: str) -> None:
--- a/src/balsamcleat/tasks/sample_scorer.py
+++ b/src/balsamcleat/tasks/sample_scorer.py
@@ -10,7 +10,6 @@
 
 from balsamcleat.decisions.live_attempts import AttemptTracker
 from balsamcleat.decisions.live_queue import Rejected
-from balsamcleat.decisions.replica_choice import choose_service
 from balsamcleat.decisions.sample_scoring import ScoringProgress, scoring_failure_limit
 from balsamcleat.http1 import Response, is_success
 from balsamcleat.model.rollout import ScoringRequest
@@ -118,17 +117,18 @@
         self, task: ScoringTask, route: Route, max_runs: int, now_s: float
     ) -> LiveCall | None:
         """Return the call that scores a sample, or None if its route has no service."""
-        share = choose_service(route.shares, self.generator.random())
-        if share is None:
+        services = self.forwarder.order_services(route)
+        if not services:
             return None
         return LiveCall(
             request=scoring_request(task.scoring, now_s),
             route=route,
-            service=share.service,
+            service=services[0],
             deadline_s=min(now_s + route.timeout_s, task.expires_at_s),
             attempts=AttemptTracker(repeatable=True, max_runs=max_runs),
             is_background=True,
             is_wanted=task.is_wanted,
+            other_services=services[1:],
         )
 
     def log_call(
--- a/src/balsamcleat/tasks/scaling_inputs.py
+++ b/src/balsamcleat/tasks/scaling_inputs.py
@@ -1,5 +1,6 @@
 """Builds the input of the decision on the number of targets from what this VM observes."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -59,9 +60,9 @@
         services = [name for name, spec in table.services.items() if spec.autoscale is not None]
         sightings: dict[ServiceName, list[StepSighting]] = {name: [] for name in services}
         for step_id, known in self.steps().items():
-            service, sighting = self.sighting(table, step_id, known, now_s)
-            if sighting is not None and service in sightings:
-                sightings[service].append(sighting)
+            for service, sighting in self.sightings(table, step_id, known, now_s).items():
+                if service in sightings:
+                    sightings[service].append(sighting)
         for name in services:
             history = self.histories.setdefault(name, StepHistory())
             for model in self.newly_named():
@@ -79,25 +80,32 @@
             if version > self.seen_versions.get(model, version)
         ]
 
-    def sighting(
+    def sightings(
         self, table: RoutingTable, step_id: StepId, known: KnownStep, now_s: float
-    ) -> tuple[ServiceName | None, StepSighting | None]:
-        """Return the service of a step and how the step is known now, or None for an old step."""
+    ) -> dict[ServiceName, StepSighting]:
+        """Return how a step is known now, with each service's share of its samples.
+
+        An old step and one without a route have none.
+        """
         submitted_s = known.owner.accepted_ms / MS_PER_S
         if now_s - submitted_s >= HISTORY_S:
-            return None, None
+            return {}
         route = table.match(known.owner.host, known.owner.path)
-        if route is None or route.kind is not RouteKind.ROLLOUT or not route.shares:
-            return None, None
-        sighting = StepSighting(
-            step_id=step_id,
-            model=known.owner.model,
-            samples=known.owner.samples,
-            submitted_s=submitted_s,
-            due_s=route.step_deadline_s or route.step_expiry_s or HISTORY_S,
-            is_ended=known.ended,
-        )
-        return route.shares[0].service, sighting
+        if route is None or route.kind is not RouteKind.ROLLOUT:
+            return {}
+        total_weight = sum(share.weight for share in route.shares)
+        return {
+            share.service: StepSighting(
+                step_id=step_id,
+                model=known.owner.model,
+                samples=math.ceil(known.owner.samples * share.weight / total_weight),
+                submitted_s=submitted_s,
+                due_s=route.step_deadline_s or route.step_expiry_s or HISTORY_S,
+                is_ended=known.ended,
+            )
+            for share in route.shares
+            if share.weight > 0.0
+        }
 
     def observe_load(self, service: ServiceName, now_s: float) -> None:
         """Record the number of requests at the targets of a service, as far as it is known."""
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -196,14 +196,15 @@
         if not queues.has_limits(call.service):
             await self.send(call, responder, version)
             return
-        rejection = await queues.acquire(call.service, call.ticket(anyio.current_time()))
+        rejection = await self.forwarder.acquire_slot(call)
         if rejection is not None:
             await self.forwarder.reject(call, responder, rejection)
             return
+        service = call.service
         try:
             await self.send(call, responder, version)
         finally:
-            queues.release(call.service, None)
+            queues.release(service, None)
 
     async def require_software(self, call: LiveCall) -> bool:
         """Require the software that began the stream which a caller resumes.
@@ -220,7 +221,7 @@
             call.software = await self.register.look_up(resumed_attempt)
         if call.software is None:
             return False
-        call.service = call.software.service
+        call.service, call.other_services = call.software.service, ()
         return any(share.service == call.service for share in call.route.shares)
 
     async def reject_resumption(
@@ -324,6 +325,8 @@
         until_s = anyio.current_time() + caller_patience_s(call.route.objective_s) / 2.0
         while True:
             replica = await self.forwarder.begin_attempt(call)
+            if replica is None and self.forwarder.turn_to_next_service(call):
+                continue
             if replica is not None or not relay.responder.has_started:
                 return replica
             if (
--- a/src/balsamcleat/tasks/target_chooser.py
+++ b/src/balsamcleat/tasks/target_chooser.py
@@ -7,7 +7,7 @@
 from balsamcleat.decisions.replica_choice import choose_replica
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
-from balsamcleat.model import ZoneName
+from balsamcleat.model import ServiceName, ZoneName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import RouteKind
 from balsamcleat.tasks.live_call import LiveCall
@@ -41,8 +41,18 @@
         """Return the best target for the call, or None if no more targets may be tried."""
         if not call.attempts.can_start() or call.remaining_s() <= 0.0:
             return None
+        for service in call.services:
+            replica = self.choose_in_service(call, service, is_copy=is_copy)
+            if replica is not None:
+                return replica
+        return None
+
+    def choose_in_service(
+        self, call: LiveCall, service: ServiceName, *, is_copy: bool
+    ) -> Replica | None:
+        """Return the best target of a service for the call, or None if it has no other one."""
         now_s = anyio.current_time()
-        replicas = self.candidates(call)
+        replicas = self.candidates(call, service)
         if self.stats_registry.limits.is_active:
             replicas = [r for r in replicas if self.may_take(call, r, now_s, is_copy=is_copy)]
         return choose_replica(
@@ -53,21 +63,21 @@
             prompt_ids=call.prompt_ids,
             now_s=now_s,
             generator=self.generator,
-            replaced_versions=self.replaced_versions(call, now_s),
+            replaced_versions=self.replaced_versions(call, service, now_s),
         )
 
-    def candidates(self, call: LiveCall) -> list[Replica]:
-        """Return the ready targets that may run the call, tried ones included."""
-        replicas = self.directory.ready_replicas(call.service)
+    def candidates(self, call: LiveCall, service: ServiceName) -> list[Replica]:
+        """Return the ready targets of a service that may run the call, tried ones included."""
+        replicas = self.directory.ready_replicas(service)
         if call.software is None:
             return replicas
         return [replica for replica in replicas if replica.software == call.software]
 
-    def replaced_versions(self, call: LiveCall, now_s: float) -> set[str]:
+    def replaced_versions(self, call: LiveCall, service: ServiceName, now_s: float) -> set[str]:
         """Return the software versions where a new stream might find nothing to continue it."""
         if call.route.kind is not RouteKind.STREAM:
             return set()
-        return self.directory.replaced_versions(call.service, now_s)
+        return self.directory.replaced_versions(service, now_s)
 
     def is_held_by_limits(self, call: LiveCall) -> bool:
         """Return whether only limits keep the call from targets that were not tried yet."""
@@ -90,9 +100,10 @@
         return any(other.software == replica.software for other in self.untried_replicas(call))
 
     def untried_replicas(self, call: LiveCall) -> list[Replica]:
-        """Return the ready targets that have not been tried yet."""
+        """Return the ready targets that have not been tried yet, of all services of the call."""
         return [
             replica
-            for replica in self.candidates(call)
+            for service in call.services
+            for replica in self.candidates(call, service)
             if replica.target_id not in call.attempts.tried_targets
         ]
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -80,11 +80,13 @@
     return anyio.run(test, *args, backend="trio", backend_options={"clock": clock})
 
 
-def make_engine(number: int, slots: int = 4, version: int = 1) -> Replica:
+def make_engine(
+    number: int, slots: int = 4, version: int = 1, service: ServiceName = SERVICE
+) -> Replica:
     """Return the directory entry of a ready engine."""
     return Replica(
         target_id=TargetId(f"engine-{number}"),
-        service=SERVICE,
+        service=service,
         address=f"10.0.0.{number}:80",
         zone=ZoneName("a"),
         state=ReplicaState.READY,
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -7,7 +7,11 @@
 from hypothesis import strategies as st
 
 from balsamcleat.decisions.live_attempts import AttemptTracker, FailureStatus
-from balsamcleat.decisions.replica_choice import choose_replica, choose_service
+from balsamcleat.decisions.replica_choice import (
+    choose_replica,
+    choose_service,
+    order_services_by_key,
+)
 from balsamcleat.decisions.replica_directory import STORE_RECOVERY_GRACE_S, ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStats, ReplicaStatsRegistry
 from balsamcleat.decisions.sample_progress import ProgressSlice, SampleProgress, join_slices
@@ -226,6 +230,15 @@
         assert choose_service((), 0.5) is None
         assert choose_service((WeightedService(ServiceName("a"), 0.0),), 0.5) is None
 
+    def test_samples_prefer_services_in_proportion_to_their_weights(self) -> None:
+        """All services with a weight are in the order, so that none holds up a sample alone."""
+        weights = {"a": 20.0, "b": 80.0, "unused": 0.0}
+        shares = tuple(WeightedService(ServiceName(name), weights[name]) for name in weights)
+        orders = [order_services_by_key(shares, f"group-{number}") for number in range(2000)]
+        assert 300 < sum(order[0] == "a" for order in orders) < 500
+        assert all(set(order) == {"a", "b"} for order in orders)
+        assert orders[7] == order_services_by_key(shares, "group-7")
+
 
 class TestSampleProgress:
     def test_event_with_a_gap_a_duplicate_or_an_unknown_version_is_rejected(self) -> None:
--- a/tests/test_scaling_controller.py
+++ b/tests/test_scaling_controller.py
@@ -3,6 +3,7 @@
 import random
 from collections import deque
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import anyio
 import msgspec
@@ -566,3 +567,23 @@
         assert all(order.count >= 1 or order.reclaimable for _, order, _ in world.client.calls)
 
     play(script)
+
+
+def test_each_service_of_a_split_route_is_scaled_for_its_share_of_a_step() -> None:
+    """The first service of the route once was scaled for all samples, the others for none."""
+    second = ServiceName("second")
+
+    async def script(world: ControllerWorld) -> None:
+        table = routing_table()
+        shares = (WeightedService(ENGINES, 20.0), WeightedService(second, 80.0))
+        services = {**table.services, second: replace(table.services[ENGINES], name=second)}
+        routes = (replace(table.routes[0], shares=shares),)
+        split = RoutingTable(ConfigurationVersion(2), routes, services)
+        inputs = world.controller.inputs
+        owner = OwnerRecord("v", "b", "host", "/steps/x", 1_000_000, 100, "m")
+        world.steps[StepId("s")] = KnownStep(owner, 1, 1)
+        inputs.observe(split, 1000.1)
+        records = [inputs.histories[name].records[StepId("s")] for name in (ENGINES, second)]
+        assert [record.samples for record in records] == [20, 80]
+
+    play(script)
--- a/tests/test_version_orders.py
+++ b/tests/test_version_orders.py
@@ -11,7 +11,7 @@
     assign_engines,
     next_load_orders,
 )
-from balsamcleat.model import ConfigurationVersion, VmId, WeightVersion
+from balsamcleat.model import ConfigurationVersion, ServiceName, VmId, WeightVersion
 from balsamcleat.model.replicas import Replica, ReplicaReport
 from balsamcleat.model.routing import EngineSpec, RoutingTable, ServiceSpec
 from balsamcleat.platform import OrderOutcome
@@ -101,6 +101,35 @@
     run_in_virtual_time(test)
 
 
+def test_engines_of_all_services_load_a_named_version() -> None:
+    """The samples of a split route run at both services, so both need its model's version."""
+
+    async def test() -> None:
+        directory, engines = ReplicaDirectory(), LoadingEngines()
+        services = [ServiceName("first"), ServiceName("second")]
+        for number in range(ENGINES):
+            directory.apply_entry(make_engine(number, service=services[number % 2]))
+        spec = EngineSpec(6, 0, (MODEL,))
+        specs = {name: ServiceSpec(name, 100, spec) for name in services}
+        table = RoutingTable(ConfigurationVersion(1), (), specs)
+        controller = VersionLoadController(
+            HeldLease(),
+            engines,  # type: ignore[arg-type]
+            directory,
+            ReplicaStatsRegistry(),
+            lambda: table,
+            lambda: {MODEL: WeightVersion(2)},
+            lambda _: ModelUsage((WeightVersion(1),), 1.0),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(controller.run)
+            await anyio.sleep(6.0)
+            tasks.cancel_scope.cancel()
+        assert set(engines.versions) == set(directory.entries)
+
+    run_in_virtual_time(test)
+
+
 def test_model_without_a_named_version_keeps_engines_for_its_steps() -> None:
     """Guards against loads of the first named model on all engines while others only run steps.
 
