Streams go on after the last event that was relayed

Cause: StreamRelay.relay_events advanced last_event for each event of a piece and wrote the piece after the loop; an event out of order raised in the loop. Ruled out: the second engine, the writer's buffer.

Change: EventReader returns the sound events of a piece together with the reason why what follows can't be used. Streams write them, then count them, then raise; samples append them. The check of the order, which stood in both, is in the reader.

--- a/src/balsamcleat/http1/events.py
+++ b/src/balsamcleat/http1/events.py
@@ -1,6 +1,7 @@
 """Incremental parser for server-sent events."""
 
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from balsamcleat.http1.numbers import decimal_number
@@ -57,26 +58,32 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events that they complete.
 
+        Raises:
+            UnicodeDecodeError: An event is not valid UTF-8.
+            EventTooLargeError: An event exceeds the size limit.
+        """
+        return list(self.iterate(data))
+
+    def iterate(self, data: bytes) -> Iterator[StreamEvent]:
+        """Add received bytes and yield the events that they complete, up to an invalid one.
+
+        The iterator must be used to its end or its error before more bytes are added.
+
         Raises:
             UnicodeDecodeError: An event is not valid UTF-8.
             EventTooLargeError: An event exceeds the size limit.
         """
         search_start = max(0, len(self.buffer) - MAX_END_BYTES + 1)
-        self.buffer += data
-        events: list[StreamEvent] = []
+        received = self.buffer + data
         event_start = 0
-        for end in EVENT_END.finditer(self.buffer, search_start):
-            block, raw = (
-                self.buffer[event_start : end.start()],
-                self.buffer[event_start : end.end()],
-            )
+        for end in EVENT_END.finditer(received, search_start):
+            block, raw = received[event_start : end.start()], received[event_start : end.end()]
             event_start = end.end()
             self.check_size(len(raw))
             if block.strip():
-                events.append(parse_event(bytes(block), bytes(raw)))
-        del self.buffer[:event_start]
+                yield parse_event(bytes(block), bytes(raw))
+        self.buffer = received[event_start:]
         self.check_size(len(self.buffer))
-        return events
 
     def check_size(self, size: int) -> None:
         """Check the size of a complete or incomplete event.
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -12,7 +12,7 @@
 from balsamcleat.decisions.sample_progress import SampleProgress
 from balsamcleat.decisions.stream_stall import SAMPLE_PAUSE_S, StallTimer
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.http1 import ConnectionPool, EventParser, Exchange, Request, StreamEvent
+from balsamcleat.http1 import ConnectionPool, Exchange, Request
 from balsamcleat.model import FailureKind, TeamName, WeightVersion
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.rollout import RolloutStep, SampleTask
@@ -23,6 +23,7 @@
     report_request,
     sample_request_headers,
 )
+from balsamcleat.tasks.event_reader import EventPiece, EventReader
 from balsamcleat.tasks.hop_messages import StartCheck
 from balsamcleat.tasks.target_exchange import FAILURES_OF_THIS_VM, TargetExchange
 from balsamcleat.tasks.target_paths import TargetPaths
@@ -261,7 +262,7 @@
         stats: ReplicaStats,
     ) -> SampleRunOutcome:
         """Read events until the stream ends."""
-        parser = EventParser()
+        reader = EventReader(progress.last_event)
         previous_event_s: float | None = None
         began_s = anyio.current_time()
         timer = StallTimer(SAMPLE_PAUSE_S, began_s, stats.recent_event_interval_s(began_s))
@@ -272,18 +273,15 @@
                 raise exchange.failure("the stream stalled between events", FailureKind.SILENT)
             if not data:
                 break
-            events = self.parse_events(exchange, parser, data)
-            for event in events:
-                if not progress.append_event(
-                    event.event_id, event.data, parse_weight_version(event)
-                ):
-                    raise exchange.failure("event out of order", FailureKind.MALFORMED)
-            if not events:
+            piece = reader.feed(data)
+            self.append_piece(exchange, progress, piece)
+            if not piece.events:
                 continue
             now_s = anyio.current_time()
-            timer.record_events(len(events), now_s)
+            timer.record_events(len(piece.events), now_s)
             if previous_event_s is not None:
-                stats.record_event_interval((now_s - previous_event_s) / len(events), now_s)
+                interval_s = (now_s - previous_event_s) / len(piece.events)
+                stats.record_event_interval(interval_s, now_s)
             previous_event_s = now_s
             stats.record_stream_pace(timer.event_count, now_s - began_s, now_s)
             if not progress.satisfies_version_bounds(
@@ -291,19 +289,23 @@
             ):
                 progress.reset()
                 return SampleRunOutcome(SampleEnd.VERSION_TOO_OLD, "the weight version changed")
-        if not exchange.has_explicit_framing or parser.buffer.strip():
+        if not exchange.has_explicit_framing or reader.has_incomplete_event:
             raise exchange.failure("the stream may be truncated", FailureKind.CUT)
         stats.record_success()
         return SampleRunOutcome(SampleEnd.COMPLETE)
 
-    def parse_events(
-        self, exchange: Exchange, parser: EventParser, data: bytes
-    ) -> list[StreamEvent]:
-        """Return the events that are complete with the new data, without comments."""
-        try:
-            return [event for event in parser.feed(data) if not event.is_comment]
-        except ValueError as error:
-            raise exchange.failure(f"invalid event: {error}", FailureKind.MALFORMED) from error
+    def append_piece(self, exchange: Exchange, progress: SampleProgress, piece: EventPiece) -> None:
+        """Append the events of a piece to a sample's progress.
+
+        Raises:
+            AttemptFailedError: The events after those that were appended can't be used.
+        """
+        for event in piece.events:
+            version = parse_weight_version(event)
+            if not progress.append_event(event.event_id, event.data, version):
+                raise exchange.failure("an event has no weight version", FailureKind.MALFORMED)
+        if piece.fault:
+            raise exchange.failure(piece.fault, FailureKind.MALFORMED)
 
 
 def rejected_version(outcome: SampleRunOutcome) -> WeightVersion | None:
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -12,7 +12,6 @@
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import (
     BufferedWriter,
-    EventParser,
     Exchange,
     ReaderTooSlowError,
     Request,
@@ -30,6 +29,7 @@
     parse_resumed_attempt,
 )
 from balsamcleat.tasks.attempt_log import log_answered
+from balsamcleat.tasks.event_reader import EventPiece, EventReader
 from balsamcleat.tasks.hop_messages import StartCheck
 from balsamcleat.tasks.live_call import LiveCall
 from balsamcleat.tasks.live_errors import (
@@ -106,7 +106,7 @@
             await self.responder.start_chunked(
                 exchange.status, forwarded_response_headers(exchange.headers)
             )
-        parser = EventParser()
+        reader = EventReader(self.last_event)
         while True:
             with anyio.move_on_after(timer.remaining_s(anyio.current_time())) as scope:
                 data = await exchange.next_body_chunk()
@@ -114,43 +114,28 @@
                 raise exchange.failure("the stream stalled between events", FailureKind.SILENT)
             if not data:
                 break
-            event_count = await self.relay_events(exchange, parser, data)
-            timer.record_events(event_count, anyio.current_time())
-        if not exchange.has_explicit_framing or parser.buffer.strip():
+            piece = reader.feed(data)
+            await self.relay_piece(exchange, piece)
+            if piece.fault:
+                raise exchange.failure(piece.fault, FailureKind.MALFORMED)
+            timer.record_events(len(piece.events), anyio.current_time())
+        if not exchange.has_explicit_framing or reader.has_incomplete_event:
             raise exchange.failure("the stream may be truncated", FailureKind.CUT)
         self.finished = True
 
-    async def relay_events(self, exchange: TargetExchange, parser: EventParser, data: bytes) -> int:
-        """Relay the events that the data completes, each exactly once and in order.
-
-        Returns:
-            The number of events; comments are relayed, but don't count.
-        """
-        try:
-            events = parser.feed(data)
-        except ValueError as error:
-            raise exchange.failure(f"invalid event: {error}", FailureKind.MALFORMED) from error
-        output = b""
-        event_count = 0
-        for event in events:
-            output += event.raw
-            if event.is_comment:
-                continue
-            expected = None if self.last_event is None else self.last_event + 1
-            if event.event_id is None or expected not in (None, event.event_id):
-                raise exchange.failure("an event is out of order", FailureKind.MALFORMED)
-            self.last_event = event.event_id
-            event_count += 1
-        if event_count and not self.has_run:
+    async def relay_piece(self, exchange: TargetExchange, piece: EventPiece) -> None:
+        """Relay the events of a piece; the stream goes on after the last one that was relayed."""
+        if piece.events and not self.has_run:
             self.has_run = True
             self.on_run()
-        if event_count and not self.has_events:
+        if piece.events and not self.has_events:
             self.has_events = True
             self.origin = exchange.origin()
             self.on_begin(self.origin)
-        if output:
-            await self.writer.write(output)
-        return event_count
+        if piece.raw:
+            await self.writer.write(piece.raw)
+        if piece.events:
+            self.last_event = piece.events[-1].event_id
 
 
 class StreamForwarder:
