Events of targets are decoded strictly

Cause: parse_event returned an event without a data line like one with empty data, ignored lines that it did not know and took the last of several ids; the record of the case shows the empty line in the first listing. Ruled out: the store and the reading of results.

Change: decode_event is the one place that says what an event of a target is: a number, data, at most one weight version; anything else raises, and the stream or sample goes on at another target from the last sound event. Streams begin with event 1, have at least one event, and their version does not fall. Text that is carried into the next step is no longer cut into events at its line feeds.

--- a/src/balsamcleat/decisions/sample_progress.py
+++ b/src/balsamcleat/decisions/sample_progress.py
@@ -127,7 +127,9 @@
     def append_event(
         self, number: int | None, data: str, new_version: WeightVersion | None
     ) -> bool:
-        """Append an event; return False if it is out of sequence or its version is unknown.
+        """Append an event; return False if it is out of sequence or its version can't be.
+
+        The version of a running stream is known, and only grows.
 
         Args:
             number: Number of the event, if it has one.
@@ -135,6 +137,8 @@
             new_version: Weight version from this event on, if it changed with this event.
         """
         if new_version is not None:
+            if self.current_version is not None and new_version < self.current_version:
+                return False
             self.current_version = new_version
         if number is None or self.current_version is None:
             return False
--- a/src/balsamcleat/http1/events.py
+++ b/src/balsamcleat/http1/events.py
@@ -24,15 +24,16 @@
     """Complete server-sent event.
 
     Attributes:
-        event_id: Value of the ``id`` field; None if the event has no decimal id.
-        data: Values of the ``data`` fields, joined by line feeds.
-        fields: Names, in lower case, and values of the fields other than ``id`` and ``data``.
+        event_id: Value of the first ``id`` field with a decimal number; None if there is none.
+        data: Values of the ``data`` fields, joined by line feeds; None if there is none.
+        fields: Names, in lower case, and values of all other lines. They include further ids, and
+            lines without a colon, whose value is empty.
         raw: Bytes of the event as received, including the blank line that ends it.
         is_comment: Whether the event consists of comments only, which keep a connection open.
     """
 
     event_id: int | None
-    data: str
+    data: str | None
     fields: tuple[tuple[str, str], ...]
     raw: bytes
     is_comment: bool = False
@@ -115,11 +116,13 @@
             # A line that starts with a colon is a comment.
             continue
         is_comment = False
-        value = value.removeprefix(" ") if colon else ""
-        if name == "data":
+        value = value.removeprefix(" ")
+        number = decimal_number(value) if name == "id" and event_id is None else None
+        if name == "data" and colon:
             data.append(value)
-        elif name == "id" and (number := decimal_number(value)) is not None:
+        elif number is not None:
             event_id = number
         else:
             fields.append((name.lower(), value))
-    return StreamEvent(event_id, "\n".join(data), tuple(fields), raw, is_comment)
+    joined = "\n".join(data) if data else None
+    return StreamEvent(event_id, joined, tuple(fields), raw, is_comment)
--- a/src/balsamcleat/platform/__init__.py
+++ b/src/balsamcleat/platform/__init__.py
@@ -14,6 +14,7 @@
     decode_routing,
 )
 from balsamcleat.platform.duties import DUTY_POOL_LIMITS, DutyChannel, PlatformDutyClient
+from balsamcleat.platform.events import SpoiledEventError, TargetEvent, decode_event
 from balsamcleat.platform.headers import (
     CORRELATION_HEADER,
     ResponseMetadata,
@@ -53,7 +54,6 @@
     classify_step_call,
     decode_step,
     encode_results,
-    parse_weight_version,
     sample_body,
     sample_request_headers,
     scoring_request,
@@ -77,11 +77,14 @@
     "ReplicaControl",
     "ResponseMetadata",
     "ResultsQuery",
+    "SpoiledEventError",
     "StepCall",
     "StepCallKind",
+    "TargetEvent",
     "announces_departure",
     "authorization",
     "classify_step_call",
+    "decode_event",
     "decode_named_version",
     "decode_replica",
     "decode_routing",
@@ -99,7 +102,6 @@
     "parse_response_metadata",
     "parse_resumed_attempt",
     "parse_started_ms",
-    "parse_weight_version",
     "prompt_ids",
     "report_request",
     "request_id",
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -8,7 +8,7 @@
 
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
-from balsamcleat.http1 import Headers, Request, StreamEvent, header_value, without_headers
+from balsamcleat.http1 import Headers, Request, header_value, without_headers
 from balsamcleat.http1.numbers import MAX_NUMBER, decimal_number
 from balsamcleat.model import StepId, TargetId, TeamName, WeightVersion
 from balsamcleat.model.rollout import (
@@ -29,7 +29,6 @@
     PRIORITY_HEADER,
     PROMPT_HEADER,
     TEAM_HEADERS,
-    VERSION_HEADER,
     parse_number,
     request_id,
     with_team,
@@ -42,7 +41,6 @@
     "classify_step_call",
     "decode_step",
     "encode_results",
-    "parse_weight_version",
     "sample_body",
     "sample_request_headers",
     "scoring_request",
@@ -334,15 +332,6 @@
     return Request("POST", scoring.path, headers, scoring.body, now_s)
 
 
-def parse_weight_version(event: StreamEvent) -> WeightVersion | None:
-    """Return the weight version that generates from this event on, or None if it is unchanged."""
-    for name, value in event.fields:
-        version = decimal_number(value) if name == VERSION_HEADER.lower() else None
-        if version is not None:
-            return WeightVersion(version)
-    return None
-
-
 def encode_results(total: int, position: int, results: tuple[SampleResult, ...]) -> bytes:
     """Return an encoded page of results that starts at a position.
 
--- a/src/balsamcleat/tasks/event_reader.py
+++ b/src/balsamcleat/tasks/event_reader.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-from balsamcleat.http1 import EventParser, StreamEvent
+from balsamcleat.decisions.sample_progress import FIRST_EVENT_NUMBER
+from balsamcleat.http1 import EventParser
+from balsamcleat.platform import TargetEvent, decode_event
 
 __all__ = ["EventPiece", "EventReader"]
 
@@ -17,7 +19,7 @@
         fault: Why the stream can't be read further; empty if it can.
     """
 
-    events: tuple[StreamEvent, ...]
+    events: tuple[TargetEvent, ...]
     raw: bytes
     fault: str = ""
 
@@ -32,40 +34,39 @@
         last_event: Number of the event after which the stream goes on; None if it begins.
 
     Attributes:
-        last_event: Number of the last event read; None before the first one.
+        next_event: Number of the next event.
     """
 
     def __init__(self, last_event: int | None) -> None:
-        self.last_event = last_event
+        self.next_event = FIRST_EVENT_NUMBER if last_event is None else last_event + 1
         self.parser = EventParser()
 
     @property
-    def has_incomplete_event(self) -> bool:
-        """Whether bytes were received that end no event."""
-        return bool(self.parser.buffer.strip())
+    def is_between_events(self) -> bool:
+        """Whether the stream may end here: it has an event, and no part of a further one."""
+        return self.next_event > FIRST_EVENT_NUMBER and not self.parser.buffer.strip()
 
     def feed(self, data: bytes) -> EventPiece:
         """Return the events that received bytes complete."""
-        events: list[StreamEvent] = []
+        events: list[TargetEvent] = []
         raw = b""
         fault = ""
         try:
             for event in self.parser.iterate(data):
                 if not event.is_comment:
-                    self.check_order(event)
-                    events.append(event)
+                    events.append(self.check_order(decode_event(event)))
                 raw += event.raw
         except ValueError as error:
-            fault = f"invalid event: {error}"
+            fault = f"event {self.next_event} is spoiled: {error}"
         return EventPiece(tuple(events), raw, fault)
 
-    def check_order(self, event: StreamEvent) -> None:
-        """Record the number of the next event.
+    def check_order(self, event: TargetEvent) -> TargetEvent:
+        """Return an event that is the next one.
 
         Raises:
-            ValueError: The event has no number, or not the next one.
+            ValueError: It is another one.
         """
-        expected = None if self.last_event is None else self.last_event + 1
-        if event.event_id is None or expected not in (None, event.event_id):
-            raise ValueError(f"event {event.event_id} came where {expected} was due")
-        self.last_event = event.event_id
+        if event.number != self.next_event:
+            raise ValueError(f"its number is {event.number}")
+        self.next_event += 1
+        return event
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -302,9 +302,9 @@
         for result in (*self.listed, *self.finished):
             group = self.samples[result.sample_id].group
             if result.state is SampleState.COMPLETE and group in incomplete:
-                events = tuple(result.text.split("\n"))
+                # The text can't be split into events again: their data may contain line feeds.
                 slices[result.sample_id] = ProgressSlice(
-                    0, 0, FIRST_EVENT_NUMBER, events, result.versions, complete=True
+                    0, 0, FIRST_EVENT_NUMBER, (result.text,), result.versions, complete=True
                 )
         return slices
 
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -19,7 +19,6 @@
 from balsamcleat.platform import (
     parse_response_metadata,
     parse_started_ms,
-    parse_weight_version,
     report_request,
     sample_request_headers,
 )
@@ -289,7 +288,7 @@
             ):
                 progress.reset()
                 return SampleRunOutcome(SampleEnd.VERSION_TOO_OLD, "the weight version changed")
-        if not exchange.has_explicit_framing or reader.has_incomplete_event:
+        if not exchange.has_explicit_framing or not reader.is_between_events:
             raise exchange.failure("the stream may be truncated", FailureKind.CUT)
         stats.record_success()
         return SampleRunOutcome(SampleEnd.COMPLETE)
@@ -301,9 +300,10 @@
             AttemptFailedError: The events after those that were appended can't be used.
         """
         for event in piece.events:
-            version = parse_weight_version(event)
-            if not progress.append_event(event.event_id, event.data, version):
-                raise exchange.failure("an event has no weight version", FailureKind.MALFORMED)
+            if not progress.append_event(event.number, event.data, event.weight_version):
+                raise exchange.failure(
+                    "an event's weight version is unknown or an earlier one", FailureKind.MALFORMED
+                )
         if piece.fault:
             raise exchange.failure(piece.fault, FailureKind.MALFORMED)
 
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -119,7 +119,7 @@
             if piece.fault:
                 raise exchange.failure(piece.fault, FailureKind.MALFORMED)
             timer.record_events(len(piece.events), anyio.current_time())
-        if not exchange.has_explicit_framing or reader.has_incomplete_event:
+        if not exchange.has_explicit_framing or not reader.is_between_events:
             raise exchange.failure("the stream may be truncated", FailureKind.CUT)
         self.finished = True
 
@@ -135,7 +135,7 @@
         if piece.raw:
             await self.writer.write(piece.raw)
         if piece.events:
-            self.last_event = piece.events[-1].event_id
+            self.last_event = piece.events[-1].number
 
 
 class StreamForwarder:
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -13,13 +13,13 @@
 from balsamcleat.errors import InvalidInputError
 from balsamcleat.http1 import Request, Responder, Response, header_value
 from balsamcleat.http1.events import EventParser
-from balsamcleat.platform import decode_step
+from balsamcleat.platform import SpoiledEventError, decode_event, decode_step
 from balsamcleat.platform.headers import (
     parse_caller_timeout_s,
     parse_last_event_id,
     parse_response_metadata,
 )
-from balsamcleat.platform.steps import classify_step_call, parse_weight_version
+from balsamcleat.platform.steps import classify_step_call
 from entry_world import EntryWorld, entry_world
 from soak import HEADERS, MODEL
 from soak_stand import SoakTarget
@@ -68,8 +68,12 @@
     data = f"weight-versions: {number}\nid: {number}\ndata: x\n\n".encode()
     (event,) = EventParser().feed(data)
     assert event.event_id is None
-    assert parse_weight_version(event) is None
     assert event.data == "x"
+    with pytest.raises(SpoiledEventError):
+        decode_event(event)
+    (numbered,) = EventParser().feed(f"weight-versions: {number}\nid: 1\ndata: x\n\n".encode())
+    with pytest.raises(SpoiledEventError):
+        decode_event(numbered)
 
 
 @pytest.mark.parametrize("name", [*NUMBERS, "Arabic digits"])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,6 +21,7 @@
 from balsamcleat.platform import (
     StepCallKind,
     classify_step_call,
+    decode_event,
     decode_named_version,
     decode_replica,
     decode_routing,
@@ -28,7 +29,6 @@
     encode_results,
     load_platform_settings,
     parse_response_metadata,
-    parse_weight_version,
     sample_request_headers,
 )
 
@@ -284,8 +284,7 @@
         events = parser.feed(stream[:cut]) + parser.feed(stream[cut:])
         numbered = [event for event in events if event.event_id]
         assert [(event.event_id, event.data) for event in numbered] == [(1, "a\nb"), (2, "é")]
-        assert parse_weight_version(numbered[0]) == 3
-        assert parse_weight_version(numbered[1]) is None
+        assert [decode_event(event).weight_version for event in numbered] == [3, None]
 
 
 def test_calls_about_steps_are_classified_by_method_and_path() -> None:
