Statuses that no response has, and bytes without end, are no answers on any way

Tested on each way that reads a target, before any change: 000 and all below 200 are refused by the parser already. 600 to 999 were passed on as answers to calls, streams, requests passed on and calls of the own interface, and taken for reports. Heads without end are refused after 16 KiB, bodies after 8 MiB; but the body of a failed generation of the own interface was kept until its deadline, and sound events without end were kept as a sample's text.

Change: is_final_status is the one check of statuses, asked where a head is read. A failed generation's body is dropped after 50 ms, its head is awaited for 30 s whatever comes. A text above 1 MiB is no text: no such result can be stored. A report needs a success: a rejection in JSON counted as a report of an engine that had accepted no order.

--- a/src/balsamcleat/adapters/http_client.py
+++ b/src/balsamcleat/adapters/http_client.py
@@ -5,14 +5,18 @@
 
 import anyio
 import httpx
+import structlog
 
 from balsamcleat.errors import AttemptFailedError
+from balsamcleat.http1 import is_final_status
 from balsamcleat.model import AttemptOutcome, AttemptPhase, FailureKind
 
 __all__ = [
     "DEADLINE_HEADER",
     "REJECTION_STATUSES",
     "AttemptTrace",
+    "check_status",
+    "discard_body",
     "new_client",
     "send_request",
     "status_failure",
@@ -26,6 +30,8 @@
 LEAVING_REJECTION = "leaving"
 MAX_CONNECTIONS = 1000
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Time limit for reading a body that is not needed.
+DISCARD_TIMEOUT_S = 0.05
 MAX_IDLE_CONNECTIONS = 200
 IDLE_EXPIRY_S = 4.0
 
@@ -33,6 +39,8 @@
 REJECTION_STATUSES = (429, 503)
 NO_BODY_STATUSES = (204, 304)
 
+log = structlog.get_logger()
+
 
 def new_client(*, reuse: bool = True) -> httpx.AsyncClient:
     """Return a client that never retries, follows no redirects and ignores the environment.
@@ -154,6 +162,30 @@
     )
 
 
+def check_status(response: httpx.Response, trace: AttemptTrace) -> None:
+    """Check that a response that is being received has a status that a response can have.
+
+    Raises:
+        AttemptFailedError: It has not, so it is no answer.
+    """
+    if not is_final_status(response.status_code):
+        raise trace.failure(
+            f"no response has the status {response.status_code}", FailureKind.MALFORMED
+        )
+
+
+async def discard_body(response: httpx.Response, trace: AttemptTrace) -> None:
+    """Read and drop a short body that is not needed, so that the connection can be reused.
+
+    A body that is long, slow or broken costs the connection.
+    """
+    with anyio.move_on_after(DISCARD_TIMEOUT_S):
+        try:
+            await read_bounded(response, trace)
+        except (AttemptFailedError, httpx.HTTPError) as error:
+            log.info("connection not kept", peer=trace.peer, reason=str(error))
+
+
 async def read_bounded(response: httpx.Response, trace: AttemptTrace) -> httpx.Response:
     """Return a response that is being received with its whole body.
 
@@ -209,6 +241,7 @@
                 extensions=trace.extensions,
                 timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
             ) as received:
+                check_status(received, trace)
                 has_end = has_explicit_end(received)
                 response = await read_bounded(received, trace)
     except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
--- a/src/balsamcleat/adapters/http_engine.py
+++ b/src/balsamcleat/adapters/http_engine.py
@@ -1,6 +1,7 @@
 """Client of a model engine over HTTP."""
 
 from collections.abc import AsyncGenerator
+from contextlib import aclosing
 from typing import TypeVar
 
 import anyio
@@ -17,11 +18,13 @@
     RoleOrderMessage,
     StateMessage,
 )
-from balsamcleat.adapters.frame_parser import FrameParser
+from balsamcleat.adapters.frame_parser import FrameParser, ParsedFrames
 from balsamcleat.adapters.http_client import (
     CONNECT_TIMEOUT_S,
     DEADLINE_HEADER,
     AttemptTrace,
+    check_status,
+    discard_body,
     send_request,
     status_failure,
 )
@@ -43,12 +46,47 @@
 __all__ = ["HttpEngine"]
 
 CONTROL_TIMEOUT_S = 2.0
-# Timeout for the next data of a stream.
+# Timeout for the head and for the next data of a stream.
 FRAME_TIMEOUT_S = 30.0
+OK = 200
 
 Message = TypeVar("Message")
 
 
+class FrameReader:
+    """Reads the frames of a generation, and notices when nothing but other bytes come.
+
+    Args:
+        attempt_id: Id that the frames of the attempt carry.
+        trace: Trace of the attempt, for errors.
+        metrics: Receiver of counters, if any.
+    """
+
+    def __init__(self, attempt_id: str, trace: AttemptTrace, metrics: Metrics | None) -> None:
+        self.parser = FrameParser(attempt_id)
+        self.trace = trace
+        self.metrics = metrics
+        self.last_frame_s = anyio.current_time()
+
+    def feed(self, chunk: bytes) -> ParsedFrames:
+        """Return the frames that a chunk of the stream completes.
+
+        Raises:
+            AttemptFailedError: No frame came for too long.
+            ProtocolError: A frame is malformed.
+        """
+        parsed = self.parser.feed(chunk)
+        now_s = anyio.current_time()
+        if parsed.frames:
+            self.last_frame_s = now_s
+        elif now_s - self.last_frame_s > FRAME_TIMEOUT_S:
+            # Bytes that complete no frame are no progress.
+            raise self.trace.failure("the stream stalled", FailureKind.SILENT)
+        if parsed.foreign_count and self.metrics is not None:
+            self.metrics.count("engine.frame.foreign", parsed.foreign_count)
+        return parsed
+
+
 class HttpEngine(Engine):
     """Client of one engine.
 
@@ -86,40 +124,49 @@
             )
         )
         trace = AttemptTrace(step, self.address)
-        parser = FrameParser(request.request_id)
         try:
-            async with self.client.stream(
-                "POST",
-                f"{self.base_url}/v1/completions",
-                content=body,
-                headers=self.deadline_headers(request),
-                extensions=trace.extensions,
-                timeout=httpx.Timeout(FRAME_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
-            ) as response:
-                if response.status_code != 200:
-                    await response.aread()
-                    raise status_failure(response, step, self.address)
-                last_frame_s = anyio.current_time()
+            async with aclosing(await self.open_stream(request, body, trace)) as response:
+                reader = FrameReader(request.request_id, trace, self.metrics)
                 async for chunk in response.aiter_raw():
-                    parsed = parser.feed(chunk)
-                    now_s = anyio.current_time()
-                    if parsed.frames:
-                        last_frame_s = now_s
-                    elif now_s - last_frame_s > FRAME_TIMEOUT_S:
-                        # Bytes that complete no frame are no progress.
-                        raise trace.failure("the stream stalled", FailureKind.SILENT)
-                    if parsed.foreign_count and self.metrics is not None:
-                        self.metrics.count("engine.frame.foreign", parsed.foreign_count)
+                    parsed = reader.feed(chunk)
                     for frame in parsed.frames:
                         yield frame
                     if parsed.has_ended:
                         return
-        except (httpx.HTTPError, httpx.InvalidURL) as error:
+        except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
             raise trace.failure(error) from error
         except ProtocolError as error:
             raise trace.failure(error.message, FailureKind.MALFORMED) from error
         raise trace.failure("the stream ended without its end mark", FailureKind.CUT)
 
+    async def open_stream(
+        self, request: GenerationRequest, body: bytes, trace: AttemptTrace
+    ) -> httpx.Response:
+        """Send the request of a generation and return the response, of which the head was read.
+
+        Raises:
+            AttemptFailedError: The engine answered with a failure.
+            TimeoutError: No head came in time, whatever came instead.
+        """
+        sent = self.client.build_request(
+            "POST",
+            f"{self.base_url}/v1/completions",
+            content=body,
+            headers=self.deadline_headers(request),
+            extensions=trace.extensions,
+            timeout=httpx.Timeout(FRAME_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
+        )
+        with anyio.fail_after(FRAME_TIMEOUT_S):
+            response = await self.client.send(sent, stream=True)
+        if response.status_code == OK:
+            return response
+        try:
+            check_status(response, trace)
+            await discard_body(response, trace)
+        finally:
+            await response.aclose()
+        raise status_failure(response, trace.step, self.address)
+
     def deadline_headers(self, request: GenerationRequest) -> dict[str, str]:
         """Return the header with the remaining time, if the request has a deadline."""
         if request.remaining_s is None:
@@ -139,7 +186,7 @@
             content=body,
             timeout_s=CONTROL_TIMEOUT_S,
         )
-        if response.status_code != 200:
+        if response.status_code != OK:
             raise status_failure(response, step, self.address)
         try:
             return decode_json(response.content, reply)
--- a/src/balsamcleat/decisions/sample_progress.py
+++ b/src/balsamcleat/decisions/sample_progress.py
@@ -97,6 +97,7 @@
         generation: Counter that is incremented each time the events are discarded.
         origin: Target that began the stream; None if there are no events, or if nothing is known of
             the software that wrote them.
+        text_size: Number of characters of the events' data.
     """
 
     events: list[str] = field(default_factory=list)
@@ -105,6 +106,10 @@
     current_version: WeightVersion | None = None
     generation: int = 0
     origin: StreamOrigin | None = None
+    text_size: int = 0
+
+    def __post_init__(self) -> None:
+        self.text_size = sum(map(len, self.events))
 
     @property
     def last_event(self) -> int | None:
@@ -147,6 +152,7 @@
         elif number != self.first_event + len(self.events):
             return False
         self.events.append(data)
+        self.text_size += len(data)
         self.versions.add(self.current_version)
         return True
 
@@ -161,6 +167,7 @@
     def reset(self) -> None:
         """Discard all events and start a new generation."""
         self.events.clear()
+        self.text_size = 0
         self.versions.clear()
         self.first_event = FIRST_EVENT_NUMBER
         self.current_version = None
--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -16,6 +16,7 @@
     Request,
     Response,
     header_value,
+    is_final_status,
     is_success,
     without_headers,
 )
@@ -45,6 +46,7 @@
     "StreamEvent",
     "connect",
     "header_value",
+    "is_final_status",
     "is_success",
     "listen",
     "parse_address",
--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -11,7 +11,13 @@
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1.byte_budget import ByteBudget
 from balsamcleat.http1.idle_watch import IdleWatch
-from balsamcleat.http1.messages import Headers, Request, Response, header_value
+from balsamcleat.http1.messages import (
+    Headers,
+    Request,
+    Response,
+    header_value,
+    is_final_status,
+)
 from balsamcleat.http1.numbers import decimal_number
 from balsamcleat.http1.streams import ByteStream, connect
 from balsamcleat.model import FailureKind
@@ -418,6 +424,10 @@
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise self.failure("the response has no status line", FailureKind.MALFORMED)
+        if not is_final_status(event.status_code):
+            raise self.failure(
+                f"no response has the status {event.status_code}", FailureKind.MALFORMED
+            )
         self.status = event.status_code
         self.headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
--- a/src/balsamcleat/http1/messages.py
+++ b/src/balsamcleat/http1/messages.py
@@ -9,12 +9,15 @@
     "Request",
     "Response",
     "header_value",
+    "is_final_status",
     "is_success",
     "without_headers",
 ]
 
 FIRST_SUCCESS_STATUS = 200
 FIRST_REDIRECT_STATUS = 300
+# The first status that is not defined (RFC 9110, section 15).
+FIRST_UNDEFINED_STATUS = 600
 
 # Header names keep their received case, so that they are forwarded unchanged. Compare them
 # case-insensitively.
@@ -81,6 +84,11 @@
     body: bytes = b""
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a response may end an exchange with a status code."""
+    return FIRST_SUCCESS_STATUS <= status < FIRST_UNDEFINED_STATUS
+
+
 def is_success(status: int) -> bool:
     """Return whether a status code says that the request was carried out."""
     return FIRST_SUCCESS_STATUS <= status < FIRST_REDIRECT_STATUS
--- a/src/balsamcleat/platform/orders.py
+++ b/src/balsamcleat/platform/orders.py
@@ -159,15 +159,12 @@
             AttemptFailedError: The target did not respond, or its response is not a report.
         """
         response = await self.pool.fetch(replica.address, report_request(replica), REPORT_TIMEOUT_S)
+        if not is_success(response.status):
+            raise report_error(replica, f"status {response.status}")
         try:
             fields = decode_json(response.body, ReportFields)
         except msgspec.DecodeError as error:
-            raise AttemptFailedError(
-                f"invalid state report: {error}",
-                step="replica.report",
-                peer=replica.address,
-                perhaps_sent=True,
-            ) from error
+            raise report_error(replica, str(error)) from error
         return ReplicaReport(
             versions={model.name: WeightVersion(model.version) for model in fields.models},
             loading=fields.busy,
@@ -176,6 +173,16 @@
         )
 
 
+def report_error(replica: Replica, reason: str) -> AttemptFailedError:
+    """Return the error for a response that is no report of a target's state."""
+    return AttemptFailedError(
+        f"invalid state report: {reason}",
+        step="replica.report",
+        peer=replica.address,
+        perhaps_sent=True,
+    )
+
+
 def report_request(replica: Replica) -> Request:
     """Return the request for a target's report of its state."""
     return Request("GET", "/report", request_headers(replica))
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -33,6 +33,8 @@
 RESPONSE_HEAD_TIMEOUT_S = 2.5
 # Longest wait for a target to name its start, after streams from it were interrupted.
 CONFIRM_TIMEOUT_S = 0.5
+# Most characters of a sample's text; the store takes no larger result.
+MAX_TEXT_SIZE = 1024 * 1024
 OK = 200
 UNPROCESSABLE_CONTENT = 422
 INTERNAL_SERVER_ERROR = 500
@@ -304,6 +306,9 @@
                 raise exchange.failure(
                     "an event's weight version is unknown or an earlier one", FailureKind.MALFORMED
                 )
+        if progress.text_size > MAX_TEXT_SIZE:
+            progress.reset()
+            raise exchange.failure("the text is too large", FailureKind.MALFORMED)
         if piece.fault:
             raise exchange.failure(piece.fault, FailureKind.MALFORMED)
 
