A response is read after a late one to another request that arrived by itself

Callers saw: a 502 for a request that its target answered, after a late response to an earlier request had been dropped on the same connection.

Cause: Exchange.skip_response gives a new parser the bytes that follow the dropped response. Without any, it called receive_data with empty bytes, which is the end of the connection to h11, so that the bytes that came next were an error ('can't handle event type ConnectionClosed' in the line of the failed attempt). Ruled out: the target (the same answer is read if its first bytes come together with the copy).

Change: the parser gets bytes only if there are some, and the end of the connection if it was reached.

Before: the test fails in both of its cases. After: it passes, with all of test_http1_exchange.py.

--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -410,7 +410,11 @@
         remaining, _ = self.parser.trailing_data
         self.parser = h11.Connection(h11.CLIENT)
         self.encode_request()
-        self.parser.receive_data(remaining)
+        # To ``h11``, no bytes are the end of the connection.
+        if remaining:
+            self.parser.receive_data(remaining)
+        if self.is_at_eof:
+            self.parser.receive_data(b"")
         self.is_complete = False
 
     async def read_head(self) -> None:
