A second copy of a target's report is nobody's answer

Cause: a response without a correlation id was taken for that of any request, and a 200 without a stamp was passed on to callers of streams like a failure. Ruled out: the idle watch (the connection was in use), copies of answers to requests (they have their own ids).

Change: a connection remembers requests without an id, and drops responses without one from then on, so that the answer behind them is read. TargetExchange checks the stamp of each response in one place, for calls, streams, samples, scoring requests and requests passed on. An order's answer has no body, so that a report does not say that an order holds.

--- a/src/balsamcleat/http1/client.py
+++ b/src/balsamcleat/http1/client.py
@@ -80,6 +80,8 @@
             monotonic clock.
         server_identity: What the server said on the connection of who it is; empty before.
         sent_ids: Correlation ids of the last requests on the connection, the newest last.
+        has_unidentified_requests: Whether a request without correlation id was sent on the
+            connection, so that a response without one may be a copy of its response.
     """
 
     stream: ByteStream
@@ -87,9 +89,13 @@
     expires_at_s: float = 0.0
     server_identity: str = ""
     sent_ids: dict[str, None] = field(default_factory=dict)
+    has_unidentified_requests: bool = False
 
-    def remember_id(self, correlation_id: str) -> None:
-        """Record the correlation id of a request that is sent on the connection."""
+    def remember_id(self, correlation_id: str | None) -> None:
+        """Record the correlation id of a request that is sent on the connection, if it has one."""
+        if correlation_id is None:
+            self.has_unidentified_requests = True
+            return
         self.sent_ids[correlation_id] = None
         if len(self.sent_ids) > MAX_REMEMBERED_IDS:
             del self.sent_ids[next(iter(self.sent_ids))]
@@ -347,8 +353,7 @@
         """Send the request on the connection and read the head of its response."""
         assert self.connection is not None
         correlation_id = self.pool.correlation_id(self.request.headers)
-        if correlation_id is not None:
-            self.connection.remember_id(correlation_id)
+        self.connection.remember_id(correlation_id)
         data = self.encode_request()
         self.check_permission()
         # The server may act on the request from its first byte on.
@@ -397,9 +402,17 @@
         )
 
     def matches_request(self) -> bool:
-        """Return whether the last response head has this request's correlation id, or none."""
+        """Return whether the last response head belongs to this request.
+
+        It has the request's correlation id, or none if that can't be a copy of the response to an
+        earlier request without one.
+        """
+        assert self.connection is not None
+        request_id = self.pool.correlation_id(self.request.headers)
         response_id = self.pool.correlation_id(self.headers)
-        return response_id is None or response_id == self.pool.correlation_id(self.request.headers)
+        if response_id is None and request_id is not None:
+            return not self.connection.has_unidentified_requests
+        return response_id == request_id
 
     async def skip_response(self) -> None:
         """Read and drop a response to an earlier request, then expect another response.
--- a/src/balsamcleat/platform/orders.py
+++ b/src/balsamcleat/platform/orders.py
@@ -148,6 +148,9 @@
         except AttemptFailedError as error:
             maybe_sent = error.perhaps_sent
             return OrderOutcome(OrderResult.UNKNOWN if maybe_sent else OrderResult.NOT_SENT)
+        if response.body and is_success(response.status):
+            # The answer to an order has no body: this is a copy of an earlier report.
+            return OrderOutcome(OrderResult.UNKNOWN)
         return OrderOutcome(
             RESULTS_BY_STATUS.get(response.status, OrderResult.UNKNOWN), response.status
         )
--- a/src/balsamcleat/tasks/live_errors.py
+++ b/src/balsamcleat/tasks/live_errors.py
@@ -18,7 +18,6 @@
     "rejection_error",
     "send_error_response",
     "stranded_stream_error",
-    "unstamped_response_error",
 ]
 
 # Retry delay after a rejection: long enough for a slot to become free, and short compared with
@@ -129,14 +128,3 @@
         kind=FailureKind.REFUSED,
         retry_after_s=retry_after_s,
     )
-
-
-def unstamped_response_error(replica: Replica) -> AttemptFailedError:
-    """Return the error for a response that does not come from the target itself."""
-    return AttemptFailedError(
-        "the response lacks the stamp of the target",
-        step="live.attempt",
-        peer=replica.target_id,
-        perhaps_sent=True,
-        kind=FailureKind.MALFORMED,
-    )
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -19,10 +19,10 @@
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.routing import Route
 from balsamcleat.platform import (
+    ResponseMetadata,
     forwarded_request_headers,
     forwarded_response_headers,
     parse_caller_timeout_s,
-    parse_response_metadata,
     prompt_ids,
 )
 from balsamcleat.tasks.attempt_log import (
@@ -39,7 +39,6 @@
     no_target_error,
     rejection_error,
     send_error_response,
-    unstamped_response_error,
 )
 from balsamcleat.tasks.live_queues import LiveQueues
 from balsamcleat.tasks.target_chooser import TargetChooser
@@ -416,7 +415,7 @@
         try:
             await exchange.begin(force_new_connection=not call.route.is_repeatable)
             response = await exchange.read_response()
-            outcome = self.classify_response(replica, response)
+            outcome = self.classify_response(replica, response, exchange.metadata)
             if isinstance(outcome, Ok):
                 self.crash_guard.record_response(call, replica, exchange)
         except AttemptFailedError as error:
@@ -437,10 +436,9 @@
         return outcome
 
     def classify_response(
-        self, replica: Replica, response: Response
+        self, replica: Replica, response: Response, metadata: ResponseMetadata
     ) -> Result[Response, AttemptFailedError]:
         """Return a complete response as success or failure, and record the target's load."""
-        metadata = parse_response_metadata(response.status, response.headers)
         stats = self.stats_registry.for_replica(replica)
         now_s = anyio.current_time()
         if metadata.running_count is not None:
@@ -450,9 +448,6 @@
         if metadata.is_not_run:
             stats.record_rejection(now_s, metadata.retry_after_s)
             return Err(rejection_error(replica, response.status, metadata.retry_after_s))
-        if not metadata.has_target_stamp:
-            stats.record_failure(now_s)
-            return Err(unstamped_response_error(replica))
         stats.record_success()
         return Ok(response)
 
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -17,7 +17,6 @@
 from balsamcleat.model.replicas import Replica
 from balsamcleat.model.rollout import RolloutStep, SampleTask
 from balsamcleat.platform import (
-    parse_response_metadata,
     parse_started_ms,
     report_request,
     sample_request_headers,
@@ -188,6 +187,7 @@
             is_live=False,
             paths=self.paths,
             takes_limit=False,
+            expects_stamp=False,
         )
         started_ms: int | None = None
         try:
@@ -229,7 +229,7 @@
             await exchange.begin()
         if scope.cancelled_caught:
             raise exchange.failure("no response head within the timeout", FailureKind.SILENT)
-        metadata = parse_response_metadata(exchange.status, exchange.headers)
+        metadata = exchange.metadata
         now_s = anyio.current_time()
         if metadata.running_count is not None:
             stats.record_load(
@@ -245,7 +245,7 @@
             return SampleRunOutcome(SampleEnd.UNPROCESSABLE)
         if exchange.status == INTERNAL_SERVER_ERROR:
             return SampleRunOutcome(SampleEnd.FAILED)
-        if exchange.status != OK or not metadata.has_target_stamp:
+        if exchange.status != OK:
             raise exchange.failure(f"status {exchange.status}", FailureKind.MALFORMED)
         if (
             metadata.weight_version is not None
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -25,7 +25,6 @@
     forwarded_request_headers,
     forwarded_response_headers,
     parse_last_event_id,
-    parse_response_metadata,
     parse_resumed_attempt,
 )
 from balsamcleat.tasks.attempt_log import log_answered
@@ -343,7 +342,7 @@
         stats.in_flight += 1
         try:
             await self.start_exchange(call, exchange)
-            metadata = parse_response_metadata(exchange.status, exchange.headers)
+            metadata = exchange.metadata
             now_s = anyio.current_time()
             if metadata.running_count is not None:
                 stats.record_load(
@@ -353,7 +352,7 @@
                 await exchange.discard_body()
                 stats.record_rejection(now_s, metadata.retry_after_s)
                 raise rejection_error(replica, exchange.status, metadata.retry_after_s)
-            if exchange.status == OK and metadata.has_target_stamp:
+            if exchange.status == OK:
                 for prompt_id in call.prompt_ids[:1]:
                     stats.record_prompt(prompt_id)
                 await relay.relay_stream(exchange, self.stall_timer(call, replica, stats))
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -10,13 +10,15 @@
 from balsamcleat.decisions.stream_origin import StreamOrigin, origin_of
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.http1 import CONNECT_STEP, ConnectionPool, Exchange, Request
+from balsamcleat.http1 import CONNECT_STEP, ConnectionPool, Exchange, Request, is_success
 from balsamcleat.model import FailureKind, TeamName
 from balsamcleat.model.replicas import Replica
 from balsamcleat.platform import (
+    ResponseMetadata,
     announces_departure,
     is_misdirected,
     parse_announced_limit,
+    parse_response_metadata,
     parse_started_ms,
     report_request,
 )
@@ -56,12 +58,14 @@
         can_be_passed_on: Whether another VM may pass the request on; one that was passed on may not
             be again.
         takes_limit: Whether the request counts as one of this VM's for the target's limit.
+        expects_stamp: Whether the target puts its stamp on responses to the request.
         team: Team that the request names to the target, if any.
 
     Attributes:
         relay: VM that passes the request on, or None if it is sent directly.
         is_given_up: Whether the request was ended because its link was lost.
         had_arrived: Whether the request had arrived at the target when it was given up.
+        metadata: What the head of the target's response says.
         on_send: Called right before the request is sent.
     """
 
@@ -80,6 +84,7 @@
         can_repeat: bool = False,
         can_be_passed_on: bool = True,
         takes_limit: bool = True,
+        expects_stamp: bool = True,
         team: TeamName | None = None,
     ) -> None:
         super().__init__(pool, replica.address, request, is_permitted)
@@ -92,6 +97,7 @@
         self.can_repeat = can_repeat
         self.can_be_passed_on = can_be_passed_on
         self.takes_limit = takes_limit
+        self.expects_stamp = expects_stamp
         self.team = team
         self.patience_s = LIVE_PATIENCE_S if is_live else SAMPLE_PATIENCE_S
         self.progress_at_s = anyio.current_time()
@@ -101,6 +107,7 @@
         self.on_send: Callable[[], None] = lambda: None
         self.is_unframed = False
         self.is_start_certain_at_relay = False
+        self.metadata = ResponseMetadata(is_not_run=False, target_stamp=None)
 
     async def begin(self, *, force_new_connection: bool = False) -> None:
         """Send the request, directly or by a VM that reaches the target, and read the head.
@@ -288,6 +295,28 @@
             )
         self.on_send()
 
+    async def read_matching_head(self) -> None:
+        """Read the head of the response that belongs to the request.
+
+        Raises:
+            AttemptFailedError: The head could not be read, or is not the target's.
+        """
+        await super().read_matching_head()
+        self.metadata = parse_response_metadata(self.status, self.headers)
+        if self.expects_stamp and not self.is_from_target():
+            raise self.failure("the response lacks the target's stamp", FailureKind.MALFORMED)
+
+    def is_from_target(self) -> bool:
+        """Return whether the target itself answered or rejected the request.
+
+        It puts its stamp on both, or says that it did not run the request. Where no caller gets the
+        response, a failure that names the request is enough, so that it is counted.
+        """
+        if self.metadata.is_not_run or self.metadata.has_target_stamp:
+            return True
+        names_request = self.pool.correlation_id(self.headers) is not None
+        return names_request and not self.is_live and not is_success(self.status)
+
     async def read_head(self) -> None:
         """Read the head of a response and record what the target says of itself in it."""
         await super().read_head()
--- a/src/balsamcleat/tasks/target_relay.py
+++ b/src/balsamcleat/tasks/target_relay.py
@@ -131,6 +131,7 @@
             paths=self.paths,
             can_be_passed_on=False,
             takes_limit=False,
+            expects_stamp=bool(request_id(hop.request.headers)),
         )
         try:
             await exchange.begin(force_new_connection=hop.needs_new_connection)
