The exchange and the pool of connections are two modules

No change of behaviour: Exchange is in http1/exchange.py, ConnectionPool with its connections in http1/connection_pool.py; the package exports the same names.

--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -8,8 +8,9 @@
 from balsamcleat.http1.addresses import parse_address
 from balsamcleat.http1.buffered_writer import BufferedWriter, ReaderTooSlowError
 from balsamcleat.http1.byte_budget import ByteBudget
-from balsamcleat.http1.client import CONNECT_STEP, ConnectionPool, Exchange, PoolLimits
+from balsamcleat.http1.connection_pool import CONNECT_STEP, ConnectionPool, PoolLimits
 from balsamcleat.http1.events import EventParser, EventTooLargeError, StreamEvent
+from balsamcleat.http1.exchange import Exchange
 from balsamcleat.http1.idle_watch import IdleWatch
 from balsamcleat.http1.messages import (
     Headers,
--- a/tests/lost_links.py
+++ b/tests/lost_links.py
@@ -8,7 +8,7 @@
 import anyio.abc
 import pytest
 
-from balsamcleat.http1 import client
+from balsamcleat.http1 import connection_pool
 from balsamcleat.http1.streams import ByteStream, connect
 from balsamcleat.tasks import target_probe
 
@@ -91,7 +91,7 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.links: dict[str, Link] = {}
-        for module in (client, target_probe):
+        for module in (connection_pool, target_probe):
             monkeypatch.setattr(module, "connect", self.connect)
 
     async def add(self, tasks: anyio.abc.TaskGroup, goal: str) -> Link:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -14,7 +14,7 @@
     PoolLimits,
     Request,
 )
-from balsamcleat.http1.client import GUARANTEED_RESPONSE_BYTES
+from balsamcleat.http1.exchange import GUARANTEED_RESPONSE_BYTES
 from balsamcleat.http1.streams import RECEIVE_BYTES
 from balsamcleat.model.routing import RouteKind
 from live_world import live_world, response_bytes, route
--- a/tests/test_http1_pool.py
+++ b/tests/test_http1_pool.py
@@ -8,7 +8,7 @@
 import pytest
 
 from balsamcleat.http1 import ByteStream, ConnectionPool, IdleWatch, PoolLimits, Request
-from balsamcleat.http1.client import PooledConnection
+from balsamcleat.http1.connection_pool import PooledConnection
 from raw_target import RawTarget, Script, raw_target
 
 REQUEST = Request("GET", "/", (("Host", "host.example"),))
