The placement of samples has a module of its own

No change of behaviour: SamplePlacer applies the decisions on the placement of samples to the steps; the runner starts, moves and ends them. The tests of weight orders build their controller in one place.

--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -2,36 +2,29 @@
 
 import math
 import random
-from collections import Counter
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVarTuple, Unpack
 
 import anyio
 import anyio.abc
 import structlog
 
-from balsamcleat.decisions.engine_ranking import EngineView, fastest_event_interval_s
 from balsamcleat.decisions.pass_pacing import delay_after_pass
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
-from balsamcleat.decisions.sample_placement import (
-    Placement,
-    WaitingSample,
-    find_moves,
-    place_samples,
-)
+from balsamcleat.decisions.sample_placement import Placement
 from balsamcleat.errors import PlatformError, ProtocolError
-from balsamcleat.model import KeyDigest, ServiceName, StepId, TargetId, ZoneName
+from balsamcleat.model import KeyDigest, StepId, TargetId, ZoneName
 from balsamcleat.model.rollout import SampleResult, SampleState
 from balsamcleat.model.routing import Route, RouteKind, RoutingTable
 from balsamcleat.model.team_keys import loggable_digest
 from balsamcleat.ports.rows import RowChange, RowConflict
-from balsamcleat.tasks.late_step_watch import update_group_positions
 from balsamcleat.tasks.owned_step import OwnedStep, SampleRun
 from balsamcleat.tasks.pause_guard import PauseGuard
 from balsamcleat.tasks.placement_view import TOKENS_PER_EVENT, PlacementView
 from balsamcleat.tasks.result_writer import ResultWriter
 from balsamcleat.tasks.rollout_records import RolloutRecords
+from balsamcleat.tasks.sample_placer import PLACEMENT_INTERVAL_S, SamplePlacer
 from balsamcleat.tasks.sample_resumption import SampleResumption
 from balsamcleat.tasks.sample_run import (
     SampleAssignment,
@@ -42,14 +35,11 @@
 )
 from balsamcleat.tasks.sample_scorer import SampleScorer
 from balsamcleat.tasks.step_deletion import delete_progress
-from balsamcleat.tasks.step_groups import RoutedStep, StepGroup, group_steps
+from balsamcleat.tasks.step_groups import RoutedStep
 from balsamcleat.tasks.step_scorer import StepScorer
 
 __all__ = ["RolloutRunner"]
 
-# Longest time between two placements. A change triggers a placement at once; the interval covers
-# conditions that only the passing of time changes, such as retry delays and expiry.
-PLACEMENT_INTERVAL_S = 0.1
 # Upper bound of the random delay before a sample is retried after an interrupted run.
 MAX_INTERRUPTED_BACKOFF_S = 0.05
 # The delay doubles at most this often.
@@ -106,6 +96,9 @@
             directory, sample_runner.confirm_start, self.start_task, self.wake
         )
         self.view = PlacementView(directory, stats_registry, zone, loading)
+        self.placer = SamplePlacer(
+            self.view, self.resumption, stats_registry.limits, self.start_sample, self.move_sample
+        )
         self.pause_guard = pause_guard
         pause_guard.on_confirmed = self.wake
         self.generator = generator
@@ -113,8 +106,6 @@
         self.changed = anyio.Event()
         self.tasks: anyio.abc.TaskGroup | None = None
         self.leaving = False
-        # Time of the last check for samples to move, on the process clock.
-        self.last_move_check_s = float("-inf")
         self.result_writer = ResultWriter(records, generator, self.handle_lost_ownership, self.wake)
         # Called with the rows of a commit conflict. They name a step's new owner, possibly before
         # the change feed delivers it.
@@ -212,72 +203,9 @@
         now_s = anyio.current_time()
         table = self.table()
         active = [step for step in self.steps.values() if step.can_start]
-        backlogs: Counter[ServiceName] = Counter()
         if table is None or not active:
             return
-        may_move = now_s - self.last_move_check_s >= PLACEMENT_INTERVAL_S
-        if may_move:
-            self.last_move_check_s = now_s
-        for group in group_steps(self.routed_steps(table, active, now_s)):
-            for item in group.steps:
-                self.resumption.begin_anew_where_stranded(item.step, item.route)
-            waiting = self.waiting_samples(group, now_s)
-            if not waiting and not may_move:
-                continue
-            backlogs.update(sample.requirements.services[0] for sample in waiting)
-            engines = self.view.engines(group.services, now_s)
-            # Where targets report no pace, steps keep the order in which they start their samples.
-            if may_move and self.view.reports_pace(group.services, now_s):
-                # Applies from the next placement on. At the moment when the last runs of a step
-                # have ended, there is no forecast, and its samples must keep their order.
-                update_group_positions(group.steps, fastest_event_interval_s(engines), now_s)
-            self.place_waiting(group, waiting, engines, now_s)
-            if may_move:
-                self.move_samples(group, engines)
-        self.stats_registry.limits.record_backlogs(backlogs)
-
-    def waiting_samples(self, group: StepGroup, now_s: float) -> list[WaitingSample]:
-        """Return the samples of a group's steps that may start now."""
-        return [
-            sample
-            for item in group.steps
-            for sample in self.view.waiting_samples(item.step, item.route, now_s)
-        ]
-
-    def place_waiting(
-        self,
-        group: StepGroup,
-        waiting: list[WaitingSample],
-        engines: list[EngineView],
-        now_s: float,
-    ) -> None:
-        """Start the waiting samples for which an engine is free."""
-        steps = {item.step.step_id: item for item in group.steps}
-        placements = place_samples(waiting, engines)
-        for placement in placements:
-            self.start_sample(placement, steps[placement.step_id].route)
-        if len(placements) == len(waiting):
-            return
-        self.record_waits(engines, now_s)
-        placed = {(placement.step_id, placement.sample_id) for placement in placements}
-        unplaced = [item for item in waiting if (item.step_id, item.sample_id) not in placed]
-        self.resumption.end_long_waits(steps, unplaced, engines)
-
-    def move_samples(self, group: StepGroup, engines: list[EngineView]) -> None:
-        """Move running samples of a group's steps to better targets."""
-        running = [
-            sample
-            for item in group.steps
-            for sample in self.view.movable_samples(item.step, item.route)
-        ]
-        for move in find_moves(running, engines):
-            self.move_sample(move)
-
-    def record_waits(self, engines: Iterable[EngineView], now_s: float) -> None:
-        """Record at the limits of engines that samples wait for them."""
-        for engine in engines:
-            if not math.isinf(engine.sendable):
-                self.stats_registry.limits.record_wait(engine.target_id, now_s, is_live=False)
+        self.placer.place(self.routed_steps(table, active, now_s), now_s)
 
     def routed_steps(
         self, table: RoutingTable, steps: list[OwnedStep], now_s: float
--- a/tests/test_target_lifetimes.py
+++ b/tests/test_target_lifetimes.py
@@ -20,13 +20,12 @@
 from balsamcleat.model.replicas import Replica, ReplicaReport
 from balsamcleat.model.routing import RouteKind
 from balsamcleat.tasks.replica_keeper import ReplicaKeeper
-from balsamcleat.tasks.version_orders import ModelUsage, VersionLoadController
 from live_world import LiveWorld, attempt_id, live_world, response_bytes, route
 from lost_links import Cut, LinkedNetwork
 from raw_target import RawTarget
 from test_step_ownership import run_test
 from test_stream_forwarding import ALL_EVENTS, EVENTS, chunk, event_bytes
-from test_version_orders import TABLE, HeldLease, LoadingEngines
+from test_version_orders import LoadingEngines, load_controller
 
 REPLICA = w.make_engine(1)
 RESTARTED = replace(REPLICA, started_ms=5, entry_version=2)
@@ -121,15 +120,7 @@
     async def test() -> None:
         directory, engines = ReplicaDirectory(), LoadingEngines()
         directory.apply_entry(REPLICA)
-        controller = VersionLoadController(
-            HeldLease(),
-            engines,  # type: ignore[arg-type]
-            directory,
-            ReplicaStatsRegistry(),
-            lambda: TABLE,
-            lambda: {w.MODEL: WeightVersion(2)},
-            lambda _: ModelUsage((WeightVersion(1),), 1.0),
-        )
+        controller = load_controller(directory, engines, {w.MODEL: WeightVersion(2)})
         fetch_report = controller.fetch_report
 
         async def fetch_report_of_new_start(replica: Replica) -> ReplicaReport | None:
--- a/tests/test_version_orders.py
+++ b/tests/test_version_orders.py
@@ -1,5 +1,7 @@
 """The controller of weight loads: a named version is ordered as soon as its step is placed."""
 
+from collections.abc import Callable
+
 import anyio
 import anyio.abc
 import structlog.testing
@@ -65,6 +67,30 @@
         return ReplicaReport({MODEL: WeightVersion(version)}, is_loading, 0)
 
 
+def usage_by_one_step(model: str) -> ModelUsage:
+    """Return the usage of a model by one open step, which allows version 1."""
+    return ModelUsage((WeightVersion(1),), 1.0)
+
+
+def load_controller(
+    directory: ReplicaDirectory,
+    engines: LoadingEngines,
+    named: dict[str, WeightVersion],
+    table: RoutingTable = TABLE,
+    usage: Callable[[str], ModelUsage] = usage_by_one_step,
+) -> VersionLoadController:
+    """Return the controller of a VM that holds the lease on orders."""
+    return VersionLoadController(
+        HeldLease(),
+        engines,  # type: ignore[arg-type]
+        directory,
+        ReplicaStatsRegistry(),
+        lambda: table,
+        lambda: named,
+        usage,
+    )
+
+
 def test_named_version_is_ordered_right_after_its_step_was_placed() -> None:
     """The holder of the lease is idle when the version is named.
 
@@ -77,15 +103,7 @@
         for number in range(ENGINES):
             directory.apply_entry(make_engine(number))
         versions: dict[str, WeightVersion] = {}
-        controller = VersionLoadController(
-            HeldLease(),
-            engines,  # type: ignore[arg-type]
-            directory,
-            ReplicaStatsRegistry(),
-            lambda: TABLE,
-            lambda: versions,
-            lambda _: ModelUsage((WeightVersion(1),), 1.0),
-        )
+        controller = load_controller(directory, engines, versions)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(controller.run)
             await anyio.sleep(2.05)
@@ -112,15 +130,7 @@
         spec = EngineSpec(6, 0, (MODEL,))
         specs = {name: ServiceSpec(name, 100, spec) for name in services}
         table = RoutingTable(ConfigurationVersion(1), (), specs)
-        controller = VersionLoadController(
-            HeldLease(),
-            engines,  # type: ignore[arg-type]
-            directory,
-            ReplicaStatsRegistry(),
-            lambda: table,
-            lambda: {MODEL: WeightVersion(2)},
-            lambda _: ModelUsage((WeightVersion(1),), 1.0),
-        )
+        controller = load_controller(directory, engines, {MODEL: WeightVersion(2)}, table)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(controller.run)
             await anyio.sleep(6.0)
@@ -144,13 +154,11 @@
     for number in range(ENGINES):
         directory.apply_entry(make_engine(number))
     named = {"first": WeightVersion(2)}
-    controller = VersionLoadController(
-        HeldLease(),
-        LoadingEngines(),  # type: ignore[arg-type]
+    controller = load_controller(
         directory,
-        ReplicaStatsRegistry(),
-        lambda: table,
-        lambda: named,
+        LoadingEngines(),
+        named,
+        table,
         lambda model: ModelUsage((WeightVersion(1),), 1000.0, has_steps=model != "unused"),
     )
 
@@ -177,13 +185,11 @@
     directory, work = ReplicaDirectory(), {"a": 1000.0, "b": 1000.0}
     for number in range(ENGINES):
         directory.apply_entry(make_engine(number))
-    controller = VersionLoadController(
-        HeldLease(),  # type: ignore[arg-type]
-        LoadingEngines(),  # type: ignore[arg-type]
+    controller = load_controller(
         directory,
-        ReplicaStatsRegistry(),
-        lambda: table,
-        lambda: {model: WeightVersion(1) for model in models},
+        LoadingEngines(),
+        dict.fromkeys(models, WeightVersion(1)),
+        table,
         lambda model: ModelUsage((WeightVersion(1),), work[model]),
     )
 
