Calls on a split route try services whose targets failed just now after the others

Found by reading: a target that is lost stays in the list for three heartbeats, and each call that was drawn to its service first paid for a connection to it, although another service of the route answered. Services whose targets all failed just now come after the others, those without targets last. A test fails without it.

From the reading of the diff: the parser of events adds to its buffer in place again; versions of software are read once a step, not once a sample; the path to a target follows the start that the list shows, also if a clock that was set back gave it an earlier time; three comments say what they mean.

--- a/src/balsamcleat/decisions/engine_ranking.py
+++ b/src/balsamcleat/decisions/engine_ranking.py
@@ -38,8 +38,8 @@
 # Cost of an engine that takes twice as long for an event as the fastest one, in shares of a full
 # batch. Samples are assigned longest first, so the long ones get the fast engines.
 PACE_COST = 2.0
-# Cost of an engine for each service that a sample prefers to its own, in shares of a full batch.
-# It exceeds all other costs: the weights of services count as long as each can take its samples.
+# Cost of an engine for each service that a sample prefers to the engine's one, in shares of a full
+# batch. It exceeds all other costs: weights of services count as long as each takes its samples.
 OTHER_SERVICE_COST = 1000.0
 UNNAMED_SERVICE = ServiceName("")
 
@@ -116,7 +116,10 @@
 
 
 def fastest_intervals_by_service_s(engines: Iterable[EngineView]) -> dict[ServiceName, float]:
-    """Return the lowest event interval of each service's usable engines; see above."""
+    """Return the lowest event interval of each service's usable engines, in seconds.
+
+    It is 0 for a service of which none is known.
+    """
     by_service: dict[ServiceName, list[EngineView]] = {}
     for engine in engines:
         by_service.setdefault(engine.service, []).append(engine)
--- a/src/balsamcleat/decisions/replica_choice.py
+++ b/src/balsamcleat/decisions/replica_choice.py
@@ -26,9 +26,10 @@
 REPLACED_SOFTWARE_COST = 0.25
 AVOIDED_COST = 10.0
 TIE_COST = 0.05
-HASH_RANGE = 2.0**64
 # Cost reduction for a target that probably has the prompt cached.
 PROMPT_BONUS = 0.5
+# Number of values of a 64-bit hash.
+HASH_RANGE = 2.0**64
 
 
 def choose_service(shares: Sequence[WeightedService], draw: float) -> WeightedService | None:
--- a/src/balsamcleat/http1/events.py
+++ b/src/balsamcleat/http1/events.py
@@ -75,15 +75,16 @@
             EventTooLargeError: An event exceeds the size limit.
         """
         search_start = max(0, len(self.buffer) - MAX_END_BYTES + 1)
-        received = self.buffer + data
+        self.buffer += data
         event_start = 0
-        for end in EVENT_END.finditer(received, search_start):
-            block, raw = received[event_start : end.start()], received[event_start : end.end()]
+        for end in EVENT_END.finditer(self.buffer, search_start):
+            block = self.buffer[event_start : end.start()]
+            raw = self.buffer[event_start : end.end()]
             event_start = end.end()
             self.check_size(len(raw))
             if block.strip():
                 yield parse_event(bytes(block), bytes(raw))
-        self.buffer = received[event_start:]
+        del self.buffer[:event_start]
         self.check_size(len(self.buffer))
 
     def check_size(self, size: int) -> None:
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -183,10 +183,19 @@
     def order_services(self, route: Route) -> tuple[ServiceName, ...]:
         """Return the services of a route in the order in which a call tries them.
 
-        The order is drawn by weight, but services without targets come last.
+        The order is drawn by weight, but services whose targets failed just now come after the
+        others, and those without targets come last.
         """
         services = order_services(route.shares, self.generator.random)
-        return tuple(sorted(services, key=lambda name: not self.directory.has_ready(name)))
+        return services if len(services) < 2 else tuple(sorted(services, key=self.service_rank))
+
+    def service_rank(self, service: ServiceName) -> int:
+        """Return 0 for a service with usable targets, 1 if all failed just now, 2 without any."""
+        replicas = self.directory.ready_replicas(service)
+        now_s = anyio.current_time()
+        if any(not self.stats_registry.for_replica(item).is_avoided(now_s) for item in replicas):
+            return 0
+        return 1 if replicas else 2
 
     async def reject(self, call: LiveCall, responder: Responder, rejection: Rejected) -> None:
         """Reject a call that can't be answered in time, and tell the caller when to retry."""
--- a/src/balsamcleat/tasks/placement_view.py
+++ b/src/balsamcleat/tasks/placement_view.py
@@ -139,6 +139,7 @@
         service of the step's route.
         """
         samples = []
+        services = route.services
         for sample_id, run in step.running.items():
             progress = step.progress.get(sample_id)
             if run.is_moving or progress is None or not progress.events:
@@ -147,7 +148,7 @@
             requirements = self.requirements(step, route, sample)
             if requirements.software_version is None:
                 continue
-            if not set(requirements.services) <= set(route.services):
+            if requirements.services[0] not in services:
                 continue
             tokens = len(progress.events) * TOKENS_PER_EVENT
             events_left = expected_remaining_tokens(sample, tokens) / TOKENS_PER_EVENT
--- a/src/balsamcleat/tasks/sample_resumption.py
+++ b/src/balsamcleat/tasks/sample_resumption.py
@@ -11,7 +11,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.sample_placement import WaitingSample
 from balsamcleat.decisions.stream_origin import StreamOrigin
-from balsamcleat.model import StepId
+from balsamcleat.model import ServiceName, StepId
 from balsamcleat.model.replicas import Replica, StreamSoftware, TargetStart
 from balsamcleat.model.routing import Route
 from balsamcleat.tasks.owned_step import OwnedStep
@@ -60,6 +60,7 @@
 
     def begin_anew_where_stranded(self, step: OwnedStep, route: Route) -> None:
         """Discard the events of a step's waiting samples that no target is going to continue."""
+        versions = {name: self.directory.software_versions(name) for name in route.services}
         now_s = anyio.current_time()
         for sample_id, progress in step.progress.items():
             if not progress.events or not step.is_waiting(sample_id):
@@ -69,7 +70,7 @@
             if software is None and self.may_be_confirmed(progress.origin):
                 step.retry_not_before_s[sample_id] = now_s + ASK_AGAIN_S
                 continue
-            reason = self.reason_to_begin_anew(software, route)
+            reason = self.reason_to_begin_anew(software, versions)
             if reason:
                 self.begin_anew(step, sample_id, reason)
 
@@ -125,14 +126,21 @@
                 engine.load += 1.0
                 self.begin_anew(step, sample.sample_id, "targets of its software are full")
 
-    def reason_to_begin_anew(self, software: StreamSoftware | None, route: Route) -> str:
-        """Return why no target of a route's services can continue a sample; empty if one can."""
+    def reason_to_begin_anew(
+        self, software: StreamSoftware | None, versions: Mapping[ServiceName, set[str]]
+    ) -> str:
+        """Return why no target of a route can continue a sample; empty if one can.
+
+        Args:
+            software: Software that began the sample, or None if it is not certain.
+            versions: Versions of the software of ready targets, by service of the route.
+        """
         if software is None:
             return "its software is not certain"
-        if software.service not in route.services:
+        if software.service not in versions:
             return "its route has another service now"
-        versions = self.directory.software_versions(software.service)
-        return "" if software.version in versions else "no target of its software is ready"
+        is_ready = software.version in versions[software.service]
+        return "" if is_ready else "no target of its software is ready"
 
     def begin_anew(self, step: OwnedStep, sample_id: str, reason: str) -> None:
         """Discard the events of a sample."""
--- a/src/balsamcleat/tasks/target_paths.py
+++ b/src/balsamcleat/tasks/target_paths.py
@@ -131,13 +131,15 @@
     def path(self, replica: Replica) -> TargetPath:
         """Return the path to a start of a target.
 
-        A target that starts again may do so elsewhere, so its path is unknown. What is learnt of an
-        earlier start goes into a path that nothing uses.
+        A target that starts again may do so elsewhere, so its path is unknown. What is learnt of a
+        start that the list does not show goes into a path that nothing uses.
         """
-        path = self.paths.get(replica.target_id)
-        if path is None or path.started_ms < replica.started_ms:
-            path = self.paths[replica.target_id] = TargetPath(replica.started_ms)
-        return path if path.started_ms == replica.started_ms else TargetPath(replica.started_ms)
+        path = self.known_path(replica)
+        if path is None:
+            path = TargetPath(replica.started_ms)
+            if self.directory.shows_start(replica.start):
+                self.paths[replica.target_id] = path
+        return path
 
     def known_path(self, replica: Replica) -> TargetPath | None:
         """Return the path to a start of a target if it was used before, else None."""
--- a/tests/test_split_calls.py
+++ b/tests/test_split_calls.py
@@ -90,6 +90,18 @@
         assert await ask(world) == (200, b"second")
 
 
+async def test_call_avoids_a_service_whose_targets_failed_just_now() -> None:
+    """A target that is lost stays in the list for some seconds, and costs each call a timeout."""
+    scripts = [answer("first"), answer("second")]
+    async with live_world(scripts, split_route(RouteKind.AT_MOST_ONCE)) as world:
+        list_services(world, FIRST, SECOND)
+        assert await ask(world) == (200, b"first")
+        failed = world.vms[0].directory.entries[world.target_id(0)]
+        stats = world.vms[0].forwarder.stats_registry.for_replica(failed)
+        stats.avoid_until_s = float("inf")
+        assert await ask(world, "a2") == (200, b"second")
+
+
 async def test_call_that_may_run_once_is_sent_to_one_service_only() -> None:
     async with live_world(
         [read_and_close, answer("second")], split_route(RouteKind.AT_MOST_ONCE)
