--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -121,6 +121,9 @@
             self.history_lost,
             self.engine_crashes,
             self.engine_slow,
+            self.engine_is_unlisted,
+            self.engine_spoils_events,
+            self.engine_copies_reports,
             self.plain_crashes,
             self.plain_answers_twice,
             self.plain_loses_answers,
@@ -289,6 +292,28 @@
         await anyio.sleep(self.for_s())
         engine.slow = 1.0
 
+    async def engine_is_unlisted(self) -> None:
+        """Cut an engine from the store, so that its entry is away while it serves."""
+        engine = self.rng.choice(self.engines)
+        engine.is_unlisted = True
+        engine.put(None)
+        await anyio.sleep(self.for_s())
+        engine.is_unlisted = False
+        if engine.up:
+            engine.put("draining" if engine.draining_since_s else "ready")
+
+    async def engine_spoils_events(self) -> None:
+        engine = self.rng.choice(self.engines)
+        engine.spoiled_events = 0.05
+        await anyio.sleep(self.for_s())
+        engine.spoiled_events = 0.0
+
+    async def engine_copies_reports(self) -> None:
+        engine = self.rng.choice(self.engines)
+        engine.copies_reports = True
+        await anyio.sleep(self.for_s())
+        engine.copies_reports = False
+
     def target(self) -> SoakTarget:
         return self.rng.choice([*self.engines, *self.plains])
 
--- a/tests/soak_stand.py
+++ b/tests/soak_stand.py
@@ -153,6 +153,17 @@
         return 200, {"ver": outcome.version, "nowMs": outcome.store_ms}
 
 
+# Parts of an event, and what a target in trouble writes in their place.
+SPOILED_LINES = (
+    (b"data:", b"dat\xc2\xa1:"),
+    (b"id:", b"i\xc2\xa1:"),
+    (b"id: ", b"id: 1"),
+    (b"weight-versions:", b"weight-versi\xc2\xa1ns:"),
+    (b"\ndata", b"data"),
+    (b"\n\n", b"\n"),
+)
+
+
 @dataclass
 class SoakTarget:
     """A target that can crash, leave and come back under another id."""
@@ -174,6 +185,11 @@
     up: bool = True
     slow: float = 1.0
     answer_twice: bool = False
+    # Whether the entry is away from the list although the target serves.
+    is_unlisted: bool = False
+    # Share of the events of which a line is spoiled, and whether reports are answered twice.
+    spoiled_events: float = 0.0
+    copies_reports: bool = False
     lose_answers: float = 0.0
     server: HttpServer | None = None
     draining_since_s: float | None = None
@@ -200,7 +216,7 @@
             "born": self.life + 1,
             "models": self.model_versions(),
         }
-        value = None if state is None else msgspec.json.encode(entry)
+        value = None if state is None or self.is_unlisted else msgspec.json.encode(entry)
         self.store.apply(RowCommit((RowWrite(key, value),)))
 
     def start(self, *, keeps_id: bool = False) -> None:
@@ -252,7 +268,7 @@
         if wanted is not None and wanted != self.target_id:
             await responder.send(Response(421, (("Attempt-Id", attempt),)))
         elif request.path == "/report":
-            await responder.send(Response(200, JSON, msgspec.json.encode(self.report())))
+            await self.answer_report(responder)
         elif request.path == "/order":
             await self.order(msgspec.json.decode(request.body), responder)
         elif self.models:
@@ -263,6 +279,14 @@
     def model_versions(self) -> list[dict[str, object]]:
         return [{"name": name, "version": self.versions.get(name, 1)} for name in self.models]
 
+    async def answer_report(self, responder: Responder) -> None:
+        body = msgspec.json.encode(self.report())
+        await responder.send(Response(200, JSON, body))
+        if self.copies_reports:
+            copy = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            await anyio.sleep(self.rng.choice((0.0, 0.01)))
+            await responder.connection.stream.send(copy)
+
     def report(self) -> dict[str, object]:
         return {
             "models": self.model_versions(),
@@ -351,14 +375,28 @@
                 ("Content-Type", "text/event-stream"),
             ),
         )
+        piece = b""
         for event in range(number + 1, events_of(attempt) + 1):
             await anyio.sleep(EVENT_S * self.slow)
             before, version = version, self.versions.get(model, 1)
             changed = f"weight-versions: {version}\n" if version != before else ""
             data = f"{changed}id: {event}\ndata: {attempt}:{event}:v{version}:{self.software}\n\n"
-            await responder.write(data.encode())
+            piece += self.spoil(data.encode())
+            # An engine in trouble writes several events together.
+            if not self.spoiled_events or self.rng.random() < 0.5:
+                await responder.write(piece)
+                piece = b""
+        if piece:
+            await responder.write(piece)
         await responder.finish()
 
+    def spoil(self, event: bytes) -> bytes:
+        """Return an event as it is written, with a spoiled line in some."""
+        if self.rng.random() >= self.spoiled_events:
+            return event
+        sound, spoiled = self.rng.choice(SPOILED_LINES)
+        return event.replace(sound, spoiled)
+
 
 def scoring_id(sample_id: str) -> str:
     """Return the id of the request that scores a sample."""
