Two tests lose connections in the pool's module, where they are opened now

The product isn't touched.

Before: 2 errors during collection. After: the 26 tests of the two files pass.

--- a/tests/test_duty_calls.py
+++ b/tests/test_duty_calls.py
@@ -11,7 +11,14 @@
 
 from balsamcleat.decisions.duty_fitness import CallFitness
 from balsamcleat.errors import InvalidInputError
-from balsamcleat.http1 import ByteStream, ConnectionPool, HttpServer, ServerLimits, client, connect
+from balsamcleat.http1 import (
+    ByteStream,
+    ConnectionPool,
+    HttpServer,
+    ServerLimits,
+    connect,
+    connection_pool,
+)
 from balsamcleat.http1.streams import listen
 from balsamcleat.model import ServiceName, TeamName, VmId, ZoneName
 from balsamcleat.platform import (
@@ -212,7 +219,7 @@
             caller.lease.current = {"expired": STAMP, "lost": None, "held anew": anew}[withdrawal]
             return stream
 
-        monkeypatch.setattr(client, "connect", connect_and_lose)
+        monkeypatch.setattr(connection_pool, "connect", connect_and_lose)
         assert await caller.report() is DutyOutcome.NOT_SENT
         assert not target.requests
         # The VM lost the lease, not its link to the platform.
--- a/tests/test_lapsed_permission.py
+++ b/tests/test_lapsed_permission.py
@@ -9,7 +9,7 @@
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
 from balsamcleat.decisions.sample_progress import SampleProgress
-from balsamcleat.http1 import ByteStream, ConnectionPool, PoolLimits, client, connect
+from balsamcleat.http1 import ByteStream, ConnectionPool, PoolLimits, connect, connection_pool
 from balsamcleat.model import StepId, WeightVersion
 from balsamcleat.model.rollout import RolloutStep, SampleTask
 from balsamcleat.platform import CORRELATION_HEADER, ReplicaControl
@@ -28,7 +28,7 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.is_valid = True
-        monkeypatch.setattr(client, "connect", self.connect)
+        monkeypatch.setattr(connection_pool, "connect", self.connect)
 
     async def connect(self, address: str, timeout_s: float) -> ByteStream:
         stream = await connect(address, timeout_s)
@@ -89,7 +89,7 @@
             await anyio.sleep(0.3)
         return stream
 
-    monkeypatch.setattr(client, "connect", connect_slowly)
+    monkeypatch.setattr(connection_pool, "connect", connect_slowly)
     async with live_world([never_answer], route(timeout_s=0.2)) as world:
         caller = await world.connect()
         with anyio.fail_after(1.0):
