Soak: a signal that comes before the program runs may end its process

Trace: the log of vm0 has three starts and no line 'stop asked for', which the program writes for each signal to end that it handles, and it blocks these signals before its imports. So the process that ended by SIGTERM had not begun its program: an overlapping restart asked it to end right after another fault had started it. Nothing runs in such a process that could be lost.

Ruled out: a signal at the end of a stop (the line would be there) and one between the block and the handler (it stays pending).

The soak now allows the exit by a signal only if, when it was sent, the process neither blocked nor caught it and had written no line. Three new tests: the allowed case, and two that must break (a program that held the signal, one that has written a line).

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -50,6 +50,10 @@
     process: subprocess.Popen | None = None
     frozen: bool = False
     stranded: bool = False
+    # Size of the log when the process was started, in bytes.
+    log_size: int = 0
+    # Process that got a signal before its program ran, and the signal.
+    early_signal: tuple[subprocess.Popen, int] | None = None
 
     def start(self) -> None:
         """Start the process, unless an overlapping fault has started it already."""
@@ -59,6 +63,7 @@
         if self.sources is not None:
             environment["PYTHONPATH"] = str(self.sources)
         with self.log.open("ab") as log:
+            self.log_size = log.tell()
             self.process = subprocess.Popen(
                 [sys.executable, soak_clock.__file__, str(self.clock_file)],
                 env=environment,
@@ -72,9 +77,27 @@
         return self.settings.with_suffix(".clock")
 
     def send(self, number: int) -> None:
+        """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.poll() is None:
+            if self.is_before_program(self.process, number):
+                self.early_signal = (self.process, number)
             self.process.send_signal(number)
 
+    def is_before_program(self, process: subprocess.Popen, number: int) -> bool:
+        """Return whether the interpreter still loads, so that no program can hold a signal.
+
+        The program holds its signals first of all; one that wrote a line has run.
+        """
+        status = Path(f"/proc/{process.pid}/status").read_text()
+        masks = dict(line.split(":\t", 1) for line in status.splitlines())
+        held = int(masks["SigBlk"], 16) | int(masks["SigCgt"], 16)
+        return not held >> (number - 1) & 1 and self.log.stat().st_size == self.log_size
+
+    def may_have_ended(self, process: subprocess.Popen, code: int) -> bool:
+        """Return whether a process that was asked to end may have this exit code."""
+        # Another fault may have killed it.
+        return code in (0, -signal.SIGKILL) or self.early_signal == (process, -code)
+
     def end(self) -> None:
         if self.process is not None:
             self.process.kill()
@@ -208,8 +231,7 @@
         for _ in range(int(GRACE_S / 0.1)):
             code = process.poll()
             if code is not None:
-                # Another fault may have killed it.
-                if code not in (0, -signal.SIGKILL):
+                if not vm.may_have_ended(process, code):
                     self.breaks("ends by itself", f"{vm.name} with {code}")
                 return
             await anyio.sleep(0.1)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """A short soak with the real processes: one seed, and those that ever failed."""
 
+import signal
 import subprocess
 import sys
 from functools import partial
@@ -43,6 +44,39 @@
         first.wait()
 
 
+def started_vm(tmp_path: Path, program: str) -> SoakVm:
+    """Return a VM whose process runs a program that ends when its signals tell it to."""
+    door = StoreDoor(RowStoreView(MemoryRowStore(), RowStoreFlaws()))
+    vm = SoakVm("vm", "127.0.0.1", door, tmp_path / "settings.json", tmp_path / "log")
+    vm.log.touch()
+    vm.process = subprocess.Popen([sys.executable, "-c", program], stdout=subprocess.PIPE)
+    return vm
+
+
+def test_process_may_end_by_a_signal_before_its_program_runs(tmp_path: Path) -> None:
+    """No program can hold a signal that comes while the interpreter is loaded."""
+    vm = started_vm(tmp_path, "import time; time.sleep(60)")
+    assert vm.process is not None
+    vm.send(signal.SIGTERM)
+    assert vm.may_have_ended(vm.process, vm.process.wait())
+
+
+@pytest.mark.parametrize("has_written", [False, True])
+def test_process_that_held_its_signals_ends_by_itself(tmp_path: Path, has_written: bool) -> None:
+    """A signal that ends a program which held it, or which has run already, is a fault."""
+    hold = "" if has_written else "signal.pthread_sigmask(signal.SIG_BLOCK, {15}); "
+    release = "time.sleep(0.5); signal.pthread_sigmask(signal.SIG_UNBLOCK, {15}); time.sleep(60)"
+    vm = started_vm(tmp_path, f"import signal, time; {hold}print(flush=True); {release}")
+    assert vm.process is not None
+    assert vm.process.stdout is not None
+    vm.process.stdout.readline()
+    if has_written:
+        vm.log.write_text("start\n")
+    vm.send(signal.SIGTERM)
+    assert vm.process.wait() == -signal.SIGTERM
+    assert not vm.may_have_ended(vm.process, -signal.SIGTERM)
+
+
 @pytest.mark.parametrize("seed", seeds())
 def test_every_promise_is_kept_through_faults_in_series(seed: int, tmp_path: Path) -> None:
     soak = anyio.run(play_seed, seed, SECONDS, VMS, tmp_path)
