--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -8,17 +8,15 @@
 import anyio.abc
 import pytest
 
-from balsamcleat.decisions.sample_progress import SampleProgress
 from balsamcleat.http1 import ConnectionPool, PoolLimits, Request
 from balsamcleat.model.routing import RouteKind
 from balsamcleat.platform import CORRELATION_HEADER, ReplicaControl
 from balsamcleat.platform.orders import OrderResult
 from balsamcleat.tasks.sample_run import SampleEnd
 from live_world import attempt_id, listed_replica, live_world, response_bytes, route
-from lost_links import Cut, LinkedNetwork
 from raw_target import RawTarget, Script, raw_target
 from test_impossible_answers import order_load
-from test_spoiled_events import GOOD, head, run_sample
+from test_spoiled_events import GOOD, head, read_stream_behind_another_vm, run_sample
 from test_stream_forwarding import ALL_EVENTS, EVENTS, STREAM, chunk, event_bytes
 
 pytestmark = pytest.mark.anyio
@@ -68,16 +66,7 @@
 async def test_copy_of_a_report_is_not_the_answer_behind_another_vm(
     name: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    network = LinkedNetwork(monkeypatch)
-    scripts = [copy_of_report(REPORT_ANSWERS[name])]
-    async with live_world(scripts, STREAM, vm_count=2, network=network) as world:
-        await world.strand(0, Cut.REFUSE)
-        with anyio.fail_after(5.0):
-            while not world.targets[0].requests:
-                caller = await world.connect()
-                status, _, body = await caller.request("a1")
-                assert status == 503 or body == ALL_EVENTS
-        assert status == 200
+    await read_stream_behind_another_vm([copy_of_report(REPORT_ANSWERS[name])], monkeypatch)
 
 
 async def test_copy_of_an_answer_is_not_that_to_the_next_request_on_the_connection() -> None:
@@ -173,8 +162,8 @@
 @pytest.mark.parametrize("name", UNSTAMPED)
 async def test_sample_is_interrupted_by_an_answer_without_a_stamp(name: str) -> None:
     """A 422 gives a sample up, and a 500 counts against its attempts."""
-    async with raw_target(answers_once(UNSTAMPED[name])) as target:
-        assert (await run_sample(target, SampleProgress())).end is SampleEnd.INTERRUPTED
+    outcome, _ = await run_sample(answers_once(UNSTAMPED[name]))
+    assert outcome.end is SampleEnd.INTERRUPTED
 
 
 NAMED_ENDS = {"500 Error": SampleEnd.FAILED, "422 Unprocessable": SampleEnd.UNPROCESSABLE}
@@ -187,5 +176,5 @@
         failure = response_bytes(attempt, b"", status)
         await stream.send(failure.replace(b"Server-Stamp: stamp\r\n", b""))
 
-    async with raw_target(script) as target:
-        assert (await run_sample(target, SampleProgress())).end is NAMED_ENDS[status]
+    outcome, _ = await run_sample(script)
+    assert outcome.end is NAMED_ENDS[status]
--- a/tests/test_impossible_answers.py
+++ b/tests/test_impossible_answers.py
@@ -22,7 +22,6 @@
 from balsamcleat.adapters.http_service import HttpPlainService, HttpScorer
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
-from balsamcleat.decisions.sample_progress import SampleProgress
 from balsamcleat.errors import AttemptFailedError
 from balsamcleat.http1 import ConnectionPool, PoolLimits
 from balsamcleat.model import (
@@ -160,12 +159,10 @@
 
 
 async def sample(script: Script) -> bool:
-    async with raw_target(script) as target:
-        progress = SampleProgress()
-        with anyio.fail_after(TIME_LIMIT_S):
-            outcome = await run_sample(target, progress)
-        assert not progress.events
-        return outcome.end in (SampleEnd.INTERRUPTED, SampleEnd.FAILED)
+    with anyio.fail_after(TIME_LIMIT_S):
+        outcome, progress = await run_sample(script)
+    assert not progress.events
+    return outcome.end in (SampleEnd.INTERRUPTED, SampleEnd.FAILED)
 
 
 async def scoring_request(script: Script) -> bool:
@@ -376,12 +373,10 @@
             event = f"id: {number}\ndata: {'y' * 4096}\n\n".encode()
             await stream.send(chunk(event))
 
-    async with raw_target(script) as target:
-        progress = SampleProgress()
-        with anyio.fail_after(TIME_LIMIT_S):
-            outcome = await run_sample(target, progress)
-        assert outcome.end is SampleEnd.INTERRUPTED
-        assert not progress.events
+    with anyio.fail_after(TIME_LIMIT_S):
+        outcome, progress = await run_sample(script)
+    assert outcome.end is SampleEnd.INTERRUPTED
+    assert not progress.events
 
 
 def test_no_call_about_the_memory_of_engines_is_sent() -> None:
--- a/tests/test_spoiled_events.py
+++ b/tests/test_spoiled_events.py
@@ -118,8 +118,15 @@
 async def test_stream_behind_another_vm_goes_on_after_the_last_event_that_its_caller_has(
     name: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    network = LinkedNetwork(monkeypatch)
     scripts = [spoiled_stream(SPOILED_EVENTS[name]), GOOD]
+    await read_stream_behind_another_vm(scripts, monkeypatch)
+
+
+async def read_stream_behind_another_vm(
+    scripts: list[Script], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Check that a VM without links to targets relays the whole stream by way of another VM."""
+    network = LinkedNetwork(monkeypatch)
     async with live_world(scripts, STREAM, vm_count=2, network=network) as world:
         await world.strand(0, Cut.REFUSE)
         with anyio.fail_after(5.0):
@@ -147,35 +154,33 @@
 @pytest.mark.anyio
 @pytest.mark.parametrize("name", SPOILED_EVENTS)
 async def test_sample_keeps_the_events_before_a_spoiled_one(name: str) -> None:
-    async with raw_target(spoiled_stream(SPOILED_EVENTS[name])) as target:
-        progress = SampleProgress()
-        outcome = await run_sample(target, progress)
-        assert outcome.end is SampleEnd.INTERRUPTED
-        assert progress.events == [f"event {number}" for number in range(1, SPOILED)]
-
-
-async def run_sample(target: RawTarget, progress: SampleProgress) -> SampleRunOutcome:
-    """Run a sample once at a target."""
-    replica = listed_replica(0, target)
-    directory = ReplicaDirectory()
-    directory.apply_entry(replica)
-    pool = ConnectionPool(PoolLimits(resets_abandoned=True), CORRELATION_HEADER)
-    runner = SampleRunner(pool, directory, ReplicaStatsRegistry())
-    try:
-        return await runner.run(sample_assignment(replica), progress)
-    finally:
-        pool.close()
+    outcome, progress = await run_sample(spoiled_stream(SPOILED_EVENTS[name]))
+    assert outcome.end is SampleEnd.INTERRUPTED
+    assert progress.events == [f"event {number}" for number in range(1, SPOILED)]
+
+
+async def run_sample(script: Script) -> tuple[SampleRunOutcome, SampleProgress]:
+    """Run a sample once at a target; return how the run ended, and what the sample has then."""
+    progress = SampleProgress()
+    async with raw_target(script) as target:
+        replica = listed_replica(0, target)
+        directory = ReplicaDirectory()
+        directory.apply_entry(replica)
+        pool = ConnectionPool(PoolLimits(resets_abandoned=True), CORRELATION_HEADER)
+        runner = SampleRunner(pool, directory, ReplicaStatsRegistry())
+        try:
+            return await runner.run(sample_assignment(replica), progress), progress
+        finally:
+            pool.close()
 
 
 @pytest.mark.anyio
 @pytest.mark.parametrize("name", SOUND_EVENTS)
 async def test_sound_events_are_used(name: str) -> None:
-    async with raw_target(spoiled_stream(SOUND_EVENTS[name])) as target:
-        progress = SampleProgress()
-        outcome = await run_sample(target, progress)
-        assert outcome.end is SampleEnd.COMPLETE
-        assert progress.events == [f"event {number}" for number in range(1, EVENTS + 1)]
-        assert progress.versions == ({1, 2} if name == "version" else {1})
+    outcome, progress = await run_sample(spoiled_stream(SOUND_EVENTS[name]))
+    assert outcome.end is SampleEnd.COMPLETE
+    assert progress.events == [f"event {number}" for number in range(1, EVENTS + 1)]
+    assert progress.versions == ({1, 2} if name == "version" else {1})
     async with live_world([spoiled_stream(SOUND_EVENTS[name])], STREAM) as world:
         caller = await world.connect()
         status, _, body = await caller.request("a1")
@@ -201,11 +206,9 @@
             caller = await world.connect()
             status, _, body = await caller.request(f"a{number}")
             assert (status, body) == (200, ALL_EVENTS)
-    async with raw_target(script) as target:
-        progress = SampleProgress()
-        outcome = await run_sample(target, progress)
-        assert outcome.end is SampleEnd.INTERRUPTED
-        assert not progress.events
+    outcome, progress = await run_sample(script)
+    assert outcome.end is SampleEnd.INTERRUPTED
+    assert not progress.events
 
 
 @pytest.mark.anyio
@@ -218,19 +221,17 @@
             caller = await world.connect()
             status, _, body = await caller.request(f"a{number}")
             assert (status, body) == (200, ALL_EVENTS)
-    async with raw_target(script) as target:
-        assert (await run_sample(target, SampleProgress())).end is SampleEnd.INTERRUPTED
+    outcome, _ = await run_sample(script)
+    assert outcome.end is SampleEnd.INTERRUPTED
 
 
 @pytest.mark.anyio
 async def test_version_of_a_running_stream_does_not_fall() -> None:
     """A spoiled digit may name an earlier version, under which the stream can't go on."""
     event = b"weight-versions: 1\nid: 6\ndata: event 6\n\n"
-    async with raw_target(spoiled_stream(event, version=2)) as target:
-        progress = SampleProgress()
-        outcome = await run_sample(target, progress)
-        assert outcome.end is SampleEnd.INTERRUPTED
-        assert progress.versions == {2}
+    outcome, progress = await run_sample(spoiled_stream(event, version=2))
+    assert outcome.end is SampleEnd.INTERRUPTED
+    assert progress.versions == {2}
 
 
 def test_text_whose_data_contains_line_feeds_is_carried_over_as_it_is() -> None:
