--- a/review/standins-3/stage.py
+++ b/review/standins-3/stage.py
@@ -37,6 +37,7 @@
 HOST = "ficu95.example"
 FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 8144, 8140, 8146, 7660
 STORE_PORT, REPLICA_PORT = 8142, 8080
+MAX_MACHINES = 12
 
 
 class CannotRun(Exception):
@@ -259,13 +260,15 @@
             except asyncio.TimeoutError:
                 pass
 
-    async def serve(self, address):
-        """Serve at an address of its own, for one process."""
+    async def serve(self, address, machine):
+        """Serve at an address of its own, for one machine, which has its own way to replicas."""
 
         async def handle(reader, writer):
             try:
                 while (message := await read_message(reader)) is not None:
                     status, body = await self.answer(message)
+                    if body.get("rows"):
+                        body["rows"] = [way_of(row, machine) for row in body["rows"]]
                     data = json.dumps(body).encode()
                     writer.write(
                         response_bytes(status, (("Content-Type", "application/json"),), data)
@@ -280,6 +283,19 @@
         return await asyncio.start_server(handle, host, int(port), limit=2**20)
 
 
+def way_of(row, machine):
+    """Return a row as a machine sees it: each reaches a replica at a port of its own.
+
+    So a replica knows which machine has sent a request.
+    """
+    if row["table"] != "servers" or "value" not in row:
+        return row
+    entry = json.loads(base64.b64decode(row["value"]))
+    host, _, port = entry["address"].rpartition(":")
+    entry["address"] = f"{host}:{int(port) + machine}"
+    return {**row, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
+
+
 class Proxy:
     """A way to an address whose open connections can be silenced or reset."""
 
@@ -339,6 +355,11 @@
                 reset(end)
 
 
+def machine_of(writer):
+    """Return the number of the machine that sent a request to a replica."""
+    return writer.get_extra_info("sockname")[1] - REPLICA_PORT
+
+
 class Replica:
     """A sound replica; ``run`` is a coroutine that answers one request."""
 
@@ -351,7 +372,7 @@
         self.orders = 0
         self.beats = 0
         self.busy = False
-        # What was run: time, request id, path, peer address.
+        # What was run: time, request id, path, number of the machine that sent it.
         self.runs = []
         self.order_log = []
         self.entry_address = address
@@ -371,7 +392,10 @@
 
     async def start(self):
         host, _, port = self.address.rpartition(":")
-        self.server = await asyncio.start_server(self.handle, host, int(port), limit=2**20)
+        self.servers = [
+            await asyncio.start_server(self.handle, host, int(port) + machine, limit=2**20)
+            for machine in range(MAX_MACHINES + 1)
+        ]
         self.stage.store.put("servers", self.name, self.entry())
         self.stage.spawn(self.beat())
 
@@ -437,8 +461,8 @@
         writer.write(response_bytes(202))
 
     async def run_counted(self, message, reader, writer):
-        peer = writer.get_extra_info("peername")[0]
-        self.runs.append((time.monotonic(), message.header("Attempt-Id"), message.path, peer))
+        self.runs.append((time.monotonic(), message.header("Attempt-Id"), message.path,
+                          machine_of(writer)))
         self.running += 1
         work = asyncio.ensure_future(self.run(message, writer))
         closed = asyncio.ensure_future(self.wait_closed(reader))
@@ -613,7 +637,7 @@
 
     async def add_vm(self, number, ram_mb=170, store_proxy=False):
         goal = self.address(100 + number, STORE_PORT)
-        await self.store.serve(goal)
+        await self.store.serve(goal, number)
         address, proxy = goal, None
         if store_proxy:
             address = self.address(100 + number, STORE_PORT + 1)
@@ -622,6 +646,7 @@
         vm = Vm(self, f"front-{number}", f"{self.net}.{number}",
                 "sofia-a" if number % 2 else "sofia-b", address, ram_mb)
         vm.store_proxy = proxy
+        vm.number = number
         self.vms.append(vm)
         return vm
 
