--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -17,12 +17,12 @@
 MAX_BODY_BYTES = 33554432
 
 
-def desired_state(version, *, attempts=2):
+def desired_state(version, *, kind="safe", attempts=2):
     """Return a desired state with one route for calls and one for batch submissions."""
     return {
         "version": version,
         "routes": [
-            {"name": "r-3d3zji9", "host": HOST, "prefix": CALL_PREFIX, "kind": "safe",
+            {"name": "r-3d3zji9", "host": HOST, "prefix": CALL_PREFIX, "kind": kind,
              "timeoutMs": int(CALL_TIMEOUT_S * 1000), "sloMs": 191, "prio": 2,
              "svc": CALL_SERVICE, "attempts": attempts},
             {"name": "r-n73hh2b", "host": HOST, "prefix": STEP_PREFIX, "kind": "rollout",
