--- a/review/standins-3/stage.py
+++ b/review/standins-3/stage.py
@@ -606,7 +606,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review3-"))
         self.store = Store()
         self.vms, self.replicas, self.tasks = [], [], set()
-        self.record_file = open(record, "w")
+        self.record_file = open(record, "w", encoding="utf-8")
         self.began = time.monotonic()
 
     @staticmethod
