--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -6,7 +6,9 @@
 import os
 import time
 
-from stage import HOST, ask, request_bytes
+from stage import (
+    HOST, MAX_MACHINES, ask, machine_of, read_message, request_bytes, response_bytes,
+)
 
 MODEL = "daka510000"
 CALL_SERVICE, ENGINE_SERVICE = "wuno96b", "huvo11a"
@@ -111,3 +113,54 @@
         self.calls.append((sent, status, time.monotonic() - sent))
         self.stage.note(f"call {attempt} at {self.vm.name}: {status} "
                         f"after {time.monotonic() - sent:.3f} s")
+
+
+async def call_on_kept_channel(stage, vm, name, lost):
+    """Send calls one after the other on kept channels; note those that end without an answer."""
+    host, _, port = vm.front.rpartition(":")
+    count, writer = 0, None
+    while True:
+        count += 1
+        attempt = f"{name:08x}{count:08x}"
+        headers = (("Host", HOST), ("Attempt-Id", attempt), ("Deadline-Ms", "1500"))
+        sent, answer = time.monotonic(), None
+        try:
+            if writer is None:
+                reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(request_bytes("POST", f"{CALL_PREFIX}2f", headers, b"x" * 600))
+            answer = await read_message(reader)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        if answer is not None:
+            stage.note(f"call {attempt} at {vm.name}: {answer.status}")
+            continue
+        if writer is not None:
+            lost.append(attempt)
+            stage.note(f"call {attempt} at {vm.name}: channel closed without an answer "
+                       f"after {time.monotonic() - sent:.3f} s")
+            writer.close()
+            writer = None
+        await asyncio.sleep(0.2)
+
+
+async def serve_other(stage, address, status, received):
+    """Serve as a program that is no replica and knows nothing of this protocol."""
+
+    async def handle(reader, writer):
+        try:
+            while (message := await read_message(reader)) is not None:
+                attempt = message.header("Attempt-Id")
+                received.append(attempt)
+                stage.note(f"the other writer's server gets {message.method} {message.target} "
+                           f"{attempt} with {len(message.body)} bytes from machine "
+                           f"{machine_of(writer)}")
+                writer.write(response_bytes(status, (("Content-Type", "text/plain"),), b"ok\n"))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    host, _, port = address.rpartition(":")
+    for machine in range(MAX_MACHINES + 1):
+        await asyncio.start_server(handle, host, int(port) + machine, limit=2**20)
