Review stand-ins: a stopped case ends its processes

Cause: a script that was stopped with SIGTERM left its processes. Change: the stand-ins cancel the case, end its processes and remove its folder.

--- a/review/standins-3/stage.py
+++ b/review/standins-3/stage.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -44,10 +45,6 @@
     """The case could not run here."""
 
 
-def log_number():
-    return time.monotonic()
-
-
 class Message:
     """Request or response as read from a socket."""
 
@@ -674,6 +671,7 @@
         for task in list(self.tasks):
             task.cancel()
         self.record_file.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def play(case, record):
@@ -681,13 +679,16 @@
 
     async def run():
         # Connections of stand-ins that are cancelled at the end are no errors.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        # A stopped case ends its processes, too.
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         stage = Stage(record)
         try:
             is_broken = await asyncio.wait_for(case(stage), 110)
             stage.note("RULE BROKEN" if is_broken else "rule held")
             return 1 if is_broken else 0
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
             stage.note(f"could not run: {error!r}")
             return 2
         finally:
