--- a/review/15/case.py
+++ b/review/15/case.py
@@ -14,7 +14,7 @@
 from stage import machine_of, play, response_bytes, trouble
 
 VMS = 8
-STOPS = 5
+STOPS = 4
 # Shortest time between two stops; the default of `gap_s`.
 STOP_GAP_S = 1.0
 FAILS_AFTER_S = 0.3
