--- a/src/balsamcleat/adapters/http_client.py
+++ b/src/balsamcleat/adapters/http_client.py
@@ -13,7 +13,9 @@
 
 __all__ = [
     "DEADLINE_HEADER",
+    "ENCODING_ERRORS",
     "REJECTION_STATUSES",
+    "REQUEST_ERRORS",
     "AttemptTrace",
     "check_status",
     "discard_body",
@@ -39,6 +41,11 @@
 REJECTION_STATUSES = (429, 503)
 NO_BODY_STATUSES = (204, 304)
 
+# Errors of a request for which the URL or a header can't be encoded; nothing was sent.
+ENCODING_ERRORS = (httpx.InvalidURL, UnicodeError)
+# Errors of a request that got no complete response.
+REQUEST_ERRORS = (httpx.HTTPError, TimeoutError, *ENCODING_ERRORS)
+
 log = structlog.get_logger()
 
 
@@ -244,7 +251,7 @@
                 check_status(received, trace)
                 has_end = has_explicit_end(received)
                 response = await read_bounded(received, trace)
-    except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
+    except REQUEST_ERRORS as error:
         raise trace.failure(error) from error
     if not has_end:
         raise trace.failure("the end of the answer is not marked", FailureKind.CUT)
--- a/src/balsamcleat/adapters/http_engine.py
+++ b/src/balsamcleat/adapters/http_engine.py
@@ -22,6 +22,7 @@
 from balsamcleat.adapters.http_client import (
     CONNECT_TIMEOUT_S,
     DEADLINE_HEADER,
+    REQUEST_ERRORS,
     AttemptTrace,
     check_status,
     discard_body,
@@ -133,7 +134,7 @@
                         yield frame
                     if parsed.has_ended:
                         return
-        except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
+        except REQUEST_ERRORS as error:
             raise trace.failure(error) from error
         except ProtocolError as error:
             raise trace.failure(error.message, FailureKind.MALFORMED) from error
--- a/src/balsamcleat/adapters/http_platform.py
+++ b/src/balsamcleat/adapters/http_platform.py
@@ -5,6 +5,7 @@
 import httpx
 import msgspec
 
+from balsamcleat.adapters.http_client import ENCODING_ERRORS, REQUEST_ERRORS
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import OutcomeUnknownError, PlatformUnavailableError
 from balsamcleat.model import VmId, VmKind, VmRecord, WeightVersion, ZoneName
@@ -24,6 +25,7 @@
 
 READ_TIMEOUT_S = 2.0
 WRITE_TIMEOUT_S = 3.0
+NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
 class RowMessage(msgspec.Struct, frozen=True):
@@ -111,7 +113,7 @@
             response = await self.client.get(
                 self.base_url + path, params=params, timeout=READ_TIMEOUT_S
             )
-        except httpx.HTTPError as error:
+        except REQUEST_ERRORS as error:
             raise PlatformUnavailableError(
                 f"{type(error).__name__}: {error}", step=step, peer=self.base_url
             ) from error
@@ -127,7 +129,7 @@
             response = await self.client.request(
                 method, self.base_url + path, content=body, timeout=WRITE_TIMEOUT_S
             )
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        except (*NOT_SENT_ERRORS, *ENCODING_ERRORS) as error:
             raise PlatformUnavailableError(
                 f"{type(error).__name__}: {error}", step=step, peer=self.base_url
             ) from error
--- a/src/balsamcleat/adapters/http_trainer_service.py
+++ b/src/balsamcleat/adapters/http_trainer_service.py
@@ -4,6 +4,7 @@
 import httpx
 import msgspec
 
+from balsamcleat.adapters.http_client import REQUEST_ERRORS
 from balsamcleat.api.trainer_messages import (
     BatchMessage,
     PromptMessage,
@@ -121,7 +122,7 @@
                     return response
                 if response.status_code < 500 and response.status_code != 429:
                     raise RefusedError(response.text, step=step, peer=url)
-            except httpx.HTTPError:
+            except REQUEST_ERRORS:
                 pass
             self.url_index += 1
             self.failovers += 1
--- a/src/balsamcleat/adapters/operator_client.py
+++ b/src/balsamcleat/adapters/operator_client.py
@@ -9,6 +9,7 @@
 import httpx
 import msgspec
 
+from balsamcleat.adapters.http_client import ENCODING_ERRORS
 from balsamcleat.api.operator_messages import ConfigurationMessage, PatchReply
 from balsamcleat.api.problems import Problem
 from balsamcleat.decoding import decode_json
@@ -149,7 +150,12 @@
             response = self.client.request(
                 method, self.url + path, content=content or None, headers=headers
             )
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.UnsupportedProtocol) as error:
+        except (
+            httpx.ConnectError,
+            httpx.ConnectTimeout,
+            httpx.UnsupportedProtocol,
+            *ENCODING_ERRORS,
+        ) as error:
             raise PlatformUnavailableError(
                 f"no node answers at {self.url}: {error}; name another with --url", step=step
             ) from error
--- a/src/balsamcleat/decisions/duty_lease.py
+++ b/src/balsamcleat/decisions/duty_lease.py
@@ -126,10 +126,12 @@
 
     Args:
         vm: Name of this VM.
+        boot: Identifier of this start of the VM's process.
     """
 
-    def __init__(self, vm: str) -> None:
+    def __init__(self, vm: str, boot: str) -> None:
         self.vm = vm
+        self.boot = boot
         # Version of the row, and local time in seconds when it was first read.
         self.observed_row: tuple[int, float] | None = None
 
@@ -151,10 +153,11 @@
         if self.observed_row is None or self.observed_row[0] != version:
             self.observed_row = (version, now_s)
         unchanged_s = now_s - self.observed_row[1]
-        if not is_fit:
+        # The duty may be what ended the earlier process of this VM, so the others come first.
+        is_of_earlier_process = state.vm == self.vm and state.boot != self.boot
+        if not is_fit or is_of_earlier_process:
             return unchanged_s >= LEASE_TERM_S + UNFIT_DELAY_S
-        # A row with this VM's name is that of an earlier process, or the response to the
-        # acquisition was lost.
+        # A row of this process is there if the response to its acquisition was lost.
         if state.vm in ("", self.vm):
             return True
         return unchanged_s >= LEASE_TERM_S
--- a/src/balsamcleat/decisions/replica_directory.py
+++ b/src/balsamcleat/decisions/replica_directory.py
@@ -54,6 +54,8 @@
         self.entries: dict[TargetId, Replica] = {}
         # Targets that take new work, by service.
         self.ready_by_service: dict[ServiceName, dict[TargetId, Replica]] = {}
+        # Services whose targets are model engines.
+        self.engine_services: frozenset[ServiceName] = frozenset()
         # Targets whose entries disappeared around an outage, with the time until which they are
         # kept.
         self.missing_until_s: dict[TargetId, float] = {}
@@ -196,8 +198,7 @@
             return []
         self.remove_ready(previous)
         self.entries[replica.target_id] = replica
-        if replica.state is ReplicaState.READY and not self.is_leaving(replica):
-            self.ready_by_service.setdefault(replica.service, {})[replica.target_id] = replica
+        self.add_ready(replica)
         if previous is None:
             return [ReplicaChange(replica.target_id, replica, "listed")]
         if previous.started_ms != replica.started_ms:
@@ -249,6 +250,25 @@
         """Return whether a service has a target that is ready for new work."""
         return bool(self.ready_by_service.get(service))
 
+    def apply_engine_services(self, services: frozenset[ServiceName]) -> None:
+        """Apply which services are those of model engines; only the configuration says so."""
+        if services == self.engine_services:
+            return
+        self.engine_services = services
+        for replica in self.entries.values():
+            self.remove_ready(replica)
+            self.add_ready(replica)
+
+    def add_ready(self, replica: Replica) -> None:
+        """Add an entry to the targets that take new work, if it is one of them.
+
+        An entry without models under the service of an engine is that of another writer.
+        """
+        is_foreign = replica.service in self.engine_services and not replica.lists_models
+        is_ready = replica.state is ReplicaState.READY and not self.is_leaving(replica)
+        if is_ready and not is_foreign:
+            self.ready_by_service.setdefault(replica.service, {})[replica.target_id] = replica
+
     def remove_ready(self, replica: Replica | None) -> None:
         """Remove an earlier entry from the targets that take new work."""
         if replica is not None:
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -456,6 +456,9 @@
 
     def wake_schedulers(self) -> None:
         """Wake the components that schedule work by the configuration and the targets."""
+        table = self.routing_keeper.table
+        if table is not None:
+            self.replica_directory.apply_engine_services(table.engine_services)
         if self.duties.usage_counter is not None and self.routing_keeper.table is not None:
             self.duties.usage_counter.start()
         self.runner.wake()
--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -16,9 +16,13 @@
     Headers,
     Request,
     Response,
+    has_valid_field,
+    has_valid_target,
+    header_text,
     header_value,
     is_final_status,
     is_success,
+    text_of_header,
     without_headers,
 )
 from balsamcleat.http1.server import HttpServer
@@ -46,10 +50,14 @@
     "ServerLimits",
     "StreamEvent",
     "connect",
+    "has_valid_field",
+    "has_valid_target",
+    "header_text",
     "header_value",
     "is_final_status",
     "is_success",
     "listen",
     "parse_address",
+    "text_of_header",
     "without_headers",
 ]
--- a/src/balsamcleat/http1/exchange.py
+++ b/src/balsamcleat/http1/exchange.py
@@ -12,6 +12,7 @@
     Headers,
     Request,
     Response,
+    encode_headers,
     header_value,
     is_final_status,
 )
@@ -140,11 +141,32 @@
             raise self.failure("the permission to send has run out", FailureKind.UNREACHED)
 
     def encode_request(self) -> bytes:
-        """Return the serialized request; the parser then expects its response."""
-        request = self.request
-        headers = [*request.headers]
+        """Return the serialized request; the parser then expects its response.
+
+        Raises:
+            AttemptFailedError: HTTP can't express the request; nothing was sent.
+        """
+        try:
+            return self.serialize(self.request)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            raise AttemptFailedError(
+                f"the request can't be encoded: {error}",
+                step="http.exchange",
+                peer=self.address,
+                perhaps_sent=False,
+                kind=FailureKind.INVALID_REQUEST,
+            ) from error
+
+    def serialize(self, request: Request) -> bytes:
+        """Return the bytes of a request.
+
+        Raises:
+            h11.LocalProtocolError: The request is no valid HTTP.
+            UnicodeEncodeError: A header has a character that is no byte.
+        """
+        headers = encode_headers(request.headers)
         if request.body or request.method not in ("GET", "DELETE", "HEAD"):
-            headers.append(("Content-Length", str(len(request.body))))
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
         head = h11.Request(method=request.method, target=request.target, headers=headers)
         parts = [self.parser.send(head)]
         if request.body:
--- a/src/balsamcleat/http1/messages.py
+++ b/src/balsamcleat/http1/messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses, and functions that read and filter their headers."""
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -8,9 +9,14 @@
     "Headers",
     "Request",
     "Response",
+    "encode_headers",
+    "has_valid_field",
+    "has_valid_target",
+    "header_text",
     "header_value",
     "is_final_status",
     "is_success",
+    "text_of_header",
     "without_headers",
 ]
 
@@ -20,9 +26,15 @@
 FIRST_UNDEFINED_STATUS = 600
 
 # Header names keep their received case, so that they are forwarded unchanged. Compare them
-# case-insensitively.
+# case-insensitively. Each character of a value is one byte on the wire, as in Latin-1; text that
+# does not come from a header becomes such a value by ``header_text``.
 Headers = tuple[tuple[str, str], ...]
 
+# Forms of a field name and value (RFC 9110, section 5) and of a request target without spaces.
+FIELD_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+FIELD_VALUE = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
+REQUEST_TARGET = re.compile(r"[\x21-\x7e]+")
+
 # Headers that apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
     {
@@ -103,6 +115,35 @@
     return None
 
 
+def header_text(text: str) -> str:
+    """Return the header value that stands for a text: the bytes of its encoding in UTF-8."""
+    return text if text.isascii() else text.encode("utf-8", "replace").decode("latin-1")
+
+
+def text_of_header(value: str) -> str:
+    """Return the text that a header value stands for; the inverse of ``header_text``."""
+    return value.encode("latin-1", "replace").decode("utf-8", "replace")
+
+
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return headers as they are on the wire.
+
+    Raises:
+        UnicodeEncodeError: A name or a value has a character that is no byte.
+    """
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+
+
+def has_valid_field(name: str, value: str) -> bool:
+    """Return whether a name and a text can be sent as a header."""
+    return bool(FIELD_NAME.fullmatch(name) and FIELD_VALUE.fullmatch(value))
+
+
+def has_valid_target(target: str) -> bool:
+    """Return whether a text can be sent as the target of a request."""
+    return REQUEST_TARGET.fullmatch(target) is not None
+
+
 def without_headers(headers: Headers, names: Iterable[str]) -> Headers:
     """Return the headers except those in ``names``, which are in lower case."""
     excluded_names = frozenset(names)
--- a/src/balsamcleat/http1/server_connection.py
+++ b/src/balsamcleat/http1/server_connection.py
@@ -10,7 +10,7 @@
 import structlog
 
 from balsamcleat.http1.byte_budget import PendingBytes
-from balsamcleat.http1.messages import Headers, Request, Response
+from balsamcleat.http1.messages import Headers, Request, Response, encode_headers
 from balsamcleat.http1.streams import ByteStream
 
 if TYPE_CHECKING:
@@ -116,11 +116,11 @@
         await self.write_events(h11.EndOfMessage())
         self.has_finished = True
 
-    def with_connection_header(self, headers: Headers) -> list[tuple[str, str]]:
-        """Return the headers, with ``Connection: close`` if this is the last response."""
+    def with_connection_header(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """Return the headers to send, with ``Connection: close`` if this is the last response."""
         if self.connection.closes_after_response():
-            return [*headers, ("Connection", "close")]
-        return list(headers)
+            headers = (*headers, ("Connection", "close"))
+        return encode_headers(headers)
 
     async def write_events(self, *events: h11.Event) -> None:
         """Serialize ``h11`` events and send them together."""
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -374,6 +374,11 @@
         "An engine was ordered to load a version.",
         "target model version fence order_count outcome",
     ),
+    event(
+        "weight order failed by a fault",
+        "A fault of this program; the target gets another order later.",
+        "target exception",
+    ),
     event("weights loaded", "It runs the version.", "target version"),
     event("weights not loaded", "It says that it loads nothing.", "target"),
     event("no report", "It did not say its state.", "target reason"),
@@ -397,7 +402,7 @@
     ),
     event("target orders changed by another VM", "They are read again.", "service zone"),
     event("target orders wait for the store", "They are given later.", "reason"),
-    event("target orders failed by a fault", "A fault of this program.", "exception"),
+    event("duty failed by a fault", "A fault of this program.", "duty exception"),
 )
 
 
--- a/src/balsamcleat/model/calls.py
+++ b/src/balsamcleat/model/calls.py
@@ -33,12 +33,14 @@
     because of the target's rate limit, ``REFUSED`` that the target rejected the request, ``CUT``
     that the connection closed before the response was complete, ``SILENT`` that a timeout expired,
     ``FAULT`` that the target failed, and ``MALFORMED`` that the response was invalid.
+    ``INVALID_REQUEST`` means that HTTP can't express the request, so that no target can get it.
     ``LINK_LOST`` means that a link of this VM, or the VM that passed the request on, failed, which
     says nothing about the target.
     """
 
     UNREACHED = "unreached"
     LIMITED = "limited"
+    INVALID_REQUEST = "invalid request"
     REFUSED = "refused"
     CUT = "cut"
     LINK_LOST = "link lost"
--- a/src/balsamcleat/model/replicas.py
+++ b/src/balsamcleat/model/replicas.py
@@ -62,6 +62,8 @@
         entry_version: Version of the entry, increased by each write to the list.
         reclaimable: Whether the platform may take the target away at short notice, together with
             all other reclaimable targets of its availability zone.
+        lists_models: Whether the entry names the models that the target runs, as that of each model
+            engine does.
         leaves_s: Time until the platform takes the target away, at the time of the entry, in
             seconds; None if none is announced.
     """
@@ -78,6 +80,7 @@
     software_version: str = ""
     entry_version: int = 0
     reclaimable: bool = False
+    lists_models: bool = True
     leaves_s: float | None = None
 
     @property
--- a/src/balsamcleat/model/routing.py
+++ b/src/balsamcleat/model/routing.py
@@ -187,6 +187,11 @@
         index = KeyIndex((team, team.key_digests) for team in self.teams)
         object.__setattr__(self, "teams_by_key", index)
 
+    @property
+    def engine_services(self) -> frozenset[ServiceName]:
+        """Services whose targets are model engines."""
+        return frozenset(name for name, spec in self.services.items() if spec.engine is not None)
+
     @property
     def has_teams(self) -> bool:
         """Whether requests need the key of a team, except on public routes."""
--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -6,7 +6,7 @@
 
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
-from balsamcleat.http1 import parse_address
+from balsamcleat.http1 import has_valid_target, parse_address
 from balsamcleat.http1.numbers import MAX_NUMBER
 from balsamcleat.model import (
     ConfigurationVersion,
@@ -94,10 +94,16 @@
 
 
 class ModelFields(msgspec.Struct, frozen=True):
-    """Model that a service or a target serves."""
+    """Model that a service serves."""
 
     name: str
-    version: StoredInteger = 0
+
+
+class LoadedModelFields(msgspec.Struct, frozen=True):
+    """Model on a target with the version of its weights."""
+
+    name: str
+    version: StoredInteger
 
 
 class EngineFields(msgspec.Struct, frozen=True, rename="camel"):
@@ -152,8 +158,8 @@
     """Configuration document."""
 
     version: StoredInteger
-    routes: list[RouteFields] = []
-    services: list[ServiceFields] = []
+    routes: list[RouteFields]
+    services: list[ServiceFields]
     limits: LimitFields = LimitFields()
     tenants: list[TenantFields] | None = None
 
@@ -168,23 +174,25 @@
 class ReplicaFields(msgspec.Struct, frozen=True, rename="camel"):
     """Entry of a target in the target list.
 
-    An entry with a number that can't be is one of another writer, whatever else it says.
+    Another writer may put entries into the list. An entry in which a field is missing that all
+    targets write, or has another type or a number that can't be, is one of these.
     """
 
     svc: str
     address: str
     state: str
-    zone: str = ""
+    zone: str
     # Version of the target's software, while each of ``models`` has that of its weights.
-    version: str = ""
-    batch_slots: StoredInteger = 1
-    cold_left_ms: StoredNumber = 0.0
+    version: str
+    batch_slots: StoredInteger
+    cold_left_ms: StoredNumber
+    # Start of the target's process in Unix milliseconds.
+    born: StoredInteger
     # Number of writes of the entry, which is not used; in reports and orders, the same name counts
     # the orders that the target has accepted.
     call_seq: StoredInteger = 0
-    # Start of the target's process in Unix milliseconds.
-    born: StoredInteger = 0
-    models: list[ModelFields] = []
+    # Only model engines write it.
+    models: list[LoadedModelFields] | msgspec.UnsetType = msgspec.UNSET
     # The last three are decoded apart from the rest, so that an unknown form of them does not
     # remove the target from the list.
     spot: object = None
@@ -316,8 +324,11 @@
 def decode_replica(target_id: str, value: bytes, version: int) -> Replica | None:
     """Return a target's entry, or None if it is not in the expected format.
 
-    Other writers may put entries into the same table.
+    Other writers may put entries into the same table. The id is sent in a header of each request to
+    the target, so one that can't be is no target's.
     """
+    if not has_valid_target(target_id):
+        return None
     try:
         fields = decode_json(value, ReplicaFields)
         state = ReplicaState.DRAINING if fields.draining is True else ReplicaState(fields.state)
@@ -333,7 +344,8 @@
         slots=max(1, fields.batch_slots),
         slow_start_s=fields.cold_left_ms / MS_PER_S,
         started_ms=fields.born,
-        versions={model.name: WeightVersion(model.version) for model in fields.models},
+        versions={model.name: WeightVersion(model.version) for model in fields.models or ()},
+        lists_models=fields.models is not msgspec.UNSET,
         software_version=fields.version,
         entry_version=version,
         reclaimable=fields.spot is True,
--- a/src/balsamcleat/platform/headers.py
+++ b/src/balsamcleat/platform/headers.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from balsamcleat.http1 import Headers, header_value, without_headers
+from balsamcleat.http1 import Headers, header_text, header_value, without_headers
 from balsamcleat.http1.messages import end_to_end_headers
 from balsamcleat.http1.numbers import decimal_number
 from balsamcleat.model import TargetId, TeamName, WeightVersion
@@ -128,7 +128,9 @@
 
 def with_team(headers: Headers, team: TeamName | None) -> Headers:
     """Return the headers of a request of a team; unchanged if it has no team."""
-    return headers if team is None else (*without_team_headers(headers), (TEAM_HEADER, team))
+    if team is None:
+        return headers
+    return (*without_team_headers(headers), (TEAM_HEADER, header_text(team)))
 
 
 def parse_caller_timeout_s(headers: Headers) -> float | None:
--- a/src/balsamcleat/platform/orders.py
+++ b/src/balsamcleat/platform/orders.py
@@ -11,7 +11,7 @@
 from balsamcleat.http1 import ConnectionPool, Headers, Request, Response, is_success
 from balsamcleat.model import WeightVersion
 from balsamcleat.model.replicas import Replica, ReplicaReport
-from balsamcleat.platform.documents import StoredInteger
+from balsamcleat.platform.documents import LoadedModelFields, StoredInteger
 from balsamcleat.platform.headers import EXPECTED_TARGET_HEADER
 
 __all__ = ["OrderOutcome", "OrderResult", "ReplicaControl", "parse_started_ms", "report_request"]
@@ -69,22 +69,15 @@
     expected: int
 
 
-class ModelFields(msgspec.Struct, frozen=True):
-    """Model on a target with its weight version."""
-
-    name: str
-    version: StoredInteger = 0
-
-
 class ReportFields(msgspec.Struct, frozen=True, rename="camel"):
     """Report of a target's state."""
 
-    models: list[ModelFields] = []
+    models: list[LoadedModelFields]
     # Whether the target is executing an order; unrelated to its load.
-    busy: bool = False
+    busy: bool
     # Number of orders that the target has accepted; in the target list the same name counts the
     # writes of an entry.
-    call_seq: StoredInteger = 0
+    call_seq: StoredInteger
     born: StoredInteger = 0
 
 
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -8,7 +8,15 @@
 
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import InvalidInputError
-from balsamcleat.http1 import Headers, Request, header_value, without_headers
+from balsamcleat.http1 import (
+    Headers,
+    Request,
+    has_valid_field,
+    has_valid_target,
+    header_text,
+    header_value,
+    without_headers,
+)
 from balsamcleat.http1.numbers import MAX_NUMBER, decimal_number
 from balsamcleat.model import StepId, TargetId, TeamName, WeightVersion
 from balsamcleat.model.rollout import (
@@ -38,6 +46,7 @@
     "ResultsQuery",
     "StepCall",
     "StepCallKind",
+    "check_requests",
     "classify_step_call",
     "decode_step",
     "encode_results",
@@ -53,6 +62,8 @@
 TOKEN_USAGE_HEADER = "Token-Usage"
 LENGTH_HINT_HEADER = "Length-Hint"
 MAX_WAIT_S = 1.0
+# Around a header's value, it is no part of the value (RFC 9110, section 5.5).
+OPTIONAL_WHITESPACE = " \t"
 
 WIRE_STATES = {SampleState.COMPLETE: "complete", SampleState.GIVEN_UP: "lost"}
 
@@ -212,6 +223,30 @@
     )
 
 
+def check_requests(step: RolloutStep) -> None:
+    """Check that the requests of a new step's samples can be sent.
+
+    Raises:
+        InvalidInputError: HTTP can't express one of them, so its sample could never be generated.
+    """
+    for sample in step.samples:
+        scoring = sample.scoring
+        is_valid = is_valid_request(sample.path, sample.sample_id, sample.headers) and (
+            scoring is None
+            or is_valid_request(scoring.path, scoring.request_id, (("Host", scoring.host),))
+        )
+        if not is_valid:
+            raise InvalidInputError(
+                f"the request of sample {sample.sample_id!r} can't be sent", step="step.check"
+            )
+
+
+def is_valid_request(path: str, request_id: str, headers: Headers) -> bool:
+    """Return whether a request with these properties can be sent."""
+    fields = ((CORRELATION_HEADER, request_id), *headers)
+    return has_valid_target(path) and all(has_valid_field(name, text) for name, text in fields)
+
+
 def without_sample_credentials(body: bytes, step: RolloutStep) -> bytes:
     """Return the body of a submission without the credentials in the headers of its samples.
 
@@ -307,9 +342,12 @@
         replaced |= TEAM_HEADERS
     headers = (
         ("Host", host),
-        (CORRELATION_HEADER, sample.sample_id),
-        *without_headers(
-            sample.headers, replaced | {CORRELATION_HEADER.lower(), LAST_EVENT_HEADER.lower()}
+        (CORRELATION_HEADER, header_text(sample.sample_id)),
+        *(
+            (name, header_text(text.strip(OPTIONAL_WHITESPACE)))
+            for name, text in without_headers(
+                sample.headers, replaced | {CORRELATION_HEADER.lower(), LAST_EVENT_HEADER.lower()}
+            )
         ),
         (DEADLINE_HEADER, str(max(1, int(remaining_s * MS_PER_S)))),
         (EXPECTED_TARGET_HEADER, target_id),
@@ -328,7 +366,10 @@
         scoring: Request as the trainer submitted it.
         now_s: Time of the event loop's clock, in seconds.
     """
-    headers = (("Host", scoring.host), (CORRELATION_HEADER, scoring.request_id))
+    headers = (
+        ("Host", header_text(scoring.host)),
+        (CORRELATION_HEADER, header_text(scoring.request_id)),
+    )
     return Request("POST", scoring.path, headers, scoring.body, now_s)
 
 
--- a/src/balsamcleat/ports/duties.py
+++ b/src/balsamcleat/ports/duties.py
@@ -119,6 +119,10 @@
     def can_call(self) -> bool:
         """Return whether a call may be sent at this moment."""
 
+    @abstractmethod
+    def report_fault(self) -> None:
+        """Record that this process failed in its duty, so that another VM should have the lease."""
+
     def permits(self, stamp: DutyStamp) -> bool:
         """Return whether a call with this identification may be sent at this moment."""
         return self.stamp == stamp and self.can_call()
--- a/src/balsamcleat/tasks/hop_messages.py
+++ b/src/balsamcleat/tasks/hop_messages.py
@@ -4,7 +4,15 @@
 from enum import Enum
 
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.http1 import Headers, Request, Response, header_value, without_headers
+from balsamcleat.http1 import (
+    Headers,
+    Request,
+    Response,
+    header_text,
+    header_value,
+    text_of_header,
+    without_headers,
+)
 from balsamcleat.model import FailureKind, TargetId, TeamName
 from balsamcleat.model.replicas import Replica, TargetStart
 
@@ -120,7 +128,7 @@
     if is_live:
         headers = (*headers, (LIVE_HEADER, "1"))
     if team is not None:
-        headers = (*headers, (TEAM_HEADER, team))
+        headers = (*headers, (TEAM_HEADER, header_text(team)))
     return Request(request.method, HOP_PATH + request.target, headers, request.body)
 
 
@@ -147,7 +155,7 @@
         needs_new_connection,
         StartCheck(check),
         is_live,
-        None if team is None else TeamName(team),
+        None if team is None else TeamName(text_of_header(team)),
     )
 
 
--- a/src/balsamcleat/tasks/scaling_controller.py
+++ b/src/balsamcleat/tasks/scaling_controller.py
@@ -1,6 +1,7 @@
 """Orders the number of targets of services, while this VM holds the lease on that duty."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 import structlog
@@ -18,12 +19,14 @@
 from balsamcleat.model.routing import RoutingTable, ServiceSpec
 from balsamcleat.ports import Metrics
 from balsamcleat.ports.duties import (
+    Duty,
     DutyClient,
     DutyLease,
     DutyOutcome,
     DutyStamp,
     TargetCountOrder,
 )
+from balsamcleat.tasks.duty_faults import perform_guarded
 from balsamcleat.tasks.scaling_inputs import ScalingInputs
 from balsamcleat.tasks.scaling_records import ScalingRecords, ZoneKey
 from balsamcleat.tasks.store_clock import StoreClock
@@ -37,8 +40,6 @@
 MAX_LIST_AGE_S = 5.0
 # Losses of reclaimable targets in a zone within this time count as one event, in seconds.
 RECLAIM_EVENT_GAP_S = 10.0
-# Pause after a fault of this program, in seconds; the next decision would probably meet it again.
-FAULT_PAUSE_S = 5.0
 # While this process stops, the end of the last call is recorded for at most this time, in seconds.
 END_TIMEOUT_S = 1.0
 
@@ -95,13 +96,8 @@
             table = self.current_table()
             if table is None or self.store_clock.now_ms() is None:
                 continue
-            try:
-                await action(table)
-            except Exception:
-                # The VM must go on serving its callers with the targets that there are.
+            if not await perform_guarded(Duty.SCALING, self.lease, partial(action, table)):
                 self.must_read = True
-                log.exception("target orders failed by a fault")
-                await anyio.sleep(FAULT_PAUSE_S)
 
     async def observe(self, table: RoutingTable) -> None:
         """Record how steps and targets are now."""
--- a/src/balsamcleat/tasks/submission_handler.py
+++ b/src/balsamcleat/tasks/submission_handler.py
@@ -18,6 +18,7 @@
 from balsamcleat.model.rollout import RolloutStep
 from balsamcleat.model.routing import Route, RoutingTable
 from balsamcleat.platform import (
+    check_requests,
     decode_step,
     error_response_headers,
     request_id,
@@ -100,6 +101,7 @@
         """Accept a step at most once, storing it before the response is sent."""
         try:
             step = decode_step(request.headers, request.body)
+            check_requests(step)
         except InvalidInputError as error:
             log.warning("step refused", request=request_id(request.headers), reason=error.message)
             await responder.send(Response(400, error_response_headers("")))
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -36,7 +36,11 @@
 SAMPLE_PATIENCE_S = 0.6
 
 # Kinds of failures that say nothing about the target.
-FAILURES_OF_THIS_VM = (FailureKind.LIMITED, FailureKind.LINK_LOST)
+FAILURES_OF_THIS_VM = (
+    FailureKind.LIMITED,
+    FailureKind.LINK_LOST,
+    FailureKind.INVALID_REQUEST,
+)
 
 log = structlog.get_logger()
 
--- a/src/balsamcleat/tasks/usage_reporter.py
+++ b/src/balsamcleat/tasks/usage_reporter.py
@@ -19,8 +19,16 @@
 )
 from balsamcleat.decisions.vm_watch import VmFailureDetector
 from balsamcleat.errors import BalsamcleatError
-from balsamcleat.ports.duties import DutyClient, DutyLease, DutyOutcome, DutyStamp, UsageReport
+from balsamcleat.ports.duties import (
+    Duty,
+    DutyClient,
+    DutyLease,
+    DutyOutcome,
+    DutyStamp,
+    UsageReport,
+)
 from balsamcleat.ports.metrics import Metrics
+from balsamcleat.tasks.duty_faults import perform_guarded
 from balsamcleat.tasks.usage_counter import UsageCounter
 from balsamcleat.tasks.usage_records import StoredReport, StoredReports, UsageRecords
 
@@ -95,15 +103,20 @@
     async def run(self) -> None:
         """Report the windows that have ended while this VM holds the lease, until cancelled."""
         while True:
-            self.check_rows()
-            try:
-                await self.report_windows()
-            except BalsamcleatError as error:
-                # What the store has now must be read again.
+            if not await perform_guarded(Duty.USAGE, self.lease, self.try_reports):
                 self.stored_reports = None
-                self.log_delay(str(error))
             await anyio.sleep(CHECK_INTERVAL_S)
 
+    async def try_reports(self) -> None:
+        """Report the windows that have ended, as far as the store allows."""
+        self.check_rows()
+        try:
+            await self.report_windows()
+        except BalsamcleatError as error:
+            # What the store has now must be read again.
+            self.stored_reports = None
+            self.log_delay(str(error))
+
     def check_rows(self) -> None:
         """Check whether the VMs' rows are being read."""
         read_at_s, now_s = self.watch.read_at_s, self.counter.clock.steady_s()
--- a/src/balsamcleat/tasks/version_orders.py
+++ b/src/balsamcleat/tasks/version_orders.py
@@ -25,7 +25,8 @@
 from balsamcleat.model.routing import RouteKind, RoutingTable
 from balsamcleat.platform import OrderOutcome, ReplicaControl
 from balsamcleat.platform.orders import OrderResult
-from balsamcleat.ports.duties import DutyLease
+from balsamcleat.ports.duties import Duty, DutyLease
+from balsamcleat.tasks.duty_faults import FAULT_PAUSE_S, perform_guarded
 
 __all__ = ["ModelUsage", "VersionLoadController"]
 
@@ -136,7 +137,7 @@
                 with anyio.move_on_after(BUSY_INTERVAL_S if self.is_busy() else IDLE_INTERVAL_S):
                     await self.changed.wait()
                 self.changed = anyio.Event()
-                await self.give_pending_orders()
+                await perform_guarded(Duty.ORDERS, self.lease, self.give_pending_orders)
                 await anyio.sleep(delay_after_pass(self.planning_took_s))
 
     def is_busy(self) -> bool:
@@ -262,7 +263,15 @@
             replica = self.directory.entries.get(order.target_id)
             if replica is not None:
                 self.in_flight[order.target_id] = OrderInFlight(order, anyio.current_time())
-                self.tasks.start_soon(self.execute_order, order, replica)
+                self.tasks.start_soon(self.try_order, order, replica)
+
+    async def try_order(self, order: LoadOrder, replica: Replica) -> None:
+        """Execute one order; a fault of this program with one target ends no other order."""
+        try:
+            await self.execute_order(order, replica)
+        except Exception:
+            log.exception("weight order failed by a fault", target=replica.target_id)
+            self.retry_at_s[replica.target_id] = anyio.current_time() + FAULT_PAUSE_S
 
     async def execute_order(self, order: LoadOrder, replica: Replica) -> None:
         """Send one order and wait until the target reports the version or the load fails."""
--- a/tests/soak_stand.py
+++ b/tests/soak_stand.py
@@ -212,6 +212,8 @@
             "zone": "a",
             "state": state,
             "batchSlots": 8,
+            "coldLeftMs": 0,
+            "callSeq": 0,
             "version": self.software,
             "born": self.life + 1,
             "models": self.model_versions(),
--- a/tests/test_duty_calls.py
+++ b/tests/test_duty_calls.py
@@ -64,6 +64,9 @@
     async def end_calls(self) -> None:
         return None
 
+    def report_fault(self) -> None:
+        return None
+
     def can_call(self) -> bool:
         return self.is_open
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -247,3 +247,16 @@
             async for _ in HttpEngine(client[0], target.address).generate(request):
                 pass
     assert caught.value.kind is FailureKind.SILENT
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"content_type": "text/\u2192"}, {"path": "/a\nb"}, {"path": "/\ud800"}],
+    ids=["header", "line break in the path", "surrogate in the path"],
+)
+async def test_request_that_cannot_be_encoded_is_a_failed_attempt(change: dict[str, str]) -> None:
+    """The error of the encoder ended the task that sent the request."""
+    async with raw_target(never_answer) as target, clients() as client:
+        with pytest.raises(AttemptFailedError) as caught:
+            await HttpPlainService(client[0], target.address).call(replace(CALL, **change), 1.0)
+    assert not caught.value.perhaps_sent
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -30,6 +30,7 @@
             "attempt_log",
             "crash_guard",
             "live_forwarder",
+            "duty_faults",
             "duty_lease_log",
             "peers",
             "relayed_store",
--- a/tests/test_scaling_controller.py
+++ b/tests/test_scaling_controller.py
@@ -101,6 +101,9 @@
     async def end_calls(self) -> None:
         self.open_calls -= 1
 
+    def report_fault(self) -> None:
+        return None
+
     def can_call(self) -> bool:
         return self.held is not None and self.may_call
 
--- a/tests/test_team_access.py
+++ b/tests/test_team_access.py
@@ -30,6 +30,7 @@
         {"host": "h.example", "prefix": "/open/", "svc": "s", "public": True, "prio": 4},
         {"host": "h.example", "prefix": "/", "svc": "s", "prio": 4},
     ],
+    "services": [],
     "tenants": [
         {"name": "huka270", "apiKeys": list(KEYS), "prio": 1},
         {"name": "puhu251", "apiKeys": ["p1"]},
--- a/tests/test_version_orders.py
+++ b/tests/test_version_orders.py
@@ -42,6 +42,9 @@
     async def end_calls(self) -> None:
         return None
 
+    def report_fault(self) -> None:
+        return None
+
     def can_call(self) -> bool:
         return True
 
--- a/tests/usage_world.py
+++ b/tests/usage_world.py
@@ -120,6 +120,9 @@
     async def end_calls(self) -> None:
         await anyio.sleep(0.002)
 
+    def report_fault(self) -> None:
+        return None
+
     def can_call(self) -> bool:
         return self.held is not None
 
