--- a/src/balsamcleat/decisions/sample_progress.py
+++ b/src/balsamcleat/decisions/sample_progress.py
@@ -1,8 +1,9 @@
 """Progress of a sample: the stream events received so far, possibly from several targets."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from balsamcleat.decisions.sample_attempts import NO_ATTEMPTS, AttemptCounts
 from balsamcleat.decisions.stream_origin import StreamOrigin
 from balsamcleat.model import ServiceName, WeightVersion
 from balsamcleat.model.replicas import StreamSoftware
@@ -23,6 +24,7 @@
         first_event: Number of the first event.
         complete: Whether the sample has ended.
         software: Software that wrote the events, or None if it is not certain.
+        attempts: Counts of the attempts at the sample.
     """
 
     events: tuple[str, ...]
@@ -30,6 +32,7 @@
     first_event: int
     complete: bool
     software: StreamSoftware | None = None
+    attempts: AttemptCounts = NO_ATTEMPTS
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,7 @@
         service: Service of the software that wrote the sample's events; empty if that software is
             not certain, or if an older build saved the slice.
         software_version: Version of that software.
+        attempts: Counts of the attempts at the sample; only records of these have them.
     """
 
     generation: int
@@ -56,6 +60,15 @@
     complete: bool = False
     service: str = ""
     software_version: str = ""
+    attempts: AttemptCounts | None = None
+
+    @classmethod
+    def of_attempts(cls, attempts: AttemptCounts) -> "ProgressSlice":
+        """Return a record of attempts.
+
+        It looks like a slice without events, older than any text, which older builds leave out.
+        """
+        return cls(0, 0, FIRST_EVENT_NUMBER, (), (), attempts=attempts)
 
     @property
     def software(self) -> StreamSoftware | None:
@@ -66,6 +79,19 @@
 
 
 def join_slices(slices: Iterable[ProgressSlice]) -> SavedProgress | None:
+    """Join the saved slices of one sample; return None if they say nothing."""
+    parts = list(slices)
+    records = [part.attempts for part in parts if part.attempts is not None]
+    text = join_text([part for part in parts if part.attempts is None])
+    if not records:
+        return text
+    attempts = AttemptCounts.merge(records)
+    if text is None:
+        return SavedProgress((), (), FIRST_EVENT_NUMBER, complete=False, attempts=attempts)
+    return replace(text, attempts=attempts)
+
+
+def join_text(slices: list[ProgressSlice]) -> SavedProgress | None:
     """Join the contiguous slices of the newest generation; return None if there are no events."""
     ordered = sorted(slices, key=lambda part: (-part.generation, part.start))
     newest = [part for part in ordered if part.generation == ordered[0].generation]
--- a/src/balsamcleat/decisions/sample_scoring.py
+++ b/src/balsamcleat/decisions/sample_scoring.py
@@ -15,6 +15,8 @@
 MAX_RUNS_AT_ONCE = 2
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.8
+# The limit of retry delays doubles at most this often; it reaches its maximum before.
+MAX_RETRY_DOUBLINGS = 8
 # Retry delays are drawn from this share of the current limit up to the limit.
 RETRY_JITTER = 0.5
 # Runs after which a sample may be given up, relative to a route's limit on attempts. Targets must
@@ -40,10 +42,12 @@
     Attributes:
         failure_count: Number of server errors that targets answered with.
         try_count: Number of calls that ended without a score.
+        is_impossible: Whether a target answered that no call can succeed.
     """
 
     failure_count: int = 0
     try_count: int = 0
+    is_impossible: bool = False
 
     def record_failed_call(self, server_errors: int) -> None:
         """Record a call that ended without a score.
@@ -54,6 +58,10 @@
         self.failure_count += server_errors
         self.try_count += 1
 
+    def counted_tries(self) -> int:
+        """Return the number of calls without a score, up to that from which delays don't grow."""
+        return min(self.try_count, MAX_RETRY_DOUBLINGS + 1)
+
     def is_exhausted(self, failure_limit: int) -> bool:
         """Return whether the sample is given up."""
         return self.failure_count >= failure_limit
@@ -64,5 +72,7 @@
 
     def retry_delay_s(self, generator: random.Random) -> float:
         """Return the delay before the next call, in seconds."""
-        limit_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2.0 ** min(self.try_count - 1, 8))
+        limit_s = min(
+            MAX_RETRY_S, FIRST_RETRY_S * 2.0 ** min(self.try_count - 1, MAX_RETRY_DOUBLINGS)
+        )
         return limit_s * generator.uniform(RETRY_JITTER, 1.0)
--- a/src/balsamcleat/tasks/owned_step.py
+++ b/src/balsamcleat/tasks/owned_step.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from balsamcleat.decisions.sample_attempts import NO_ATTEMPTS, AttemptCounts, SampleAttempts
 from balsamcleat.decisions.sample_progress import (
     FIRST_EVENT_NUMBER,
     ProgressSlice,
@@ -74,11 +75,11 @@
         running: Current run of each running sample, by sample id.
         unscored: Ids of the samples whose text is complete and whose score is missing.
         scoring: Cancel scopes of the scoring of unscored samples, by sample id.
-        failure_counts: Number of runs that a target answered with an error, by sample id.
+        attempts: Attempts at each sample, by sample id.
+        saved_attempts: Counts of attempts that are saved in the row store, by sample id.
+        attempts_lock: Serializes the writes of counts.
         retry_not_before_s: Earliest time of a sample's next run, on the process clock, by sample
             id.
-        interruptions: Number of events at the last interruption of each sample, and how many
-            interruptions in a row found that number, by sample id.
         carried_groups: Groups that have text from an earlier step of the same trainer.
         done: Ids of the samples that have a result.
         ended: Whether the trainer ended the step.
@@ -114,9 +115,10 @@
     running: dict[str, SampleRun] = field(default_factory=dict)
     unscored: set[str] = field(default_factory=set)
     scoring: dict[str, anyio.CancelScope] = field(default_factory=dict)
-    failure_counts: dict[str, int] = field(default_factory=dict)
+    attempts: dict[str, SampleAttempts] = field(default_factory=dict)
+    saved_attempts: dict[str, AttemptCounts] = field(default_factory=dict)
+    attempts_lock: anyio.Lock = field(default_factory=anyio.Lock)
     retry_not_before_s: dict[str, float] = field(default_factory=dict)
-    interruptions: dict[str, tuple[int, int]] = field(default_factory=dict)
     carried_groups: set[str] = field(default_factory=set)
     done: set[str] = field(default_factory=set)
     ended: bool = False
@@ -156,6 +158,26 @@
             self.progress[sample_id] = progress
         return progress
 
+    def get_attempts(self, sample_id: str) -> SampleAttempts:
+        """Return the attempts at a sample."""
+        return self.attempts.setdefault(sample_id, SampleAttempts())
+
+    def give_up_failed_samples(self, max_failures: int) -> None:
+        """Record the samples as given up that failed often enough, also under earlier owners."""
+        for sample_id, attempts in self.attempts.items():
+            if attempts.should_give_up(max_failures):
+                self.add_result(SampleResult(sample_id, SampleState.GIVEN_UP))
+
+    def unsaved_attempts(self) -> dict[str, AttemptCounts]:
+        """Return the counts of attempts that the row store does not have, by sample id."""
+        unsaved = {}
+        for sample_id, attempts in self.attempts.items():
+            saved = self.saved_attempts.get(sample_id, NO_ATTEMPTS)
+            counts = AttemptCounts.merge((saved, attempts.counts()))
+            if counts != saved:
+                unsaved[sample_id] = counts
+        return unsaved
+
     @property
     def is_active(self) -> bool:
         """Whether the step has unfinished samples and this VM may run them."""
@@ -182,6 +204,9 @@
                 continue
             if carried:
                 self.carried_groups.add(sample.group)
+            else:
+                self.attempts[sample_id] = SampleAttempts.restore(saved.attempts)
+                self.saved_attempts[sample_id] = saved.attempts
             progress = SampleProgress.from_saved(saved)
             progress.generation = self.first_generation
             if not saved.events or not progress.satisfies_version_bounds(
@@ -308,25 +333,32 @@
                 )
         return slices
 
-    def unsaved_slices(self, min_events: int) -> dict[str, ProgressSlice]:
-        """Return the unsaved text of unfinished samples, by sample id.
+    def unsaved_slices(self, min_events: int, *, is_last: bool = False) -> dict[str, ProgressSlice]:
+        """Return the unsaved text of samples whose results are not stored, by sample id.
 
         Args:
             min_events: Fewest unsaved events for which a sample's text is worth a write.
+            is_last: Whether this owner stores no more results, so that the text of samples that
+                have one is saved, too.
         """
         slices = {}
+        finished = {result.sample_id: result.state for result in self.finished}
         for sample_id, progress in self.progress.items():
             generation, count = self.saved_positions.get(sample_id, (progress.generation, 0))
             start = count if generation == progress.generation else 0
-            if sample_id in self.done:
+            if sample_id in self.done and not is_last:
                 continue
-            complete = sample_id in self.unscored
+            complete = sample_id in self.unscored or finished.get(sample_id) is SampleState.COMPLETE
             is_end_unsaved = complete and sample_id not in self.saved_as_complete
             if is_end_unsaved or len(progress.events) - start >= min_events:
                 software = self.certain_software(progress.origin)
                 slices[sample_id] = progress.slice_from(start, complete=complete, software=software)
         return slices
 
+    def mark_attempts_saved(self, attempts: dict[str, AttemptCounts]) -> None:
+        """Record that counts of attempts are saved in the row store."""
+        self.saved_attempts |= attempts
+
     def mark_saved(self, slices: dict[str, ProgressSlice]) -> None:
         """Record that progress slices are saved in the row store."""
         for sample_id, progress_slice in slices.items():
--- a/src/balsamcleat/tasks/result_writer.py
+++ b/src/balsamcleat/tasks/result_writer.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 
+from balsamcleat.decisions.sample_progress import ProgressSlice
 from balsamcleat.errors import PlatformError, ProtocolError
 from balsamcleat.model.rollout import SampleResult
 from balsamcleat.ports.rows import RowConflict
@@ -21,6 +22,10 @@
 # event takes about 40 ms.
 PROGRESS_SAVE_INTERVAL_S = 1.0
 MIN_EVENTS_SAVED = 12
+# A sample that failed waits at most this long for the store before it runs again, in seconds.
+ATTEMPTS_SAVE_TIMEOUT_S = 0.5
+# A step is handed over with results that are not stored after this time, in seconds.
+LAST_RESULTS_TIMEOUT_S = 0.5
 
 log = structlog.get_logger()
 
@@ -66,18 +71,41 @@
         while step.is_active and not step.handing_over:
             await anyio.sleep(PROGRESS_SAVE_INTERVAL_S * (0.8 + 0.4 * self.generator.random()))
             slices = step.unsaved_slices(MIN_EVENTS_SAVED)
-            if not slices or step.lost or step.handing_over:
-                continue
+            if not step.lost and not step.handing_over:
+                await self.save(step, slices)
+
+    async def save_attempts(self, step: OwnedStep) -> None:
+        """Save the counts of attempts for the next owner, if the store answers in time."""
+        with anyio.move_on_after(ATTEMPTS_SAVE_TIMEOUT_S):
+            await self.save(step, {})
+
+    async def save(self, step: OwnedStep, slices: dict[str, ProgressSlice]) -> None:
+        """Save slices of text and the counts of attempts that are not saved yet."""
+        async with step.attempts_lock:
+            attempts = step.unsaved_attempts()
+            is_over = step.ended or step.lost
+            if is_over or not (slices or attempts):
+                return
             try:
-                conflict = await self.records.save_progress(step.step_id, slices, step.row_version)
+                conflict = await self.records.save_progress(
+                    step.step_id, slices, step.row_version, attempts
+                )
             except PlatformError as error:
                 log.warning("text not kept", step=step.step_id, reason=str(error))
-                continue
-            if conflict is not None:
-                log.warning("step lost to another VM", step=step.step_id, position=None)
-                self.on_lost_ownership(step, conflict)
                 return
-            step.mark_saved(slices)
+            if conflict is None:
+                step.mark_saved(slices)
+                step.mark_attempts_saved(attempts)
+                return
+        log.warning("step lost to another VM", step=step.step_id, position=None)
+        self.on_lost_ownership(step, conflict)
+
+    async def wait_until_listed(self, step: OwnedStep) -> None:
+        """Wait until the finished results of a step are stored, for some time at most."""
+        with anyio.move_on_after(LAST_RESULTS_TIMEOUT_S):
+            while step.finished and not step.ended and not step.lost:
+                changed = step.changed
+                await changed.wait()
 
     async def write_batch(self, step: OwnedStep, batch: tuple[SampleResult, ...]) -> bool:
         """Store a batch of results; return False if another VM owns the step.
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -1,8 +1,12 @@
 """Records of rollout steps in the row store: submissions, owners, results and saved progress."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 import msgspec
 import structlog
 
+from balsamcleat.decisions.sample_attempts import AttemptCounts
 from balsamcleat.decisions.sample_progress import ProgressSlice, SavedProgress, join_slices
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import PlatformUnavailableError, ProtocolError
@@ -314,7 +318,11 @@
         return await self.store.commit(RowCommit((RowWrite(end_key(step_id), b"1"),)))
 
     async def save_progress(
-        self, part: str, slices: dict[str, ProgressSlice], owner_version: int | None = None
+        self,
+        part: str,
+        slices: dict[str, ProgressSlice],
+        owner_version: int | None = None,
+        attempts: Mapping[str, AttemptCounts] = MappingProxyType({}),
     ) -> RowConflict | None:
         """Save progress of samples that have no stored result.
 
@@ -323,11 +331,17 @@
             slices: New text, by sample id.
             owner_version: Version that the step's owner row must have; None writes
                 unconditionally.
+            attempts: Counts of attempts to save, by sample id.
 
         Returns:
             The conflict if another VM owns the step by now; not all slices are saved then.
         """
         writes: list[RowWrite] = []
+        for sample_id, counts in attempts.items():
+            # Owners of older builds take what stands before the second-last "@" for the sample.
+            name = f"{sample_id}@attempts@{counts.key()}"
+            record = encode_value(ProgressSlice.of_attempts(counts))
+            writes += self.chunk_writes(PROGRESS_TABLE, part, name, record)
         for sample_id, progress_slice in slices.items():
             name = f"{sample_id}@{progress_slice.generation:015d}@{progress_slice.start:06d}"
             writes += self.chunk_writes(PROGRESS_TABLE, part, name, encode_value(progress_slice))
--- a/src/balsamcleat/tasks/rollout_runner.py
+++ b/src/balsamcleat/tasks/rollout_runner.py
@@ -12,6 +12,7 @@
 from balsamcleat.decisions.pass_pacing import delay_after_pass
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
 from balsamcleat.decisions.replica_stats import ReplicaStatsRegistry
+from balsamcleat.decisions.sample_attempts import MAX_COUNTED_INTERRUPTIONS
 from balsamcleat.decisions.sample_placement import Placement
 from balsamcleat.errors import PlatformError, ProtocolError
 from balsamcleat.model import KeyDigest, StepId, TargetId, ZoneName
@@ -42,8 +43,6 @@
 
 # Upper bound of the random delay before a sample is retried after an interrupted run.
 MAX_INTERRUPTED_BACKOFF_S = 0.05
-# The delay doubles at most this often.
-MAX_BACKOFF_DOUBLINGS = 3
 FAILED_BACKOFF_S = 0.2
 # Request priorities of samples, 0 being the highest. Live requests precede all samples.
 REQUIRED_PRIORITY = 4
@@ -90,7 +89,7 @@
         self.directory = directory
         self.stats_registry = stats_registry
         self.sample_runner = sample_runner
-        self.step_scorer = StepScorer(scorer, table, self.may_send)
+        self.step_scorer = StepScorer(scorer, table, self.may_send, self.save_attempts_soon)
         self.table = table
         self.resumption = SampleResumption(
             directory, sample_runner.confirm_start, self.start_task, self.wake
@@ -368,12 +367,14 @@
             step.add_complete_text(sample_id)
             self.start_task(self.step_scorer.score_step, step)
         elif outcome.end is SampleEnd.UNPROCESSABLE:
-            step.add_result(SampleResult(sample_id, SampleState.GIVEN_UP))
+            step.get_attempts(sample_id).is_impossible = True
+            step.give_up_failed_samples(max_attempts)
         elif outcome.end is SampleEnd.FAILED:
-            step.failure_counts[sample_id] = step.failure_counts.get(sample_id, 0) + 1
-            step.retry_not_before_s[sample_id] = now_s + FAILED_BACKOFF_S
-            if step.failure_counts[sample_id] >= max_attempts:
-                step.add_result(SampleResult(sample_id, SampleState.GIVEN_UP))
+            step.get_attempts(sample_id).failures += 1
+            step.give_up_failed_samples(max_attempts)
+            # The next run waits until the store has the count.
+            step.retry_not_before_s[sample_id] = math.inf
+            self.start_task(self.save_failure, step, sample_id)
         elif outcome.end is SampleEnd.VERSION_TOO_OLD:
             self.stats_registry.for_replica(assignment.replica).record_rejection(
                 now_s, FAILED_BACKOFF_S
@@ -386,6 +387,19 @@
                 "target is behind", target=assignment.replica.target_id, version=target_version
             )
 
+    def save_attempts_soon(self, step: OwnedStep) -> None:
+        """Save the counts of attempts in a task of their own."""
+        self.start_task(self.result_writer.save_attempts, step)
+
+    async def save_failure(self, step: OwnedStep, sample_id: str) -> None:
+        """Save the counts after a failed run, then let the sample run again after a delay."""
+        retry_at_s = anyio.current_time() + FAILED_BACKOFF_S
+        try:
+            await self.result_writer.save_attempts(step)
+        finally:
+            step.retry_not_before_s[sample_id] = retry_at_s
+            self.wake()
+
     def interrupted_backoff_s(self, step: OwnedStep, sample_id: str) -> float:
         """Return the delay before an interrupted sample runs again, in seconds.
 
@@ -393,10 +407,8 @@
         series, and stays short enough for the sample to run soon after they are calm.
         """
         event_count = len(step.progress[sample_id].events)
-        previous_count, interruptions = step.interruptions.get(sample_id, (-1, 0))
-        interruptions = interruptions + 1 if event_count == previous_count else 0
-        step.interruptions[sample_id] = (event_count, interruptions)
-        growth = 2.0 ** min(interruptions, MAX_BACKOFF_DOUBLINGS)
+        interruptions = step.get_attempts(sample_id).record_interruption(event_count)
+        growth = 2.0 ** min(interruptions, MAX_COUNTED_INTERRUPTIONS)
         return self.generator.random() * MAX_INTERRUPTED_BACKOFF_S * growth
 
     def may_send(self, step: OwnedStep) -> bool:
--- a/src/balsamcleat/tasks/sample_scorer.py
+++ b/src/balsamcleat/tasks/sample_scorer.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 import structlog
@@ -35,6 +35,8 @@
         step_attempts: Limit on attempts of the step's route.
         expires_at_s: Time after which the score is of no use, on the process clock, in seconds.
         is_wanted: Returns whether the request may be sent now.
+        progress: Attempts so far, also those of earlier owners of the step; the scorer adds to it.
+        on_failure: Called after each attempt that is to be stored.
     """
 
     sample_id: str
@@ -42,6 +44,8 @@
     step_attempts: int
     expires_at_s: float
     is_wanted: Callable[[], bool]
+    progress: ScoringProgress = field(default_factory=ScoringProgress)
+    on_failure: Callable[[], None] = lambda: None
 
 
 class SampleScorer:
@@ -68,14 +72,20 @@
 
         The caller cancels this if the score is not wanted any more.
         """
-        progress = ScoringProgress()
+        progress = task.progress
         while True:
+            if progress.is_impossible:
+                # No call can succeed, but a sample may not be given up for that: it waits for the
+                # end or the expiry of its step, which cancels this task.
+                await anyio.sleep_forever()
             route = self.find_route(task.scoring)
             if route is None:
                 log.warning("sample has no scorer", sample=task.sample_id, host=task.scoring.host)
                 progress.record_failed_call(0)
             else:
                 limit = scoring_failure_limit(task.step_attempts, route.attempts)
+                if progress.is_exhausted(limit):
+                    return None
                 response = await self.call_scorer(task, route, progress, limit)
                 if response is not None and is_success(response.status):
                     stamp = parse_response_metadata(response.status, response.headers).target_stamp
@@ -83,9 +93,8 @@
                 if progress.is_exhausted(limit):
                     return None
                 if response is not None and response.status == UNPROCESSABLE_CONTENT:
-                    # No call can succeed, but a sample may not be given up for that: it waits for
-                    # the end or the expiry of its step, which cancels this task.
-                    await anyio.sleep_forever()
+                    progress.is_impossible = True
+            task.on_failure()
             await anyio.sleep(progress.retry_delay_s(self.generator))
 
     def find_route(self, scoring: ScoringRequest) -> Route | None:
@@ -103,7 +112,11 @@
         if call is None or not await self.forwarder.crash_guard.admit(call):
             progress.record_failed_call(0)
             return None
-        outcome = await self.forwarder.queue_and_send(call)
+        try:
+            outcome = await self.forwarder.queue_and_send(call)
+        except anyio.get_cancelled_exc_class():
+            progress.failure_count += call.attempts.server_error_count
+            raise
         self.forwarder.crash_guard.record_answer(call)
         response = outcome.ok_value if isinstance(outcome, Ok) else None
         if response is None or not is_success(response.status):
--- a/src/balsamcleat/tasks/step_scorer.py
+++ b/src/balsamcleat/tasks/step_scorer.py
@@ -22,6 +22,7 @@
         scorer: Obtains the score of one sample.
         table: Returns the routing table in force, or None before there is one.
         may_score: Returns whether this VM may score samples of a step now.
+        on_failure: Called with a step whose counts of attempts have grown.
     """
 
     def __init__(
@@ -29,10 +30,12 @@
         scorer: SampleScorer,
         table: Callable[[], RoutingTable | None],
         may_score: Callable[[OwnedStep], bool],
+        on_failure: Callable[[OwnedStep], None],
     ) -> None:
         self.scorer = scorer
         self.table = table
         self.may_score = may_score
+        self.on_failure = on_failure
 
     async def score_step(self, step: OwnedStep) -> None:
         """Score the unscored samples of a step that are not being scored yet."""
@@ -75,4 +78,6 @@
             step_attempts=route.attempts if route is not None else 1,
             expires_at_s=step.accepted_s + expiry_s if expiry_s else float("inf"),
             is_wanted=lambda: self.may_score(step),
+            progress=step.get_attempts(sample_id).scoring,
+            on_failure=lambda: self.on_failure(step),
         )
--- a/src/balsamcleat/tasks/step_transfer.py
+++ b/src/balsamcleat/tasks/step_transfer.py
@@ -139,6 +139,8 @@
             owned.restore_progress(
                 await self.records.load_progress(part), carried=carried, single=single
             )
+        if route is not None:
+            owned.give_up_failed_samples(route.attempts)
         return owned
 
     async def hand_over(self) -> None:
@@ -154,8 +156,9 @@
     async def hand_over_step(self, step: OwnedStep) -> None:
         """Save the progress of one step and release it."""
         await self.runner.stop_step(step)
-        slices = step.unsaved_slices(1)
-        await self.records.save_progress(step.step_id, slices, step.row_version)
+        await self.runner.result_writer.wait_until_listed(step)
+        slices, attempts = step.unsaved_slices(1, is_last=True), step.unsaved_attempts()
+        await self.records.save_progress(step.step_id, slices, step.row_version, attempts)
         unowned = step.record.with_owner("", "")
         outcome = await self.records.replace_owner(step.step_id, unowned, step.row_version)
         if isinstance(outcome, RowConflict):
--- a/tests/build_codec.py
+++ b/tests/build_codec.py
@@ -9,7 +9,7 @@
 
 import random
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from types import SimpleNamespace
 from typing import Any
 
@@ -108,6 +108,15 @@
     await records.mark_ended(STEP)
 
 
+async def write_attempts(records: RolloutRecords, counts: Iterable[object]) -> None:
+    """Write counts of attempts at a sample with text and at one without, as this build does."""
+    row = await records.owner(STEP)
+    assert row is not None
+    for record in counts:
+        attempts = {"0-2": record, "0-0": record}
+        assert await records.save_progress(STEP, {}, row[1], attempts) is None
+
+
 async def read_steps(rows: Rows) -> object:
     records = RolloutRecords(RowStoreView(store_with(rows)))
     owner, submission = await records.owner(STEP), await records.submission(STEP)
--- a/tests/test_previous_build.py
+++ b/tests/test_previous_build.py
@@ -20,6 +20,7 @@
 import build_messages as messages
 from balsamcleat.decisions.duty_lease import first_call_ms
 from balsamcleat.decisions.published_usage import PublishedUsage
+from balsamcleat.decisions.sample_attempts import AttemptCounts
 from balsamcleat.decisions.true_time import ClockVote
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.model import TeamName, VmId
@@ -257,6 +258,20 @@
     assert codec.KEY not in str(found)
 
 
+async def write_step_with_attempts() -> messages.Rows:
+    store = codec.store_with(await codec.write_steps())
+    counts = [AttemptCounts(failures=1), AttemptCounts(2, True, 3, 1, 4, True)]
+    await codec.write_attempts(RolloutRecords(RowStoreView(store)), counts)
+    return messages.rows_of(store)
+
+
+def test_previous_build_reads_a_step_with_counts_of_attempts(read_as_previous) -> None:
+    """It takes over steps whose owners have stored counts, which it does not know."""
+    found = read_as_previous("steps", run(write_step_with_attempts))
+    assert_means(found, MEANING["steps"])
+    assert found["progress"].keys() == MEANING["steps"]["progress"].keys()
+
+
 def test_step_that_a_previous_build_took_over_keeps_its_team() -> None:
     """It rewrites the owner row without the team; another team would get the step's results."""
 
