--- a/tests/test_foreign_targets.py
+++ b/tests/test_foreign_targets.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from pathlib import Path
 
 import anyio
 import anyio.abc
@@ -29,6 +30,7 @@
 from balsamcleat.ports.duties import Duty
 from balsamcleat.tasks.duty_faults import FAULT_PAUSE_S, perform_guarded
 from balsamcleat.tasks.hop_messages import StartCheck, parse_hop_request, wrap_request
+from entry_world import entry_world, put_entries
 from odd_entries import sound_entry
 from raw_target import RawTarget, raw_target
 from step_world import MODEL, make_engine, run_in_virtual_time
@@ -269,3 +271,23 @@
     hop = parse_hop_request(wrapped)
     assert hop is not None
     assert hop.team == team
+
+
+@pytest.mark.anyio
+async def test_no_call_reaches_the_address_of_an_entry_without_all_fields(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Review case 14: a server that is no target ran calls, which were lost on an unsafe route."""
+    requests: list[bytes] = []
+
+    async def script(raw: RawTarget, stream: anyio.abc.SocketStream) -> None:
+        requests.append(await stream.receive())
+        await stream.send(OK_RESPONSE)
+
+    async with raw_target(script) as server, entry_world(tmp_path, monkeypatch) as world:
+        entry = {"svc": "app", "address": server.address, "state": "ready", "zone": "a"}
+        put_entries(world.soak.store, {"other": json.dumps(entry).encode()})
+        async with world.running():
+            for _ in range(20):
+                assert (await world.call()).status == 200
+    assert not requests
