--- a/src/balsamcleat/adapters/http_client.py
+++ b/src/balsamcleat/adapters/http_client.py
@@ -8,7 +8,7 @@
 import structlog
 
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.http1 import is_final_status
+from balsamcleat.http1 import WorkBudget, WorkMeter, is_final_status
 from balsamcleat.model import AttemptOutcome, AttemptPhase, FailureKind
 
 __all__ = [
@@ -201,8 +201,10 @@
     """
     parts: list[bytes] = []
     size = 0
+    work = WorkMeter(WorkBudget())
     async for part in response.aiter_bytes():
         size += len(part)
+        await work.record(len(part))
         if size > MAX_RESPONSE_BYTES:
             raise trace.failure("the response body is too large", FailureKind.MALFORMED)
         parts.append(part)
--- a/src/balsamcleat/adapters/http_engine.py
+++ b/src/balsamcleat/adapters/http_engine.py
@@ -31,6 +31,7 @@
 )
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
+from balsamcleat.http1 import WorkBudget, WorkMeter
 from balsamcleat.model import (
     CacheEvent,
     EngineState,
@@ -128,7 +129,9 @@
         try:
             async with aclosing(await self.open_stream(request, body, trace)) as response:
                 reader = FrameReader(request.request_id, trace, self.metrics)
+                work = WorkMeter(WorkBudget())
                 async for chunk in response.aiter_raw():
+                    await work.record(len(chunk))
                     parsed = reader.feed(chunk)
                     for frame in parsed.frames:
                         yield frame
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -15,6 +15,7 @@
 from balsamcleat.decisions.stop_schedule import StopSchedule
 from balsamcleat.decisions.team_access import is_configuration_current
 from balsamcleat.decisions.vm_watch import VmRow
+from balsamcleat.entry.connections import EntryConnections
 from balsamcleat.entry.drain import drain_callers
 from balsamcleat.entry.duty_parts import DutyParts
 from balsamcleat.entry.metrics_page import MetricsPage
@@ -22,11 +23,7 @@
 from balsamcleat.entry.scaling import build_scaling_controller
 from balsamcleat.errors import PlatformError
 from balsamcleat.http1 import (
-    ByteBudget,
-    ConnectionPool,
     HttpServer,
-    IdleWatch,
-    PoolLimits,
     Request,
     Responder,
     Response,
@@ -36,7 +33,6 @@
 from balsamcleat.log_output import BoundedOutput
 from balsamcleat.logs import bounded_logs
 from balsamcleat.platform import (
-    CORRELATION_HEADER,
     OPERATOR_TABLE,
     REPLICA_TABLE,
     PlatformRowStore,
@@ -83,10 +79,6 @@
 
 HOUSEKEEPING_INTERVAL_S = 0.2
 ENDED_STEP_RETENTION_S = 10.0
-# A trainer submits its next step some seconds after the previous one; the connections to targets
-# must still be open then.
-TARGET_IDLE_TIMEOUT_S = 8.0
-MAX_IDLE_TARGET_CONNECTIONS = 256
 # deploy/system.toml names this port as the place to fetch metrics from.
 METRICS_PORT = 9464
 # Requests that are passed on have the headers of their callers and some more.
@@ -96,9 +88,6 @@
 MAX_REPORTED_SILENCE_S = 999.0
 # At the end of the grace period, the last counts are written for at most this time, in seconds.
 LAST_COUNTS_TIMEOUT_S = 0.4
-# Part of the VM's memory for the bodies that are held. A body may exist three times while it is
-# joined and sent, and the rest of the process needs memory, too.
-BODY_MEMORY_SHARE = 1 / 8
 
 log = structlog.get_logger()
 
@@ -127,34 +116,16 @@
         self.boot = uuid.uuid4().hex[:12]
         self.stop_schedule = StopSchedule()
         generator = random.Random()
-        self.idle_watch = IdleWatch()
-        self.byte_budget = ByteBudget(byte_limit(settings))
-        store_pool = ConnectionPool(
-            PoolLimits(connect_timeout_s=0.8, max_idle_connections=16), idle_watch=self.idle_watch
-        )
-        self.target_pool = ConnectionPool(
-            PoolLimits(
-                connect_timeout_s=0.5,
-                idle_timeout_s=TARGET_IDLE_TIMEOUT_S,
-                max_idle_connections=MAX_IDLE_TARGET_CONNECTIONS,
-                resets_abandoned=True,
-            ),
-            CORRELATION_HEADER,
-            self.idle_watch,
-            self.byte_budget,
-        )
+        self.connections = EntryConnections(settings)
         self.store_clock = StoreClock()
         self.direct_store = PlatformRowStore(
             settings.store,
-            store_pool,
+            self.connections.store,
             lambda: len(self.presence.watch.observations),
             self.store_clock.synchronize_first,
         )
-        self.peer_pool = ConnectionPool(
-            PoolLimits(connect_timeout_s=0.3, max_idle_connections=16), idle_watch=self.idle_watch
-        )
         self.store = RelayedRowStore(
-            self.direct_store, self.peer_pool, lambda: self.peer_poller.vms_reaching_store
+            self.direct_store, self.connections.peers, lambda: self.peer_poller.vms_reaching_store
         )
         self.replica_directory = ReplicaDirectory()
         self.stats_registry = ReplicaStatsRegistry()
@@ -162,7 +133,7 @@
         self.replica_keeper = ReplicaKeeper(
             self.replica_directory,
             self.stats_registry,
-            self.target_pool,
+            self.connections.targets,
             self.wake_schedulers,
             lambda target_id, started_ms: self.crash_detector.on_target_end(target_id, started_ms),
         )
@@ -173,7 +144,7 @@
             self.store_clock,
             generator,
             lambda: not self.target_paths.has_lost_links(self.load_controller.engines()),
-            self.idle_watch,
+            self.connections.idle_watch,
         )
         self.presence = VmPresence(
             self.store,
@@ -191,7 +162,7 @@
         )
         self.load_controller = VersionLoadController(
             self.duties.leases.orders,
-            ReplicaControl(self.target_pool, settings.vm),
+            ReplicaControl(self.connections.targets, settings.vm),
             self.replica_directory,
             self.stats_registry,
             lambda: self.routing_keeper.table,
@@ -201,22 +172,11 @@
         )
         self.records = RolloutRecords(self.store)
         pause_guard = PauseGuard(self.records, boot_clock_s, generator)
-        self.relay_pool = ConnectionPool(
-            PoolLimits(
-                connect_timeout_s=0.3,
-                idle_timeout_s=TARGET_IDLE_TIMEOUT_S,
-                max_idle_connections=MAX_IDLE_TARGET_CONNECTIONS,
-                resets_abandoned=True,
-            ),
-            CORRELATION_HEADER,
-            self.idle_watch,
-            self.byte_budget,
-        )
         self.target_paths = TargetPaths(
             settings.vm,
             settings.zone,
-            self.peer_pool,
-            self.relay_pool,
+            self.connections.peers,
+            self.connections.relays,
             self.presence.watch.live_rows,
             self.replica_directory,
             lambda replica: self.stats_registry.for_replica(replica).record_success(),
@@ -233,7 +193,7 @@
         forwarder = LiveForwarder(
             self.replica_directory,
             self.stats_registry,
-            self.target_pool,
+            self.connections.targets,
             settings.zone,
             generator,
             CrashGuard(self.crash_detector),
@@ -247,7 +207,10 @@
             self.replica_directory,
             self.stats_registry,
             SampleRunner(
-                self.target_pool, self.replica_directory, self.stats_registry, self.target_paths
+                self.connections.targets,
+                self.replica_directory,
+                self.stats_registry,
+                self.target_paths,
             ),
             SampleScorer(forwarder, lambda: self.routing_keeper.table, generator),
             settings.zone,
@@ -312,7 +275,7 @@
             self.submission_handler,
         )
         self.peer_poller = PeerPoller(
-            self.peer_pool,
+            self.connections.peers,
             settings.vm,
             settings.zone,
             self.presence.watch.live_rows,
@@ -326,14 +289,14 @@
         )
         self.stream_register = StreamRegister(
             settings.vm,
-            self.peer_pool,
+            self.connections.peers,
             self.presence.watch.live_rows,
             self.replica_directory,
         )
         target_relay = TargetRelay(
             self.replica_directory,
             self.stats_registry,
-            self.target_pool,
+            self.connections.targets,
             self.crash_detector,
             self.target_paths,
             lambda: self.routing_keeper.table,
@@ -394,7 +357,8 @@
             listen(self.settings.front_address),
             self.dispatcher.answer,
             self.dispatcher.limits,
-            self.byte_budget,
+            self.connections.byte_budget,
+            work_budget=self.connections.work_budget,
             overload_response=self.dispatcher.overload_response,
             fault_response=self.dispatcher.fault_response,
         )
@@ -413,7 +377,8 @@
                 },
             ).handle,
             lambda: PEER_SERVER_LIMITS,
-            self.byte_budget,
+            self.connections.byte_budget,
+            work_budget=self.connections.work_budget,
             refuses_bodies=False,
         )
         self.metrics_server = HttpServer(
@@ -424,8 +389,8 @@
                 self.load_controller,
                 self.duties,
                 self.front_server,
-                self.target_pool,
-                self.byte_budget,
+                self.connections.targets,
+                self.connections.byte_budget,
                 self.stats_registry.limits,
                 self.output,
             ).answer,
@@ -523,7 +488,7 @@
             for follower in self.table_followers:
                 tasks.start_soon(follower.run)
             for component_run in (
-                self.idle_watch.run,
+                self.connections.idle_watch.run,
                 self.replica_keeper.run,
                 self.live_queues.run,
                 self.crash_history.run,
@@ -554,7 +519,7 @@
     def apply_settings(self, settings: PlatformSettings) -> None:
         """Apply new settings; changed listen addresses take effect only after a restart."""
         self.settings = settings
-        self.byte_budget.limit_bytes = byte_limit(settings)
+        self.connections.apply_settings(settings)
         self.direct_store.apply_access(settings.store)
         self.duties.leases.apply_gap(settings.order_gap_s)
 
@@ -607,13 +572,6 @@
                     del self.runner.steps[step.step_id]
 
 
-def byte_limit(settings: PlatformSettings) -> int | None:
-    """Return how many bytes of bodies this VM may hold, or None for no limit."""
-    if settings.memory_bytes is None:
-        return None
-    return int(settings.memory_bytes * BODY_MEMORY_SHARE)
-
-
 async def run_entry(settings_path: Path) -> None:
     """Run the process of an entry VM with the settings in the platform's file."""
     settings = load_platform_settings(settings_path)
--- a/src/balsamcleat/http1/__init__.py
+++ b/src/balsamcleat/http1/__init__.py
@@ -28,9 +28,11 @@
 from balsamcleat.http1.server import HttpServer
 from balsamcleat.http1.server_connection import Handler, Responder, ServerLimits
 from balsamcleat.http1.streams import ByteStream, connect, listen
+from balsamcleat.http1.work_budget import PIECES_PER_TURN, WorkBudget, WorkMeter
 
 __all__ = [
     "CONNECT_STEP",
+    "PIECES_PER_TURN",
     "BufferedWriter",
     "ByteBudget",
     "ByteStream",
@@ -49,6 +51,8 @@
     "Response",
     "ServerLimits",
     "StreamEvent",
+    "WorkBudget",
+    "WorkMeter",
     "connect",
     "has_valid_field",
     "has_valid_target",
--- a/src/balsamcleat/http1/connection_pool.py
+++ b/src/balsamcleat/http1/connection_pool.py
@@ -13,6 +13,7 @@
 from balsamcleat.http1.idle_watch import IdleWatch
 from balsamcleat.http1.messages import Headers, Request, Response, header_value
 from balsamcleat.http1.streams import ByteStream, connect
+from balsamcleat.http1.work_budget import WorkBudget
 from balsamcleat.model import FailureKind
 
 __all__ = ["CONNECT_STEP", "ConnectionPool", "PoolLimits", "PooledConnection"]
@@ -90,6 +91,7 @@
         idle_watch: Reports idle connections on which a server sends or ends; these are closed at
             once. Without it, they are closed when they would be reused.
         budget: Budget of the bytes of responses that are being read as a whole.
+        work_budget: Budget of the work that responses in many small pieces cause.
 
     Attributes:
         idle_connections: Idle connections by address; the last used address is at the end.
@@ -104,11 +106,13 @@
         correlation_header: str | None = None,
         idle_watch: IdleWatch | None = None,
         budget: ByteBudget | None = None,
+        work_budget: WorkBudget | None = None,
     ) -> None:
         self.limits = limits
         self.correlation_header = correlation_header
         self.idle_watch = idle_watch
         self.budget = budget or ByteBudget()
+        self.work_budget = work_budget or WorkBudget()
         self.idle_connections: OrderedDict[str, list[PooledConnection]] = OrderedDict()
         self.opened_connections = 0
         self.mismatched_responses = 0
--- a/src/balsamcleat/http1/events.py
+++ b/src/balsamcleat/http1/events.py
@@ -13,6 +13,7 @@
 # A blank line ends an event. Lines end with LF, CRLF or CR.
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r|\n\r\n|\r\n\n")
 MAX_END_BYTES = 4
+BLANK_LINES = re.compile(rb"[\r\n]+")
 
 
 class EventTooLargeError(ValueError):
@@ -29,7 +30,7 @@
         fields: Names, in lower case, and values of all other lines. They include further ids, and
             lines without a colon, whose value is empty.
         raw: Bytes of the event as received, including the blank line that ends it.
-        is_comment: Whether the event consists of comments only, which keep a connection open.
+        is_comment: Whether there are only comments, which keep a connection open, or white space.
     """
 
     event_id: int | None
@@ -49,12 +50,14 @@
         max_event_bytes: Maximum size of an event.
 
     Attributes:
-        buffer: Bytes of an incomplete event.
+        buffer: Bytes that belong to no event yet.
+        search_start: Position in the buffer before which no event ends.
     """
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         self.max_event_bytes = max_event_bytes
         self.buffer = bytearray()
+        self.search_start = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events that they complete.
@@ -68,25 +71,33 @@
     def iterate(self, data: bytes) -> Iterator[StreamEvent]:
         """Add received bytes and yield the events that they complete, up to an invalid one.
 
-        The iterator must be used to its end or its error before more bytes are added.
+        The iterator need not be used to its end: the next one begins after the events of this one.
 
         Raises:
             UnicodeDecodeError: An event is not valid UTF-8.
             EventTooLargeError: An event exceeds the size limit.
         """
-        search_start = max(0, len(self.buffer) - MAX_END_BYTES + 1)
         self.buffer += data
-        event_start = 0
-        for end in EVENT_END.finditer(self.buffer, search_start):
-            block = self.buffer[event_start : end.start()]
-            raw = self.buffer[event_start : end.end()]
-            event_start = end.end()
+        while (end := self.find_event_end()) is not None:
+            self.search_start = 0
+            block, raw = bytes(self.buffer[: end.start()]), bytes(self.buffer[: end.end()])
+            del self.buffer[: end.end()]
             self.check_size(len(raw))
-            if block.strip():
-                yield parse_event(bytes(block), bytes(raw))
-        del self.buffer[:event_start]
+            yield parse_event(block, raw)
+        self.search_start = max(0, len(self.buffer) - MAX_END_BYTES + 1)
         self.check_size(len(self.buffer))
 
+    def find_event_end(self) -> re.Match[bytes] | None:
+        """Return the blank line that ends the first event in the buffer, or None.
+
+        The blank lines before the event are removed from the buffer.
+        """
+        blank = BLANK_LINES.match(self.buffer)
+        if blank is not None:
+            del self.buffer[: blank.end()]
+            self.search_start = 0
+        return EVENT_END.search(self.buffer, self.search_start)
+
     def check_size(self, size: int) -> None:
         """Check the size of a complete or incomplete event.
 
@@ -107,6 +118,8 @@
     Raises:
         UnicodeDecodeError: The block is not valid UTF-8.
     """
+    if not block.strip():
+        return StreamEvent(None, None, (), raw, is_comment=True)
     event_id: int | None = None
     data: list[str] = []
     fields: list[tuple[str, str]] = []
--- a/src/balsamcleat/http1/exchange.py
+++ b/src/balsamcleat/http1/exchange.py
@@ -17,6 +17,7 @@
     is_final_status,
 )
 from balsamcleat.http1.numbers import decimal_number
+from balsamcleat.http1.work_budget import WorkMeter
 from balsamcleat.model import FailureKind
 
 if TYPE_CHECKING:
@@ -60,6 +61,7 @@
         is_at_eof: Whether the server closed its side of the connection.
         status: Status code of the response; 0 until a response's head was read.
         headers: Headers of the response.
+        work: Measures the work that the response causes.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.request = request
         self.connection: PooledConnection | None = None
         self.parser = h11.Connection(h11.CLIENT)
+        self.work = WorkMeter(pool.work_budget)
         self.perhaps_sent = False
         self.is_sent = False
         self.is_complete = False
@@ -286,6 +289,7 @@
                     f"invalid HTTP response: {error}", FailureKind.MALFORMED
                 ) from error
             if event is not h11.NEED_DATA:
+                await self.work.record(len(event.data) if isinstance(event, h11.Data) else 0)
                 return event
             try:
                 data = await self.connection.stream.receive()
--- a/src/balsamcleat/http1/server.py
+++ b/src/balsamcleat/http1/server.py
@@ -11,6 +11,7 @@
 from balsamcleat.http1.messages import Headers, Request, Response
 from balsamcleat.http1.server_connection import Handler, ServerConnection, ServerLimits
 from balsamcleat.http1.streams import ByteStream
+from balsamcleat.http1.work_budget import WorkBudget
 
 __all__ = ["HttpServer"]
 
@@ -38,6 +39,7 @@
         get_limits: Returns the current limits. It is called for each request, so that changed
             limits apply at once.
         budget: Budget of the bytes of requests and responses.
+        work_budget: Budget of the work that bodies in many small pieces cause.
         refuses_bodies: Whether bodies for which the budget has no room are refused.
         overload_response: Returns the response to a request with these headers whose body is
             refused.
@@ -56,6 +58,7 @@
         get_limits: Callable[[], ServerLimits],
         budget: ByteBudget | None = None,
         *,
+        work_budget: WorkBudget | None = None,
         refuses_bodies: bool = True,
         overload_response: Callable[[Headers], Response] = lambda headers: OVERLOAD_RESPONSE,
         fault_response: Callable[[Request], Response] | None = None,
@@ -64,6 +67,7 @@
         self.handler = handler
         self.get_limits = get_limits
         self.budget = budget or ByteBudget()
+        self.work_budget = work_budget or WorkBudget()
         self.refuses_bodies = refuses_bodies
         self.overload_response = overload_response
         self.fault_response = fault_response or log_fault
--- a/src/balsamcleat/http1/server_connection.py
+++ b/src/balsamcleat/http1/server_connection.py
@@ -12,6 +12,7 @@
 from balsamcleat.http1.byte_budget import PendingBytes
 from balsamcleat.http1.messages import Headers, Request, Response, encode_headers
 from balsamcleat.http1.streams import ByteStream
+from balsamcleat.http1.work_budget import WorkMeter
 
 if TYPE_CHECKING:
     from balsamcleat.http1.server import HttpServer
@@ -147,6 +148,7 @@
         pipelined_data: Bytes of later requests that were received while a handler was running.
         body: Bytes of the current request's body, which are held until it is answered.
         is_head_request: Whether the current request has the method HEAD.
+        work: Measures the work that the bodies of requests cause.
     """
 
     def __init__(self, server: "HttpServer", stream: ByteStream) -> None:
@@ -161,6 +163,7 @@
         self.pipelined_data = b""
         self.body: PendingBytes | None = None
         self.is_head_request = False
+        self.work = WorkMeter(server.work_budget)
 
     def has_open_request(self) -> bool:
         """Return whether a request is being handled, is being read, or waits to be read."""
@@ -348,6 +351,7 @@
                 return b"".join(parts)
             if isinstance(event, h11.Data):
                 size += len(event.data)
+                await self.work.record(len(event.data))
                 self.record_body_data(size)
                 parts.append(bytes(event.data))
                 if size > limit:
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -269,12 +269,11 @@
         timer = StallTimer(SAMPLE_PAUSE_S, began_s, stats.recent_event_interval_s(began_s))
         while True:
             with anyio.move_on_after(timer.remaining_s(anyio.current_time())) as scope:
-                data = await exchange.next_body_chunk()
+                piece = await reader.read(exchange)
             if scope.cancelled_caught:
                 raise exchange.failure("the stream stalled between events", FailureKind.SILENT)
-            if not data:
+            if piece is None:
                 break
-            piece = reader.feed(data)
             self.append_piece(exchange, progress, piece)
             if not piece.events:
                 continue
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -108,12 +108,11 @@
         reader = EventReader(self.last_event)
         while True:
             with anyio.move_on_after(timer.remaining_s(anyio.current_time())) as scope:
-                data = await exchange.next_body_chunk()
+                piece = await reader.read(exchange)
             if scope.cancelled_caught:
                 raise exchange.failure("the stream stalled between events", FailureKind.SILENT)
-            if not data:
+            if piece is None:
                 break
-            piece = reader.feed(data)
             await self.relay_piece(exchange, piece)
             if piece.fault:
                 raise exchange.failure(piece.fault, FailureKind.MALFORMED)
--- a/tests/test_abandoned_requests.py
+++ b/tests/test_abandoned_requests.py
@@ -48,8 +48,8 @@
 async def test_pools_of_targets_reset_what_is_abandoned(tmp_path: Path) -> None:
     process = entry_process(tmp_path, "127.0.0.77", {})
     try:
-        assert process.target_pool.limits.resets_abandoned
-        assert process.relay_pool.limits.resets_abandoned
+        assert process.connections.targets.limits.resets_abandoned
+        assert process.connections.relays.limits.resets_abandoned
     finally:
         close(process)
 
