--- a/src/balsamcleat/decoding.py
+++ b/src/balsamcleat/decoding.py
@@ -34,10 +34,10 @@
 
 
 @overload
-def decode_msgpack(data: bytes, kind: type[ValueT]) -> ValueT: ...
+def decode_msgpack(data: bytes | bytearray, kind: type[ValueT]) -> ValueT: ...
 @overload
-def decode_msgpack(data: bytes, kind: Any = Any) -> Any: ...
-def decode_msgpack(data: bytes, kind: Any = Any) -> Any:
+def decode_msgpack(data: bytes | bytearray, kind: Any = Any) -> Any: ...
+def decode_msgpack(data: bytes | bytearray, kind: Any = Any) -> Any:
     """Return the value of a MessagePack document.
 
     Args:
--- a/src/balsamcleat/entry/process.py
+++ b/src/balsamcleat/entry/process.py
@@ -68,6 +68,7 @@
 from balsamcleat.tasks.stream_forwarder import StreamForwarder
 from balsamcleat.tasks.stream_register import STREAMS_PATH, StreamRegister
 from balsamcleat.tasks.submission_handler import SubmissionHandler
+from balsamcleat.tasks.submission_reader import StoreReads, SubmissionReader
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.target_paths import REACH_PATH, TargetPaths
 from balsamcleat.tasks.target_relay import TargetRelay
@@ -248,11 +249,14 @@
             settings.results_kept_s,
             self.step_feed.forget_deleted,
         )
+        store_reads = StoreReads(self.connections.byte_budget)
+        submission_reader = SubmissionReader(self.records, store_reads, self.runner.start_task)
         access = StepAccess(
             self.records,
             self.runner.steps,
             lambda: self.step_feed.steps,
             lambda: self.routing_keeper.table,
+            submission_reader,
         )
         self.submission_handler = SubmissionHandler(
             settings.vm,
@@ -273,6 +277,8 @@
             lambda: should_ask_peers(self.store_view()),
             access,
             self.submission_handler,
+            store_reads,
+            submission_reader,
         )
         self.peer_poller = PeerPoller(
             self.connections.peers,
--- a/src/balsamcleat/log_events.py
+++ b/src/balsamcleat/log_events.py
@@ -207,6 +207,7 @@
         "A run at a target is over; load, pace and version are what was believed at its start.",
         "step sample target end reason events resumed_at took_s load pace_ms version software",
     ),
+    event("submission read failed by a fault", "A fault of this program.", "step exception"),
     event("sample run failed by a fault", "A fault of this program.", "step sample exception"),
     event(
         "scorer called",
--- a/src/balsamcleat/platform/__init__.py
+++ b/src/balsamcleat/platform/__init__.py
@@ -58,6 +58,7 @@
     sample_body,
     sample_request_headers,
     scoring_request,
+    submitted_body,
     without_sample_credentials,
 )
 from balsamcleat.platform.store import PlatformRowStore
@@ -111,6 +112,7 @@
     "sample_request_headers",
     "scoring_request",
     "stand_in_response_headers",
+    "submitted_body",
     "with_team",
     "without_sample_credentials",
     "without_team_headers",
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from balsamcleat.decoding import decode_json
-from balsamcleat.errors import InvalidInputError
+from balsamcleat.errors import InvalidInputError, ProtocolError
 from balsamcleat.http1 import (
     Headers,
     Request,
@@ -53,6 +53,7 @@
     "sample_body",
     "sample_request_headers",
     "scoring_request",
+    "submitted_body",
     "without_sample_credentials",
 ]
 
@@ -101,6 +102,19 @@
     train_step: StoredInteger = 0
 
 
+class BodyFields(msgspec.Struct, frozen=True):
+    """Id and body of a sample of a submission, of which the body is not decoded yet."""
+
+    id: str
+    body: msgspec.Raw = msgspec.Raw(b'""')
+
+
+class BodiesFields(msgspec.Struct, frozen=True):
+    """Bodies in a submission of a step."""
+
+    requests: list[BodyFields]
+
+
 class ResultFields(msgspec.Struct, frozen=True, omit_defaults=True):
     """Result in a page of results."""
 
@@ -373,6 +387,20 @@
     return Request("POST", scoring.path, headers, scoring.body, now_s)
 
 
+def submitted_body(submission: bytes, sample_id: str) -> bytes | None:
+    """Return the body of a sample in a submission, or None if there is no sample with this id.
+
+    Raises:
+        ProtocolError: The submission can't be decoded.
+    """
+    try:
+        fields = decode_json(submission, BodiesFields)
+        found = next((item.body for item in fields.requests if item.id == sample_id), None)
+        return None if found is None else decode_json(found, bytes)
+    except msgspec.DecodeError as error:
+        raise ProtocolError(f"invalid step submission: {error}", step="step.decode") from error
+
+
 def encode_results(total: int, position: int, results: tuple[SampleResult, ...]) -> bytes:
     """Return an encoded page of results that starts at a position.
 
--- a/src/balsamcleat/tasks/rollout_handler.py
+++ b/src/balsamcleat/tasks/rollout_handler.py
@@ -17,9 +17,9 @@
     ResultsQuery,
     StepCall,
     StepCallKind,
-    decode_step,
     encode_results,
     sample_body,
+    submitted_body,
 )
 from balsamcleat.tasks.rollout_records import RolloutRecords
 from balsamcleat.tasks.rollout_runner import RolloutRunner
@@ -31,6 +31,7 @@
     send_unavailable,
 )
 from balsamcleat.tasks.submission_handler import SubmissionHandler
+from balsamcleat.tasks.submission_reader import StoreReads, SubmissionReader
 
 __all__ = ["RolloutHandler"]
 
@@ -53,6 +54,8 @@
         is_store_unavailable: Returns whether the store is known not to answer.
         access: Checks which team a step belongs to.
         submissions: Handles submissions of steps.
+        reads: Counts what calls read from the store.
+        submission_reader: Reads submissions of steps that other VMs own.
     """
 
     def __init__(
@@ -63,6 +66,8 @@
         is_store_unavailable: Callable[[], bool],
         access: StepAccess,
         submissions: SubmissionHandler,
+        reads: StoreReads,
+        submission_reader: SubmissionReader,
     ) -> None:
         self.records = records
         self.runner = runner
@@ -70,6 +75,8 @@
         self.is_store_unavailable = is_store_unavailable
         self.access = access
         self.submissions = submissions
+        self.reads = reads
+        self.submission_reader = submission_reader
 
     async def is_public(self, call: StepCall, table: RoutingTable) -> bool | None:
         """Return whether a call about a step needs no key, or None if there is no such step.
@@ -142,7 +149,8 @@
         owned = self.runner.steps.get(step_id)
         if owned is not None and not owned.lost:
             return tuple(owned.listed[position:])
-        return await self.records.results(step_id, position)
+        async with self.reads.reserve():
+            return await self.records.results(step_id, position)
 
     async def wait_for_results(self, step_id: StepId, timeout_s: float) -> None:
         """Wait until the step has changed or, for another VM's step, one poll interval."""
@@ -157,14 +165,14 @@
         """Respond with a sample's request body."""
         owned = self.runner.steps.get(step_id)
         if owned is not None:
-            step = owned.step
+            body = sample_body(owned.step, sample_id)
         else:
-            submission = await self.records.submission(step_id)
-            if submission is None:
+            async with self.submission_reader.open(step_id) as submission:
+                is_stored = submission is not None
+                body = submitted_body(submission.body, sample_id) if submission else None
+            if not is_stored:
                 await self.refuse_body(step_id, responder)
                 return
-            step = decode_step(submission.headers, submission.body)
-        body = sample_body(step, sample_id)
         if body is None:
             await send_not_found(responder, step_id, "no such sample in the submission")
             return
--- a/src/balsamcleat/tasks/rollout_records.py
+++ b/src/balsamcleat/tasks/rollout_records.py
@@ -25,7 +25,13 @@
 )
 from balsamcleat.tasks.row_pages import next_page_start
 from balsamcleat.tasks.step_submission import StepSubmission
-from balsamcleat.tasks.stored_values import ValueRows, decode_value, encode_value, value_writes
+from balsamcleat.tasks.stored_values import (
+    ValueRows,
+    decode_pieces,
+    decode_value,
+    encode_value,
+    value_writes,
+)
 
 __all__ = [
     "STEPS_TABLE",
@@ -241,8 +247,12 @@
     async def submission(self, step_id: StepId) -> StepSubmission | None:
         """Return a step's submission, or None if none is stored."""
         values = await self.read_values(BODIES_TABLE, step_id)
-        packed = values.complete().get("body")
-        return None if packed is None else decode_value(packed, StepSubmission)
+        pieces = values.take("body")
+        return None if pieces is None else decode_pieces(pieces, StepSubmission)
+
+    async def submission_page(self, step_id: StepId, start: str) -> RowPage:
+        """Return a page of the rows of a step's submission."""
+        return await self.store.read(BODIES_TABLE, step_id, start)
 
     async def append_results(
         self,
--- a/src/balsamcleat/tasks/step_access.py
+++ b/src/balsamcleat/tasks/step_access.py
@@ -9,6 +9,7 @@
 from balsamcleat.tasks.owned_step import OwnedStep
 from balsamcleat.tasks.rollout_records import OwnerRecord, RolloutRecords
 from balsamcleat.tasks.step_feed import KnownStep
+from balsamcleat.tasks.submission_reader import SubmissionReader
 
 __all__ = ["StepAccess"]
 
@@ -24,6 +25,7 @@
         owned_steps: Steps that this VM owns.
         known_steps: Returns the steps known from the change feed.
         table: Returns the routing table in force, or None before there is one.
+        submission_reader: Reads submissions of steps.
     """
 
     def __init__(
@@ -32,7 +34,9 @@
         owned_steps: Mapping[StepId, OwnedStep],
         known_steps: Callable[[], dict[StepId, KnownStep]],
         table: Callable[[], RoutingTable | None],
+        submission_reader: SubmissionReader,
     ) -> None:
+        self.submission_reader = submission_reader
         self.records = records
         self.owned_steps = owned_steps
         self.known_steps = known_steps
@@ -103,12 +107,13 @@
         owned = self.owned_steps.get(step_id)
         if owned is not None:
             return owned.submitter
-        submission = await self.records.submission(step_id)
-        if submission is None:
-            # Without its submission, the step would look like one without a team.
-            raise ProtocolError("the submission is stored incomplete", step="step.access")
-        self.remember(step_id, submission.submitter)
-        return submission.submitter
+        async with self.submission_reader.open(step_id) as submission:
+            if submission is None:
+                # Without its submission, the step would look like one without a team.
+                raise ProtocolError("the submission is stored incomplete", step="step.access")
+            submitter = submission.submitter
+        self.remember(step_id, submitter)
+        return submitter
 
     def remember(self, step_id: StepId, submitter: StepSubmitter) -> None:
         """Remember a step's submitter; a submission is large, and a trainer polls."""
--- a/src/balsamcleat/tasks/stored_values.py
+++ b/src/balsamcleat/tasks/stored_values.py
@@ -14,7 +14,7 @@
 from balsamcleat.errors import ProtocolError
 from balsamcleat.ports.rows import RowChange, RowKey, RowWrite
 
-__all__ = ["ValueRows", "decode_value", "encode_value", "value_writes"]
+__all__ = ["ValueRows", "decode_pieces", "decode_value", "encode_value", "value_writes"]
 
 ZLIB_LEVEL = 1
 # Key of a row that holds a piece of a value: the value's name, the row's number, the row count.
@@ -67,6 +67,15 @@
         """Return the contents of the values of which all rows were added, by name."""
         return {key.name: b"".join(self.pieces[key]) for key in self.complete_keys()}
 
+    def take(self, name: str) -> list[bytes] | None:
+        """Remove a value of which all rows were added; return its pieces, or None without one."""
+        key = next((key for key in self.complete_keys() if key.name == name), None)
+        return None if key is None else self.pieces.pop(key)
+
+    def expected_rows(self) -> int:
+        """Return the largest number of rows that any of the values has."""
+        return max((key.row_count for key in self.pieces), default=0)
+
     def incomplete_names(self) -> set[str]:
         """Return the names of the values that can't be joined."""
         return {key.name for key in self.pieces} - {key.name for key in self.complete_keys()}
@@ -105,10 +114,40 @@
 def decode_value(packed: bytes, value_type: type[Stored]) -> Stored:
     """Decode a stored value.
 
+    Raises:
+        ProtocolError: The value cannot be decoded.
+    """
+    return decode_pieces([packed], value_type)
+
+
+def decode_pieces(pieces: list[bytes], value_type: type[Stored]) -> Stored:
+    """Decode a stored value that may be large.
+
+    Args:
+        pieces: Pieces of the value in their order; each is removed once it was unpacked.
+        value_type: Type of the value.
+
     Raises:
         ProtocolError: The value cannot be decoded.
     """
     try:
-        return decode_msgpack(zlib.decompress(packed), value_type)
+        return decode_msgpack(unpack(pieces), value_type)
     except (zlib.error, msgspec.DecodeError) as error:
         raise ProtocolError(f"unreadable record: {error}", step="records.decode") from error
+
+
+def unpack(pieces: list[bytes]) -> bytearray:
+    """Return the decompressed contents of pieces, which are removed one after the other.
+
+    Raises:
+        zlib.error: The pieces can't be decompressed.
+    """
+    decompressor = zlib.decompressobj()
+    unpacked = bytearray()
+    pieces.reverse()
+    while pieces:
+        unpacked += decompressor.decompress(pieces.pop())
+    unpacked += decompressor.flush()
+    if not decompressor.eof:
+        raise zlib.error("the value is incomplete")
+    return unpacked
--- a/tests/step_world.py
+++ b/tests/step_world.py
@@ -18,7 +18,7 @@
 from balsamcleat.decisions.stream_origin import origin_of
 from balsamcleat.decisions.vm_watch import VmRow
 from balsamcleat.errors import AttemptFailedError
-from balsamcleat.http1 import Request, Responder, Response
+from balsamcleat.http1 import ByteBudget, Request, Responder, Response
 from balsamcleat.model import (
     ConfigurationVersion,
     FailureKind,
@@ -47,6 +47,7 @@
 from balsamcleat.tasks.step_transfer import StepTransfer
 from balsamcleat.tasks.store_clock import StoreClock
 from balsamcleat.tasks.submission_handler import SubmissionHandler
+from balsamcleat.tasks.submission_reader import StoreReads, SubmissionReader
 from balsamcleat.tasks.table_follower import TableFollower
 from balsamcleat.tasks.vm_presence import VmPresence
 
@@ -322,6 +323,7 @@
         event_text: Returns the text of an event of a sample.
         local_clock: Returns the local clock of a VM that starts, in seconds.
         extra_loops: Returns what a VM runs besides, until it is killed.
+        budget: Budget of the bytes that a VM holds.
     """
 
     tasks: anyio.abc.TaskGroup
@@ -336,6 +338,7 @@
     event_text: Callable[[str, int], str] = lambda sample_id, number: f"{sample_id}:{number}"
     local_clock: Callable[[], Callable[[], float]] = lambda: anyio.current_time
     extra_loops: Callable[[StepVm], list[Callable[[], Awaitable[None]]]] = lambda _: []
+    budget: ByteBudget = field(default_factory=ByteBudget)
 
     def __post_init__(self) -> None:
         for number in range(self.engines):
@@ -400,7 +403,9 @@
         )
         runner.on_rows = guard.on_rows = feed.apply_rows
         runner.find_obstacle = feed.find_obstacle
-        access = StepAccess(records, runner.steps, lambda: feed.steps, lambda: TABLE)
+        reads = StoreReads(self.budget)
+        reader = SubmissionReader(records, reads, runner.start_task)
+        access = StepAccess(records, runner.steps, lambda: feed.steps, lambda: TABLE, reader)
 
         def is_store_unavailable() -> bool:
             return anyio.current_time() - view.answered_at_s >= STORE_SILENCE_LIMIT_S
@@ -418,7 +423,14 @@
             access,
         )
         handler = RolloutHandler(
-            records, runner, lambda: feed.steps, is_store_unavailable, access, submissions
+            records,
+            runner,
+            lambda: feed.steps,
+            is_store_unavailable,
+            access,
+            submissions,
+            reads,
+            reader,
         )
         vm = StepVm(name, view, runner, handler, feed, presence, transfer, engines, scorer, clock)
         followers = [
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -39,6 +39,7 @@
             "rollout_handler",
             "step_responses",
             "submission_handler",
+            "submission_reader",
             "rollout_records",
             "stored_values",
             "rollout_runner",
