--- a/src/balsamcleat/tasks/live_call.py
+++ b/src/balsamcleat/tasks/live_call.py
@@ -109,6 +109,10 @@
         """Return the time left until the response must begin, in seconds."""
         return self.deadline_s - anyio.current_time()
 
+    def can_start_round(self) -> bool:
+        """Return whether the call may be sent again to the targets that rejected it."""
+        return self.attempts.can_start_round() and self.remaining_s() > 0.0
+
     def latest_end_s(self) -> float:
         """Return the time at which the caller no longer waits, on the monotonic clock.
 
--- a/src/balsamcleat/tasks/live_forwarder.py
+++ b/src/balsamcleat/tasks/live_forwarder.py
@@ -266,8 +266,7 @@
         Returns:
             Whether there is another service, and time left.
         """
-        can_turn = call.attempts.can_start_round() and call.remaining_s() > 0.0
-        if not can_turn or not call.drop_service():
+        if not call.can_start_round() or not call.drop_service():
             return False
         call.attempts.start_round()
         self.record_demand(call)
@@ -281,11 +280,7 @@
 
     def can_queue_again(self, call: LiveCall) -> bool:
         """Return whether a call that all targets rejected may wait for another slot."""
-        return (
-            call.attempts.can_start_round()
-            and self.queues.has_queue(call.service)
-            and call.remaining_s() > 0.0
-        )
+        return call.can_start_round() and self.queues.has_queue(call.service)
 
     def log_queue_wait(self, call: LiveCall, waited_s: float) -> None:
         """Log how long a call waited for its slot."""
@@ -424,6 +419,7 @@
         try:
             await exchange.begin(force_new_connection=not call.route.is_repeatable)
             response = await exchange.read_response()
+            exchange.record_load(stats)
             outcome = self.classify_response(replica, response, exchange.metadata)
             if isinstance(outcome, Ok):
                 self.crash_guard.record_response(call, replica, exchange)
@@ -447,15 +443,10 @@
     def classify_response(
         self, replica: Replica, response: Response, metadata: ResponseMetadata
     ) -> Result[Response, AttemptFailedError]:
-        """Return a complete response as success or failure, and record the target's load."""
+        """Return a complete response as success or failure."""
         stats = self.stats_registry.for_replica(replica)
-        now_s = anyio.current_time()
-        if metadata.running_count is not None:
-            stats.record_load(
-                metadata.running_count, metadata.waiting_count, now_s, metadata.pace_ratio
-            )
         if metadata.is_not_run:
-            stats.record_rejection(now_s, metadata.retry_after_s)
+            stats.record_rejection(anyio.current_time(), metadata.retry_after_s)
             return Err(rejection_error(replica, response.status, metadata.retry_after_s))
         stats.record_success()
         return Ok(response)
--- a/src/balsamcleat/tasks/sample_run.py
+++ b/src/balsamcleat/tasks/sample_run.py
@@ -231,10 +231,7 @@
             raise exchange.failure("no response head within the timeout", FailureKind.SILENT)
         metadata = exchange.metadata
         now_s = anyio.current_time()
-        if metadata.running_count is not None:
-            stats.record_load(
-                metadata.running_count, metadata.waiting_count, now_s, metadata.pace_ratio
-            )
+        exchange.record_load(stats)
         if exchange.status != OK:
             await exchange.discard_body()
         if metadata.is_not_run:
--- a/src/balsamcleat/tasks/stream_forwarder.py
+++ b/src/balsamcleat/tasks/stream_forwarder.py
@@ -343,10 +343,7 @@
             await self.start_exchange(call, exchange)
             metadata = exchange.metadata
             now_s = anyio.current_time()
-            if metadata.running_count is not None:
-                stats.record_load(
-                    metadata.running_count, metadata.waiting_count, now_s, metadata.pace_ratio
-                )
+            exchange.record_load(stats)
             if metadata.is_not_run:
                 await exchange.discard_body()
                 stats.record_rejection(now_s, metadata.retry_after_s)
--- a/src/balsamcleat/tasks/target_exchange.py
+++ b/src/balsamcleat/tasks/target_exchange.py
@@ -6,6 +6,7 @@
 import structlog
 
 from balsamcleat.decisions.replica_directory import ReplicaDirectory
+from balsamcleat.decisions.replica_stats import ReplicaStats
 from balsamcleat.decisions.shared_limit import TargetLimits
 from balsamcleat.decisions.stream_origin import StreamOrigin, origin_of
 from balsamcleat.decisions.vm_watch import VmRow
@@ -310,6 +311,17 @@
         if self.expects_stamp and not self.is_from_target():
             raise self.failure("the response lacks the target's stamp", FailureKind.MALFORMED)
 
+    def record_load(self, stats: ReplicaStats) -> None:
+        """Record the load that the target states in its response, if it states one."""
+        metadata = self.metadata
+        if metadata.running_count is not None:
+            stats.record_load(
+                metadata.running_count,
+                metadata.waiting_count,
+                anyio.current_time(),
+                metadata.pace_ratio,
+            )
+
     def is_from_target(self) -> bool:
         """Return whether the target itself answered or rejected the request.
 
