Ids and hosts of a submission that HTTP would trim are refused, too

The check of a request target, which ids of targets share, is named for what it says: is_visible_ascii. Before: the new form of test_foreign_targets is accepted (not run on the code before); after: it is refused, and the tests of that file pass.

--- a/src/balsamcleat/http1/messages.py
+++ b/src/balsamcleat/http1/messages.py
@@ -11,11 +11,11 @@
     "Response",
     "encode_headers",
     "has_valid_field",
-    "has_valid_target",
     "header_text",
     "header_value",
     "is_final_status",
     "is_success",
+    "is_visible_ascii",
     "text_of_header",
     "without_headers",
 ]
@@ -30,10 +30,10 @@
 # does not come from a header becomes such a value by ``header_text``.
 Headers = tuple[tuple[str, str], ...]
 
-# Forms of a field name and value (RFC 9110, section 5) and of a request target without spaces.
+# Forms of a field name and value (RFC 9110, section 5), and of a request target.
 FIELD_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 FIELD_VALUE = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
-REQUEST_TARGET = re.compile(r"[\x21-\x7e]+")
+VISIBLE_ASCII = re.compile(r"[\x21-\x7e]+")
 
 # Headers that apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -139,9 +139,9 @@
     return bool(FIELD_NAME.fullmatch(name) and FIELD_VALUE.fullmatch(value))
 
 
-def has_valid_target(target: str) -> bool:
-    """Return whether a text can be sent as the target of a request."""
-    return REQUEST_TARGET.fullmatch(target) is not None
+def is_visible_ascii(text: str) -> bool:
+    """Return whether a text can be sent as the target of a request, or as an id in a header."""
+    return VISIBLE_ASCII.fullmatch(text) is not None
 
 
 def without_headers(headers: Headers, names: Iterable[str]) -> Headers:
--- a/src/balsamcleat/platform/documents.py
+++ b/src/balsamcleat/platform/documents.py
@@ -6,7 +6,7 @@
 
 from balsamcleat.decoding import decode_json
 from balsamcleat.errors import ProtocolError
-from balsamcleat.http1 import has_valid_target, parse_address
+from balsamcleat.http1 import is_visible_ascii, parse_address
 from balsamcleat.http1.numbers import MAX_NUMBER
 from balsamcleat.model import (
     ConfigurationVersion,
@@ -327,7 +327,7 @@
     Other writers may put entries into the same table. The id is sent in a header of each request to
     the target, so one that can't be is no target's.
     """
-    if not has_valid_target(target_id):
+    if not is_visible_ascii(target_id):
         return None
     try:
         fields = decode_json(value, ReplicaFields)
--- a/src/balsamcleat/platform/steps.py
+++ b/src/balsamcleat/platform/steps.py
@@ -12,9 +12,9 @@
     Headers,
     Request,
     has_valid_field,
-    has_valid_target,
     header_text,
     header_value,
+    is_visible_ascii,
     without_headers,
 )
 from balsamcleat.http1.numbers import MAX_NUMBER, decimal_number
@@ -245,20 +245,29 @@
     """
     for sample in step.samples:
         scoring = sample.scoring
-        is_valid = is_valid_request(sample.path, sample.sample_id, sample.headers) and (
-            scoring is None
-            or is_valid_request(scoring.path, scoring.request_id, (("Host", scoring.host),))
-        )
+        is_valid = is_valid_request(sample.path, (sample.sample_id,), sample.headers)
+        if scoring is not None:
+            is_valid &= is_valid_request(scoring.path, (scoring.request_id, scoring.host))
         if not is_valid:
             raise InvalidInputError(
                 f"the request of sample {sample.sample_id!r} can't be sent", step="step.check"
             )
 
 
-def is_valid_request(path: str, request_id: str, headers: Headers) -> bool:
-    """Return whether a request with these properties can be sent."""
-    fields = ((CORRELATION_HEADER, request_id), *headers)
-    return has_valid_target(path) and all(has_valid_field(name, text) for name, text in fields)
+def is_valid_request(path: str, values: tuple[str, ...], headers: Headers = ()) -> bool:
+    """Return whether a request can be sent.
+
+    Args:
+        path: Target of the request.
+        values: Values of headers that this VM sets, which are sent as they are.
+        headers: Headers that the trainer has set.
+    """
+    fields = ((CORRELATION_HEADER, value) for value in values)
+    return (
+        is_visible_ascii(path)
+        and all(value == value.strip(OPTIONAL_WHITESPACE) for value in values)
+        and all(has_valid_field(name, text) for name, text in (*fields, *headers))
+    )
 
 
 def without_sample_credentials(body: bytes, step: RolloutStep) -> bytes:
--- a/tests/test_foreign_targets.py
+++ b/tests/test_foreign_targets.py
@@ -223,6 +223,7 @@
         {"path": ""},
         {"path": "/" + ARROW},
         {"id": "a\nb"},
+        {"id": " a"},
         {"scorerUrl": {"id": "s", "host": "h", "path": "/a b"}},
         {"scorerUrl": {"id": "s", "host": "h\n", "path": "/a"}},
     ],
