Soak: incomplete entries of other writers, and samples that fail at each run

The soak knew seven odd entries and no sample that fails. It draws from all forms of odd_entries now, and the last sample of some steps gets 500 at each run: it may be listed as given up, and may not get more than three times the attempts of its route, whoever owns the step (not judged where VMs of the previous build take part, as these forget).

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -50,6 +50,8 @@
 MODEL = "m"
 HEADERS = (("Host", HOST), AUTHORIZATION)
 ORDER_GAP_S = 1.0
+# Three times the attempts of the route of steps.
+MAX_FAILURES = 9
 READY_AFTER_S = 6.0
 SETTLE_S = 12.0
 # Steps that each trainer submits besides its own around the loss of power, within this time.
@@ -319,6 +321,16 @@
             if ended_s is not None and at_s - ended_s > 3.0:
                 self.breaks("an ended step stops", f"{sample} {at_s - ended_s:.2f} s later")
 
+    def check_failing_samples(self) -> None:
+        """Check that samples which fail at each run are given up, whoever owned their steps.
+
+        An owner of the previous build forgets what the owner before it counted.
+        """
+        failures = Counter(sample for engine in self.engines for sample in engine.failures)
+        for sample, count in failures.items():
+            if count > MAX_FAILURES and self.other_sources is None:
+                self.breaks("a failing sample is given up", f"{sample} failed {count} times")
+
     def check_leaving(self) -> None:
         for target in (*self.plains, *self.engines):
             if target.late_after_drain:
@@ -422,6 +434,8 @@
     async def play(self, vms: int) -> None:
         """Play the seed to its end."""
         self.build(vms)
+        for engine in self.engines:
+            engine.fails_samples = True
         for vm in self.vms:
             vm.start()
         try:
@@ -459,6 +473,7 @@
         self.check_targets()
         self.check_leaving()
         self.check_poison(faults)
+        self.check_failing_samples()
         for broken in broken_duties(self.duties, ORDER_GAP_S):
             self.breaks("duties", broken)
         self.call_log.disturbances = faults.disturbances
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -15,6 +15,7 @@
 import soak_clock
 from balsamcleat.ports.rows import RowCommit, RowKey, RowWrite
 from balsamcleat.standins.row_store import MemoryRowStore, RowStoreFlaws
+from odd_entries import FORMS, ODD_ENTRIES
 from soak_clock import ClockOffset
 from soak_link import SoakLink
 from soak_stand import SoakTarget, StoreDoor
@@ -24,15 +25,7 @@
 # VMs are in touch again this long after a fault.
 CALM_S = 3.0
 # Entries of other writers in the list of targets; none names a target.
-FOREIGN_ENTRIES = (
-    b"",
-    b"\xff\xfe",
-    b'{"unknown":' + b"[" * 30_000,
-    b'{"svc":"app","address":"127.0.0.1:99999","state":"ready"}',
-    b'{"svc":"llm","address":"127.0.0.1:80","state":"resting"}',
-    b'{"svc":"app","address":"127.0.0.1:80","state":"ready","batchSlots":' + b"9" * 400 + b"}",
-    b'{"svc":["app"],"address":7,"state":"ready"}',
-)
+FOREIGN_ENTRIES = (b"", b"\xff\xfe", *(v for form in FORMS for v in ODD_ENTRIES[form].values()))
 
 
 @dataclass
--- a/tests/soak_read_again.py
+++ b/tests/soak_read_again.py
@@ -10,6 +10,7 @@
 
 from balsamcleat.http1 import Request, Response
 from soak_faults import SoakVm
+from soak_stand import fails_always
 from soak_trainer import Ask, SubmittedStep, check_content
 
 __all__ = ["COMES_AGAIN", "FINISH_S", "STATUS_S", "ExpectedStep", "ReadAgain"]
@@ -192,6 +193,8 @@
             self.breaks("own samples", f"{step.step_id} {result['id']}")
         elif result["state"] == "complete":
             check_content(step, result, self.breaks)
+        elif fails_always(result["id"]):
+            return
         elif not step.is_end_sent and anyio.current_time() < step.submitted_s + QUEUE_TTL_S:
             self.breaks("given up only where allowed", f"{step.step_id} {result['id']}")
 
--- a/tests/soak_stand.py
+++ b/tests/soak_stand.py
@@ -197,6 +197,9 @@
     late_after_drain: int = 0
     poison_runs: list[tuple[str, float]] = field(default_factory=list)
     order_log: list[tuple[float, str, int]] = field(default_factory=list)
+    # Whether some samples fail at each run, and the answers that say so.
+    fails_samples: bool = False
+    failures: list[str] = field(default_factory=list)
     named: Callable[[], int] = lambda: 1
     rng: random.Random = field(default_factory=random.Random)
 
@@ -364,6 +367,11 @@
             await responder.send(Response(503, refusal))
             return
         self.note_run(attempt)
+        if self.fails_samples and fails_always(attempt):
+            self.failures.append(attempt)
+            headers = (("Attempt-Id", attempt), ("Server-Stamp", "s"))
+            await responder.send(Response(500, headers))
+            return
         if request.path.startswith(STREAM_PREFIX):
             attempt = request.path.removeprefix(STREAM_PREFIX)
         number = int(header_value(request.headers, "Last-Event-Id") or 0)
@@ -410,6 +418,11 @@
     return f"stamp-{attempt}"
 
 
+def fails_always(sample_id: str) -> bool:
+    """Return whether a sample fails at each run: the last one of some steps of the trainers."""
+    return sample_id.endswith("i23") and random.Random(f"fails {sample_id}").random() < 0.5
+
+
 def events_of(sample_id: str) -> int:
     """Return a sample's length, the same at every target; one in ten is long."""
     rng = random.Random(sample_id)
--- a/tests/soak_trainer.py
+++ b/tests/soak_trainer.py
@@ -11,7 +11,7 @@
 
 from balsamcleat.http1 import Request, Response
 from soak_faults import SoakVm
-from soak_stand import events_of, scoring_id, stamp_of
+from soak_stand import events_of, fails_always, scoring_id, stamp_of
 
 STEP_SAMPLES = 24
 READ_SHARE = 0.8
@@ -221,6 +221,8 @@
         if len(known) > 1:
             self.breaks("listed once", f"{step_id} {result['id']} at {known}")
         if result["state"] != "complete":
+            if fails_always(result["id"]):
+                return
             self.breaks("given up only where allowed", f"{step_id} {result['id']}")
             return
         check_content(step, result, self.breaks)
